Lay the ground: core types, wire messages, the protocol's page

Cause: every part needs one set of names, times and messages before it can be built beside the others. Ruled out: own codec (prost does it), TCP towards callers (a connection ends on the instance that accepted it, so the fabric could not spray it). Before: nothing. Conclusion: the crates above these two can be written in parallel.

--- /dev/null
+++ b/crates/foxledge-core/src/peers.rs
@@ -0,0 +1,86 @@
+//! What an instance knows of the fleet's instances.
+
+use std::net::SocketAddr;
+
+use serde::Serialize;
+
+use crate::{
+    hash::rendezvous_weight,
+    names::{CentreName, InstanceName},
+};
+
+/// `PeerState` is the state of an instance as others see it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize)]
+#[serde(rename_all = "lowercase")]
+pub enum PeerState {
+    /// Started, not warm yet: takes no homes.
+    Joining,
+    /// Serves and takes homes.
+    Alive,
+    /// An observer has not heard from it; it still holds its homes.
+    Suspect,
+    /// Planned stop: takes no new homes, finishes what it has.
+    Leaving,
+    /// Gone.
+    Dead,
+}
+
+impl PeerState {
+    /// True when the instance can be the home of a service.
+    pub fn holds_homes(self) -> bool {
+        matches!(self, PeerState::Alive | PeerState::Suspect)
+    }
+}
+
+/// `PeerInfo` is what one instance is and where it listens.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct PeerInfo {
+    /// Its name from its settings.
+    pub name: InstanceName,
+    /// Of the process; a restart has a higher one.
+    pub incarnation: u64,
+    /// Raised by the instance itself to refute a suspicion.
+    pub refutation: u32,
+    /// Its state.
+    pub state: PeerState,
+    /// Its data centre.
+    pub data_centre: CentreName,
+    /// Where callers' and backend servers' datagrams arrive.
+    pub data_address: SocketAddr,
+    /// Where datagrams of other instances arrive.
+    pub peer_address: SocketAddr,
+    /// Where control calls arrive.
+    pub control_address: SocketAddr,
+}
+
+/// `PeerView` is one instance's present view of its data centre and of which
+/// other data centres can be reached.
+///
+/// Two instances may hold different views at the same time; nothing that must
+/// always hold depends on their being equal.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize)]
+pub struct PeerView {
+    /// The instances of the own data centre, self included, sorted by name.
+    pub peers: Vec<PeerInfo>,
+    /// Data centres that answered lately, the own one included.
+    pub reachable_centres: Vec<CentreName>,
+}
+
+impl PeerView {
+    /// The instance of that name.
+    pub fn find(&self, name: &str) -> Option<&PeerInfo> {
+        self.peers.iter().find(|peer| peer.name.as_str() == name)
+    }
+
+    /// Instances that can be the home for `key`, the best first.
+    pub fn ranked_homes(&self, key: &str) -> Vec<&PeerInfo> {
+        let mut ranked: Vec<_> = self
+            .peers
+            .iter()
+            .filter(|peer| peer.state.holds_homes())
+            .map(|peer| (rendezvous_weight(key, &peer.name), peer))
+            .collect();
+        ranked.sort_by(|a, b| b.0.cmp(&a.0).then_with(|| a.1.name.cmp(&b.1.name)));
+        ranked.into_iter().map(|(_, peer)| peer).collect()
+    }
+}
--- /dev/null
+++ b/crates/foxledge-wire/src/lib.rs
@@ -0,0 +1,18 @@
+//! Messages and services that foxledge's processes speak.
+//!
+//! The code under `generated` is made from `proto/` and committed; the test
+//! `generated_code` compares the two.
+
+/// Datagrams between callers, instances and backend servers.
+#[allow(missing_docs, clippy::all)]
+#[rustfmt::skip]
+pub mod flow {
+    include!("generated/foxledge.flow.v1.rs");
+}
+
+/// Control between foxledge's processes, and the platform's interface.
+#[allow(missing_docs, clippy::all)]
+#[rustfmt::skip]
+pub mod control {
+    include!("generated/foxledge.control.v1.rs");
+}
