Lay out the workspace's crates

Cause: parts are written side by side and must not break each other's build. Ruled out: one crate for all decisions; a broken module would stop every other.

--- /dev/null
+++ b/crates/foxledge-bench/src/main.rs
@@ -0,0 +1,2 @@
+//! The measuring tool.
+fn main() {}
--- /dev/null
+++ b/crates/foxledge-ctl/src/main.rs
@@ -0,0 +1,2 @@
+//! `foxledgectl`.
+fn main() {}
--- /dev/null
+++ b/crates/foxledge-daemon/src/main.rs
@@ -0,0 +1,2 @@
+//! `foxledged`.
+fn main() {}
