Bound what a datagram may carry

Cause: a hostile datagram must cost no more than its decoding. Ruled out: trusting prost's own limits; it bounds depth, not the length of a field.

--- /dev/null
+++ b/crates/foxledge-wire/src/datagram.rs
@@ -0,0 +1,87 @@
+//! Bounded decoding of datagrams.
+
+use prost::Message;
+
+use crate::{
+    errors::{Error, Result, bad_field},
+    flow::{Packet, PacketKind, WorkKind},
+};
+
+/// Version of the datagram protocol.
+pub const PROTOCOL_VERSION: u32 = 1;
+/// Longest datagram, in bytes; fits an Ethernet frame with room for headers.
+pub const MAX_DATAGRAM: usize = 1400;
+/// Longest payload of one part, in bytes.
+pub const MAX_PAYLOAD: usize = 1000;
+/// Most parts of one request or answer.
+pub const MAX_PARTS: u32 = 4096;
+
+const MAX_NAME: usize = 100;
+const MAX_SEALED: usize = 400;
+const MAX_MISSING: usize = 64;
+
+/// Decodes one datagram and checks every bound.
+///
+/// Without the bounds a hostile caller makes an instance hold or repeat more
+/// than it sent; one would notice memory or outgoing traffic that rises with
+/// junk. Whatever fails here is counted and dropped without an answer.
+pub fn decode_packet(bytes: &[u8]) -> Result<Packet> {
+    if bytes.len() > MAX_DATAGRAM {
+        return Err(Error::Oversized(bytes.len()));
+    }
+    let packet = Packet::decode(bytes)?;
+    check_head(&packet)?;
+    check_sizes(&packet)?;
+    check_parts(&packet)?;
+    Ok(packet)
+}
+
+/// Encodes a packet as one datagram.
+pub fn encode_packet(packet: &Packet) -> Vec<u8> {
+    packet.encode_to_vec()
+}
+
+fn check_head(packet: &Packet) -> Result<()> {
+    if packet.version != PROTOCOL_VERSION {
+        return Err(bad_field("version", "not spoken here"));
+    }
+    let kind = PacketKind::try_from(packet.kind).unwrap_or(PacketKind::Unspecified);
+    if kind == PacketKind::Unspecified {
+        return Err(bad_field("kind", "unknown"));
+    }
+    if WorkKind::try_from(packet.work).is_err() {
+        return Err(bad_field("work", "unknown"));
+    }
+    Ok(())
+}
+
+fn check_sizes(packet: &Packet) -> Result<()> {
+    let sized = [
+        ("address", packet.address.len(), MAX_NAME),
+        ("member", packet.member.len(), MAX_NAME),
+        ("service", packet.service.len(), MAX_NAME),
+        ("ticket", packet.ticket.len(), MAX_SEALED),
+        ("token", packet.token.len(), MAX_SEALED),
+        ("return_path", packet.return_path.len(), MAX_SEALED + MAX_NAME),
+        ("credential", packet.credential.len(), MAX_NAME),
+        ("payload", packet.payload.len(), MAX_PAYLOAD),
+        ("missing", packet.missing.len(), MAX_MISSING),
+    ];
+    for (field, size, limit) in sized {
+        if size > limit {
+            return Err(bad_field(field, "too long"));
+        }
+    }
+    Ok(())
+}
+
+fn check_parts(packet: &Packet) -> Result<()> {
+    if packet.parts > MAX_PARTS {
+        return Err(bad_field("parts", "too many"));
+    }
+    let carries_part = packet.kind() == PacketKind::Work || packet.kind() == PacketKind::Answer;
+    if carries_part && packet.part >= packet.parts {
+        return Err(bad_field("part", "not below parts"));
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/foxledge-wire/src/errors.rs
@@ -0,0 +1,36 @@
+//! The crate's error type.
+
+use thiserror::Error;
+
+/// `Result` is the crate's result type.
+pub type Result<T> = std::result::Result<T, Error>;
+
+/// `Error` is why a message can't be taken.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+pub enum Error {
+    /// The datagram is longer than the protocol allows.
+    #[error("oversized datagram of {0} bytes")]
+    Oversized(usize),
+    /// The bytes are no message of the protocol.
+    #[error("malformed message: {0}")]
+    Malformed(String),
+    /// A field has a value that the protocol doesn't allow.
+    #[error("field {field}: {why}")]
+    BadField {
+        /// The field's name.
+        field: &'static str,
+        /// What is wrong with it.
+        why: &'static str,
+    },
+}
+
+/// Makes an [`Error::BadField`].
+pub fn bad_field(field: &'static str, why: &'static str) -> Error {
+    Error::BadField { field, why }
+}
+
+impl From<prost::DecodeError> for Error {
+    fn from(error: prost::DecodeError) -> Error {
+        Error::Malformed(error.to_string())
+    }
+}
--- a/crates/foxledge-wire/src/lib.rs
+++ b/crates/foxledge-wire/src/lib.rs
@@ -16,3 +16,10 @@
 pub mod control {
     include!("generated/foxledge.control.v1.rs");
 }
+
+pub mod convert;
+pub mod datagram;
+pub mod errors;
+
+pub use datagram::{MAX_DATAGRAM, MAX_PAYLOAD, PROTOCOL_VERSION, decode_packet, encode_packet};
+pub use errors::{Error, Result};
