--- a/crates/foxledge-members/src/lib.rs
+++ b/crates/foxledge-members/src/lib.rs
@@ -1,1 +1,17 @@
-//! Not written yet.
+//! Membership between instances, and the spreading of rule lists between them.
+//!
+//! Everything here is decision logic: events and the present time go in,
+//! effects come out. [`Membership`] tells which instances of the data centre
+//! live and which other data centres answer; [`ListStore`] keeps the newest
+//! accepted list and fetches newer ones.
+
+mod effects;
+mod options;
+
+pub mod lists;
+pub mod membership;
+
+pub use effects::{ListEffect, ListSource, MemberEffect, ProbeResult};
+pub use lists::{ListBuilder, ListOptions, ListStore, RulesBuilder};
+pub use membership::Membership;
+pub use options::MemberOptions;
