--- /dev/null
+++ b/crates/foxledge-fakes/src/harness/mod.rs
@@ -0,0 +1,1 @@
+//! Not written yet.
--- /dev/null
+++ b/crates/foxledge-fakes/src/report.rs
@@ -0,0 +1,1 @@
+//! Reports that callers and backend servers write.
