Seal tickets, flow tokens and datagrams

Cause: what an instance hands out must be believed by every other without a table. Ruled out: one code for all purposes (a ticket could be presented as a token); encryption (nothing in them is secret from their holder). Before: nothing.

--- /dev/null
+++ b/crates/foxledge-seal/src/seals.rs
@@ -0,0 +1,66 @@
+//! Sealing and opening of tickets, flow tokens and datagrams.
+
+use prost::Message;
+
+use foxledge_wire::flow::{FlowToken, PeerDatagram, Sealed, Ticket};
+
+use crate::{
+    errors::{Error, Result},
+    keys::{KeyRing, Purpose},
+};
+
+/// Seals a ticket.
+pub fn seal_ticket(ring: &KeyRing, ticket: &Ticket) -> Result<Vec<u8>> {
+    seal(ring, Purpose::Ticket, ticket)
+}
+
+/// Opens a ticket, if a published key sealed it.
+pub fn open_ticket(ring: &KeyRing, bytes: &[u8]) -> Result<Ticket> {
+    open(ring, Purpose::Ticket, bytes).map(|(ticket, _)| ticket)
+}
+
+/// Seals a flow token.
+pub fn seal_token(ring: &KeyRing, token: &FlowToken) -> Result<Vec<u8>> {
+    seal(ring, Purpose::Token, token)
+}
+
+/// Opens a flow token, if a published key sealed it.
+pub fn open_token(ring: &KeyRing, bytes: &[u8]) -> Result<FlowToken> {
+    open(ring, Purpose::Token, bytes).map(|(token, _)| token)
+}
+
+/// Seals a datagram between instances.
+pub fn seal_datagram(ring: &KeyRing, datagram: &PeerDatagram) -> Result<Vec<u8>> {
+    seal(ring, Purpose::Datagram, datagram)
+}
+
+/// Opens a datagram between instances.
+pub fn open_datagram(ring: &KeyRing, bytes: &[u8]) -> Result<PeerDatagram> {
+    open(ring, Purpose::Datagram, bytes).map(|(datagram, _)| datagram)
+}
+
+/// The same flow token under the newest key, or none when it is sealed under it already.
+///
+/// A feed outlives keys. Without resealing, its token would stop opening once
+/// its key is no longer published, and the feed would break at the second
+/// rotation after it was opened.
+pub fn reseal_token(ring: &KeyRing, bytes: &[u8]) -> Result<Option<Vec<u8>>> {
+    let (token, key_id) = open::<FlowToken>(ring, Purpose::Token, bytes)?;
+    if ring.ids().last() == Some(&key_id) {
+        return Ok(None);
+    }
+    seal_token(ring, &token).map(Some)
+}
+
+fn seal<M: Message>(ring: &KeyRing, purpose: Purpose, message: &M) -> Result<Vec<u8>> {
+    let body = message.encode_to_vec();
+    let (key_id, code) = ring.sign(purpose, &body)?;
+    Ok(Sealed { key_id, mac: code.to_vec(), body }.encode_to_vec())
+}
+
+fn open<M: Message + Default>(ring: &KeyRing, purpose: Purpose, bytes: &[u8]) -> Result<(M, u32)> {
+    let sealed = Sealed::decode(bytes).map_err(|_| Error::Malformed)?;
+    ring.verify(sealed.key_id, purpose, &sealed.body, &sealed.mac)?;
+    let message = M::decode(sealed.body.as_slice()).map_err(|_| Error::Malformed)?;
+    Ok((message, sealed.key_id))
+}
