Read the daemon's settings with every finding

Cause: the daemon needs its settings checked whole before anything starts. Ruled out: serde's deserializer, which stops at its first error and gives no place for the others. Before: no settings. Conclusion: rule lists can be read by the same reader.

--- /dev/null
+++ b/crates/foxledge-document/src/lib.rs
@@ -0,0 +1,29 @@
+//! TOML documents read key by key.
+//!
+//! A deserializer stops at its first error. Operators want all of them, each
+//! with its line and key, so settings and rule lists are read with a
+//! [`TableReader`], which notes a finding and goes on.
+
+pub mod notes;
+pub mod reader;
+
+pub use notes::{Place, SourceNotes};
+pub use reader::{PlacedText, TableReader, read_document};
+
+/// Longest name, in bytes; longer ones don't fit a datagram's fields.
+pub const MAX_NAME: usize = 100;
+
+/// What is wrong with a name, or none when it is good.
+pub fn name_fault(name: &str) -> Option<&'static str> {
+    if name.is_empty() {
+        return Some("must not be empty");
+    }
+    if name.len() > MAX_NAME {
+        return Some("must not be longer than 100 bytes");
+    }
+    let is_allowed = |c: char| c.is_ascii_alphanumeric() || matches!(c, '.' | '-' | '_');
+    if !name.chars().all(is_allowed) {
+        return Some("may hold only ASCII letters, digits, '.', '-' and '_'");
+    }
+    None
+}
--- /dev/null
+++ b/crates/foxledge-document/src/reader.rs
@@ -0,0 +1,321 @@
+//! Reading a table key by key.
+
+use std::{cell::RefCell, net::SocketAddr, ops::RangeInclusive};
+
+use toml::{
+    Spanned,
+    de::{DeTable, DeValue},
+};
+
+use crate::{
+    name_fault,
+    notes::{Place, SourceNotes},
+};
+
+/// `TableReader` reads one table of a document.
+///
+/// Each method that reads a key marks it as known and notes a finding when its
+/// value is wrong; [`TableReader::finish`] notes the keys that nobody read.
+#[derive(Debug)]
+pub struct TableReader<'d> {
+    notes: &'d SourceNotes,
+    table: Option<&'d DeTable<'d>>,
+    place: Place,
+    state: TableState,
+    known: RefCell<Vec<&'static str>>,
+}
+
+/// `TableState` is whether the lack of a key is worth a finding.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum TableState {
+    /// A table, or nothing where one may stand.
+    Readable,
+    /// Something else stands there, which already is a finding.
+    WrongType,
+}
+
+/// `PlacedText` is a text value with its place.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PlacedText<'d> {
+    /// The value.
+    pub text: &'d str,
+    /// Where it stands.
+    pub place: Place,
+}
+
+/// Parses `text` and hands a reader of its root table to `read`.
+///
+/// A text that is no TOML becomes one finding, and `read` isn't called.
+pub fn read_document<T>(
+    notes: &SourceNotes,
+    text: &str,
+    read: impl FnOnce(&TableReader<'_>) -> T,
+) -> Option<T> {
+    match DeTable::parse(text) {
+        Ok(root) => {
+            let reader = TableReader::new(notes, Some(root.get_ref()), Place::default());
+            let value = read(&reader);
+            reader.finish();
+            Some(value)
+        }
+        Err(error) => {
+            let line = error.span().map_or(0, |span| notes.line_at(span.start));
+            let place = Place { line, key: String::new() };
+            notes.add(&place, format!("not TOML: {}", error.message()));
+            None
+        }
+    }
+}
+
+impl<'d> TableReader<'d> {
+    fn new(
+        notes: &'d SourceNotes,
+        table: Option<&'d DeTable<'d>>,
+        place: Place,
+    ) -> TableReader<'d> {
+        let state = TableState::Readable;
+        TableReader { notes, table, place, state, known: RefCell::default() }
+    }
+
+    /// Where the table stands.
+    pub fn place(&self) -> &Place {
+        &self.place
+    }
+
+    /// Where a key's value stands; the table's line when the key is absent.
+    pub fn place_of(&self, key: &str) -> Place {
+        let line = self.find(key).map_or(self.place.line, |value| self.line_of(value));
+        Place { line, key: self.path_of(key) }
+    }
+
+    /// Notes a finding at a key.
+    pub fn note(&self, key: &str, text: impl Into<String>) {
+        self.notes.add(&self.place_of(key), text);
+    }
+
+    /// The table under `key`; an absent one reads as empty.
+    pub fn table(&self, key: &'static str) -> TableReader<'d> {
+        let place = self.place_of(key);
+        match self.take(key).map(Spanned::get_ref) {
+            None => TableReader::new(self.notes, None, place),
+            Some(DeValue::Table(table)) => TableReader::new(self.notes, Some(table), place),
+            Some(_) => {
+                self.note(key, "must be a table");
+                let reader = TableReader::new(self.notes, None, place);
+                TableReader { state: TableState::WrongType, ..reader }
+            }
+        }
+    }
+
+    /// The table under `key`, or none when it is absent or no table.
+    pub fn optional_table(&self, key: &'static str) -> Option<TableReader<'d>> {
+        let reader = self.table(key);
+        reader.table.is_some().then_some(reader)
+    }
+
+    /// The tables of the array under `key`; absent reads as none.
+    pub fn tables(&self, key: &'static str) -> Vec<TableReader<'d>> {
+        let mut readers = Vec::new();
+        for (index, item) in self.items(key, "an array of tables").iter().enumerate() {
+            let place = self.item_place(key, index, item);
+            match item.get_ref() {
+                DeValue::Table(table) => {
+                    readers.push(TableReader::new(self.notes, Some(table), place));
+                }
+                _ => self.notes.add(&place, "must be a table"),
+            }
+        }
+        readers
+    }
+
+    /// The text under `key`.
+    pub fn text(&self, key: &'static str) -> Option<&'d str> {
+        match self.take(key)?.get_ref() {
+            DeValue::String(text) => Some(text),
+            _ => self.note_type(key, "a text"),
+        }
+    }
+
+    /// The texts of the array under `key` with their places; absent reads as none.
+    pub fn texts(&self, key: &'static str) -> Vec<PlacedText<'d>> {
+        let mut texts = Vec::new();
+        for (index, item) in self.items(key, "an array of texts").iter().enumerate() {
+            let place = self.item_place(key, index, item);
+            match item.get_ref() {
+                DeValue::String(text) => texts.push(PlacedText { text, place }),
+                _ => self.notes.add(&place, "must be a text"),
+            }
+        }
+        texts
+    }
+
+    /// The name under `key`; a bad one is a finding.
+    pub fn name(&self, key: &'static str) -> Option<&'d str> {
+        let name = self.text(key)?;
+        match name_fault(name) {
+            None => Some(name),
+            Some(fault) => {
+                self.note(key, fault);
+                None
+            }
+        }
+    }
+
+    /// The names of the array under `key`; bad ones and repeats are findings.
+    pub fn names(&self, key: &'static str) -> Vec<PlacedText<'d>> {
+        let mut names: Vec<PlacedText<'d>> = Vec::new();
+        for name in self.texts(key) {
+            if let Some(fault) = name_fault(name.text) {
+                self.notes.add(&name.place, fault);
+            } else if names.iter().any(|earlier| earlier.text == name.text) {
+                self.notes.add(&name.place, format!("\"{}\" stands twice", name.text));
+            } else {
+                names.push(name);
+            }
+        }
+        names
+    }
+
+    /// The number under `key`; one outside of `range` is a finding.
+    pub fn number(&self, key: &'static str, range: RangeInclusive<u64>) -> Option<u64> {
+        let DeValue::Integer(integer) = self.take(key)?.get_ref() else {
+            return self.note_type(key, "a whole number");
+        };
+        let number = i128::from_str_radix(integer.as_str(), integer.radix()).ok();
+        let number = number.and_then(|number| u64::try_from(number).ok());
+        match number {
+            Some(number) if range.contains(&number) => Some(number),
+            _ => {
+                self.note(key, format!("must be from {} to {}", range.start(), range.end()));
+                None
+            }
+        }
+    }
+
+    /// The number under `key`, or `default` when absent or wrong.
+    pub fn number_or(&self, key: &'static str, range: RangeInclusive<u64>, default: u64) -> u64 {
+        self.number(key, range).unwrap_or(default)
+    }
+
+    /// The switch under `key`.
+    pub fn switch(&self, key: &'static str) -> Option<bool> {
+        match self.take(key)?.get_ref() {
+            DeValue::Boolean(on) => Some(*on),
+            _ => self.note_type(key, "true or false"),
+        }
+    }
+
+    /// The IP number with port under `key`.
+    pub fn address(&self, key: &'static str) -> Option<SocketAddr> {
+        let text = self.text(key)?;
+        self.parse_address(&PlacedText { text, place: self.place_of(key) })
+    }
+
+    /// The IP numbers with ports of the array under `key`; repeats are findings.
+    pub fn addresses(&self, key: &'static str) -> Vec<SocketAddr> {
+        let mut addresses = Vec::new();
+        for text in self.texts(key) {
+            let Some(address) = self.parse_address(&text) else {
+                continue;
+            };
+            if addresses.contains(&address) {
+                self.notes.add(&text.place, format!("\"{address}\" stands twice"));
+                continue;
+            }
+            addresses.push(address);
+        }
+        addresses
+    }
+
+    /// Like [`TableReader::addresses`]; an absent or empty array is a finding.
+    pub fn some_addresses(&self, key: &'static str) -> Vec<SocketAddr> {
+        let addresses = self.addresses(key);
+        match self.find(key).map(Spanned::get_ref) {
+            None => self.note_missing(key),
+            Some(DeValue::Array(array)) if array.is_empty() => self.note(key, "must not be empty"),
+            Some(_) => {}
+        }
+        addresses
+    }
+
+    /// Notes a missing key and passes the value on.
+    pub fn require<T>(&self, key: &'static str, value: Option<T>) -> Option<T> {
+        if value.is_none() && self.find(key).is_none() {
+            self.note_missing(key);
+        }
+        value
+    }
+
+    /// Notes every key of the table that nobody read.
+    pub fn finish(&self) {
+        let Some(table) = self.table else {
+            return;
+        };
+        let known = self.known.borrow();
+        for key in table.keys() {
+            let name: &str = key.get_ref();
+            if !known.contains(&name) {
+                let line = self.notes.line_at(key.span().start);
+                self.notes.add(&Place { line, key: self.path_of(name) }, "unknown key");
+            }
+        }
+    }
+
+    fn parse_address(&self, text: &PlacedText<'_>) -> Option<SocketAddr> {
+        let Ok(address) = text.text.parse::<SocketAddr>() else {
+            let fault = format!("\"{}\" is not an IP number with a port", text.text);
+            self.notes.add(&text.place, fault);
+            return None;
+        };
+        if address.port() == 0 {
+            self.notes.add(&text.place, "must not have port 0");
+            return None;
+        }
+        Some(address)
+    }
+
+    fn find(&self, key: &str) -> Option<&'d Spanned<DeValue<'d>>> {
+        self.table?.get(key)
+    }
+
+    fn take(&self, key: &'static str) -> Option<&'d Spanned<DeValue<'d>>> {
+        self.known.borrow_mut().push(key);
+        self.find(key)
+    }
+
+    fn items(&self, key: &'static str, wanted: &str) -> &'d [Spanned<DeValue<'d>>] {
+        let Some(value) = self.take(key) else {
+            return &[];
+        };
+        match value.get_ref() {
+            DeValue::Array(array) => array,
+            _ => self.note_type(key, wanted).unwrap_or(&[]),
+        }
+    }
+
+    fn note_missing(&self, key: &str) {
+        if self.state == TableState::Readable {
+            self.note(key, "is missing");
+        }
+    }
+
+    fn note_type<T>(&self, key: &str, wanted: &str) -> Option<T> {
+        self.note(key, format!("must be {wanted}"));
+        None
+    }
+
+    fn item_place(&self, key: &str, index: usize, item: &Spanned<DeValue<'_>>) -> Place {
+        Place { line: self.line_of(item), key: format!("{}[{index}]", self.path_of(key)) }
+    }
+
+    fn line_of(&self, value: &Spanned<DeValue<'_>>) -> usize {
+        self.notes.line_at(value.span().start)
+    }
+
+    fn path_of(&self, key: &str) -> String {
+        if self.place.key.is_empty() {
+            return key.to_owned();
+        }
+        format!("{}.{key}", self.place.key)
+    }
+}
--- /dev/null
+++ b/crates/foxledge-settings/src/checks.rs
@@ -0,0 +1,48 @@
+//! Checks that look at several settings together.
+
+use std::net::SocketAddr;
+
+use foxledge_document::TableReader;
+
+use crate::settings::{FlowSettings, PeerSettings, StopSettings};
+
+/// Two sockets of one process can't share an address, and peers can't call a
+/// wildcard.
+pub(crate) fn check_listen(table: &TableReader<'_>, named: &[(&str, Option<SocketAddr>)]) {
+    for (at, (key, address)) in named.iter().enumerate() {
+        let Some(address) = address else {
+            continue;
+        };
+        if *key != "admin" && address.ip().is_unspecified() {
+            table.note(key, "must name one IP number, because peers are told it");
+        }
+        let mut earlier = named[..at].iter();
+        let shared = earlier.find(|(_, other)| other.is_some_and(|other| clash(other, *address)));
+        if let Some((other, _)) = shared {
+            table.note(key, format!("has the same port as {}", table.place_of(other).key));
+        }
+    }
+}
+
+fn clash(a: SocketAddr, b: SocketAddr) -> bool {
+    let same_ip = a.ip() == b.ip() || a.ip().is_unspecified() || b.ip().is_unspecified();
+    same_ip && a.port() == b.port()
+}
+
+/// A peer that is suspected before its next heartbeat is due flaps for ever.
+pub(crate) fn check_silences(table: &TableReader<'_>, peers: &PeerSettings) {
+    if peers.suspect_after_ms <= peers.heartbeat_ms {
+        table.note("suspect_after_ms", "must be more than peers.heartbeat_ms");
+    }
+    if peers.dead_after_ms <= peers.suspect_after_ms {
+        table.note("dead_after_ms", "must be more than peers.suspect_after_ms");
+    }
+}
+
+/// A stop that ends before the last ticket runs out cuts requests that it
+/// promised to answer.
+pub(crate) fn check_stop(table: &TableReader<'_>, stop: &StopSettings, flow: &FlowSettings) {
+    if stop.limit_ms <= flow.ticket_ms {
+        table.note("limit_ms", "must be more than flow.ticket_ms");
+    }
+}
--- a/crates/foxledge-settings/src/lib.rs
+++ b/crates/foxledge-settings/src/lib.rs
@@ -1,1 +1,16 @@
-//! Not written yet.
+//! The daemon's settings, read from a TOML file and checked whole.
+//!
+//! Every finding is reported together with file, line and key; nothing starts
+//! on settings that have one. `docs/examples/foxledged.toml` shows every key.
+
+mod checks;
+pub mod choices;
+mod parse;
+pub mod settings;
+
+pub use choices::{PlacementChoice, PolicyChoice};
+pub use parse::{load_settings, parse_settings};
+pub use settings::{
+    AuditSettings, DaemonSettings, DeskSettings, FlowSettings, InstanceSettings, ListenSettings,
+    LogSettings, PeerSettings, PlatformSettings, StopSettings, TlsSettings, TrialSettings,
+};
--- /dev/null
+++ b/crates/foxledge-settings/src/parse.rs
@@ -0,0 +1,236 @@
+//! From the text of a settings file to settings, or findings.
+
+use std::{fs, path::Path};
+
+use foxledge_core::{
+    findings::FindingList,
+    names::{CentreName, InstanceName},
+};
+use foxledge_document::{SourceNotes, TableReader, read_document};
+use log::LevelFilter;
+
+use crate::{
+    checks::{check_listen, check_silences, check_stop},
+    choices::{PlacementChoice, PolicyChoice},
+    settings::{
+        AuditSettings, DaemonSettings, DeskSettings, FlowSettings, InstanceSettings,
+        ListenSettings, LogSettings, PeerSettings, PlatformSettings, StopSettings, TlsSettings,
+        TrialSettings,
+    },
+};
+
+/// Longest span that a setting may have, in milliseconds: an hour.
+const LONGEST_MS: u64 = 3_600_000;
+/// Largest settings file, in bytes.
+const LARGEST_FILE: usize = 1_000_000;
+
+/// Reads and checks a settings file.
+pub fn load_settings(path: &Path) -> Result<DaemonSettings, FindingList> {
+    let source = path.display().to_string();
+    match fs::read(path) {
+        Ok(bytes) => match String::from_utf8(bytes) {
+            Ok(text) => parse_settings(&source, &text),
+            Err(_) => Err(whole_finding(&source, "is not UTF-8 text")),
+        },
+        Err(error) => Err(whole_finding(&source, format!("can't be read: {error}"))),
+    }
+}
+
+/// Checks the text of a settings file; `source_name` stands in the findings.
+pub fn parse_settings(source_name: &str, text: &str) -> Result<DaemonSettings, FindingList> {
+    if text.len() > LARGEST_FILE {
+        return Err(whole_finding(source_name, "is larger than 1 MB"));
+    }
+    let notes = SourceNotes::new(source_name, text);
+    match read_document(&notes, text, read_settings).flatten() {
+        Some(settings) if notes.is_clean() => Ok(settings),
+        _ => Err(notes.into_findings()),
+    }
+}
+
+fn whole_finding(source: &str, text: impl Into<String>) -> FindingList {
+    let mut findings = FindingList::new();
+    findings.add(source, 0, "", text);
+    findings
+}
+
+/// Reads every table before it gives up on one, so that all findings are noted.
+///
+/// Invariant: where the answer is none, a finding says why.
+fn read_settings(root: &TableReader<'_>) -> Option<DaemonSettings> {
+    let instance = read_instance(&root.table("instance"));
+    let listen = read_listen(&root.table("listen"));
+    let platform = read_platform(&root.table("platform"));
+    let peers = read_peers(&root.table("peers"));
+    let flow = read_flow(&root.table("flow"));
+    let desk = read_desk(&root.table("desk"));
+    let stop = read_stop(&root.table("stop"), &flow);
+    let log = read_log(&root.table("log"));
+    let audit = read_audit(&root.table("audit"));
+    let tls = root.optional_table("tls").and_then(|table| read_tls(&table));
+    let trial = read_trial(&root.table("trial"));
+    Some(DaemonSettings {
+        instance: instance?,
+        listen: listen?,
+        platform,
+        peers,
+        flow,
+        desk,
+        stop,
+        log,
+        audit,
+        tls,
+        trial,
+    })
+}
+
+fn read_instance(table: &TableReader<'_>) -> Option<InstanceSettings> {
+    let name = table.require("name", table.name("name"));
+    let data_centre = table.require("data_centre", table.name("data_centre"));
+    table.finish();
+    Some(InstanceSettings {
+        name: InstanceName::new(name?),
+        data_centre: CentreName::new(data_centre?),
+    })
+}
+
+fn read_listen(table: &TableReader<'_>) -> Option<ListenSettings> {
+    let data = table.require("data", table.address("data"));
+    let peer = table.require("peer", table.address("peer"));
+    let control = table.require("control", table.address("control"));
+    let admin = table.require("admin", table.address("admin"));
+    let named = [("data", data), ("peer", peer), ("control", control), ("admin", admin)];
+    check_listen(table, &named);
+    table.finish();
+    Some(ListenSettings { data: data?, peer: peer?, control: control?, admin: admin? })
+}
+
+fn read_platform(table: &TableReader<'_>) -> PlatformSettings {
+    let platform = PlatformSettings {
+        addresses: table.some_addresses("addresses"),
+        wait_ms: millis(table, "wait_ms", 10_000),
+        readers_per_centre: table.number_or("readers_per_centre", 1..=100, 2) as u32,
+    };
+    table.finish();
+    platform
+}
+
+fn read_peers(table: &TableReader<'_>) -> PeerSettings {
+    let peers = PeerSettings {
+        seeds: table.addresses("seeds"),
+        heartbeat_ms: millis(table, "heartbeat_ms", 250),
+        suspect_after_ms: millis(table, "suspect_after_ms", 1500),
+        dead_after_ms: millis(table, "dead_after_ms", 3000),
+        start_wait_ms: millis(table, "start_wait_ms", 3000),
+    };
+    check_silences(table, &peers);
+    table.finish();
+    peers
+}
+
+fn read_flow(table: &TableReader<'_>) -> FlowSettings {
+    let placements = PlacementChoice::ALL.map(|choice| (choice.as_str(), choice));
+    let policies = PolicyChoice::ALL.map(|choice| (choice.as_str(), choice));
+    let flow = FlowSettings {
+        placement: word(table, "placement", &placements).unwrap_or_default(),
+        policy: word(table, "policy", &policies).unwrap_or_default(),
+        ticket_ms: table.number_or("ticket_ms", 100..=60_000, 4000),
+        ticket_count: table.number_or("ticket_count", 1..=10_000, 64) as u32,
+        forward_wait_ms: table.number_or("forward_wait_ms", 1..=60_000, 150),
+        passed_over_ms: table.number_or("passed_over_ms", 1..=60_000, 1000),
+    };
+    table.finish();
+    flow
+}
+
+fn read_desk(table: &TableReader<'_>) -> DeskSettings {
+    let desk = DeskSettings {
+        ack_ms: millis(table, "ack_ms", 200),
+        resends: table.number_or("resends", 0..=100, 3) as u32,
+        queue_wait_ms: millis(table, "queue_wait_ms", 2000),
+        eject_after_losses: table.number_or("eject_after_losses", 1..=1000, 3) as u32,
+        eject_ms: millis(table, "eject_ms", 2000),
+        eject_percent: percent(table, "eject_percent", 34),
+        slow_start_ms: millis(table, "slow_start_ms", 5000),
+        retry_budget_percent: percent(table, "retry_budget_percent", 10),
+        lowest_share_percent: percent(table, "lowest_share_percent", 5),
+        probe_ms: millis(table, "probe_ms", 500),
+    };
+    table.finish();
+    desk
+}
+
+fn read_stop(table: &TableReader<'_>, flow: &FlowSettings) -> StopSettings {
+    let stop = StopSettings { limit_ms: millis(table, "limit_ms", 10_000) };
+    check_stop(table, &stop, flow);
+    table.finish();
+    stop
+}
+
+fn read_log(table: &TableReader<'_>) -> LogSettings {
+    let levels = [
+        ("off", LevelFilter::Off),
+        ("error", LevelFilter::Error),
+        ("warn", LevelFilter::Warn),
+        ("info", LevelFilter::Info),
+        ("debug", LevelFilter::Debug),
+        ("trace", LevelFilter::Trace),
+    ];
+    let level = word(table, "level", &levels).unwrap_or(LevelFilter::Info);
+    table.finish();
+    LogSettings { level }
+}
+
+fn read_audit(table: &TableReader<'_>) -> AuditSettings {
+    let entries = table.number_or("entries", 1..=1_000_000, 2000) as usize;
+    table.finish();
+    AuditSettings { entries }
+}
+
+fn read_tls(table: &TableReader<'_>) -> Option<TlsSettings> {
+    let ca = file(table, "ca");
+    let certificate = file(table, "certificate");
+    let key = file(table, "key");
+    table.finish();
+    Some(TlsSettings { ca: ca?.into(), certificate: certificate?.into(), key: key?.into() })
+}
+
+fn read_trial(table: &TableReader<'_>) -> TrialSettings {
+    let trial = TrialSettings {
+        run_once: table.switch("run_once").unwrap_or(true),
+        refuse_stale_lists: table.switch("refuse_stale_lists").unwrap_or(true),
+        check_target_owner: table.switch("check_target_owner").unwrap_or(true),
+        pass_over_homes: table.switch("pass_over_homes").unwrap_or(true),
+        graceful_stop: table.switch("graceful_stop").unwrap_or(true),
+        fair_order: table.switch("fair_order").unwrap_or(true),
+    };
+    table.finish();
+    trial
+}
+
+fn millis(table: &TableReader<'_>, key: &'static str, default: u64) -> u64 {
+    table.number_or(key, 1..=LONGEST_MS, default)
+}
+
+fn percent(table: &TableReader<'_>, key: &'static str, default: u64) -> u32 {
+    table.number_or(key, 0..=100, default) as u32
+}
+
+fn file<'d>(table: &TableReader<'d>, key: &'static str) -> Option<&'d str> {
+    let path = table.require(key, table.text(key))?;
+    if path.is_empty() {
+        table.note(key, "must not be empty");
+        return None;
+    }
+    Some(path)
+}
+
+fn word<T: Copy>(table: &TableReader<'_>, key: &'static str, words: &[(&str, T)]) -> Option<T> {
+    let text = table.text(key)?;
+    let found = words.iter().find(|(word, _)| *word == text);
+    if found.is_none() {
+        let known: Vec<_> = words.iter().map(|(word, _)| format!("\"{word}\"")).collect();
+        table.note(key, format!("must be one of {}", known.join(", ")));
+    }
+    found.map(|(_, value)| *value)
+}
