Add the home's desk: slots, fair queue, health and retries

Cause: a service needs one place that counts its slots and orders its queue. Ruled out: strict priority order (starves the lowest), a queue per target. Before: no admission. Conclusion: the interface stands for the engine; leases, retries and health get their tests next.

--- /dev/null
+++ b/crates/foxledge-policy/src/admission.rs
@@ -0,0 +1,263 @@
+//! Work comes in, waits and is sent out.
+
+use std::{sync::Arc, time::Duration};
+
+use foxledge_core::{lists::FullAction, names::MemberName, time::ClockTime, traffic::TrafficKind};
+
+use crate::{
+    desk::{HomeDesk, WorkClass},
+    dispatches::{CallerState, DispatchPhase, RunningDispatch},
+    effects::{DeskEffect, DeskRefusal, RefuseReason, RunState},
+    policies::TargetState,
+    targets::{SlowWait, leave_out_tried},
+    work::{PendingWork, WorkItem},
+};
+
+// Bounds of what callers are told to wait before they come back.
+const LEAST_RETRY_AFTER: Duration = Duration::from_millis(50);
+const MOST_RETRY_AFTER: Duration = Duration::from_secs(5);
+// When no target takes work there is no drain rate to go by.
+const NO_TARGET_RETRY_AFTER: Duration = Duration::from_secs(1);
+// Work is refused at the door when this part of its expected wait is longer
+// than its time left; the estimate is rough, so only clear cases count.
+const SURE_PART: f64 = 0.5;
+
+impl HomeDesk {
+    /// Takes work; it is dispatched, queued or refused at once.
+    pub fn offer(&mut self, now: ClockTime, item: WorkItem) -> Vec<DeskEffect> {
+        let mut effects = Vec::new();
+        if self.holds(&item) {
+            return effects;
+        }
+        self.counters.offered += 1;
+        if let Some(reason) = self.reason_against(now, &item) {
+            // Refusing counts one less for the member, so it is counted first.
+            self.hold_member(&item);
+            let pending = PendingWork::new(item);
+            self.refuse(&pending, RunState::NotRun, reason, &mut effects);
+            return effects;
+        }
+        self.hold_member(&item);
+        let (work, kind, when_full) = (item.id, item.kind, item.when_full);
+        self.enqueue(PendingWork::new(item), &mut effects);
+        self.pump(now, &mut effects);
+        if when_full == FullAction::Refuse
+            && let Some(pending) = self.queue_of(kind).remove(work)
+        {
+            let reason = RefuseReason::QueueFull;
+            self.refuse(&pending, RunState::NotRun, reason, &mut effects);
+        }
+        effects
+    }
+
+    /// The caller gave up.
+    pub fn cancel(&mut self, now: ClockTime, work: u64) -> Vec<DeskEffect> {
+        let mut effects = Vec::new();
+        let queued = self.requests.remove(work).or_else(|| self.feeds.remove(work));
+        if let Some(pending) = queued {
+            let reason = RefuseReason::Cancelled;
+            self.refuse(&pending, RunState::NotRun, reason, &mut effects);
+            return effects;
+        }
+        let Some(&dispatch) = self.out.get(&work) else {
+            return effects;
+        };
+        let check_at = now.after(self.options.ack_wait);
+        self.dispatches.update(dispatch, |running| {
+            running.caller = CallerState::Cancelled;
+            running.unanswered = 0;
+            running.check_at = check_at;
+            let target = Arc::clone(&running.spec);
+            effects.push(DeskEffect::Cancel { dispatch, target });
+        });
+        effects
+    }
+
+    /// Sends out what waits while targets have room.
+    pub(crate) fn pump(&mut self, now: ClockTime, effects: &mut Vec<DeskEffect>) {
+        self.refuse_expired(now, effects);
+        while self.dispatch_next(now, TrafficKind::Bid, effects) {}
+        while self.dispatch_next(now, TrafficKind::Feed, effects) {}
+    }
+
+    /// Refuses what waits and can't be started any more.
+    pub(crate) fn refuse_expired(&mut self, now: ClockTime, effects: &mut Vec<DeskEffect>) {
+        let expired = self.requests.take_expired(now).into_iter();
+        for pending in expired.chain(self.feeds.take_expired(now)).collect::<Vec<_>>() {
+            let reason = RefuseReason::DeadlinePassed;
+            self.refuse(&pending, RunState::NotRun, reason, effects);
+        }
+    }
+
+    /// Gives the final answer to work that the desk holds.
+    pub(crate) fn refuse(
+        &mut self,
+        pending: &PendingWork,
+        ran: RunState,
+        reason: RefuseReason,
+        effects: &mut Vec<DeskEffect>,
+    ) {
+        let item = &pending.item;
+        self.release_member(item);
+        let ran = ran.max(pending.ran);
+        *self.counters.refused.entry(reason).or_default() += 1;
+        let retry_after = self.retry_after(item, ran, reason);
+        let refusal = DeskRefusal { ran, reason, retry_after };
+        effects.push(DeskEffect::Refuse { work: item.id, refusal });
+    }
+
+    fn hold_member(&mut self, item: &WorkItem) {
+        *self.held.entry(held_key(item)).or_default() += 1;
+    }
+
+    /// The work no longer counts for its member.
+    pub(crate) fn release_member(&mut self, item: &WorkItem) {
+        let key = held_key(item);
+        if let Some(count) = self.held.get_mut(&key) {
+            *count -= 1;
+            if *count == 0 {
+                self.held.remove(&key);
+            }
+        }
+    }
+
+    // The same offer may come twice, as the network makes copies.
+    fn holds(&self, item: &WorkItem) -> bool {
+        self.out.contains_key(&item.id)
+            || self.requests.contains(item.id)
+            || self.feeds.contains(item.id)
+    }
+
+    fn reason_against(&self, now: ClockTime, item: &WorkItem) -> Option<RefuseReason> {
+        if item.latest_start().is_past(now) {
+            return Some(RefuseReason::DeadlinePassed);
+        }
+        if !self.table.takes_work() {
+            return Some(RefuseReason::NoTarget);
+        }
+        let held = self.held.get(&held_key(item)).copied().unwrap_or(0);
+        if item.member_limit > 0 && held >= item.member_limit {
+            return Some(RefuseReason::Limit);
+        }
+        if !item.is_feed() && self.expected_wait(item).mul_f64(SURE_PART) > left(now, item) {
+            return Some(RefuseReason::DeadlinePassed);
+        }
+        None
+    }
+
+    fn enqueue(&mut self, pending: PendingWork, effects: &mut Vec<DeskEffect>) {
+        let limit = self.options.queue_limit as usize;
+        let queue = self.queue_of(pending.item.kind);
+        if queue.len() < limit.max(1) {
+            queue.push(pending);
+            return;
+        }
+        let displaced = queue.displace_for(&pending);
+        let refused = match displaced {
+            Some(displaced) => {
+                queue.push(pending);
+                displaced
+            }
+            None => pending,
+        };
+        let reason = RefuseReason::QueueFull;
+        self.refuse(&refused, RunState::NotRun, reason, effects);
+    }
+
+    // True when something was dispatched.
+    fn dispatch_next(
+        &mut self,
+        now: ClockTime,
+        kind: TrafficKind,
+        effects: &mut Vec<DeskEffect>,
+    ) -> bool {
+        let wait = self.slow_wait(kind);
+        let Some(pending) = self.queue_of(kind).peek().cloned() else {
+            return false;
+        };
+        let mut states = self.table.candidates(now, pending.item.kind, wait, &self.options);
+        leave_out_tried(&mut states, &pending);
+        let Some(picked) = self.policy.pick(now, &states, &pending.item) else {
+            return false;
+        };
+        let Some(state) = states.get(picked) else {
+            return false;
+        };
+        let cost = self.times.cost(pending.item.kind);
+        let Some(pending) = self.queue_of(kind).pop(cost) else {
+            return false;
+        };
+        self.dispatch(now, pending, state, effects);
+        true
+    }
+
+    fn dispatch(
+        &mut self,
+        now: ClockTime,
+        pending: PendingWork,
+        state: &TargetState,
+        effects: &mut Vec<DeskEffect>,
+    ) {
+        let dispatch = self.new_dispatch();
+        let Some(entry) = self.table.get_mut(state.id) else {
+            return;
+        };
+        entry.ledger.take(pending.item.kind);
+        if pending.tried.is_empty() {
+            self.budget.earn();
+            self.counters.dispatched += 1;
+        } else {
+            self.counters.retried += 1;
+        }
+        let target = Arc::clone(&entry.spec);
+        let work = pending.item.id;
+        let running = RunningDispatch {
+            lease_deadline: pending.item.deadline.after(self.options.run_grace),
+            pending,
+            target: state.id,
+            spec: Arc::clone(&target),
+            phase: DispatchPhase::Sent,
+            caller: CallerState::Waiting,
+            unanswered: 0,
+            sendings: 1,
+            sent_at: now,
+            check_at: now.after(self.options.ack_wait),
+        };
+        self.out.insert(work, dispatch);
+        self.dispatches.insert(dispatch, running);
+        effects.push(DeskEffect::Dispatch { work, dispatch, target });
+    }
+
+    fn slow_wait(&self, kind: TrafficKind) -> SlowWait {
+        let usual_run = match kind {
+            TrafficKind::Feed => Duration::ZERO,
+            TrafficKind::Bid | TrafficKind::Upload => self.times.usual_slot(),
+        };
+        SlowWait { queue: self.queue_wait(), usual_run }
+    }
+
+    // Expected wait of a new work of that member, in fair order.
+    fn expected_wait(&self, item: &WorkItem) -> Duration {
+        let ahead = self.requests.ahead_of(item.priority, &item.member, item.weight);
+        self.drain_interval().mul_f64(ahead)
+    }
+
+    fn retry_after(&self, item: &WorkItem, ran: RunState, reason: RefuseReason) -> Duration {
+        if ran == RunState::Unknown || reason == RefuseReason::Cancelled {
+            return Duration::ZERO;
+        }
+        if reason == RefuseReason::NoTarget {
+            return NO_TARGET_RETRY_AFTER;
+        }
+        self.expected_wait(item).clamp(LEAST_RETRY_AFTER, MOST_RETRY_AFTER)
+    }
+}
+
+fn held_key(item: &WorkItem) -> (MemberName, WorkClass) {
+    let class = if item.is_feed() { WorkClass::Feed } else { WorkClass::Request };
+    (item.member.clone(), class)
+}
+
+fn left(now: ClockTime, item: &WorkItem) -> Duration {
+    item.latest_start().left(now)
+}
--- /dev/null
+++ b/crates/foxledge-policy/src/running.rs
@@ -0,0 +1,258 @@
+//! What targets say of dispatches, and what happens when they say nothing.
+
+use std::sync::Arc;
+
+use foxledge_core::time::ClockTime;
+
+use crate::{
+    desk::HomeDesk,
+    dispatches::{CallerState, DispatchPhase, RunningDispatch},
+    effects::{DeskEffect, RefuseReason, RunState, TargetLoad, TargetSignal},
+    health::HealthVerdict,
+};
+
+impl HomeDesk {
+    /// Takes what a target said of a dispatch; a dispatch that the desk
+    /// doesn't hold any more is ignored.
+    pub fn on_signal(
+        &mut self,
+        now: ClockTime,
+        dispatch: u64,
+        signal: TargetSignal,
+        load: Option<TargetLoad>,
+    ) -> Vec<DeskEffect> {
+        let mut effects = Vec::new();
+        let Some(target) = self.dispatches.get(dispatch).map(|running| running.target) else {
+            return effects;
+        };
+        if let Some(entry) = self.table.get_mut(target) {
+            entry.health.on_answer(now);
+        }
+        if let Some(load) = load {
+            self.take_load(now, target, load, &mut effects);
+        }
+        match signal {
+            TargetSignal::Accepted => self.on_accepted(now, dispatch),
+            TargetSignal::Ended => self.on_ended(now, dispatch),
+            TargetSignal::NotRun(reason) => self.on_not_run(now, dispatch, reason, &mut effects),
+            TargetSignal::Unknown => self.on_unknown(now, dispatch, &mut effects),
+        }
+        self.pump(now, &mut effects);
+        effects
+    }
+
+    /// Looks at the dispatches whose deadlines have passed.
+    pub(crate) fn check_dispatches(&mut self, now: ClockTime, effects: &mut Vec<DeskEffect>) {
+        for dispatch in self.dispatches.due(now) {
+            let Some(running) = self.dispatches.get(dispatch) else {
+                continue;
+            };
+            if running.lease_deadline.is_past(now) {
+                self.end_lease(dispatch, effects);
+            } else if running.unanswered >= self.options.resends {
+                self.on_lost(now, dispatch, effects);
+            } else {
+                self.ask_again(now, dispatch, effects);
+            }
+        }
+    }
+
+    fn on_accepted(&mut self, now: ClockTime, dispatch: u64) {
+        let options = &self.options;
+        self.dispatches.update(dispatch, |running| {
+            if running.caller == CallerState::Answered {
+                return;
+            }
+            let period =
+                if running.pending.item.is_feed() { options.feed_check } else { options.run_check };
+            running.phase = DispatchPhase::Accepted;
+            running.unanswered = 0;
+            running.check_at = now.after(period);
+        });
+    }
+
+    fn on_ended(&mut self, now: ClockTime, dispatch: u64) {
+        let Some(running) = self.take_out(dispatch) else {
+            return;
+        };
+        let ratio = self.times.on_run(running.kind(), running.run_time(now));
+        if !running.pending.item.is_feed()
+            && let Some(entry) = self.table.get_mut(running.target)
+        {
+            entry.health.on_run(now, ratio);
+        }
+        if running.caller != CallerState::Answered {
+            self.counters.ended += 1;
+            self.release_member(&running.pending.item);
+        }
+    }
+
+    fn on_not_run(
+        &mut self,
+        now: ClockTime,
+        dispatch: u64,
+        reason: RefuseReason,
+        effects: &mut Vec<DeskEffect>,
+    ) {
+        let Some(running) = self.take_out(dispatch) else {
+            return;
+        };
+        if reason == RefuseReason::TargetShed
+            && let Some(entry) = self.table.get_mut(running.target)
+        {
+            entry.health.on_shed(now, &self.options);
+        }
+        if reason == RefuseReason::WrongTarget {
+            self.blame(now, running.target, effects);
+        }
+        // Another process that took the address over answers a resend by
+        // "wrong target" although the former process may have run the work.
+        // It shows by an earlier sending; the work then counts as unknown.
+        let seen_before = running.sendings > 1 || running.phase == DispatchPhase::Accepted;
+        if reason == RefuseReason::WrongTarget && seen_before {
+            self.give_up_unknown(now, running, RefuseReason::TargetLost, effects);
+            return;
+        }
+        match running.caller {
+            CallerState::Answered => {}
+            CallerState::Cancelled => {
+                let reason = RefuseReason::Cancelled;
+                self.refuse(&running.pending, RunState::NotRun, reason, effects);
+            }
+            CallerState::Waiting => self.retry_or_refuse(now, running, reason, effects),
+        }
+    }
+
+    fn on_unknown(&mut self, now: ClockTime, dispatch: u64, effects: &mut Vec<DeskEffect>) {
+        if let Some(running) = self.take_out(dispatch) {
+            self.give_up_unknown(now, running, RefuseReason::TargetLost, effects);
+        }
+    }
+
+    // The work may have run: only idempotent work goes on elsewhere.
+    fn give_up_unknown(
+        &mut self,
+        now: ClockTime,
+        running: RunningDispatch,
+        reason: RefuseReason,
+        effects: &mut Vec<DeskEffect>,
+    ) {
+        let pending = &running.pending;
+        match running.caller {
+            CallerState::Answered => {}
+            CallerState::Cancelled => {
+                let reason = RefuseReason::Cancelled;
+                self.refuse(pending, RunState::Unknown, reason, effects);
+            }
+            CallerState::Waiting if pending.item.idempotent && self.may_retry(now, &running) => {
+                self.try_elsewhere(running, RunState::Unknown);
+            }
+            CallerState::Waiting => self.refuse(pending, RunState::Unknown, reason, effects),
+        }
+    }
+
+    fn retry_or_refuse(
+        &mut self,
+        now: ClockTime,
+        running: RunningDispatch,
+        reason: RefuseReason,
+        effects: &mut Vec<DeskEffect>,
+    ) {
+        if reason != RefuseReason::DeadlinePassed && self.may_retry(now, &running) {
+            self.try_elsewhere(running, RunState::NotRun);
+            return;
+        }
+        self.refuse(&running.pending, RunState::NotRun, reason, effects);
+    }
+
+    fn may_retry(&mut self, now: ClockTime, running: &RunningDispatch) -> bool {
+        let tries = running.pending.tried.len() as u32 + 1;
+        let in_time = !running.pending.item.latest_start().is_past(now);
+        tries < self.options.tries && in_time && self.table.takes_work() && self.budget.spend()
+    }
+
+    fn try_elsewhere(&mut self, running: RunningDispatch, ran: RunState) {
+        let mut pending = running.pending;
+        pending.ran = pending.ran.max(ran);
+        pending.tried.push(running.target);
+        self.queue_of(pending.item.kind).push_again(pending);
+    }
+
+    // Sends the same dispatch to the same target again; a copy starts nothing
+    // there, so this is safe for non-idempotent work.
+    fn ask_again(&mut self, now: ClockTime, dispatch: u64, effects: &mut Vec<DeskEffect>) {
+        let check_at = now.after(self.options.ack_wait);
+        self.dispatches.update(dispatch, |running| {
+            running.unanswered += 1;
+            running.sendings += 1;
+            running.check_at = check_at;
+            let target = Arc::clone(&running.spec);
+            let work = running.pending.item.id;
+            effects.push(match running.caller {
+                CallerState::Waiting => DeskEffect::Resend { work, dispatch, target },
+                CallerState::Cancelled | CallerState::Answered => {
+                    DeskEffect::Cancel { dispatch, target }
+                }
+            });
+        });
+        self.counters.resent += 1;
+    }
+
+    // The target says nothing any more. The caller is answered at once; the
+    // slot stays taken for a while, as the work may still be running there.
+    fn on_lost(&mut self, now: ClockTime, dispatch: u64, effects: &mut Vec<DeskEffect>) {
+        let Some(mut running) = self.take_out(dispatch) else {
+            return;
+        };
+        self.blame(now, running.target, effects);
+        if running.caller == CallerState::Answered {
+            return;
+        }
+        effects.push(DeskEffect::Cancel { dispatch, target: Arc::clone(&running.spec) });
+        let lost = running.clone();
+        self.give_up_unknown(now, lost, RefuseReason::TargetLost, effects);
+        running.caller = CallerState::Answered;
+        running.check_at = ClockTime::FAR;
+        running.lease_deadline = running.lease_deadline.min(now.after(self.options.abandoned_hold));
+        if let Some(entry) = self.table.get_mut(running.target) {
+            entry.ledger.take(running.kind());
+            self.dispatches.insert(dispatch, running);
+        }
+    }
+
+    // The caller's deadline and the grace have passed: the slot is given back,
+    // or work whose end was lost would hold it for good.
+    fn end_lease(&mut self, dispatch: u64, effects: &mut Vec<DeskEffect>) {
+        let Some(running) = self.take_out(dispatch) else {
+            return;
+        };
+        if running.caller == CallerState::Answered {
+            return;
+        }
+        effects.push(DeskEffect::Cancel { dispatch, target: Arc::clone(&running.spec) });
+        let reason = RefuseReason::DeadlinePassed;
+        self.refuse(&running.pending, RunState::Unknown, reason, effects);
+    }
+
+    fn blame(&mut self, now: ClockTime, target: u64, effects: &mut Vec<DeskEffect>) {
+        let Some(entry) = self.table.get_mut(target) else {
+            return;
+        };
+        if entry.health.on_loss(&self.options) == HealthVerdict::Eject {
+            let change = self.table.eject(now, target, "dispatches unanswered", &self.options);
+            effects.extend(change.map(DeskEffect::Audit));
+        }
+    }
+
+    // Takes a dispatch out of the table and gives its slot back.
+    fn take_out(&mut self, dispatch: u64) -> Option<RunningDispatch> {
+        let running = self.dispatches.remove(dispatch)?;
+        if let Some(entry) = self.table.get_mut(running.target) {
+            entry.ledger.give(running.kind());
+        }
+        if running.caller != CallerState::Answered {
+            self.out.remove(&running.pending.item.id);
+        }
+        Some(running)
+    }
+}
--- /dev/null
+++ b/crates/foxledge-policy/src/targets.rs
@@ -0,0 +1,304 @@
+//! The targets of a desk.
+
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
+
+use foxledge_core::{
+    audit::{AuditChange, AuditKind},
+    lists::TargetSpec,
+    names::TargetName,
+    time::ClockTime,
+    traffic::TrafficKind,
+};
+
+use crate::{
+    health::{HealthVerdict, TargetHealth},
+    options::DeskOptions,
+    policies::TargetState,
+    slots::SlotLedger,
+    work::PendingWork,
+};
+
+/// `TargetTable` is every target that a desk sends work to or waits for.
+#[derive(Debug, Default)]
+pub struct TargetTable {
+    entries: BTreeMap<u64, TargetEntry>,
+    last_id: u64,
+    listed: bool,
+}
+
+/// `TargetEntry` is one process behind a target's name.
+#[derive(Debug)]
+pub struct TargetEntry {
+    /// As published.
+    pub spec: Arc<TargetSpec>,
+    /// What this desk's dispatches hold of it.
+    pub ledger: SlotLedger,
+    /// What is believed of it.
+    pub health: TargetHealth,
+    /// Whether it is still published.
+    pub stand: TargetStand,
+}
+
+/// `TargetStand` is whether a target is still published.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum TargetStand {
+    /// Published.
+    Listed,
+    /// No longer published; kept while its dispatches last.
+    Retired,
+}
+
+/// `SlowWait` is how long the queue is expected to be, which decides whether
+/// slow targets help.
+#[derive(Clone, Copy, Debug)]
+pub struct SlowWait {
+    /// Expected wait for a free slot of a usual target.
+    pub queue: Duration,
+    /// Usual run time.
+    pub usual_run: Duration,
+}
+
+impl TargetTable {
+    /// Takes a published list over; returns changes for the audit trail.
+    pub fn replace(
+        &mut self,
+        now: ClockTime,
+        specs: Vec<Arc<TargetSpec>>,
+        options: &DeskOptions,
+    ) -> Vec<AuditChange> {
+        let mut changes = Vec::new();
+        for entry in self.entries.values_mut() {
+            entry.stand = TargetStand::Retired;
+        }
+        for spec in specs {
+            match self.entries.values_mut().find(|entry| is_same_process(&entry.spec, &spec)) {
+                Some(entry) => {
+                    if entry.spec.draining != spec.draining {
+                        changes.push(draining_change(&spec));
+                    }
+                    entry.spec = spec;
+                    entry.stand = TargetStand::Listed;
+                }
+                None => self.add(now, spec, options),
+            }
+        }
+        self.listed = true;
+        self.drop_unused();
+        changes
+    }
+
+    /// Drops targets that are neither published nor used.
+    pub fn drop_unused(&mut self) {
+        self.entries
+            .retain(|_, entry| entry.stand == TargetStand::Listed || !entry.ledger.is_idle());
+    }
+
+    /// The entry of that id.
+    pub fn get_mut(&mut self, id: u64) -> Option<&mut TargetEntry> {
+        self.entries.get_mut(&id)
+    }
+
+    /// The published entry of that name, with its id.
+    pub fn find_mut(&mut self, name: &TargetName) -> Option<(u64, &mut TargetEntry)> {
+        self.entries
+            .iter_mut()
+            .find(|(_, entry)| entry.stand == TargetStand::Listed && entry.spec.name == *name)
+            .map(|(&id, entry)| (id, entry))
+    }
+
+    /// Every entry.
+    pub fn iter(&self) -> impl Iterator<Item = &TargetEntry> {
+        self.entries.values()
+    }
+
+    /// True when some target is published and not leaving.
+    pub fn takes_work(&self) -> bool {
+        self.entries.values().any(TargetEntry::is_open)
+    }
+
+    /// Slots of all targets that are published, not leaving and not out.
+    pub fn open_slots(&self) -> u32 {
+        let open = self.entries.values().filter(|entry| entry.is_open());
+        open.filter(|entry| !entry.health.is_ejected()).map(|entry| entry.spec.slots).sum()
+    }
+
+    /// The targets that have room for work of that kind now.
+    pub fn candidates(
+        &self,
+        now: ClockTime,
+        kind: TrafficKind,
+        wait: SlowWait,
+        options: &DeskOptions,
+    ) -> Vec<TargetState> {
+        let believe_doubts = self.may_doubt(now);
+        let usable = |entry: &TargetEntry| {
+            let shunned = entry.health.is_ejected()
+                || entry.health.is_held(now)
+                || (believe_doubts && entry.health.is_doubtful(now));
+            entry.is_open()
+                && !shunned
+                && entry.has_room(now, kind, options)
+                && entry.is_quick_enough(now, kind, wait, options)
+        };
+        let found = self.entries.iter().filter(|(_, entry)| usable(entry));
+        found.map(|(&id, entry)| entry.state(now, id, options)).collect()
+    }
+
+    /// Ejects a target if at least half of the open targets stay.
+    ///
+    /// Without the floor a fault that hits the answers of all targets, such as
+    /// a cut link of this instance, would leave no target at all.
+    pub fn eject(
+        &mut self,
+        now: ClockTime,
+        id: u64,
+        cause: &str,
+        options: &DeskOptions,
+    ) -> Option<AuditChange> {
+        let open = self.entries.values().filter(|entry| entry.is_open());
+        let (count, out) = open.fold((0, 0), |(count, out), entry| {
+            (count + 1, out + usize::from(entry.health.is_ejected()))
+        });
+        if (out + 1) * 2 > count {
+            return None;
+        }
+        let entry = self.entries.get_mut(&id)?;
+        entry.health.eject(now, options);
+        let change = AuditChange::new(AuditKind::TargetEjected, entry.spec.name.as_str());
+        Some(change.values("in", "out").because(cause, "observation"))
+    }
+
+    /// Sets due probes and takes ejected targets back; calls `probe` for each
+    /// target to be asked.
+    pub fn tend(
+        &mut self,
+        now: ClockTime,
+        options: &DeskOptions,
+        mut probe: impl FnMut(&Arc<TargetSpec>),
+    ) -> Vec<AuditChange> {
+        let mut changes = Vec::new();
+        let mut silent = Vec::new();
+        for (&id, entry) in &mut self.entries {
+            if entry.stand == TargetStand::Retired {
+                continue;
+            }
+            if let Some(verdict) = entry.health.probe_due(now, options) {
+                probe(&entry.spec);
+                if verdict == HealthVerdict::Eject {
+                    silent.push(id);
+                }
+            }
+            if entry.health.readmit(now, options) {
+                let change = AuditChange::new(AuditKind::TargetEjected, entry.spec.name.as_str());
+                changes.push(change.values("out", "in").because("probe answered", "observation"));
+            }
+        }
+        let eject = |id| self.eject(now, id, "probes unanswered", options);
+        changes.extend(silent.into_iter().filter_map(eject));
+        changes
+    }
+
+    fn add(&mut self, now: ClockTime, spec: Arc<TargetSpec>, options: &DeskOptions) {
+        self.last_id += 1;
+        // The targets of the first list have been running for all the desk
+        // knows; one that comes later is new and may be cold.
+        let warm_at = if self.listed { now.after(options.slow_start) } else { now };
+        // First probes are spread over the period.
+        let step = options.probe_period / 16;
+        let next_probe = now.after(step * (self.last_id % 16) as u32);
+        let health = TargetHealth::new(warm_at, next_probe);
+        let ledger = SlotLedger::default();
+        let entry = TargetEntry { spec, ledger, health, stand: TargetStand::Listed };
+        self.entries.insert(self.last_id, entry);
+    }
+
+    // Doubts are believed only while at least half of the open targets are
+    // beyond doubt: health endpoints mislead, and all at once is no news.
+    fn may_doubt(&self, now: ClockTime) -> bool {
+        let open = self.entries.values().filter(|entry| entry.is_open());
+        let (count, doubtful) = open.fold((0, 0), |(count, doubtful), entry| {
+            let out = entry.health.is_ejected() || entry.health.is_doubtful(now);
+            (count + 1, doubtful + usize::from(out))
+        });
+        doubtful * 2 <= count
+    }
+}
+
+impl TargetEntry {
+    /// True when it is published and not leaving.
+    pub fn is_open(&self) -> bool {
+        let leaving = self.spec.draining || self.health.reports_draining();
+        self.stand == TargetStand::Listed && !leaving
+    }
+
+    fn has_room(&self, now: ClockTime, kind: TrafficKind, options: &DeskOptions) -> bool {
+        match kind {
+            TrafficKind::Feed => self.ledger.connections() < self.spec.connections,
+            TrafficKind::Bid | TrafficKind::Upload => {
+                self.ledger.busy() < self.allowed_slots(now, options)
+            }
+        }
+    }
+
+    // A cold or new target gets half its slots, a slow one on trial a single one.
+    fn allowed_slots(&self, now: ClockTime, options: &DeskOptions) -> u32 {
+        let slots = self.spec.slots;
+        if self.health.wants_trial(now, options) {
+            return slots.min(1);
+        }
+        if self.health.warmth(now, options) < 0.5 {
+            return slots.div_ceil(2);
+        }
+        slots
+    }
+
+    // A slow target is worth its slot only when waiting for a quick one would
+    // take longer than what it is slower. Lin and Kumar, "Optimal control of a
+    // queueing system with two heterogeneous servers", IEEE Transactions on
+    // Automatic Control 29(8), 1984.
+    fn is_quick_enough(
+        &self,
+        now: ClockTime,
+        kind: TrafficKind,
+        wait: SlowWait,
+        options: &DeskOptions,
+    ) -> bool {
+        if kind == TrafficKind::Feed || !self.health.is_slow(now, options) {
+            return true;
+        }
+        wait.queue > wait.usual_run.mul_f64(self.health.pace() - 1.0)
+    }
+
+    fn state(&self, now: ClockTime, id: u64, options: &DeskOptions) -> TargetState {
+        TargetState {
+            name: self.spec.name.clone(),
+            slots: self.allowed_slots(now, options),
+            busy: self.ledger.busy(),
+            connections: self.ledger.connections(),
+            connection_limit: self.spec.connections,
+            reported: self.health.trusted_report(now, options),
+            pace: self.health.pace(),
+            warmth: self.health.warmth(now, options),
+            id,
+        }
+    }
+}
+
+/// Leaves out the targets that had the work already, if others are left.
+pub fn leave_out_tried(states: &mut Vec<TargetState>, pending: &PendingWork) {
+    let is_new = |state: &TargetState| !pending.tried.contains(&state.id);
+    if !pending.tried.is_empty() && states.iter().any(is_new) {
+        states.retain(is_new);
+    }
+}
+
+/// The entry for the audit trail when a target starts or stops leaving.
+pub fn draining_change(spec: &TargetSpec) -> AuditChange {
+    let words = if spec.draining { ("open", "draining") } else { ("draining", "open") };
+    let change = AuditChange::new(AuditKind::TargetDraining, spec.name.as_str());
+    change.values(words.0, words.1).because("published", "platform")
+}
+
+fn is_same_process(a: &TargetSpec, b: &TargetSpec) -> bool {
+    a.name == b.name && a.incarnation == b.incarnation && a.address == b.address
+}
