--- /dev/null
+++ b/crates/foxledge-engine/src/answers.rs
@@ -0,0 +1,163 @@
+//! What backend servers answer, on its way to callers and desks.
+
+use std::net::SocketAddr;
+
+use foxledge_core::time::ClockTime;
+use foxledge_policy::TargetSignal;
+use foxledge_seal::seals::open_path;
+use foxledge_wire::{
+    MAX_DATAGRAM,
+    flow::{Packet, PacketKind, Refusal, RefusalReason, RunOutcome},
+};
+
+use crate::{
+    effects::EnginePhase,
+    engine::FlowEngine,
+    home::{RunTracking, bare_packet},
+    ledger::RequestState,
+    packets::{refuse_reason, target_load},
+    placement::DeskKey,
+};
+
+impl FlowEngine {
+    /// Takes a probe's answer.
+    pub(crate) fn on_probe_reply(&mut self, now: ClockTime, from: SocketAddr, packet: &Packet) {
+        let Some((key, target)) = self.owners.get(&from).cloned() else { return };
+        let Some(load) = &packet.load else { return };
+        let Some(desk) = self.desks.find(&key) else { return };
+        let effects = desk.on_load(now, &target.name, target_load(load));
+        self.carry_out(now, &key, effects);
+    }
+
+    /// Takes an answer, a feed item or a notice of a backend server.
+    pub(crate) fn on_target_packet(&mut self, now: ClockTime, from: SocketAddr, packet: Packet) {
+        if let Some(&id) = self.dispatches.get(&packet.dispatch)
+            && let Some(desk) = self.works.get(&id).map(|work| work.desk.clone())
+        {
+            return self.on_own_dispatch(now, from, id, &desk, packet);
+        }
+        match packet.kind() {
+            PacketKind::Done => {}
+            // The home that dispatched may still place the work elsewhere, so
+            // another instance can't vouch for "not run".
+            PacketKind::Refusal => self.relay_answer(without_promise(packet)),
+            _ => self.relay_answer(packet),
+        }
+    }
+
+    /// Takes an answer to a dispatch of this home.
+    fn on_own_dispatch(
+        &mut self,
+        now: ClockTime,
+        from: SocketAddr,
+        id: u64,
+        desk: &DeskKey,
+        packet: Packet,
+    ) {
+        let is_target =
+            self.works.get(&id).and_then(|work| self.ledger.find(&work.key)).is_none_or(|state| {
+                match state {
+                    RequestState::Dispatched { target, .. } => target.address == from,
+                    _ => true,
+                }
+            });
+        if !is_target {
+            self.counters.path_unsealed += 1;
+            return;
+        }
+        let load = packet.load.as_ref().map(target_load);
+        let signal = signal_of(&packet, self.works.get(&id).is_some_and(|work| work.is_feed()));
+        match signal {
+            TargetSignal::Accepted => {
+                if let Some(work) = self.works.get_mut(&id) {
+                    work.packet = None;
+                }
+            }
+            TargetSignal::Ended => {
+                self.counters.ended += 1;
+                let renewal = self.renew_ticket(now, id);
+                self.relay_with_ticket(packet.clone(), renewal);
+            }
+            TargetSignal::NotRun(_) | TargetSignal::Unknown => {}
+        }
+        if signal == TargetSignal::Accepted {
+            self.relay_answer(packet.clone());
+        }
+        let Some(home_desk) = self.desks.find(desk) else { return };
+        let effects = home_desk.on_signal(now, packet.dispatch, signal, load);
+        self.carry_out(now, desk, effects);
+        if signal == TargetSignal::Ended {
+            self.works.remove(&id);
+            self.dispatches.remove(&packet.dispatch);
+        }
+    }
+
+    /// A ticket to go with the final answer of a ticketed request.
+    fn renew_ticket(&mut self, now: ClockTime, id: u64) -> Option<Vec<u8>> {
+        let work = self.works.get(&id)?;
+        if self.phase == EnginePhase::Leaving || work.tracking != RunTracking::ByTicket {
+            return None;
+        }
+        let service = work.desk.service.clone();
+        let asked = bare_packet(work);
+        self.make_ticket(now, &asked, &service)
+    }
+
+    fn relay_with_ticket(&mut self, packet: Packet, ticket: Option<Vec<u8>>) {
+        if packet.kind() == PacketKind::Done {
+            return;
+        }
+        let Some(ticket) = ticket else { return self.relay_answer(packet) };
+        let fits = packet.payload.len() + ticket.len() + packet.return_path.len() < MAX_DATAGRAM;
+        let ticket = if fits { ticket } else { Vec::new() };
+        self.relay_answer(Packet { ticket, ..packet });
+    }
+
+    /// Sends an answer on to the caller that its return path names.
+    ///
+    /// The path is sealed: without that, anybody could have this instance send
+    /// datagrams to an address of their choice.
+    fn relay_answer(&mut self, packet: Packet) {
+        let Ok(path) = open_path(&self.ring, &packet.return_path) else {
+            self.counters.path_unsealed += 1;
+            return;
+        };
+        let Ok(caller) = path.caller_address.parse::<SocketAddr>() else { return };
+        self.counters.answers_relayed += 1;
+        let packet = Packet {
+            token: path.token,
+            return_path: Vec::new(),
+            load: None,
+            dispatch: 0,
+            target_incarnation: 0,
+            ..packet
+        };
+        self.send_data(caller, &packet);
+    }
+}
+
+fn signal_of(packet: &Packet, is_feed: bool) -> TargetSignal {
+    match packet.kind() {
+        PacketKind::Done => TargetSignal::Ended,
+        PacketKind::Answer if !is_feed => TargetSignal::Ended,
+        PacketKind::Refusal => refusal_signal(packet.refusal.as_ref()),
+        _ => TargetSignal::Accepted,
+    }
+}
+
+fn refusal_signal(refusal: Option<&Refusal>) -> TargetSignal {
+    let Some(refusal) = refusal else { return TargetSignal::Unknown };
+    match refusal.outcome() {
+        RunOutcome::NotRun => TargetSignal::NotRun(refuse_reason(refusal.reason())),
+        _ => TargetSignal::Unknown,
+    }
+}
+
+fn without_promise(packet: Packet) -> Packet {
+    let mut refusal = packet.refusal.unwrap_or_default();
+    refusal.outcome = RunOutcome::Unknown.into();
+    if refusal.reason() == RefusalReason::Unspecified {
+        refusal.reason = RefusalReason::TargetLost.into();
+    }
+    Packet { refusal: Some(refusal), ..packet }
+}
--- /dev/null
+++ b/crates/foxledge-engine/src/desks.rs
@@ -0,0 +1,161 @@
+//! The desks of a home, one for each shard of a service.
+
+use std::{collections::BTreeMap, sync::Arc};
+
+use foxledge_core::{
+    audit::{AuditChange, AuditKind},
+    lists::{RuleList, ServiceSpec, TargetSpec},
+    names::InstanceName,
+    peers::PeerView,
+    time::ClockTime,
+};
+use foxledge_policy::{DeskEffect, DeskOptions, HomeDesk, policy_by_name};
+
+use crate::placement::{DeskKey, HomePlacement};
+
+/// Ranks of instances that probe a desk's targets: the home and its successor.
+///
+/// Only those who place work need to know a target's state, and the successor
+/// must be warm when the home dies. Probing by everybody would cost each target
+/// a probe from every instance of the data centre.
+const PROBING_RANKS: usize = 2;
+
+/// `DeskSet` is the desks of this instance.
+pub struct DeskSet {
+    desks: BTreeMap<DeskKey, HomeDesk>,
+    options: DeskOptions,
+    policy: String,
+    seed: u64,
+}
+
+impl DeskSet {
+    /// Makes an empty set; each desk gets the options and a policy of that name.
+    pub fn new(options: DeskOptions, policy: &str, seed: u64) -> DeskSet {
+        DeskSet { desks: BTreeMap::new(), options, policy: policy.to_owned(), seed }
+    }
+
+    /// The desk of that key, made on first use.
+    pub fn obtain(
+        &mut self,
+        now: ClockTime,
+        key: &DeskKey,
+        targets: impl FnOnce() -> Vec<Arc<TargetSpec>>,
+        queue_limit: u32,
+    ) -> (&mut HomeDesk, Vec<DeskEffect>) {
+        let mut effects = Vec::new();
+        if !self.desks.contains_key(key) {
+            let mut desk = self.make_desk(key);
+            desk.set_queue_limit(queue_limit);
+            effects = desk.set_targets(now, targets());
+            self.desks.insert(key.clone(), desk);
+        }
+        let desk = self.desks.get_mut(key).expect("inserted above");
+        (desk, effects)
+    }
+
+    /// The desk of that key, if there is one.
+    pub fn find(&mut self, key: &DeskKey) -> Option<&mut HomeDesk> {
+        self.desks.get_mut(key)
+    }
+
+    /// Every desk with its key.
+    pub fn iter(&self) -> impl Iterator<Item = (&DeskKey, &HomeDesk)> {
+        self.desks.iter()
+    }
+
+    /// Keys of every desk.
+    pub fn keys(&self) -> Vec<DeskKey> {
+        self.desks.keys().cloned().collect()
+    }
+
+    /// Drops desks that have no work and belong to others now.
+    pub fn drop_idle(&mut self, is_kept: impl Fn(&DeskKey) -> bool) {
+        self.desks.retain(|key, desk| desk.unfinished() > 0 || is_kept(key));
+    }
+
+    fn make_desk(&self, key: &DeskKey) -> HomeDesk {
+        let seed = self.seed ^ foxledge_core::hash::digest_of(key.hash_text().as_bytes());
+        let policy = policy_by_name(&self.policy, seed)
+            .or_else(|_| policy_by_name("freest", seed))
+            .expect("the default policy exists");
+        HomeDesk::new(self.options.clone(), policy, seed)
+    }
+}
+
+/// Targets of one shard in this data centre, in the published order by name.
+pub fn shard_targets(
+    service: &ServiceSpec,
+    data_centre: &str,
+    shard: u32,
+    placement: &dyn HomePlacement,
+) -> Vec<Arc<TargetSpec>> {
+    let mut local: Vec<_> = local_targets(service, data_centre).collect();
+    let shards = placement.shards(service.shards, local.len()) as usize;
+    local.sort_by(|a, b| a.name.cmp(&b.name));
+    local
+        .into_iter()
+        .enumerate()
+        .filter(|(index, _)| index % shards == shard as usize)
+        .map(|(_, target)| Arc::new(target.clone()))
+        .collect()
+}
+
+/// Shards of a service in this data centre.
+pub fn shard_count(service: &ServiceSpec, centre: &str, placement: &dyn HomePlacement) -> u32 {
+    placement.shards(service.shards, local_targets(service, centre).count())
+}
+
+/// Desks that this instance probes for: it is the home or the successor.
+pub fn probed_desks(
+    list: &RuleList,
+    view: &PeerView,
+    me: &InstanceName,
+    centre: &str,
+    placement: &dyn HomePlacement,
+) -> Vec<DeskKey> {
+    let mut keys = Vec::new();
+    for service in list.services.values() {
+        for shard in 0..shard_count(service, centre, placement) {
+            let key = DeskKey { service: service.name.clone(), shard };
+            let ranked = placement.ranked(&key, me, view);
+            if ranked.iter().take(PROBING_RANKS).any(|peer| peer.name == *me) {
+                keys.push(key);
+            }
+        }
+    }
+    keys
+}
+
+/// What the audit trail says when targets start or stop draining by publication.
+pub fn drain_changes(old: &RuleList, new: &RuleList) -> Vec<AuditChange> {
+    let mut changes = Vec::new();
+    for service in new.services.values() {
+        let Some(before) = old.services.get(&service.name) else { continue };
+        for target in &service.targets {
+            let former = before.targets.iter().find(|t| t.name == target.name);
+            let was_draining = former.is_some_and(|former| former.draining);
+            if was_draining != target.draining {
+                changes.push(
+                    AuditChange::new(
+                        AuditKind::TargetDraining,
+                        format!("{}/{}", service.name, target.name),
+                    )
+                    .values(drain_word(was_draining), drain_word(target.draining))
+                    .because("published", "list"),
+                );
+            }
+        }
+    }
+    changes
+}
+
+fn local_targets<'a>(
+    service: &'a ServiceSpec,
+    centre: &'a str,
+) -> impl Iterator<Item = &'a TargetSpec> {
+    service.targets.iter().filter(move |target| target.data_centre.as_str() == centre)
+}
+
+fn drain_word(draining: bool) -> &'static str {
+    if draining { "draining" } else { "serving" }
+}
--- /dev/null
+++ b/crates/foxledge-engine/src/engine.rs
@@ -0,0 +1,379 @@
+//! The engine: its state, and what comes in from outside.
+
+use std::{
+    collections::{BTreeSet, HashMap},
+    net::SocketAddr,
+    sync::Arc,
+};
+
+use foxledge_core::{
+    audit::{AuditChange, AuditKind},
+    lists::{FlowTraits, FlowTreatment, RuleList, TargetSpec},
+    peers::{PeerInfo, PeerView},
+    time::ClockTime,
+};
+use foxledge_seal::{
+    KeyRing,
+    seals::{open_datagram, seal_datagram},
+};
+use foxledge_wire::{
+    decode_packet, encode_packet,
+    flow::{Packet, PacketKind, PeerDatagram, Refusal, RunOutcome, peer_datagram::Body},
+};
+use rand::{SeedableRng, rngs::StdRng};
+
+use crate::{
+    counters::EngineCounters,
+    desks::{DeskSet, drain_changes, probed_desks, shard_count, shard_targets},
+    effects::{EngineEffect, EnginePhase},
+    explain::{ExplainQuery, FlowExplanation},
+    forwards::{ForwardTable, SilentHomes},
+    home::HomeWork,
+    journal::FlowJournal,
+    ledger::RunLedger,
+    options::EngineOptions,
+    packets::reply_to,
+    placement::{DeskKey, HomePlacement, placement_of, shard_of},
+    status::{DeskEntry, EngineStatus},
+};
+
+/// Flows that the journal keeps.
+const JOURNAL_FLOWS: usize = 2_000;
+
+/// `FlowEngine` is the decisions of one instance.
+pub struct FlowEngine {
+    pub(crate) options: EngineOptions,
+    pub(crate) me: PeerInfo,
+    pub(crate) phase: EnginePhase,
+    pub(crate) list: Arc<RuleList>,
+    pub(crate) view: Arc<PeerView>,
+    pub(crate) ring: KeyRing,
+    pub(crate) placement: Box<dyn HomePlacement>,
+    pub(crate) desks: DeskSet,
+    /// Desks whose targets this instance probes.
+    pub(crate) probed: BTreeSet<DeskKey>,
+    /// Published targets by address: who owns it now.
+    pub(crate) owners: HashMap<SocketAddr, (DeskKey, Arc<TargetSpec>)>,
+    pub(crate) ledger: RunLedger,
+    pub(crate) works: HashMap<u64, HomeWork>,
+    /// Work ids by dispatch.
+    pub(crate) dispatches: HashMap<u64, u64>,
+    pub(crate) last_work: u64,
+    pub(crate) forwards: ForwardTable,
+    pub(crate) silent: SilentHomes,
+    /// Start deadline of the newest ticket issued here.
+    pub(crate) tickets_until: ClockTime,
+    pub(crate) journal: FlowJournal,
+    pub(crate) counters: EngineCounters,
+    pub(crate) rng: StdRng,
+    pub(crate) out: Vec<EngineEffect>,
+}
+
+impl FlowEngine {
+    /// Makes the engine of instance `me`; the seed draws ticket and dispatch numbers.
+    pub fn new(options: EngineOptions, me: PeerInfo, seed: u64) -> FlowEngine {
+        FlowEngine {
+            phase: EnginePhase::Joining,
+            list: Arc::default(),
+            view: Arc::default(),
+            ring: KeyRing::default(),
+            placement: placement_of(options.placement),
+            desks: DeskSet::new(options.desk.clone(), &options.policy, seed),
+            probed: BTreeSet::new(),
+            owners: HashMap::new(),
+            ledger: RunLedger::new(options.ledger_limit),
+            works: HashMap::new(),
+            dispatches: HashMap::new(),
+            last_work: 0,
+            forwards: ForwardTable::new(options.forward_limit),
+            silent: SilentHomes::default(),
+            tickets_until: ClockTime::ZERO,
+            journal: FlowJournal::new(JOURNAL_FLOWS),
+            counters: EngineCounters::default(),
+            rng: StdRng::seed_from_u64(seed),
+            out: Vec::new(),
+            options,
+            me,
+        }
+    }
+
+    /// Takes a datagram from a caller or a backend server.
+    pub fn on_datagram(
+        &mut self,
+        now: ClockTime,
+        from: SocketAddr,
+        bytes: &[u8],
+    ) -> Vec<EngineEffect> {
+        self.counters.data_received += 1;
+        let Ok(packet) = decode_packet(bytes) else {
+            self.counters.malformed += 1;
+            return Vec::new();
+        };
+        match packet.kind() {
+            PacketKind::TicketRequest
+            | PacketKind::Work
+            | PacketKind::Poll
+            | PacketKind::Cancel => self.on_caller_packet(now, from, packet),
+            PacketKind::ProbeReply => self.on_probe_reply(now, from, &packet),
+            PacketKind::Ack
+            | PacketKind::Answer
+            | PacketKind::Refusal
+            | PacketKind::FeedItem
+            | PacketKind::Done
+            | PacketKind::GoAway => self.on_target_packet(now, from, packet),
+            PacketKind::Unspecified | PacketKind::TicketGrant | PacketKind::Probe => {
+                self.counters.malformed += 1;
+            }
+        }
+        self.take_effects()
+    }
+
+    /// Takes a datagram from another instance.
+    pub fn on_peer_datagram(
+        &mut self,
+        now: ClockTime,
+        from: SocketAddr,
+        bytes: &[u8],
+    ) -> Vec<EngineEffect> {
+        self.counters.peer_received += 1;
+        let Ok(datagram) = open_datagram(&self.ring, bytes) else {
+            // Without the seal anybody could have instances send datagrams to
+            // any "caller address", and could bypass the checks at entry.
+            self.counters.peer_unsealed += 1;
+            return Vec::new();
+        };
+        match datagram.body {
+            Some(Body::Forward(forward)) => self.on_forward(now, from, forward),
+            Some(Body::Ack(ack)) => self.on_forward_ack(ack.forward_id),
+            None => self.counters.malformed += 1,
+        }
+        self.take_effects()
+    }
+
+    /// Lets time pass: queues, deadlines, probes.
+    pub fn on_tick(&mut self, now: ClockTime) -> Vec<EngineEffect> {
+        self.retry_forwards(now);
+        for key in self.desks.keys() {
+            let Some(desk) = self.desks.find(&key) else { continue };
+            let effects = desk.on_tick(now);
+            self.carry_out(now, &key, effects);
+        }
+        self.ledger.forget_past(now);
+        self.take_effects()
+    }
+
+    /// Takes a newly accepted list into force.
+    pub fn on_list(&mut self, now: ClockTime, list: Arc<RuleList>) -> Vec<EngineEffect> {
+        if list.version.revision <= self.list.version.revision {
+            return Vec::new();
+        }
+        for change in drain_changes(&self.list, &list) {
+            self.out.push(EngineEffect::Audit(change));
+        }
+        let ring = KeyRing::from_keys(&list.keys);
+        self.audit_keys(&ring, list.version.revision);
+        self.ring = ring;
+        self.list = list;
+        self.refresh_owners();
+        self.refresh_desks(now);
+        self.take_effects()
+    }
+
+    /// Takes a new view of the instances into force.
+    pub fn on_view(&mut self, now: ClockTime, view: Arc<PeerView>) -> Vec<EngineEffect> {
+        self.view = view;
+        self.refresh_desks(now);
+        self.take_effects()
+    }
+
+    /// Sets where the process stands in its life.
+    pub fn set_phase(&mut self, _now: ClockTime, phase: EnginePhase) {
+        self.phase = phase;
+    }
+
+    /// Requests, tickets and forwardings that a planned stop has to wait for.
+    pub fn unfinished(&self, now: ClockTime) -> usize {
+        let tickets = usize::from(!self.tickets_until.is_past(now));
+        let requests = self.works.values().filter(|work| !work.is_feed()).count();
+        requests + tickets + self.forwards.len()
+    }
+
+    /// The engine's counters.
+    pub fn counters(&self) -> &EngineCounters {
+        &self.counters
+    }
+
+    /// The engine's present state.
+    pub fn status(&self, now: ClockTime) -> EngineStatus {
+        EngineStatus {
+            phase: self.phase,
+            version: self.list.version,
+            keys: self.ring.ids(),
+            ledger_requests: self.ledger.len(),
+            open_works: self.works.len(),
+            pending_forwards: self.forwards.len(),
+            desks: self
+                .desks
+                .iter()
+                .map(|(key, desk)| DeskEntry { key: key.clone(), desk: desk.status(now) })
+                .collect(),
+        }
+    }
+
+    /// Why a flow is treated as it is.
+    pub fn explain(&self, query: &ExplainQuery) -> FlowExplanation {
+        let mut explanation = FlowExplanation {
+            revision: self.list.version.revision,
+            flow_events: self.journal.read(query.flow),
+            ..FlowExplanation::default()
+        };
+        let traits = FlowTraits {
+            address: &query.address,
+            member: &query.member,
+            data_centre: &self.me.data_centre,
+            kind: query.kind,
+        };
+        self.explain_rule(&traits, query.flow, &mut explanation);
+        explanation
+    }
+
+    fn explain_rule(&self, traits: &FlowTraits<'_>, flow: u64, explanation: &mut FlowExplanation) {
+        let reasons = &mut explanation.reasons;
+        if !self.list.members.contains_key(traits.member) {
+            reasons.push(format!("member {} is not listed, so the flow is refused", traits.member));
+            return;
+        }
+        let Some(rule) = self.list.decide(traits) else {
+            reasons.push("no rule matches, so the flow is refused".to_owned());
+            return;
+        };
+        reasons.push(format!("rule {} is the first that matches", rule.name));
+        explanation.rule = Some(rule.name.to_string());
+        explanation.treatment = Some(rule.then.clone());
+        let FlowTreatment::Serve(treatment) = &rule.then else { return };
+        let Some(service) = self.list.services.get(&treatment.service) else { return };
+
+        let shards = shard_count(service, &self.me.data_centre, self.placement.as_ref());
+        let key = DeskKey { service: service.name.clone(), shard: shard_of(flow, shards) };
+        let ranked = self.placement.ranked(&key, &self.me.name, &self.view);
+        explanation.homes = ranked.iter().map(|peer| peer.name.to_string()).collect();
+        reasons
+            .push(format!("shard {} of {shards} decides the home by rendezvous hash", key.shard));
+        explanation.shard = Some(key.shard);
+        explanation.targets = self
+            .targets_of(&key)
+            .iter()
+            .map(|target| format!("{}@{}", target.name, target.address))
+            .collect();
+        let dispatched = explanation.flow_events.iter().rev().find(|e| e.text.contains(" to "));
+        explanation.target = dispatched.and_then(|e| e.text.rsplit(' ').next().map(str::to_owned));
+    }
+
+    fn audit_keys(&mut self, ring: &KeyRing, revision: u64) {
+        let (old, new) = (self.ring.ids(), ring.ids());
+        if old == new {
+            return;
+        }
+        let change = AuditChange::new(AuditKind::KeysRotated, "token keys")
+            .values(format!("{old:?}"), format!("{new:?}"))
+            .because(format!("list {revision}"), "list");
+        self.out.push(EngineEffect::Audit(change));
+    }
+
+    fn refresh_owners(&mut self) {
+        self.owners.clear();
+        let centre = self.me.data_centre.clone();
+        for service in self.list.services.values() {
+            let shards = shard_count(service, &centre, self.placement.as_ref());
+            for shard in 0..shards {
+                let key = DeskKey { service: service.name.clone(), shard };
+                for target in shard_targets(service, &centre, shard, self.placement.as_ref()) {
+                    self.owners.insert(target.address, (key.clone(), target));
+                }
+            }
+            for target in &service.targets {
+                let key = DeskKey { service: service.name.clone(), shard: 0 };
+                self.owners
+                    .entry(target.address)
+                    .or_insert_with(|| (key, Arc::new(target.clone())));
+            }
+        }
+    }
+
+    /// Brings every desk up to date with the list and the view.
+    fn refresh_desks(&mut self, now: ClockTime) {
+        let probed = probed_desks(
+            &self.list,
+            &self.view,
+            &self.me.name,
+            &self.me.data_centre,
+            self.placement.as_ref(),
+        );
+        self.probed = probed.into_iter().collect();
+        for key in self.probed.clone() {
+            self.obtain_desk(now, &key);
+        }
+        for key in self.desks.keys() {
+            let targets = self.targets_of(&key);
+            let queue_limit = self.queue_limit_of(&key);
+            let Some(desk) = self.desks.find(&key) else { continue };
+            desk.set_queue_limit(queue_limit);
+            let effects = desk.set_targets(now, targets);
+            self.carry_out(now, &key, effects);
+        }
+        let probed = &self.probed;
+        self.desks.drop_idle(|key| probed.contains(key));
+    }
+
+    /// Makes sure the desk exists.
+    pub(crate) fn obtain_desk(&mut self, now: ClockTime, key: &DeskKey) {
+        let targets = self.targets_of(key);
+        let queue_limit = self.queue_limit_of(key);
+        let (_, effects) = self.desks.obtain(now, key, || targets, queue_limit);
+        self.carry_out(now, key, effects);
+    }
+
+    pub(crate) fn targets_of(&self, key: &DeskKey) -> Vec<Arc<TargetSpec>> {
+        let Some(service) = self.list.services.get(&key.service) else { return Vec::new() };
+        shard_targets(service, &self.me.data_centre, key.shard, self.placement.as_ref())
+    }
+
+    fn queue_limit_of(&self, key: &DeskKey) -> u32 {
+        self.list.services.get(&key.service).map_or(0, |service| service.queue_limit)
+    }
+
+    pub(crate) fn take_effects(&mut self) -> Vec<EngineEffect> {
+        std::mem::take(&mut self.out)
+    }
+
+    /// Sends a packet from the data socket.
+    pub(crate) fn send_data(&mut self, to: SocketAddr, packet: &Packet) {
+        self.out.push(EngineEffect::SendData { to, bytes: encode_packet(packet) });
+    }
+
+    /// Sends a sealed datagram from the peer socket.
+    pub(crate) fn send_peer(&mut self, to: SocketAddr, body: Body) {
+        let datagram = PeerDatagram { body: Some(body) };
+        if let Ok(bytes) = seal_datagram(&self.ring, &datagram) {
+            self.out.push(EngineEffect::SendPeer { to, bytes });
+        }
+    }
+
+    /// Sends the final refusal of a request to its caller.
+    pub(crate) fn refuse(
+        &mut self,
+        now: ClockTime,
+        to: SocketAddr,
+        packet: &Packet,
+        refusal: Refusal,
+    ) {
+        match refusal.outcome() {
+            RunOutcome::NotRun => self.counters.refused_not_run += 1,
+            _ => self.counters.refused_unknown += 1,
+        }
+        let text = format!("refused {:?} {:?}", refusal.outcome(), refusal.reason());
+        self.journal.note(now, packet.flow, packet.request, text);
+        let reply = Packet { refusal: Some(refusal), ..reply_to(packet, PacketKind::Refusal) };
+        self.send_data(to, &reply);
+    }
+}
--- /dev/null
+++ b/crates/foxledge-engine/src/home.rs
@@ -0,0 +1,495 @@
+//! The home role: tickets, admission and dispatch.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use foxledge_core::{
+    lists::{ServeTreatment, TargetSpec},
+    names::{MemberName, ServiceAddress, ServiceName},
+    time::ClockTime,
+    traffic::TrafficKind,
+};
+use foxledge_policy::{DeskEffect, DeskRefusal, RunState, WorkItem};
+use foxledge_seal::seals::{open_ticket, seal_path, seal_ticket, seal_token};
+use foxledge_wire::{
+    convert::{traffic_kind, work_kind},
+    flow::{FlowToken, Packet, PacketKind, Refusal, RefusalReason, ReturnPath, RunOutcome, Ticket},
+};
+use rand::Rng;
+
+use crate::{
+    effects::{EngineEffect, EnginePhase},
+    engine::FlowEngine,
+    ledger::{RequestKey, RequestState},
+    packets::{DEFAULT_RETRY, desk_refusal, not_run, reply_to, unknown},
+    placement::{DeskKey, shard_of},
+};
+
+/// Longest deadline that a caller's packet may ask for.
+const LONGEST_DEADLINE: Duration = Duration::from_secs(120);
+/// Deadline of a packet that names none.
+const DEFAULT_DEADLINE: Duration = Duration::from_secs(2);
+
+/// `RunTracking` is what the home can say of a request that it refuses.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RunTracking {
+    /// Runs through this process only, by ticket: "not run" can be said.
+    ByTicket,
+    /// Idempotent: a copy may run through another home.
+    Untracked,
+}
+
+/// `HomeWork` is one request or feed that was opened at this home.
+#[derive(Debug)]
+pub struct HomeWork {
+    /// Which request.
+    pub key: RequestKey,
+    /// The service address that its caller wants.
+    pub address: ServiceAddress,
+    /// The member it is counted for.
+    pub member: MemberName,
+    /// Its desk.
+    pub desk: DeskKey,
+    /// The opening packet; dropped once the backend server has it.
+    pub packet: Option<Box<Packet>>,
+    /// Where its caller was last seen.
+    pub caller: SocketAddr,
+    /// Kind of traffic.
+    pub kind: TrafficKind,
+    /// What can be said when it is refused.
+    pub tracking: RunTracking,
+    /// When the caller gives up.
+    pub deadline: ClockTime,
+    /// When it arrived here.
+    pub arrived: ClockTime,
+    /// Until when the ledger has to know it.
+    pub forget_at: ClockTime,
+    /// Its present dispatch; 0 while it waits.
+    pub dispatch: u64,
+}
+
+impl HomeWork {
+    /// True for a long-lived connection.
+    pub fn is_feed(&self) -> bool {
+        self.kind == TrafficKind::Feed
+    }
+}
+
+impl FlowEngine {
+    /// Takes a packet as the home of its service.
+    pub(crate) fn take_as_home(&mut self, now: ClockTime, caller: SocketAddr, packet: Packet) {
+        self.counters.home_taken += 1;
+        match packet.kind() {
+            PacketKind::TicketRequest => self.grant_ticket(now, caller, &packet),
+            PacketKind::Cancel => self.cancel_request(now, &packet),
+            PacketKind::Work if !packet.ticket.is_empty() => {
+                self.take_ticketed(now, caller, packet);
+            }
+            PacketKind::Work if packet.idempotent || !self.options.trial.run_once => {
+                self.take_untracked(now, caller, packet);
+            }
+            // Non-idempotent work without a ticket runs nowhere, so that a copy
+            // at another home can't run either. Its caller gets a ticket.
+            PacketKind::Work => self.grant_ticket(now, caller, &packet),
+            _ => self.counters.malformed += 1,
+        }
+    }
+
+    fn grant_ticket(&mut self, now: ClockTime, caller: SocketAddr, packet: &Packet) {
+        let treatment = match self.decide(packet) {
+            Ok(treatment) => treatment,
+            Err(reason) => {
+                return self.refuse(now, caller, packet, not_run(reason, DEFAULT_RETRY));
+            }
+        };
+        if self.phase == EnginePhase::Leaving {
+            let refusal = not_run(RefusalReason::Leaving, DEFAULT_RETRY);
+            return self.refuse(now, caller, packet, refusal);
+        }
+        let Some(ticket) = self.make_ticket(now, packet, &treatment.service) else { return };
+        let reply = Packet {
+            ticket,
+            time_left_ms: self.options.ticket_life.as_millis() as u32,
+            parts: self.options.ticket_count,
+            ..reply_to(packet, PacketKind::TicketGrant)
+        };
+        self.send_data(caller, &reply);
+    }
+
+    /// Seals a ticket for the packet's caller; none when no key is published.
+    pub(crate) fn make_ticket(
+        &mut self,
+        now: ClockTime,
+        packet: &Packet,
+        service: &ServiceName,
+    ) -> Option<Vec<u8>> {
+        let start_deadline = now.after(self.options.ticket_life);
+        let ticket = Ticket {
+            address: packet.address.clone(),
+            service: service.to_string(),
+            member: packet.member.clone(),
+            caller: packet.caller,
+            home: self.me.name.to_string(),
+            home_incarnation: self.me.incarnation,
+            serial: self.rng.random(),
+            start_deadline_us: start_deadline.as_micros(),
+            count: self.options.ticket_count,
+            home_address: self.me.peer_address.to_string(),
+        };
+        let sealed = seal_ticket(&self.ring, &ticket).ok()?;
+        self.tickets_until = self.tickets_until.max(start_deadline);
+        self.counters.tickets_issued += 1;
+        Some(sealed)
+    }
+
+    /// Takes a request by a ticket of this process: it runs here or nowhere.
+    fn take_ticketed(&mut self, now: ClockTime, caller: SocketAddr, packet: Packet) {
+        let key = RequestKey::of(&packet);
+        if let Some(state) = self.ledger.find(&key).cloned() {
+            return self.take_copy(now, caller, &packet, state);
+        }
+        let Ok(ticket) = open_ticket(&self.ring, &packet.ticket) else { return };
+        let start_deadline = ClockTime::from_micros(ticket.start_deadline_us);
+        let forget_at = start_deadline.after(self.options.ledger_keep);
+        if forget_at.is_past(now) {
+            // The ledger may have forgotten a run of it.
+            let refusal = unknown(RefusalReason::TicketExpired, DEFAULT_RETRY);
+            return self.refuse(now, caller, &packet, refusal);
+        }
+        if start_deadline.is_past(now) && self.options.trial.run_once {
+            // Not in the ledger, so it wasn't started, and it can't be any more.
+            let refusal = not_run(RefusalReason::TicketExpired, Duration::ZERO);
+            return self.refuse(now, caller, &packet, refusal);
+        }
+        let tracking = RunTracking::ByTicket;
+        if !self.ledger.use_ticket(ticket.serial, ticket.count, forget_at) {
+            let reason = RefusalReason::Limit;
+            return self.refuse_for_good(now, caller, &packet, tracking, reason, forget_at);
+        }
+        self.open_request(now, caller, packet, tracking, start_deadline, forget_at);
+    }
+
+    /// Takes idempotent work.
+    fn take_untracked(&mut self, now: ClockTime, caller: SocketAddr, packet: Packet) {
+        let key = RequestKey::of(&packet);
+        if let Some(state) = self.ledger.find(&key).cloned() {
+            return self.take_copy(now, caller, &packet, state);
+        }
+        let forget_at = now.after(self.options.ledger_keep);
+        let tracking = RunTracking::Untracked;
+        self.open_request(now, caller, packet, tracking, ClockTime::FAR, forget_at);
+    }
+
+    /// Answers a copy of a known request; it starts nothing.
+    fn take_copy(
+        &mut self,
+        now: ClockTime,
+        caller: SocketAddr,
+        packet: &Packet,
+        state: RequestState,
+    ) {
+        self.counters.copies_seen += 1;
+        match state {
+            RequestState::Queued(work) => {
+                if let Some(work) = self.works.get_mut(&work) {
+                    work.caller = caller;
+                }
+            }
+            RequestState::Dispatched { dispatch, target } => {
+                self.send_to_target(now, caller, packet, dispatch, &target);
+            }
+            RequestState::Refused(refusal) => self.refuse(now, caller, packet, refusal),
+        }
+    }
+
+    fn open_request(
+        &mut self,
+        now: ClockTime,
+        caller: SocketAddr,
+        packet: Packet,
+        tracking: RunTracking,
+        start_deadline: ClockTime,
+        forget_at: ClockTime,
+    ) {
+        let treatment = match self.decide(&packet) {
+            Ok(treatment) => treatment,
+            Err(reason) => {
+                return self.refuse_for_good(now, caller, &packet, tracking, reason, forget_at);
+            }
+        };
+        if self.ledger.is_full() {
+            // Nothing is recorded, so a copy may be admitted later: the home
+            // can't promise that it never runs.
+            let refusal = unknown(RefusalReason::Limit, DEFAULT_RETRY);
+            return self.refuse(now, caller, &packet, refusal);
+        }
+        let Some(kind) = traffic_kind(packet.work()) else { return };
+        self.counters.requests_opened += 1;
+        self.last_work += 1;
+        let id = self.last_work;
+        let deadline = now.after(wanted_span(&packet));
+        let desk = self.desk_key(&packet, &treatment);
+        let item = work_item(id, &packet, &treatment, kind, deadline, start_deadline);
+        let key = RequestKey::of(&packet);
+        let member = item.member.clone();
+        let address = ServiceAddress::new(&packet.address);
+        self.ledger.record(key, RequestState::Queued(id), forget_at);
+        self.works.insert(
+            id,
+            HomeWork {
+                key,
+                address,
+                member,
+                desk: desk.clone(),
+                packet: Some(Box::new(packet)),
+                caller,
+                kind,
+                tracking,
+                deadline,
+                arrived: now,
+                forget_at,
+                dispatch: 0,
+            },
+        );
+        self.obtain_desk(now, &desk);
+        let Some(home_desk) = self.desks.find(&desk) else { return };
+        let effects = home_desk.offer(now, item);
+        self.carry_out(now, &desk, effects);
+    }
+
+    /// Refuses a request and remembers it, so that no copy is decided otherwise.
+    ///
+    /// A new list could let a copy in that arrives a moment later. Its caller
+    /// had been told "not run"; one would notice a refused bid that ran.
+    fn refuse_for_good(
+        &mut self,
+        now: ClockTime,
+        caller: SocketAddr,
+        packet: &Packet,
+        tracking: RunTracking,
+        reason: RefusalReason,
+        forget_at: ClockTime,
+    ) {
+        let refusal = match tracking {
+            RunTracking::ByTicket => not_run(reason, DEFAULT_RETRY),
+            RunTracking::Untracked => self.untracked_refusal(packet, reason),
+        };
+        if self.ledger.is_full() {
+            let refusal = unknown(RefusalReason::Limit, DEFAULT_RETRY);
+            return self.refuse(now, caller, packet, refusal);
+        }
+        self.remember_refusal(RequestKey::of(packet), refusal, forget_at);
+        self.refuse(now, caller, packet, refusal);
+    }
+
+    fn remember_refusal(&mut self, key: RequestKey, refusal: Refusal, forget_at: ClockTime) {
+        if self.options.trial.remember_refusals {
+            self.ledger.record(key, RequestState::Refused(refusal), forget_at);
+        }
+    }
+
+    fn cancel_request(&mut self, now: ClockTime, packet: &Packet) {
+        let key = RequestKey::of(packet);
+        let id = match self.ledger.find(&key) {
+            Some(RequestState::Queued(id)) => *id,
+            Some(RequestState::Dispatched { dispatch, .. }) => {
+                let Some(id) = self.dispatches.get(dispatch) else { return };
+                *id
+            }
+            _ => return,
+        };
+        let Some(work) = self.works.get(&id) else { return };
+        let desk = work.desk.clone();
+        let Some(home_desk) = self.desks.find(&desk) else { return };
+        let effects = home_desk.cancel(now, id);
+        self.carry_out(now, &desk, effects);
+    }
+
+    /// Carries out what a desk decided.
+    pub(crate) fn carry_out(&mut self, now: ClockTime, key: &DeskKey, effects: Vec<DeskEffect>) {
+        for effect in effects {
+            match effect {
+                DeskEffect::Dispatch { work, dispatch, target } => {
+                    self.dispatch_work(now, work, dispatch, &target);
+                }
+                DeskEffect::Resend { work, dispatch, target } => {
+                    self.resend_work(now, work, dispatch, &target);
+                }
+                DeskEffect::Refuse { work, refusal } => self.refuse_work(now, work, &refusal),
+                DeskEffect::Cancel { dispatch, target } => self.send_cancel(dispatch, &target),
+                DeskEffect::Probe { target } => self.send_probe(key, &target),
+                DeskEffect::Audit(change) => self.out.push(EngineEffect::Audit(change)),
+            }
+        }
+    }
+
+    fn dispatch_work(&mut self, now: ClockTime, id: u64, dispatch: u64, target: &Arc<TargetSpec>) {
+        let Some(work) = self.works.get_mut(&id) else { return };
+        let former = std::mem::replace(&mut work.dispatch, dispatch);
+        let (key, forget_at, caller, kind) = (work.key, work.forget_at, work.caller, work.kind);
+        let wait = now.since(work.arrived);
+        let Some(packet) = work.packet.as_deref().cloned() else { return };
+        self.dispatches.remove(&former);
+        self.dispatches.insert(dispatch, id);
+        let state = RequestState::Dispatched { dispatch, target: target.clone() };
+        self.ledger.record(key, state, forget_at);
+        self.counters.dispatched += 1;
+        self.journal.note(
+            now,
+            key.flow,
+            key.request,
+            format!("dispatched {dispatch:016x} to {}@{}", target.name, target.address),
+        );
+        self.out.push(EngineEffect::Observe { kind, wait });
+        self.send_to_target(now, caller, &packet, dispatch, target);
+    }
+
+    fn resend_work(&mut self, now: ClockTime, id: u64, dispatch: u64, target: &Arc<TargetSpec>) {
+        let Some(work) = self.works.get(&id) else { return };
+        let caller = work.caller;
+        let Some(packet) = work.packet.as_deref().cloned() else { return };
+        self.send_to_target(now, caller, &packet, dispatch, target);
+    }
+
+    /// Sends a request's packet to its backend server, with the flow token to hand back.
+    fn send_to_target(
+        &mut self,
+        now: ClockTime,
+        caller: SocketAddr,
+        packet: &Packet,
+        dispatch: u64,
+        target: &Arc<TargetSpec>,
+    ) {
+        let Some((service, _)) = self.owner_of(packet, target) else { return };
+        let token = FlowToken {
+            address: packet.address.clone(),
+            service: service.to_string(),
+            member: packet.member.clone(),
+            caller: packet.caller,
+            flow: packet.flow,
+            request: packet.request,
+            target: target.name.to_string(),
+            target_address: target.address.to_string(),
+            target_incarnation: target.incarnation,
+            data_centre: target.data_centre.to_string(),
+            dispatch,
+        };
+        let Ok(token) = seal_token(&self.ring, &token) else { return };
+        let path = ReturnPath { caller_address: caller.to_string(), token };
+        let Ok(return_path) = seal_path(&self.ring, &path) else { return };
+        let deadline = self
+            .dispatches
+            .get(&dispatch)
+            .and_then(|id| self.works.get(id))
+            .map_or_else(|| now.after(wanted_span(packet)), |work| work.deadline);
+        let packet = Packet {
+            service: service.to_string(),
+            target_incarnation: target.incarnation,
+            dispatch,
+            return_path,
+            time_left_ms: deadline.left_millis(now),
+            ticket: Vec::new(),
+            token: Vec::new(),
+            credential: Vec::new(),
+            ..packet.clone()
+        };
+        self.send_data(target.address, &packet);
+    }
+
+    /// The service that a request's target serves: the one its desk belongs to.
+    fn owner_of(&self, packet: &Packet, target: &TargetSpec) -> Option<(ServiceName, u32)> {
+        if let Some(RequestState::Dispatched { dispatch, .. }) =
+            self.ledger.find(&RequestKey::of(packet))
+            && let Some(work) = self.dispatches.get(dispatch).and_then(|id| self.works.get(id))
+        {
+            return Some((work.desk.service.clone(), work.desk.shard));
+        }
+        let (key, owner) = self.owners.get(&target.address)?;
+        let is_same = owner.incarnation == target.incarnation;
+        is_same.then(|| (key.service.clone(), shard_of(packet.flow, 1)))
+    }
+
+    /// Gives a work its final refusal at once.
+    pub(crate) fn refuse_work(&mut self, now: ClockTime, id: u64, refusal: &DeskRefusal) {
+        let Some(work) = self.works.remove(&id) else { return };
+        self.dispatches.remove(&work.dispatch);
+        let refusal = match (work.tracking, refusal.ran) {
+            (RunTracking::Untracked, RunState::NotRun) => {
+                Refusal { outcome: RunOutcome::Unknown.into(), ..desk_refusal(refusal) }
+            }
+            _ => desk_refusal(refusal),
+        };
+        self.remember_refusal(work.key, refusal, work.forget_at.max(now));
+        self.refuse(now, work.caller, &bare_packet(&work), refusal);
+    }
+
+    fn send_cancel(&mut self, dispatch: u64, target: &Arc<TargetSpec>) {
+        let Some((key, _)) = self.owners.get(&target.address) else { return };
+        let packet = Packet {
+            version: foxledge_wire::PROTOCOL_VERSION,
+            kind: PacketKind::Cancel.into(),
+            service: key.service.to_string(),
+            target_incarnation: target.incarnation,
+            dispatch,
+            ..Packet::default()
+        };
+        self.send_data(target.address, &packet);
+    }
+
+    fn send_probe(&mut self, key: &DeskKey, target: &Arc<TargetSpec>) {
+        if !self.probed.contains(key) {
+            return;
+        }
+        self.counters.probes_sent += 1;
+        let packet = Packet {
+            version: foxledge_wire::PROTOCOL_VERSION,
+            kind: PacketKind::Probe.into(),
+            service: key.service.to_string(),
+            target_incarnation: target.incarnation,
+            ..Packet::default()
+        };
+        self.send_data(target.address, &packet);
+    }
+}
+
+fn wanted_span(packet: &Packet) -> Duration {
+    match packet.time_left_ms {
+        0 => DEFAULT_DEADLINE,
+        millis => Duration::from_millis(u64::from(millis)).min(LONGEST_DEADLINE),
+    }
+}
+
+fn work_item(
+    id: u64,
+    packet: &Packet,
+    treatment: &ServeTreatment,
+    kind: TrafficKind,
+    deadline: ClockTime,
+    start_deadline: ClockTime,
+) -> WorkItem {
+    WorkItem {
+        id,
+        flow: packet.flow,
+        member: MemberName::new(&packet.member),
+        kind,
+        priority: treatment.priority,
+        weight: treatment.weight,
+        member_limit: treatment.member_limit,
+        when_full: treatment.when_full,
+        idempotent: packet.idempotent,
+        deadline,
+        start_deadline,
+    }
+}
+
+/// As much of the opening packet as replies and tickets need.
+pub(crate) fn bare_packet(work: &HomeWork) -> Packet {
+    Packet {
+        caller: work.key.caller,
+        flow: work.key.flow,
+        request: work.key.request,
+        address: work.address.to_string(),
+        member: work.member.to_string(),
+        work: work_kind(work.kind).into(),
+        ..Packet::default()
+    }
+}
--- /dev/null
+++ b/crates/foxledge-engine/src/journal.rs
@@ -0,0 +1,62 @@
+//! What was decided for recent flows, so that one id can be followed.
+
+use std::collections::{HashMap, VecDeque};
+
+use foxledge_core::time::ClockTime;
+use serde::Serialize;
+
+/// Decisions kept for one flow.
+const EVENTS_PER_FLOW: usize = 12;
+
+/// `FlowEvent` is one decision for a flow.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct FlowEvent {
+    /// Microseconds on this process's monotonic clock.
+    pub at_us: u64,
+    /// Number of the request.
+    pub request: u64,
+    /// What was decided, as a short sentence.
+    pub text: String,
+}
+
+/// `FlowJournal` is the decisions for the most recent flows; bounded.
+#[derive(Debug)]
+pub struct FlowJournal {
+    flows: HashMap<u64, VecDeque<FlowEvent>>,
+    order: VecDeque<u64>,
+    limit: usize,
+}
+
+impl FlowJournal {
+    /// Makes an empty journal of at most `limit` flows.
+    pub fn new(limit: usize) -> FlowJournal {
+        FlowJournal { flows: HashMap::new(), order: VecDeque::new(), limit: limit.max(1) }
+    }
+
+    /// Notes a decision.
+    pub fn note(&mut self, now: ClockTime, flow: u64, request: u64, text: impl Into<String>) {
+        if !self.flows.contains_key(&flow) {
+            self.make_room();
+            self.order.push_back(flow);
+        }
+        let events = self.flows.entry(flow).or_default();
+        if events.len() == EVENTS_PER_FLOW {
+            events.pop_front();
+        }
+        events.push_back(FlowEvent { at_us: now.as_micros(), request, text: text.into() });
+    }
+
+    /// The decisions for a flow, the oldest first.
+    pub fn read(&self, flow: u64) -> Vec<FlowEvent> {
+        self.flows.get(&flow).map(|events| events.iter().cloned().collect()).unwrap_or_default()
+    }
+
+    fn make_room(&mut self) {
+        if self.order.len() < self.limit {
+            return;
+        }
+        if let Some(oldest) = self.order.pop_front() {
+            self.flows.remove(&oldest);
+        }
+    }
+}
--- /dev/null
+++ b/crates/foxledge-engine/src/options.rs
@@ -0,0 +1,111 @@
+//! Options of the engine.
+
+use std::time::Duration;
+
+use foxledge_policy::DeskOptions;
+
+use crate::placement::PlacementKind;
+
+/// `EngineOptions` is how the engine behaves.
+#[derive(Clone, Debug)]
+pub struct EngineOptions {
+    /// Which instance is the home of a service.
+    pub placement: PlacementKind,
+    /// Name of the target policy.
+    pub policy: String,
+    /// Life of a ticket.
+    pub ticket_life: Duration,
+    /// Requests that a ticket is good for.
+    pub ticket_count: u32,
+    /// How long the entry instance waits for a home's acknowledgement.
+    pub forward_wait: Duration,
+    /// How long a home that didn't acknowledge is passed over.
+    pub passed_over: Duration,
+    /// How long the ledger remembers a request beyond its ticket.
+    pub ledger_keep: Duration,
+    /// Most requests that the ledger holds.
+    pub ledger_limit: usize,
+    /// Most forwardings that wait for an acknowledgement.
+    pub forward_limit: usize,
+    /// Options of every home desk.
+    pub desk: DeskOptions,
+    /// Mechanisms switched off to prove that they matter.
+    pub trial: TrialSwitches,
+}
+
+/// `TrialSwitches` is which mechanisms are on; all are, but in trials.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct TrialSwitches {
+    /// Non-idempotent work needs a ticket and runs through its home only.
+    pub run_once: bool,
+    /// A flow token is checked against the published owner of the address.
+    pub check_target_owner: bool,
+    /// A home that doesn't acknowledge is passed over.
+    pub pass_over_homes: bool,
+    /// Known refusals are repeated instead of being decided anew.
+    pub remember_refusals: bool,
+}
+
+impl Default for TrialSwitches {
+    fn default() -> TrialSwitches {
+        TrialSwitches {
+            run_once: true,
+            check_target_owner: true,
+            pass_over_homes: true,
+            remember_refusals: true,
+        }
+    }
+}
+
+impl Default for EngineOptions {
+    fn default() -> EngineOptions {
+        EngineOptions {
+            placement: PlacementKind::ServiceHome,
+            policy: "freest".to_owned(),
+            ticket_life: Duration::from_secs(4),
+            ticket_count: 64,
+            forward_wait: Duration::from_millis(150),
+            passed_over: Duration::from_secs(1),
+            ledger_keep: Duration::from_secs(30),
+            ledger_limit: 200_000,
+            forward_limit: 20_000,
+            desk: DeskOptions::default(),
+            trial: TrialSwitches::default(),
+        }
+    }
+}
+
+macro_rules! setters {
+    ($($(#[$doc:meta])* $name:ident: $type:ty),* $(,)?) => {
+        impl EngineOptions {
+            $($(#[$doc])*
+            pub fn $name(mut self, $name: $type) -> EngineOptions {
+                self.$name = $name;
+                self
+            })*
+        }
+    };
+}
+
+setters! {
+    /// Sets which instance is the home of a service.
+    placement: PlacementKind,
+    /// Sets the target policy by name.
+    policy: String,
+    /// Sets the life of a ticket.
+    ticket_life: Duration,
+    /// Sets how many requests a ticket is good for.
+    ticket_count: u32,
+    /// Sets how long the entry instance waits for an acknowledgement.
+    forward_wait: Duration,
+    /// Sets how long a silent home is passed over.
+    passed_over: Duration,
+    /// Sets how long the ledger remembers a request beyond its ticket.
+    ledger_keep: Duration,
+    /// Sets the most requests that the ledger holds.
+    ledger_limit: usize,
+    /// Sets the options of every home desk.
+    desk: DeskOptions,
+    /// Sets which mechanisms are on.
+    trial: TrialSwitches,
+}
--- /dev/null
+++ b/crates/foxledge-engine/src/placement.rs
@@ -0,0 +1,112 @@
+//! Which instance is the home of a flow's work.
+
+use std::str::FromStr;
+
+use foxledge_core::{
+    errors::{Error, unknown_word},
+    hash::digest_of,
+    names::{InstanceName, ServiceName},
+    peers::{PeerInfo, PeerView},
+};
+use serde::Serialize;
+
+/// `DeskKey` is one shard of a service's targets: each has a desk at its home.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize)]
+pub struct DeskKey {
+    /// The service.
+    pub service: ServiceName,
+    /// Number of the shard, from 0.
+    pub shard: u32,
+}
+
+impl DeskKey {
+    /// The text that rendezvous hashing uses.
+    pub fn hash_text(&self) -> String {
+        format!("{}#{}", self.service, self.shard)
+    }
+}
+
+/// `PlacementKind` is the name of a way to place homes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum PlacementKind {
+    /// One home for each service (or shard of it) in a data centre.
+    ServiceHome,
+    /// Every entry instance admits by itself; nothing is pooled.
+    EntryLocal,
+    /// One home for each target; a flow's target follows from its id.
+    TargetHome,
+}
+
+impl FromStr for PlacementKind {
+    type Err = Error;
+
+    fn from_str(word: &str) -> Result<PlacementKind, Error> {
+        match word {
+            "service-home" => Ok(PlacementKind::ServiceHome),
+            "entry-local" => Ok(PlacementKind::EntryLocal),
+            "target-home" => Ok(PlacementKind::TargetHome),
+            _ => Err(unknown_word("placement", word)),
+        }
+    }
+}
+
+/// `HomePlacement` is a way to place homes.
+pub trait HomePlacement {
+    /// How many shards a service has, given what is published and its targets here.
+    fn shards(&self, published: u32, targets: usize) -> u32;
+
+    /// Instances that can be home for the desk, the best first.
+    fn ranked<'a>(&self, key: &DeskKey, me: &InstanceName, view: &'a PeerView)
+    -> Vec<&'a PeerInfo>;
+}
+
+/// Makes the placement of that kind.
+pub fn placement_of(kind: PlacementKind) -> Box<dyn HomePlacement> {
+    match kind {
+        PlacementKind::ServiceHome => Box::new(ServiceHome),
+        PlacementKind::EntryLocal => Box::new(EntryLocal),
+        PlacementKind::TargetHome => Box::new(TargetHome),
+    }
+}
+
+/// The shard that a flow belongs to.
+pub fn shard_of(flow: u64, shards: u32) -> u32 {
+    (digest_of(&flow.to_be_bytes()) % u64::from(shards.max(1))) as u32
+}
+
+struct ServiceHome;
+
+impl HomePlacement for ServiceHome {
+    fn shards(&self, published: u32, _targets: usize) -> u32 {
+        published.max(1)
+    }
+
+    fn ranked<'a>(&self, key: &DeskKey, _: &InstanceName, view: &'a PeerView) -> Vec<&'a PeerInfo> {
+        view.ranked_homes(&key.hash_text())
+    }
+}
+
+struct EntryLocal;
+
+impl HomePlacement for EntryLocal {
+    fn shards(&self, _published: u32, _targets: usize) -> u32 {
+        1
+    }
+
+    fn ranked<'a>(&self, _: &DeskKey, me: &InstanceName, view: &'a PeerView) -> Vec<&'a PeerInfo> {
+        view.find(me).into_iter().collect()
+    }
+}
+
+struct TargetHome;
+
+impl HomePlacement for TargetHome {
+    fn shards(&self, _published: u32, targets: usize) -> u32 {
+        u32::try_from(targets).unwrap_or(u32::MAX).max(1)
+    }
+
+    fn ranked<'a>(&self, key: &DeskKey, _: &InstanceName, view: &'a PeerView) -> Vec<&'a PeerInfo> {
+        view.ranked_homes(&key.hash_text())
+    }
+}
--- a/crates/foxledge-seal/src/keys.rs
+++ b/crates/foxledge-seal/src/keys.rs
@@ -73,6 +73,8 @@
     Token,
     /// A datagram between instances.
     Datagram,
+    /// Where an answer goes.
+    ReturnPath,
 }
 
 impl Purpose {
@@ -81,6 +83,7 @@
             Purpose::Ticket => b"foxledge ticket 1",
             Purpose::Token => b"foxledge token 1",
             Purpose::Datagram => b"foxledge datagram 1",
+            Purpose::ReturnPath => b"foxledge return path 1",
         }
     }
 }
--- a/crates/foxledge-seal/src/seals.rs
+++ b/crates/foxledge-seal/src/seals.rs
@@ -2,7 +2,7 @@
 
 use prost::Message;
 
-use foxledge_wire::flow::{FlowToken, PeerDatagram, Sealed, Ticket};
+use foxledge_wire::flow::{FlowToken, PeerDatagram, ReturnPath, Sealed, Ticket};
 
 use crate::{
     errors::{Error, Result},
@@ -39,6 +39,16 @@
     open(ring, Purpose::Datagram, bytes).map(|(datagram, _)| datagram)
 }
 
+/// Seals a return path.
+pub fn seal_path(ring: &KeyRing, path: &ReturnPath) -> Result<Vec<u8>> {
+    seal(ring, Purpose::ReturnPath, path)
+}
+
+/// Opens a return path.
+pub fn open_path(ring: &KeyRing, bytes: &[u8]) -> Result<ReturnPath> {
+    open(ring, Purpose::ReturnPath, bytes).map(|(path, _)| path)
+}
+
 /// The same flow token under the newest key, or none when it is sealed under it already.
 ///
 /// A feed outlives keys. Without resealing, its token would stop opening once
