--- /dev/null
+++ b/crates/foxledge-daemon/src/choices.rs
@@ -0,0 +1,51 @@
+//! The engine's options from the settings.
+
+use std::time::Duration;
+
+use foxledge_engine::{EngineOptions, PlacementKind, TrialSwitches};
+use foxledge_policy::DeskOptions;
+use foxledge_settings::{DaemonSettings, PlacementChoice};
+
+/// The engine's options from the settings.
+pub fn engine_options(settings: &DaemonSettings) -> EngineOptions {
+    let flow = &settings.flow;
+    EngineOptions::default()
+        .placement(placement_kind(flow.placement))
+        .policy(flow.policy.as_str().to_owned())
+        .ticket_life(Duration::from_millis(flow.ticket_ms))
+        .ticket_count(flow.ticket_count)
+        .forward_wait(Duration::from_millis(flow.forward_wait_ms))
+        .passed_over(Duration::from_millis(flow.passed_over_ms))
+        .desk(desk_options(settings))
+        .trial(trial_switches(settings))
+}
+
+fn desk_options(settings: &DaemonSettings) -> DeskOptions {
+    let desk = &settings.desk;
+    DeskOptions::default()
+        .ack_wait(Duration::from_millis(desk.ack_ms))
+        .resends(desk.resends)
+        .eject_losses(desk.eject_after_losses)
+        .eject_time(Duration::from_millis(desk.eject_ms))
+        .slow_start(Duration::from_millis(desk.slow_start_ms))
+        .retry_share(f64::from(desk.retry_budget_percent) / 100.0)
+        .probe_period(Duration::from_millis(desk.probe_ms))
+}
+
+fn placement_kind(choice: PlacementChoice) -> PlacementKind {
+    match choice {
+        PlacementChoice::ServiceHome => PlacementKind::ServiceHome,
+        PlacementChoice::EntryLocal => PlacementKind::EntryLocal,
+        PlacementChoice::TargetHome => PlacementKind::TargetHome,
+    }
+}
+
+fn trial_switches(settings: &DaemonSettings) -> TrialSwitches {
+    let trial = &settings.trial;
+    TrialSwitches {
+        run_once: trial.run_once,
+        check_target_owner: trial.check_target_owner,
+        pass_over_homes: trial.pass_over_homes,
+        ..TrialSwitches::default()
+    }
+}
--- /dev/null
+++ b/crates/foxledge-daemon/src/context.rs
@@ -0,0 +1,161 @@
+//! What the parts share on the main thread.
+
+use std::{
+    cell::{Cell, OnceCell, RefCell},
+    rc::Rc,
+    sync::Arc,
+};
+
+use foxledge_core::{
+    audit::AuditChange,
+    lists::{ListVersion, RuleList},
+    peers::{PeerInfo, PeerView},
+};
+use foxledge_settings::DaemonSettings;
+use foxledge_wire::control::{ListPart, Manifest};
+use rand::{RngCore, rngs::StdRng};
+use stakker::{Actor, Fwd};
+
+use crate::{
+    clock::ProcessClock, control_link::ControlLink, engine_part::EnginePart, life_cycle::LifeCycle,
+    list_keeper::ListKeeper, listener::DatagramListener, member_keeper::MemberKeeper,
+    metrics::MetricSet, phase::PhaseCell, sockets::ListenSockets, supervisor::Supervisor,
+};
+
+/// `DaemonContext` is what every part can reach, and what outlives a failed part.
+pub struct DaemonContext {
+    /// The settings.
+    pub settings: DaemonSettings,
+    /// The process's clock.
+    pub clock: ProcessClock,
+    /// The listening sockets.
+    pub sockets: ListenSockets,
+    /// The metrics.
+    pub metrics: Arc<MetricSet>,
+    /// The phase of the process.
+    pub phase: Arc<PhaseCell>,
+    /// The present actor of each part.
+    pub directory: PartDirectory,
+    /// This instance; the state in it is that of the start.
+    pub me: RefCell<PeerInfo>,
+    /// The newest accepted list.
+    pub kept_list: RefCell<Option<KeptList>>,
+    /// The newest view of membership.
+    pub view: RefCell<Arc<PeerView>>,
+    /// True while this instance reads the platform for its data centre.
+    pub is_reader: Cell<bool>,
+    /// Set by a signal; kept here so that it isn't lost while the life cycle is started anew.
+    pub stop_wanted: Cell<bool>,
+    seeds: RefCell<StdRng>,
+    audit: OnceCell<Fwd<AuditChange>>,
+}
+
+/// `KeptList` is the newest accepted list, kept for a list keeper that starts anew.
+///
+/// Without it a list keeper that failed would begin with no list, take an
+/// older one from a peer that lags, and spread that; one would notice a
+/// revision that goes back.
+#[derive(Clone)]
+pub struct KeptList {
+    /// The list.
+    pub list: Arc<RuleList>,
+    /// Its manifest.
+    pub manifest: Manifest,
+    /// Its parts.
+    pub parts: Vec<ListPart>,
+}
+
+/// `PartDirectory` is the present actor of each part.
+#[derive(Default)]
+pub struct PartDirectory {
+    /// The root supervisor.
+    pub root: PartEntry<Supervisor>,
+    /// Data and peer sockets.
+    pub listener: PartEntry<DatagramListener>,
+    /// Decisions on datagrams.
+    pub engine: PartEntry<EnginePart>,
+    /// The newest accepted list.
+    pub lists: PartEntry<ListKeeper>,
+    /// Which instances live.
+    pub members: PartEntry<MemberKeeper>,
+    /// Control calls.
+    pub link: PartEntry<ControlLink>,
+    /// Start and planned stop.
+    pub life: PartEntry<LifeCycle>,
+}
+
+/// `PartEntry` is the entry of one part in the directory.
+///
+/// Parts look each other up for each call. A reference kept from earlier would
+/// lead to an actor that has failed, and the calls would vanish.
+pub struct PartEntry<A: 'static> {
+    actor: RefCell<Option<Actor<A>>>,
+}
+
+impl<A> Default for PartEntry<A> {
+    fn default() -> PartEntry<A> {
+        PartEntry { actor: RefCell::new(None) }
+    }
+}
+
+impl<A> PartEntry<A> {
+    /// Enters the part's new actor.
+    pub fn set(&self, actor: &Actor<A>) {
+        *self.actor.borrow_mut() = Some(actor.clone());
+    }
+
+    /// The part's actor; none while it isn't running.
+    pub fn get(&self) -> Option<Actor<A>> {
+        self.actor.borrow().clone().filter(|actor| !actor.is_zombie())
+    }
+}
+
+impl DaemonContext {
+    /// Makes the context of a process that starts.
+    pub fn new(
+        settings: DaemonSettings,
+        clock: ProcessClock,
+        sockets: ListenSockets,
+        me: PeerInfo,
+        seeds: StdRng,
+    ) -> Rc<DaemonContext> {
+        Rc::new(DaemonContext {
+            settings,
+            clock,
+            sockets,
+            metrics: Arc::new(MetricSet::new()),
+            phase: Arc::new(PhaseCell::default()),
+            directory: PartDirectory::default(),
+            me: RefCell::new(me),
+            kept_list: RefCell::new(None),
+            view: RefCell::new(Arc::new(PeerView::default())),
+            is_reader: Cell::new(false),
+            stop_wanted: Cell::new(false),
+            seeds: RefCell::new(seeds),
+            audit: OnceCell::new(),
+        })
+    }
+
+    /// A new seed for a part that starts.
+    pub fn next_seed(&self) -> u64 {
+        self.seeds.borrow_mut().next_u64()
+    }
+
+    /// Sets where changes are recorded.
+    pub fn set_audit(&self, audit: Fwd<AuditChange>) {
+        // The root supervisor is made once, so the cell is empty.
+        let _ = self.audit.set(audit);
+    }
+
+    /// Records a change in the audit trail.
+    pub fn record(&self, change: AuditChange) {
+        if let Some(audit) = self.audit.get() {
+            audit.fwd(change);
+        }
+    }
+
+    /// Version of the list in force; revision 0 without one.
+    pub fn list_version(&self) -> ListVersion {
+        self.kept_list.borrow().as_ref().map(|kept| kept.list.version).unwrap_or_default()
+    }
+}
--- /dev/null
+++ b/crates/foxledge-daemon/src/control_link.rs
@@ -0,0 +1,177 @@
+//! The part that joins the main loop to the side thread.
+
+use std::{io, net::SocketAddr, rc::Rc};
+
+use foxledge_core::audit::AuditEntry;
+use foxledge_wire::control::MemberListing;
+use log::warn;
+use serde_json::json;
+use stakker::{
+    CX, Fwd, call, fail, fwd_to,
+    sync::{Channel, ChannelGuard},
+};
+use tokio::sync::{mpsc, oneshot};
+
+use crate::{
+    context::DaemonContext,
+    side::{
+        SideOptions,
+        messages::{FlowQuestion, LinkCommand, LinkEvent},
+        start_side,
+    },
+    supervisor::PartReport,
+};
+
+/// `ControlLink` is the part that owns the side thread.
+///
+/// The thread ends when this part does: its end of the command channel is
+/// gone then.
+pub struct ControlLink {
+    context: Rc<DaemonContext>,
+    commands: mpsc::UnboundedSender<LinkCommand>,
+    _guard: ChannelGuard,
+}
+
+impl ControlLink {
+    /// Starts the side thread.
+    pub fn init(cx: CX![], context: Rc<DaemonContext>) -> Option<ControlLink> {
+        let events: Fwd<LinkEvent> = fwd_to!([cx], take_event() as (LinkEvent));
+        let (channel, guard) = Channel::new(cx, events);
+        match side_options(&context).and_then(|options| start_side(options, channel)) {
+            Ok(commands) => {
+                if let Some(lists) = context.directory.lists.get() {
+                    call!([lists], link_started());
+                }
+                Some(ControlLink { context, commands, _guard: guard })
+            }
+            Err(error) => {
+                fail!(cx, "can't start the side thread: {}", error);
+                None
+            }
+        }
+    }
+
+    /// Hands a command to the side thread.
+    pub fn command(&mut self, cx: CX![], command: LinkCommand) {
+        if self.commands.send(command).is_err() {
+            fail!(cx, "the side thread is gone");
+        }
+    }
+
+    fn take_event(&mut self, cx: CX![], event: LinkEvent) {
+        match event {
+            LinkEvent::BeatArrived(..)
+            | LinkEvent::BeatEnded(..)
+            | LinkEvent::ProbeEnded(..)
+            | LinkEvent::ListingRead(..) => self.tell_members(event),
+            LinkEvent::ManifestAsked(..)
+            | LinkEvent::PartsAsked(..)
+            | LinkEvent::ManifestFetched(..)
+            | LinkEvent::PartsFetched(..) => self.tell_lists(event),
+            LinkEvent::PlatformHeard(state) => {
+                if let Some(life) = self.context.directory.life.get() {
+                    call!([life], platform_heard(state));
+                }
+            }
+            LinkEvent::Ended(why) => {
+                warn!("link: the side thread ended: {why}");
+                fail!(cx, "the side thread ended");
+            }
+            LinkEvent::StatusAsked(answer) => self.report_status(answer),
+            LinkEvent::ExplainAsked(question, answer) => self.explain(question, answer),
+            LinkEvent::AuditAsked { after, limit, answer } => self.read_audit(after, limit, answer),
+            LinkEvent::DrainAsked(answer) => self.drain(answer),
+            LinkEvent::CountsAsked(answer) => {
+                if let Some(engine) = self.context.directory.engine.get() {
+                    call!([engine], count_metrics(answer));
+                }
+            }
+        }
+    }
+
+    fn tell_members(&self, event: LinkEvent) {
+        let Some(members) = self.context.directory.members.get() else { return };
+        match event {
+            LinkEvent::BeatArrived(beat, answer) => call!([members], beat_arrived(beat, answer)),
+            LinkEvent::BeatEnded(to, outcome) => call!([members], beat_ended(to, outcome)),
+            LinkEvent::ProbeEnded(name, result) => call!([members], probe_ended(name, result)),
+            LinkEvent::ListingRead(listing) => {
+                if let Some(life) = self.context.directory.life.get() {
+                    call!([life], listing_read(control_addresses(&listing)));
+                }
+                call!([members], listing_read(listing));
+            }
+            _ => {}
+        }
+    }
+
+    fn tell_lists(&self, event: LinkEvent) {
+        let Some(lists) = self.context.directory.lists.get() else { return };
+        match event {
+            LinkEvent::ManifestAsked(answer) => call!([lists], manifest_asked(answer)),
+            LinkEvent::PartsAsked(digests, answer) => call!([lists], parts_asked(digests, answer)),
+            LinkEvent::ManifestFetched(from, outcome) => {
+                call!([lists], manifest_fetched(from, outcome));
+            }
+            LinkEvent::PartsFetched(from, outcome) => call!([lists], parts_fetched(from, outcome)),
+            _ => {}
+        }
+    }
+
+    fn report_status(&self, answer: oneshot::Sender<String>) {
+        let Some(root) = self.context.directory.root.get() else { return };
+        let context = self.context.clone();
+        let with_parts = move |parts: Vec<PartReport>| {
+            let report = json!({
+                "instance": &*context.me.borrow(),
+                "phase": context.phase.word(),
+                "uptime_ms": context.clock.now().as_micros() / 1000,
+                "list": context.list_version(),
+                "reads_platform": context.is_reader.get(),
+                "view": &**context.view.borrow(),
+                "parts": parts,
+            });
+            match context.directory.engine.get() {
+                Some(engine) => call!([engine], report_status(report, answer)),
+                None => drop(answer.send(report.to_string())),
+            }
+        };
+        call!([root], read_parts(Box::new(with_parts)));
+    }
+
+    fn explain(&self, question: FlowQuestion, answer: oneshot::Sender<Result<String, String>>) {
+        if let Some(engine) = self.context.directory.engine.get() {
+            call!([engine], explain(question, answer));
+        }
+    }
+
+    fn read_audit(&self, after: u64, limit: usize, answer: oneshot::Sender<String>) {
+        let Some(root) = self.context.directory.root.get() else { return };
+        let with_entries = move |entries: Vec<AuditEntry>| {
+            let _ = answer.send(json!(entries).to_string());
+        };
+        call!([root], read_audit(after, limit, Box::new(with_entries)));
+    }
+
+    fn drain(&self, answer: oneshot::Sender<bool>) {
+        let Some(life) = self.context.directory.life.get() else { return };
+        let leave = move |accepted: bool| {
+            let _ = answer.send(accepted);
+        };
+        call!([life], leave("operator", Box::new(leave)));
+    }
+}
+
+fn control_addresses(listing: &MemberListing) -> Vec<SocketAddr> {
+    listing.members.iter().filter_map(|member| member.control_address.parse().ok()).collect()
+}
+
+fn side_options(context: &DaemonContext) -> io::Result<SideOptions> {
+    let settings = &context.settings;
+    let reader = context.me.borrow().name.to_string();
+    Ok(SideOptions::new(context.sockets.control()?, context.sockets.admin()?, context.next_seed())
+        .platforms(settings.platform.addresses.clone(), settings.platform.wait_ms)
+        .reader(reader)
+        .tls(settings.tls.clone())
+        .shared(context.metrics.clone(), context.phase.clone()))
+}
--- /dev/null
+++ b/crates/foxledge-daemon/src/daemon.rs
@@ -0,0 +1,143 @@
+//! The process from its settings to its end.
+
+use std::{
+    rc::Rc,
+    time::{Duration, Instant},
+};
+
+use anyhow::{Context, Result, bail};
+use foxledge_core::{
+    audit::{AuditChange, AuditKind},
+    peers::{PeerInfo, PeerState},
+};
+use foxledge_settings::DaemonSettings;
+use log::{info, warn};
+use rand::{SeedableRng, rngs::StdRng};
+use stakker::{ActorOwn, Stakker, StopCause, actor, fwd_to, ret_shutdown, sync::ChannelGuard};
+use stakker_mio::{
+    MioPoll,
+    mio::{Events, Poll},
+};
+
+use crate::{
+    clock::{ProcessClock, new_incarnation},
+    context::DaemonContext,
+    listener::POLL_PRIORITY,
+    parts::DaemonParts,
+    signals::watch_signals,
+    sockets::{ListenAddresses, ListenSockets},
+    supervisor::{Supervisor, SupervisorOptions},
+};
+
+const EVENT_LIMIT: usize = 1024;
+const LONGEST_WAIT: Duration = Duration::from_secs(60);
+
+/// `Daemon` is the process: the main loop and what it holds.
+pub struct Daemon {
+    stakker: Stakker,
+    poll: MioPoll,
+    context: Rc<DaemonContext>,
+    waiting: PendingWork,
+    _signals: ChannelGuard,
+    _root: ActorOwn<Supervisor>,
+}
+
+/// `PendingWork` is what is left to do without waiting.
+#[derive(Clone, Copy, Debug, Default)]
+struct PendingWork {
+    idle: bool,
+    io: bool,
+}
+
+impl Daemon {
+    /// Binds the sockets and starts every part.
+    pub fn start(settings: DaemonSettings) -> Result<Daemon> {
+        let clock = ProcessClock::start();
+        let sockets = ListenSockets::bind(&listen_addresses(&settings))?;
+        let me = own_info(&settings, &sockets)?;
+        info!("daemon: {} in {}, incarnation {}", me.name, me.data_centre, me.incarnation);
+        for key in settings.trial.switched_off() {
+            warn!("daemon: trial.{key} is off, promises are not kept");
+        }
+        let seeds = StdRng::from_os_rng();
+        let context = DaemonContext::new(settings, clock, sockets, me, seeds);
+
+        let mut stakker = Stakker::new(Instant::now());
+        let poll = Poll::new().context("can't poll")?;
+        let events = Events::with_capacity(EVENT_LIMIT);
+        let poll = MioPoll::new(&mut stakker, poll, events, POLL_PRIORITY)?;
+        let signals = watch_signals(&mut stakker, context.clone())?;
+        let root = start_root(&mut stakker, &context);
+        let idle = stakker.run(Instant::now(), false);
+        let waiting = PendingWork { idle, io: false };
+        Ok(Daemon { stakker, poll, context, waiting, _signals: signals, _root: root })
+    }
+
+    /// Runs until the process is told to stop.
+    pub fn run(&mut self) -> Result<()> {
+        while self.stakker.not_shutdown() {
+            self.turn(LONGEST_WAIT)?;
+        }
+        match self.stakker.shutdown_reason() {
+            None | Some(StopCause::Stopped) => {
+                info!("daemon: stopped");
+                Ok(())
+            }
+            Some(cause) => bail!("the root supervisor ended: {cause}"),
+        }
+    }
+
+    /// Waits for events, `longest` at most, and works through them.
+    pub fn turn(&mut self, longest: Duration) -> Result<()> {
+        let is_pending = self.waiting.idle || self.waiting.io;
+        let wait = self.stakker.next_wait_max(Instant::now(), longest, is_pending);
+        let (is_active, io) = self.poll.poll(wait)?;
+        let idle = self.stakker.run(Instant::now(), !is_active);
+        self.waiting = PendingWork { idle, io };
+        Ok(())
+    }
+
+    /// What the parts share.
+    pub fn context(&self) -> &Rc<DaemonContext> {
+        &self.context
+    }
+}
+
+fn start_root(stakker: &mut Stakker, context: &Rc<DaemonContext>) -> ActorOwn<Supervisor> {
+    let options = SupervisorOptions::new(context.clock, context.next_seed())
+        .audit_limit(context.settings.audit.entries);
+    let starter = Box::new(DaemonParts::new(context.clone()));
+    let root = actor!(stakker, Supervisor::init(options, starter), ret_shutdown!(stakker));
+    context.directory.root.set(&root);
+    context.set_audit(fwd_to!([root], record() as (AuditChange)));
+    context.record(
+        AuditChange::new(AuditKind::ProcessChanged, context.me.borrow().name.as_str())
+            .values("", "joining")
+            .because("start", "daemon"),
+    );
+    root
+}
+
+fn listen_addresses(settings: &DaemonSettings) -> ListenAddresses {
+    let listen = &settings.listen;
+    ListenAddresses {
+        data: listen.data,
+        peer: listen.peer,
+        control: listen.control,
+        admin: listen.admin,
+    }
+}
+
+fn own_info(settings: &DaemonSettings, sockets: &ListenSockets) -> Result<PeerInfo> {
+    let addresses = sockets.addresses()?;
+    Ok(PeerInfo {
+        name: settings.instance.name.clone(),
+        incarnation: new_incarnation(),
+        refutation: 0,
+        state: PeerState::Joining,
+        data_centre: settings.instance.data_centre.clone(),
+        data_address: addresses.data,
+        peer_address: addresses.peer,
+        control_address: addresses.control,
+    })
+}
--- /dev/null
+++ b/crates/foxledge-daemon/src/engine_part.rs
@@ -0,0 +1,171 @@
+//! The part that decides on datagrams.
+
+use std::{
+    panic::{AssertUnwindSafe, catch_unwind},
+    rc::Rc,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use foxledge_core::{lists::RuleList, peers::PeerView};
+use foxledge_engine::{EngineEffect, EngineOptions, EnginePhase, ExplainQuery, FlowEngine};
+use log::warn;
+use serde_json::{Value, json};
+use stakker::{CX, Ret, after, call, fail, ret};
+use tokio::sync::oneshot;
+
+use crate::{
+    choices::engine_options,
+    context::DaemonContext,
+    listener::{DatagramBatch, OutgoingDatagram, SocketKind},
+    side::messages::FlowQuestion,
+};
+
+const TICK: Duration = Duration::from_millis(10);
+
+/// `EnginePart` is the part that holds the [`FlowEngine`].
+pub struct EnginePart {
+    context: Rc<DaemonContext>,
+    engine: FlowEngine,
+}
+
+impl EnginePart {
+    /// Makes the engine and gives it what is known of lists, members and phase.
+    pub fn init(cx: CX![], context: Rc<DaemonContext>) -> Option<EnginePart> {
+        let options: EngineOptions = engine_options(&context.settings);
+        let me = context.me.borrow().clone();
+        let mut engine = FlowEngine::new(options, me, context.next_seed());
+        let now = context.clock.now();
+        engine.set_phase(now, context.phase.get());
+        call!([cx], tick());
+        let part = EnginePart { context, engine };
+        let kept = part.context.kept_list.borrow().as_ref().map(|kept| kept.list.clone());
+        if let Some(list) = kept {
+            call!([cx], take_list(list));
+        }
+        let view = part.context.view.borrow().clone();
+        call!([cx], take_view(view));
+        Some(part)
+    }
+
+    /// Decides on a batch of datagrams.
+    pub fn take_batch(&mut self, cx: CX![], batch: DatagramBatch) {
+        self.run(cx, |engine, context| {
+            let mut effects = Vec::new();
+            for (from, bytes) in &batch.datagrams {
+                let now = context.clock.now();
+                effects.extend(match batch.socket {
+                    SocketKind::Data => engine.on_datagram(now, *from, bytes),
+                    SocketKind::Peer => engine.on_peer_datagram(now, *from, bytes),
+                });
+            }
+            effects
+        });
+    }
+
+    /// Puts a list in force.
+    pub fn take_list(&mut self, cx: CX![], list: Arc<RuleList>) {
+        self.run(cx, |engine, context| engine.on_list(context.clock.now(), list));
+    }
+
+    /// Takes a new view of membership.
+    pub fn take_view(&mut self, cx: CX![], view: Arc<PeerView>) {
+        self.run(cx, |engine, context| engine.on_view(context.clock.now(), view));
+    }
+
+    /// Takes a new phase.
+    pub fn take_phase(&mut self, _cx: CX![], phase: EnginePhase) {
+        self.engine.set_phase(self.context.clock.now(), phase);
+    }
+
+    /// Answers how many requests a planned stop has to wait for.
+    pub fn count_unfinished(&mut self, _cx: CX![], answer: Ret<usize>) {
+        ret!([answer], self.engine.unfinished(self.context.clock.now()));
+    }
+
+    /// Brings the metrics up to date.
+    pub fn count_metrics(&mut self, _cx: CX![], answer: oneshot::Sender<()>) {
+        let metrics = &self.context.metrics;
+        metrics.set_engine_totals(&self.engine.counters().pairs());
+        metrics.unfinished.set(self.engine.unfinished(self.context.clock.now()) as i64);
+        // The asker may have given up.
+        let _ = answer.send(());
+    }
+
+    /// Completes a status report and answers with it.
+    pub fn report_status(
+        &mut self,
+        _cx: CX![],
+        mut report: Value,
+        answer: oneshot::Sender<String>,
+    ) {
+        let status = self.engine.status(self.context.clock.now());
+        report["engine"] = json!(status);
+        let _ = answer.send(report.to_string());
+    }
+
+    /// Answers why a flow is treated as it is.
+    pub fn explain(
+        &mut self,
+        _cx: CX![],
+        question: FlowQuestion,
+        answer: oneshot::Sender<Result<String, String>>,
+    ) {
+        let explained = question.work.parse().map_err(|error| format!("{error}")).map(|kind| {
+            let FlowQuestion { address, member, flow, .. } = question;
+            let query = ExplainQuery { address, member, kind, flow };
+            json!(self.engine.explain(&query)).to_string()
+        });
+        let _ = answer.send(explained);
+    }
+
+    fn tick(&mut self, cx: CX![]) {
+        after!(TICK, [cx], tick());
+        self.run(cx, |engine, context| engine.on_tick(context.clock.now()));
+    }
+
+    /// Runs a decision and carries its effects out.
+    ///
+    /// A panic in a decision would unwind through the main loop and end the
+    /// process with every flow in it. Caught here it ends this part alone; the
+    /// supervisor starts it anew under a new incarnation. The engine isn't
+    /// used again after a panic, so that its half-changed state does no harm.
+    fn run<F>(&mut self, cx: CX![], decide: F)
+    where
+        F: FnOnce(&mut FlowEngine, &DaemonContext) -> Vec<EngineEffect>,
+    {
+        let started = Instant::now();
+        let decided = catch_unwind(AssertUnwindSafe(|| decide(&mut self.engine, &self.context)));
+        self.context.metrics.flow_engine.observe(started.elapsed().as_secs_f64());
+        match decided {
+            Ok(effects) => self.carry_out(effects),
+            Err(_) => fail!(cx, "a decision panicked"),
+        }
+    }
+
+    fn carry_out(&self, effects: Vec<EngineEffect>) {
+        let mut outgoing = Vec::new();
+        for effect in effects {
+            match effect {
+                EngineEffect::SendData { to, bytes } => {
+                    outgoing.push(OutgoingDatagram { socket: SocketKind::Data, to, bytes });
+                }
+                EngineEffect::SendPeer { to, bytes } => {
+                    outgoing.push(OutgoingDatagram { socket: SocketKind::Peer, to, bytes });
+                }
+                EngineEffect::Audit(change) => self.context.record(change),
+                EngineEffect::Observe { kind, wait } => {
+                    let admission = &self.context.metrics.admission;
+                    admission.with_label_values(&[kind.as_str()]).observe(wait.as_secs_f64());
+                }
+            }
+        }
+        if outgoing.is_empty() {
+            return;
+        }
+        match self.context.directory.listener.get() {
+            Some(listener) => call!([listener], send(outgoing)),
+            None => warn!("engine: {} datagrams dropped, no listener", outgoing.len()),
+        }
+    }
+}
--- /dev/null
+++ b/crates/foxledge-daemon/src/lib.rs
@@ -0,0 +1,25 @@
+//! The daemon: sockets, timers and threads around foxledge's decisions.
+//!
+//! The main thread runs stakker's loop with a supervisor tree of
+//! [`parts`]; a side thread runs what needs tokio ([`side`]). Decisions are
+//! made in the pure crates; the parts feed them and carry out their effects.
+
+pub mod choices;
+pub mod clock;
+pub mod context;
+pub mod control_link;
+pub mod daemon;
+pub mod engine_part;
+pub mod life_cycle;
+pub mod list_keeper;
+pub mod listener;
+pub mod member_keeper;
+pub mod metrics;
+pub mod parts;
+pub mod phase;
+pub mod restarts;
+pub mod side;
+pub mod signals;
+pub mod sockets;
+pub mod start_gate;
+pub mod supervisor;
--- /dev/null
+++ b/crates/foxledge-daemon/src/life_cycle.rs
@@ -0,0 +1,182 @@
+//! The part that takes the process from its start to its planned stop.
+
+use std::{collections::HashSet, net::SocketAddr, rc::Rc, time::Duration};
+
+use foxledge_core::{
+    audit::{AuditChange, AuditKind},
+    lists::ListVersion,
+    time::ClockTime,
+};
+use foxledge_engine::EnginePhase;
+use log::info;
+use stakker::{CX, StopCause, after, call, ret_some_to};
+
+use crate::{
+    context::DaemonContext,
+    side::messages::PlatformState,
+    start_gate::{StartGate, StartSource},
+};
+
+const TICK: Duration = Duration::from_millis(25);
+/// Heartbeats sent in state leaving before the process may end.
+const LEAVING_BEATS: u64 = 3;
+
+/// `LifeCycle` is the part that sets the phase of the process.
+pub struct LifeCycle {
+    context: Rc<DaemonContext>,
+    gate: StartGate,
+    leaving: Option<LeaveDeadlines>,
+    /// Instances that the platform has named so far; each is waited for once.
+    listed: HashSet<SocketAddr>,
+}
+
+/// `LeaveDeadlines` bounds a planned stop.
+#[derive(Clone, Copy, Debug)]
+struct LeaveDeadlines {
+    /// Until then peers are told, even with nothing left to finish.
+    earliest: ClockTime,
+    /// The process ends then, whatever is left.
+    latest: ClockTime,
+}
+
+impl LifeCycle {
+    /// Begins where the process stands.
+    pub fn init(cx: CX![], context: Rc<DaemonContext>) -> Option<LifeCycle> {
+        let now = context.clock.now();
+        let peers = &context.settings.peers;
+        let mut sources: Vec<_> = peers.seeds.iter().copied().map(StartSource::Peer).collect();
+        sources.retain(|source| *source != StartSource::Peer(context.me.borrow().control_address));
+        if !context.settings.platform.addresses.is_empty() {
+            sources.push(StartSource::Platform);
+        }
+        let gate = StartGate::new(sources, now.after_millis(peers.start_wait_ms));
+        call!([cx], on_tick());
+        let mut life = LifeCycle { context, gate, leaving: None, listed: HashSet::new() };
+        if life.context.phase.get() == EnginePhase::Leaving {
+            life.set_leave_deadlines();
+        }
+        Some(life)
+    }
+
+    /// A peer answered a heartbeat, and with it told its list's version.
+    pub fn peer_answered(&mut self, _cx: CX![], from: SocketAddr) {
+        self.gate.heard(StartSource::Peer(from));
+    }
+
+    /// A peer gave no answer to a heartbeat.
+    pub fn peer_failed(&mut self, _cx: CX![], from: SocketAddr) {
+        self.gate.heard(StartSource::Peer(from));
+    }
+
+    /// The platform named instances, which are asked for the newest list too.
+    pub fn listing_read(&mut self, _cx: CX![], addresses: Vec<SocketAddr>) {
+        let own = self.context.me.borrow().control_address;
+        let named = addresses.into_iter().filter(|address| *address != own);
+        let fresh: Vec<_> = named.filter(|address| self.listed.insert(*address)).collect();
+        self.gate.expect(fresh.into_iter().map(StartSource::Peer));
+    }
+
+    /// The platform answered, or couldn't be reached.
+    pub fn platform_heard(&mut self, _cx: CX![], state: PlatformState) {
+        self.gate.heard(StartSource::Platform);
+        if state == PlatformState::Unreachable {
+            info!("life: the platform can't be reached");
+        }
+    }
+
+    /// Begins the planned stop; the answer is false when it has begun before.
+    pub fn leave(&mut self, _cx: CX![], source: &'static str, answer: Box<dyn FnOnce(bool)>) {
+        answer(self.begin_leaving(source));
+    }
+
+    fn begin_leaving(&mut self, source: &'static str) -> bool {
+        if self.context.phase.get() == EnginePhase::Leaving {
+            info!("life: leaving already");
+            return false;
+        }
+        self.set_phase(EnginePhase::Leaving, "planned stop", source);
+        self.set_leave_deadlines();
+        true
+    }
+
+    fn on_tick(&mut self, cx: CX![]) {
+        after!(TICK, [cx], on_tick());
+        if self.context.stop_wanted.take() {
+            self.begin_leaving("signal");
+        }
+        match self.context.phase.get() {
+            EnginePhase::Joining => self.ask_versions(cx),
+            EnginePhase::Serving => {}
+            EnginePhase::Leaving => self.ask_unfinished(cx),
+        }
+    }
+
+    fn ask_versions(&mut self, cx: CX![]) {
+        let Some(lists) = self.context.directory.lists.get() else { return };
+        let answer = ret_some_to!([cx], versions_known() as (ListVersion, ListVersion));
+        call!([lists], newest_heard(answer));
+    }
+
+    fn versions_known(&mut self, _cx: CX![], current: ListVersion, newest: ListVersion) {
+        let now = self.context.clock.now();
+        let is_joining = self.context.phase.get() == EnginePhase::Joining;
+        if is_joining && self.gate.is_open(now, current.revision, newest.revision) {
+            self.set_phase(EnginePhase::Serving, "has the newest list it could learn of", "start");
+        }
+    }
+
+    fn ask_unfinished(&mut self, cx: CX![]) {
+        let Some(engine) = self.context.directory.engine.get() else {
+            return self.check_left(cx, 0);
+        };
+        let answer = ret_some_to!([cx], check_left() as (usize));
+        call!([engine], count_unfinished(answer));
+    }
+
+    fn check_left(&mut self, cx: CX![], left: usize) {
+        let Some(deadlines) = self.leaving else { return };
+        let now = self.context.clock.now();
+        let finished = left == 0 && deadlines.earliest.is_past(now);
+        let waits = self.context.settings.trial.graceful_stop;
+        if waits && !finished && !deadlines.latest.is_past(now) {
+            return;
+        }
+        self.leaving = None;
+        info!("life: stops with {left} unfinished");
+        self.context.record(
+            AuditChange::new(AuditKind::ProcessChanged, self.context.me.borrow().name.as_str())
+                .values("leaving", format!("stopped with {left} unfinished"))
+                .because(if left == 0 { "all finished" } else { "limit of the stop" }, "life"),
+        );
+        // A later turn of the loop, so that the entry is logged and the last datagrams are out.
+        after!(TICK, [cx], |_this, cx| cx.shutdown(StopCause::Stopped));
+    }
+
+    fn set_leave_deadlines(&mut self) {
+        let now = self.context.clock.now();
+        let settings = &self.context.settings;
+        self.leaving = Some(LeaveDeadlines {
+            earliest: now.after_millis(settings.peers.heartbeat_ms * LEAVING_BEATS),
+            latest: now.after_millis(settings.stop.limit_ms),
+        });
+    }
+
+    fn set_phase(&self, phase: EnginePhase, cause: &str, source: &str) {
+        let before = self.context.phase.word();
+        self.context.phase.set(phase);
+        let after = self.context.phase.word();
+        info!("life: {after}");
+        let directory = &self.context.directory;
+        if let Some(engine) = directory.engine.get() {
+            call!([engine], take_phase(phase));
+        }
+        if let Some(members) = directory.members.get() {
+            call!([members], set_state(self.context.phase.peer_state()));
+        }
+        self.context.record(
+            AuditChange::new(AuditKind::ProcessChanged, self.context.me.borrow().name.as_str())
+                .values(before, after)
+                .because(cause, source),
+        );
+    }
+}
--- /dev/null
+++ b/crates/foxledge-daemon/src/list_keeper.rs
@@ -0,0 +1,206 @@
+//! The part that keeps the newest accepted list and has the platform watched.
+
+use std::{net::SocketAddr, rc::Rc, sync::Arc, time::Duration};
+
+use foxledge_core::lists::{ListVersion, RuleList};
+use foxledge_members::{ListEffect, ListOptions, ListSource, ListStore};
+use foxledge_wire::control::{ListPart, Manifest};
+use log::{debug, info};
+use stakker::{CX, after, call};
+use tokio::sync::oneshot;
+
+use crate::{
+    context::{DaemonContext, KeptList},
+    side::messages::{CallError, LinkCommand, WatchOrder},
+};
+
+const TICK: Duration = Duration::from_millis(100);
+
+/// `ListKeeper` is the part that holds the [`ListStore`].
+pub struct ListKeeper {
+    context: Rc<DaemonContext>,
+    store: ListStore,
+    watch: WatchOrder,
+}
+
+impl ListKeeper {
+    /// Makes the store, with the list that an earlier keeper had accepted.
+    pub fn init(cx: CX![], context: Rc<DaemonContext>) -> Option<ListKeeper> {
+        let store = ListStore::new(ListOptions::default());
+        let mut keeper = ListKeeper { context, store, watch: WatchOrder::Pause };
+        keeper.restore();
+        call!([cx], on_tick());
+        Some(keeper)
+    }
+
+    /// Takes the version of the list that a peer holds.
+    pub fn peer_version(&mut self, _cx: CX![], from: SocketAddr, version: ListVersion) {
+        let effects = self.store.on_peer_version(self.context.clock.now(), from, version);
+        self.carry_out(effects);
+    }
+
+    /// Takes the end of a manifest's fetch.
+    pub fn manifest_fetched(
+        &mut self,
+        _cx: CX![],
+        from: ListSource,
+        outcome: Result<Manifest, CallError>,
+    ) {
+        let now = self.context.clock.now();
+        let effects = match outcome {
+            Ok(manifest) => self.store.on_manifest(now, from, manifest),
+            Err(error) => {
+                debug!("lists: no manifest from {from:?}: {error}");
+                self.store.on_fetch_failed(now, from)
+            }
+        };
+        self.carry_out(effects);
+    }
+
+    /// Takes the end of a fetch of parts.
+    pub fn parts_fetched(
+        &mut self,
+        _cx: CX![],
+        from: ListSource,
+        outcome: Result<Vec<ListPart>, CallError>,
+    ) {
+        let now = self.context.clock.now();
+        let effects = match outcome {
+            Ok(parts) => self.store.on_parts(now, from, parts),
+            Err(error) => {
+                debug!("lists: no parts from {from:?}: {error}");
+                self.store.on_fetch_failed(now, from)
+            }
+        };
+        self.carry_out(effects);
+    }
+
+    /// Answers a peer that wants the manifest in force.
+    pub fn manifest_asked(&mut self, _cx: CX![], answer: oneshot::Sender<Option<Manifest>>) {
+        let _ = answer.send(self.store.manifest());
+    }
+
+    /// Answers a peer that wants parts.
+    pub fn parts_asked(
+        &mut self,
+        _cx: CX![],
+        digests: Vec<u64>,
+        answer: oneshot::Sender<Vec<ListPart>>,
+    ) {
+        let _ = answer.send(self.store.parts(&digests));
+    }
+
+    /// Answers which list is in force and the newest heard of.
+    pub fn newest_heard(&mut self, _cx: CX![], answer: stakker::Ret<(ListVersion, ListVersion)>) {
+        stakker::ret!([answer], self.store.version(), self.store.newest_heard());
+    }
+
+    /// Goes by whether this instance reads the platform now.
+    pub fn reader_changed(&mut self, _cx: CX![]) {
+        self.order_watch();
+    }
+
+    /// Tells a side thread that was started anew what to watch.
+    pub fn link_started(&mut self, _cx: CX![]) {
+        self.watch = WatchOrder::Pause;
+        self.order_watch();
+    }
+
+    fn on_tick(&mut self, cx: CX![]) {
+        after!(TICK, [cx], on_tick());
+        let effects = self.store.on_tick(self.context.clock.now());
+        self.carry_out(effects);
+    }
+
+    /// Watches while this instance is a reader, or while it has no list at all.
+    fn order_watch(&mut self) {
+        let has_list = self.store.version().revision > 0;
+        let wanted = self.context.is_reader.get() || !has_list;
+        let order = match wanted {
+            true => WatchOrder::Run { after: self.store.version().revision },
+            false => WatchOrder::Pause,
+        };
+        let was_running = self.watch != WatchOrder::Pause;
+        if was_running == wanted {
+            return;
+        }
+        self.watch = order;
+        info!("lists: platform watch {}", if wanted { "starts" } else { "pauses" });
+        self.send(LinkCommand::Watch(order));
+    }
+
+    fn carry_out(&mut self, effects: Vec<ListEffect>) {
+        for effect in effects {
+            match effect {
+                ListEffect::FetchManifest { from } => {
+                    self.send(LinkCommand::FetchManifest { from });
+                }
+                ListEffect::FetchParts { from, digests } => {
+                    self.send(LinkCommand::FetchParts { from, digests });
+                }
+                ListEffect::Accepted(list) => self.accepted(list),
+                ListEffect::Audit(change) => self.context.record(change),
+            }
+        }
+    }
+
+    fn accepted(&mut self, list: Arc<RuleList>) {
+        let version = list.version;
+        info!("lists: revision {} is in force", version.revision);
+        self.keep(&list);
+        self.context.metrics.list_revision.set(version.revision as i64);
+        let directory = &self.context.directory;
+        if let Some(root) = directory.root.get() {
+            call!([root], set_revision(version.revision));
+        }
+        if let Some(engine) = directory.engine.get() {
+            call!([engine], take_list(list));
+        }
+        if let Some(members) = directory.members.get() {
+            call!([members], set_version(version));
+        }
+        self.order_watch();
+    }
+
+    fn keep(&self, list: &Arc<RuleList>) {
+        let Some(manifest) = self.store.manifest() else { return };
+        let digests: Vec<u64> = manifest.parts.iter().map(|part| part.digest).collect();
+        let parts = all_parts(&self.store, &digests);
+        *self.context.kept_list.borrow_mut() =
+            Some(KeptList { list: list.clone(), manifest, parts });
+    }
+
+    fn restore(&mut self) {
+        let kept = self.context.kept_list.borrow().clone();
+        let Some(kept) = kept else { return };
+        let now = self.context.clock.now();
+        let mut effects = self.store.on_manifest(now, ListSource::Platform, kept.manifest);
+        effects.extend(self.store.on_parts(now, ListSource::Platform, kept.parts));
+        // Everything wanted is at hand, so a fetch isn't needed.
+        effects.retain(|effect| !matches!(effect, ListEffect::FetchParts { .. }));
+        self.carry_out(effects);
+    }
+
+    fn send(&self, command: LinkCommand) {
+        if let Some(link) = self.context.directory.link.get() {
+            call!([link], command(command));
+        }
+    }
+}
+
+/// All parts of the digests; the store bounds each of its answers.
+fn all_parts(store: &ListStore, digests: &[u64]) -> Vec<ListPart> {
+    let mut found: Vec<ListPart> = Vec::new();
+    loop {
+        let missing: Vec<u64> = digests
+            .iter()
+            .copied()
+            .filter(|digest| !found.iter().any(|part| part.digest == *digest))
+            .collect();
+        let more = store.parts(&missing);
+        if more.is_empty() {
+            return found;
+        }
+        found.extend(more);
+    }
+}
--- /dev/null
+++ b/crates/foxledge-daemon/src/listener.rs
@@ -0,0 +1,159 @@
+//! The part that reads and writes datagrams.
+
+use std::{io, net::SocketAddr, rc::Rc};
+
+use foxledge_wire::MAX_DATAGRAM;
+use log::{info, warn};
+use stakker::{CX, call, fail, fwd_to, idle};
+use stakker_mio::{
+    MioPoll, MioSource, Ready,
+    mio::{Interest, net::UdpSocket},
+};
+
+use crate::context::DaemonContext;
+
+/// Most datagrams read from one socket before the main loop gets its turn.
+const BATCH_LIMIT: usize = 64;
+/// Priority of the sockets in the poll, the same as the waker's, so that neither starves.
+pub const POLL_PRIORITY: u32 = 10;
+/// One byte more than allowed, so that a longer datagram shows as oversized instead of as cut.
+const READ_SIZE: usize = MAX_DATAGRAM + 1;
+
+/// `SocketKind` is which socket a datagram belongs to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SocketKind {
+    /// Callers and backend servers.
+    Data,
+    /// Other instances.
+    Peer,
+}
+
+impl SocketKind {
+    /// The word in metrics.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            SocketKind::Data => "data",
+            SocketKind::Peer => "peer",
+        }
+    }
+}
+
+/// `DatagramBatch` is datagrams that arrived at one socket.
+#[derive(Debug)]
+pub struct DatagramBatch {
+    /// The socket.
+    pub socket: SocketKind,
+    /// Senders and bytes.
+    pub datagrams: Vec<(SocketAddr, Vec<u8>)>,
+}
+
+/// `OutgoingDatagram` is one datagram to send.
+#[derive(Debug)]
+pub struct OutgoingDatagram {
+    /// The socket to send from.
+    pub socket: SocketKind,
+    /// The receiver.
+    pub to: SocketAddr,
+    /// The bytes.
+    pub bytes: Vec<u8>,
+}
+
+/// `DatagramListener` is the part that owns the data and peer sockets.
+pub struct DatagramListener {
+    context: Rc<DaemonContext>,
+    data: MioSource<UdpSocket>,
+    peer: MioSource<UdpSocket>,
+}
+
+impl DatagramListener {
+    /// Opens duplicates of the bound sockets and reads what waits in them.
+    pub fn init(cx: CX![], context: Rc<DaemonContext>) -> Option<DatagramListener> {
+        match DatagramListener::open(cx, context) {
+            Ok(listener) => {
+                call!([cx], drain(SocketKind::Data));
+                call!([cx], drain(SocketKind::Peer));
+                Some(listener)
+            }
+            Err(error) => {
+                fail!(cx, "can't open the sockets: {}", error);
+                None
+            }
+        }
+    }
+
+    fn open(cx: CX![], context: Rc<DaemonContext>) -> io::Result<DatagramListener> {
+        let poll = cx.anymap_get::<MioPoll>();
+        let data = UdpSocket::from_std(context.sockets.data()?);
+        let peer = UdpSocket::from_std(context.sockets.peer()?);
+        info!("listener: data on {}, peer on {}", data.local_addr()?, peer.local_addr()?);
+        let data_ready = fwd_to!([cx], socket_ready(SocketKind::Data) as (Ready));
+        let peer_ready = fwd_to!([cx], socket_ready(SocketKind::Peer) as (Ready));
+        let data = poll.add(data, Interest::READABLE, POLL_PRIORITY, data_ready)?;
+        let peer = poll.add(peer, Interest::READABLE, POLL_PRIORITY, peer_ready)?;
+        Ok(DatagramListener { context, data, peer })
+    }
+
+    /// Sends datagrams.
+    ///
+    /// What the system doesn't take at once is dropped and counted, as the
+    /// network may drop it too: senders repeat. Waiting here would hold up
+    /// every other flow.
+    pub fn send(&mut self, _cx: CX![], datagrams: Vec<OutgoingDatagram>) {
+        for datagram in datagrams {
+            let sent = self.source(datagram.socket).send_to(&datagram.bytes, datagram.to);
+            let word = datagram.socket.as_str();
+            match sent {
+                Ok(_) => self.context.metrics.datagrams.with_label_values(&[word, "out"]).inc(),
+                Err(error) => {
+                    self.context.metrics.send_errors.with_label_values(&[word]).inc();
+                    if error.kind() != io::ErrorKind::WouldBlock {
+                        warn!("listener: can't send to {}: {error}", datagram.to);
+                    }
+                }
+            }
+        }
+    }
+
+    fn socket_ready(&mut self, cx: CX![], socket: SocketKind, _ready: Ready) {
+        self.drain(cx, socket);
+    }
+
+    /// Reads a bounded batch and lets the main loop run before the next.
+    ///
+    /// Without the bound, a flood would keep the main loop in here: timers
+    /// would be late, heartbeats wouldn't go out and peers would hold the
+    /// instance dead. The rest is read when the loop has nothing else to do,
+    /// or when the next datagram makes the socket ready again.
+    fn drain(&mut self, cx: CX![], socket: SocketKind) {
+        let mut datagrams = Vec::new();
+        let mut buffer = [0; READ_SIZE];
+        while datagrams.len() < BATCH_LIMIT {
+            match self.source(socket).recv_from(&mut buffer) {
+                Ok((size, from)) => datagrams.push((from, buffer[..size].to_vec())),
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => break,
+                Err(error) if error.kind() == io::ErrorKind::Interrupted => continue,
+                // An ICMP error of an earlier send; the socket itself is fine.
+                Err(error) if error.kind() == io::ErrorKind::ConnectionRefused => continue,
+                Err(error) => return fail!(cx, "can't read the socket: {}", error),
+            }
+        }
+        if datagrams.len() == BATCH_LIMIT {
+            idle!([cx], drain(socket));
+        }
+        if datagrams.is_empty() {
+            return;
+        }
+        let counter = self.context.metrics.datagrams.with_label_values(&[socket.as_str(), "in"]);
+        counter.inc_by(datagrams.len() as u64);
+        if let Some(engine) = self.context.directory.engine.get() {
+            call!([engine], take_batch(DatagramBatch { socket, datagrams }));
+        }
+    }
+
+    fn source(&self, socket: SocketKind) -> &UdpSocket {
+        match socket {
+            SocketKind::Data => &self.data,
+            SocketKind::Peer => &self.peer,
+        }
+    }
+}
--- /dev/null
+++ b/crates/foxledge-daemon/src/parts.rs
@@ -0,0 +1,135 @@
+//! The parts that the root supervisor looks after.
+
+use std::rc::Rc;
+
+use foxledge_core::peers::PeerInfo;
+use stakker::{ActorOwnAnon, CX, Ret, StopCause, actor};
+
+use crate::{
+    clock::new_incarnation, context::DaemonContext, control_link::ControlLink,
+    engine_part::EnginePart, life_cycle::LifeCycle, list_keeper::ListKeeper,
+    listener::DatagramListener, member_keeper::MemberKeeper, supervisor::PartStarter,
+    supervisor::Supervisor,
+};
+
+/// `PartKind` is one part of the daemon.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PartKind {
+    /// Data and peer sockets.
+    Listener,
+    /// Decisions on datagrams.
+    Engine,
+    /// The newest accepted list.
+    Lists,
+    /// Which instances live.
+    Members,
+    /// Control calls, the platform's watch, metrics and health.
+    Link,
+    /// Start and planned stop.
+    Life,
+}
+
+impl PartKind {
+    /// The prefix of the part's log lines.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            PartKind::Listener => "listener",
+            PartKind::Engine => "engine",
+            PartKind::Lists => "lists",
+            PartKind::Members => "members",
+            PartKind::Link => "link",
+            PartKind::Life => "life",
+        }
+    }
+}
+
+/// `DaemonParts` starts the daemon's parts and enters each in the directory.
+pub struct DaemonParts {
+    context: Rc<DaemonContext>,
+}
+
+impl DaemonParts {
+    /// Makes the starter.
+    pub fn new(context: Rc<DaemonContext>) -> DaemonParts {
+        DaemonParts { context }
+    }
+}
+
+impl PartStarter for DaemonParts {
+    fn parts(&self) -> Vec<PartKind> {
+        vec![
+            PartKind::Link,
+            PartKind::Lists,
+            PartKind::Members,
+            PartKind::Engine,
+            PartKind::Listener,
+            PartKind::Life,
+        ]
+    }
+
+    fn start(
+        &mut self,
+        cx: CX![Supervisor],
+        part: PartKind,
+        notify: Ret<StopCause>,
+    ) -> ActorOwnAnon {
+        let context = self.context.clone();
+        let directory = &self.context.directory;
+        match part {
+            PartKind::Listener => {
+                let owner = actor!(cx, DatagramListener::init(context), notify);
+                directory.listener.set(&owner);
+                owner.anon()
+            }
+            PartKind::Engine => {
+                let owner = actor!(cx, EnginePart::init(context), notify);
+                directory.engine.set(&owner);
+                owner.anon()
+            }
+            PartKind::Lists => {
+                let owner = actor!(cx, ListKeeper::init(context), notify);
+                directory.lists.set(&owner);
+                owner.anon()
+            }
+            PartKind::Members => {
+                let owner = actor!(cx, MemberKeeper::init(context), notify);
+                directory.members.set(&owner);
+                owner.anon()
+            }
+            PartKind::Link => {
+                let owner = actor!(cx, ControlLink::init(context), notify);
+                directory.link.set(&owner);
+                owner.anon()
+            }
+            PartKind::Life => {
+                let owner = actor!(cx, LifeCycle::init(context), notify);
+                directory.life.set(&owner);
+                owner.anon()
+            }
+        }
+    }
+
+    fn companions(&self, part: PartKind) -> &'static [PartKind] {
+        match part {
+            PartKind::Engine => &[PartKind::Members],
+            _ => &[],
+        }
+    }
+
+    /// Gives the engine a new incarnation when it starts anew.
+    ///
+    /// A new engine has forgotten which request numbers ran under the tickets
+    /// that its predecessor issued. Under the same incarnation it would hold
+    /// those tickets good and run a resent request a second time. With a new
+    /// one it refuses them as unknown; the member keeper starts anew too, so
+    /// that peers learn the incarnation.
+    fn note_restart(&mut self, part: PartKind) {
+        self.context.metrics.part_restarts.with_label_values(&[part.as_str()]).inc();
+        if part != PartKind::Engine {
+            return;
+        }
+        let mut me = self.context.me.borrow_mut();
+        let incarnation = new_incarnation().max(me.incarnation + 1);
+        *me = PeerInfo { incarnation, refutation: 0, ..me.clone() };
+    }
+}
--- /dev/null
+++ b/crates/foxledge-daemon/src/side/calls.rs
@@ -0,0 +1,155 @@
+//! The calls that the main loop asks for, each a task with a deadline.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use foxledge_members::{ListSource, ProbeResult};
+use foxledge_wire::control::{
+    Heartbeat, ListPart, Manifest, ManifestRequest, PartsRequest, RelayProbe,
+    peer_client::PeerClient,
+};
+use stakker::sync::Channel;
+use tokio::sync::Semaphore;
+
+use crate::metrics::MetricSet;
+
+use super::{
+    clients::ClientPool,
+    messages::{CallError, LinkCommand, LinkEvent},
+    watch::PlatformWatch,
+};
+
+/// Longest wait for the answer to a heartbeat.
+const BEAT_WAIT: Duration = Duration::from_millis(1000);
+/// Longest wait for the relayed probe; the relay waits for less.
+const RELAY_WAIT: Duration = Duration::from_millis(1500);
+/// Longest wait of the relay for the instance that is probed.
+const PROBE_WAIT: Duration = Duration::from_millis(700);
+/// Longest wait for a manifest or for parts.
+const FETCH_WAIT: Duration = Duration::from_secs(5);
+/// Most calls under way; a frozen fleet would otherwise pile them up.
+const CALL_LIMIT: usize = 256;
+/// Longest message taken from a peer; parts travel several at a time.
+const MESSAGE_LIMIT: usize = 8 << 20;
+
+/// `CallDesk` starts calls to peers and hands their ends to the main loop.
+#[derive(Clone)]
+pub struct CallDesk {
+    peers: ClientPool,
+    events: Channel<LinkEvent>,
+    metrics: Arc<MetricSet>,
+    permits: Arc<Semaphore>,
+}
+
+impl CallDesk {
+    /// Makes the desk.
+    pub fn new(peers: ClientPool, events: Channel<LinkEvent>, metrics: Arc<MetricSet>) -> CallDesk {
+        CallDesk { peers, events, metrics, permits: Arc::new(Semaphore::new(CALL_LIMIT)) }
+    }
+
+    /// Starts the call that a command asks for.
+    pub fn start(&self, command: LinkCommand, platform: &PlatformWatch) {
+        let permit = self.permits.clone().try_acquire_owned();
+        let Ok(permit) = permit else { return self.refuse(command) };
+        let (desk, platform) = (self.clone(), platform.clone());
+        tokio::spawn(async move {
+            let event = desk.carry_out(command, &platform).await;
+            if let Some(event) = event {
+                desk.events.send(event);
+            }
+            drop(permit);
+        });
+    }
+
+    /// Asks an instance for nothing, to see whether it answers.
+    pub async fn probe(&self, to: SocketAddr) -> bool {
+        let request = PartsRequest { digests: Vec::new() };
+        let call = |channel| async { PeerClient::new(channel).fetch_parts(request).await };
+        self.peers.call(to, PROBE_WAIT, call).await.is_ok()
+    }
+
+    async fn carry_out(&self, command: LinkCommand, platform: &PlatformWatch) -> Option<LinkEvent> {
+        match command {
+            LinkCommand::Beat { to, beat } => Some(self.beat(to, beat).await),
+            LinkCommand::ProbeFor { through, probe } => Some(self.probe_for(through, probe).await),
+            LinkCommand::FetchManifest { from } => {
+                let outcome = match from {
+                    ListSource::Platform => platform.fetch_manifest().await,
+                    ListSource::Peer(peer) => self.fetch_manifest(peer).await,
+                };
+                self.count("fetch_manifest", outcome.is_err());
+                Some(LinkEvent::ManifestFetched(from, outcome))
+            }
+            LinkCommand::FetchParts { from, digests } => {
+                let outcome = match from {
+                    ListSource::Platform => platform.fetch_parts(&digests).await,
+                    ListSource::Peer(peer) => self.fetch_parts(peer, digests).await,
+                };
+                self.count("fetch_parts", outcome.is_err());
+                Some(LinkEvent::PartsFetched(from, outcome))
+            }
+            LinkCommand::Watch(_) => None,
+        }
+    }
+
+    async fn beat(&self, to: SocketAddr, beat: Heartbeat) -> LinkEvent {
+        let call = |channel| async { PeerClient::new(channel).beat(beat).await };
+        let outcome = self.peers.call(to, BEAT_WAIT, call).await;
+        self.count("beat", outcome.is_err());
+        LinkEvent::BeatEnded(to, outcome)
+    }
+
+    async fn probe_for(&self, through: SocketAddr, probe: RelayProbe) -> LinkEvent {
+        let name = probe.name.clone();
+        let call = |channel| async { PeerClient::new(channel).probe_for(probe).await };
+        let outcome = self.peers.call(through, RELAY_WAIT, call).await;
+        self.count("probe_for", outcome.is_err());
+        let result = match outcome {
+            Ok(reply) if reply.answered => ProbeResult::Answered,
+            _ => ProbeResult::Unanswered,
+        };
+        LinkEvent::ProbeEnded(name, result)
+    }
+
+    async fn fetch_manifest(&self, from: SocketAddr) -> Result<Manifest, CallError> {
+        let call = |channel| async {
+            let mut client = PeerClient::new(channel).max_decoding_message_size(MESSAGE_LIMIT);
+            client.fetch_manifest(ManifestRequest {}).await
+        };
+        self.peers.call(from, FETCH_WAIT, call).await
+    }
+
+    async fn fetch_parts(
+        &self,
+        from: SocketAddr,
+        digests: Vec<u64>,
+    ) -> Result<Vec<ListPart>, CallError> {
+        let call = |channel| async {
+            let mut client = PeerClient::new(channel).max_decoding_message_size(MESSAGE_LIMIT);
+            client.fetch_parts(PartsRequest { digests }).await
+        };
+        self.peers.call(from, FETCH_WAIT, call).await.map(|reply| reply.parts)
+    }
+
+    fn refuse(&self, command: LinkCommand) {
+        let event = match command {
+            LinkCommand::Beat { to, .. } => LinkEvent::BeatEnded(to, Err(CallError::Busy)),
+            LinkCommand::ProbeFor { probe, .. } => {
+                LinkEvent::ProbeEnded(probe.name, ProbeResult::Unanswered)
+            }
+            LinkCommand::FetchManifest { from } => {
+                LinkEvent::ManifestFetched(from, Err(CallError::Busy))
+            }
+            LinkCommand::FetchParts { from, .. } => {
+                LinkEvent::PartsFetched(from, Err(CallError::Busy))
+            }
+            LinkCommand::Watch(_) => return,
+        };
+        self.events.send(event);
+    }
+
+    fn count(&self, method: &str, failed: bool) {
+        if failed {
+            self.metrics.call_failures.with_label_values(&[method]).inc();
+        }
+    }
+}
--- /dev/null
+++ b/crates/foxledge-daemon/src/side/messages.rs
@@ -0,0 +1,136 @@
+//! Messages between the main loop and the side thread.
+
+use std::net::SocketAddr;
+
+use foxledge_members::{ListSource, ProbeResult};
+use foxledge_wire::control::{
+    Heartbeat, HeartbeatReply, ListPart, Manifest, MemberListing, RelayProbe,
+};
+use thiserror::Error;
+use tokio::sync::oneshot;
+
+/// `LinkCommand` is what the main loop asks of the side thread.
+#[derive(Debug)]
+pub enum LinkCommand {
+    /// Send a heartbeat.
+    Beat {
+        /// Control address.
+        to: SocketAddr,
+        /// The heartbeat.
+        beat: Heartbeat,
+    },
+    /// Ask a peer whether a third instance answers it.
+    ProbeFor {
+        /// Control address of the peer.
+        through: SocketAddr,
+        /// Who shall answer.
+        probe: RelayProbe,
+    },
+    /// Fetch a manifest.
+    FetchManifest {
+        /// Whom from.
+        from: ListSource,
+    },
+    /// Fetch parts.
+    FetchParts {
+        /// Whom from.
+        from: ListSource,
+        /// Which.
+        digests: Vec<u64>,
+    },
+    /// Read and watch the platform, or stop doing so.
+    Watch(WatchOrder),
+}
+
+/// `WatchOrder` is whether the platform is to be watched.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum WatchOrder {
+    /// Watch for manifests newer than this revision.
+    Run {
+        /// The newest revision that is known.
+        after: u64,
+    },
+    /// Make no calls.
+    Pause,
+}
+
+/// `CallError` is why a control call to another process failed.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+pub enum CallError {
+    /// No answer by the deadline.
+    #[error("no answer by the deadline")]
+    TimedOut,
+    /// The other side refused, or the connection failed.
+    #[error("{0}")]
+    Refused(String),
+    /// Too many calls are under way.
+    #[error("too many calls under way")]
+    Busy,
+}
+
+/// `LinkEvent` is what the side thread tells or asks the main loop.
+///
+/// A question carries the sender for its answer; when the part that should
+/// answer isn't running, the sender is dropped and the caller is told so.
+#[derive(Debug)]
+pub enum LinkEvent {
+    /// A heartbeat of another instance.
+    BeatArrived(Heartbeat, oneshot::Sender<HeartbeatReply>),
+    /// The end of a heartbeat of ours.
+    BeatEnded(SocketAddr, Result<HeartbeatReply, CallError>),
+    /// The end of a relayed probe.
+    ProbeEnded(String, ProbeResult),
+    /// A peer wants the manifest in force.
+    ManifestAsked(oneshot::Sender<Option<Manifest>>),
+    /// A peer wants parts.
+    PartsAsked(Vec<u64>, oneshot::Sender<Vec<ListPart>>),
+    /// The end of a manifest's fetch, or a newer one on the platform.
+    ManifestFetched(ListSource, Result<Manifest, CallError>),
+    /// The end of a fetch of parts.
+    PartsFetched(ListSource, Result<Vec<ListPart>, CallError>),
+    /// The platform answered a watch, or could not be reached at any address.
+    PlatformHeard(PlatformState),
+    /// The platform's list of instances.
+    ListingRead(MemberListing),
+    /// An operator wants the status.
+    StatusAsked(oneshot::Sender<String>),
+    /// An operator wants a flow explained.
+    ExplainAsked(FlowQuestion, oneshot::Sender<Result<String, String>>),
+    /// An operator wants entries of the audit trail.
+    AuditAsked {
+        /// Entries numbered above this.
+        after: u64,
+        /// At most so many.
+        limit: usize,
+        /// The answer as JSON.
+        answer: oneshot::Sender<String>,
+    },
+    /// An operator wants the process to leave.
+    DrainAsked(oneshot::Sender<bool>),
+    /// Metrics are wanted: the counts are to be brought up to date.
+    CountsAsked(oneshot::Sender<()>),
+    /// The side thread has ended.
+    Ended(String),
+}
+
+/// `PlatformState` is whether the platform answered.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PlatformState {
+    /// It did.
+    Answered,
+    /// No address did.
+    Unreachable,
+}
+
+/// `FlowQuestion` is the flow that an operator wants explained.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct FlowQuestion {
+    /// Service address.
+    pub address: String,
+    /// Member.
+    pub member: String,
+    /// Kind of traffic, as a word.
+    pub work: String,
+    /// Flow id; 0 when none.
+    pub flow: u64,
+}
--- /dev/null
+++ b/crates/foxledge-daemon/src/side/mod.rs
@@ -0,0 +1,167 @@
+//! The side thread: control calls in both directions, the platform's watch, metrics and health.
+//!
+//! It runs a tokio runtime of its own, as tonic needs one. It decides nothing:
+//! each question goes to the main loop as a [`LinkEvent`], each
+//! [`LinkCommand`] becomes one call with a deadline.
+
+mod calls;
+mod clients;
+mod counted;
+mod http;
+pub mod messages;
+mod server;
+mod tls;
+mod watch;
+
+use std::{
+    io,
+    net::{SocketAddr, TcpListener},
+    sync::Arc,
+    thread,
+    time::Duration,
+};
+
+use foxledge_settings::TlsSettings;
+use log::{info, warn};
+use stakker::sync::Channel;
+use tokio::{runtime, sync::mpsc, task::JoinSet};
+
+use crate::{metrics::MetricSet, phase::PhaseCell};
+
+use self::{
+    calls::CallDesk,
+    clients::ClientPool,
+    messages::{LinkCommand, LinkEvent, WatchOrder},
+    tls::TlsFiles,
+    watch::PlatformWatch,
+};
+
+/// `SideOptions` is what the side thread starts with.
+pub struct SideOptions {
+    control: TcpListener,
+    admin: TcpListener,
+    seed: u64,
+    platforms: Vec<SocketAddr>,
+    watch_wait: Duration,
+    reader: String,
+    tls: Option<TlsSettings>,
+    metrics: Arc<MetricSet>,
+    phase: Arc<PhaseCell>,
+}
+
+impl SideOptions {
+    /// Options of a thread that listens on these sockets.
+    pub fn new(control: TcpListener, admin: TcpListener, seed: u64) -> SideOptions {
+        SideOptions {
+            control,
+            admin,
+            seed,
+            platforms: Vec::new(),
+            watch_wait: Duration::from_secs(10),
+            reader: String::new(),
+            tls: None,
+            metrics: Arc::default(),
+            phase: Arc::default(),
+        }
+    }
+
+    /// Sets the platform's addresses and how long one watch waits.
+    pub fn platforms(mut self, platforms: Vec<SocketAddr>, wait_ms: u64) -> SideOptions {
+        self.platforms = platforms;
+        self.watch_wait = Duration::from_millis(wait_ms);
+        self
+    }
+
+    /// Sets the name under which the platform is read.
+    pub fn reader(mut self, reader: String) -> SideOptions {
+        self.reader = reader;
+        self
+    }
+
+    /// Sets the files for TLS between instances.
+    pub fn tls(mut self, tls: Option<TlsSettings>) -> SideOptions {
+        self.tls = tls;
+        self
+    }
+
+    /// Sets the metrics and the phase that are shared with the main thread.
+    pub fn shared(mut self, metrics: Arc<MetricSet>, phase: Arc<PhaseCell>) -> SideOptions {
+        self.metrics = metrics;
+        self.phase = phase;
+        self
+    }
+}
+
+/// Starts the side thread; it ends when the returned sender is dropped.
+pub fn start_side(
+    options: SideOptions,
+    events: Channel<LinkEvent>,
+) -> io::Result<mpsc::UnboundedSender<LinkCommand>> {
+    let (sender, commands) = mpsc::unbounded_channel();
+    let runtime = runtime::Builder::new_current_thread().enable_all().build()?;
+    let tls = TlsFiles::load(options.tls.clone()).map_err(io::Error::other)?;
+    thread::Builder::new().name("side".to_owned()).spawn(move || {
+        let notice = EndNotice { events: events.clone() };
+        let result = runtime.block_on(run(options, tls, events, commands));
+        if let Err(error) = result {
+            warn!("link: {error}");
+        }
+        drop(notice);
+    })?;
+    Ok(sender)
+}
+
+/// `EndNotice` tells the main loop that the thread has ended, also when it panicked.
+struct EndNotice {
+    events: Channel<LinkEvent>,
+}
+
+impl Drop for EndNotice {
+    fn drop(&mut self) {
+        let why = if thread::panicking() { "panic" } else { "end of its work" };
+        self.events.send(LinkEvent::Ended(why.to_owned()));
+    }
+}
+
+async fn run(
+    options: SideOptions,
+    tls: TlsFiles,
+    events: Channel<LinkEvent>,
+    mut commands: mpsc::UnboundedReceiver<LinkCommand>,
+) -> anyhow::Result<()> {
+    let metrics = options.metrics.clone();
+    let (bundle_sender, bundles) = tokio::sync::watch::channel(tls.bundle());
+    let peers = ClientPool::new(metrics.clone(), bundles.clone());
+    let desk = CallDesk::new(peers.clone(), events.clone(), metrics.clone());
+    let platform = PlatformWatch::new(
+        &options.platforms,
+        options.watch_wait,
+        options.reader.clone(),
+        metrics.clone(),
+        events.clone(),
+        options.seed,
+    );
+    let (watch_orders, orders) = tokio::sync::watch::channel(WatchOrder::Pause);
+    let mut servers = JoinSet::new();
+    let control = options.control.try_clone()?;
+    servers.spawn(server::serve(control, bundles, desk.clone(), events.clone(), metrics.clone()));
+    servers.spawn(http::serve(options.admin, metrics, options.phase, events));
+    servers.spawn(tls.reload_on_change(bundle_sender));
+    servers.spawn(platform.clone().run(orders));
+    info!("link: control on {}", options.control.local_addr()?);
+    loop {
+        tokio::select! {
+            command = commands.recv() => match command {
+                Some(LinkCommand::Watch(order)) => drop(watch_orders.send(order)),
+                Some(command) => desk.start(command, &platform),
+                None => return Ok(()),
+            },
+            // None of the servers ends by itself unless something is wrong.
+            ended = servers.join_next() => match ended {
+                Some(Ok(Err(error))) => return Err(error),
+                Some(Err(error)) => return Err(error.into()),
+                _ => anyhow::bail!("a server ended"),
+            },
+        }
+    }
+}
--- /dev/null
+++ b/crates/foxledge-daemon/src/side/server.rs
@@ -0,0 +1,190 @@
+//! The control interface that this instance serves.
+
+use std::{net::TcpListener, sync::Arc, time::Duration};
+
+use anyhow::Result;
+use foxledge_wire::control::{
+    AuditReply, AuditRequest, DrainReply, DrainRequest, ExplainReply, ExplainRequest, Heartbeat,
+    HeartbeatReply, Manifest, ManifestRequest, PartsReply, PartsRequest, RelayProbe,
+    RelayProbeReply, StatusReply, StatusRequest,
+    admin_server::{Admin, AdminServer},
+    peer_server::{Peer, PeerServer},
+};
+use log::{info, warn};
+use stakker::sync::Channel;
+use tokio::{
+    sync::{oneshot, watch},
+    time::timeout,
+};
+use tokio_stream::{StreamExt, wrappers::TcpListenerStream};
+use tonic::{Request, Response, Status, async_trait, transport::Server};
+
+use crate::metrics::MetricSet;
+
+use super::{
+    calls::CallDesk,
+    counted::CountedStream,
+    messages::{FlowQuestion, LinkEvent},
+    tls::TlsBundle,
+};
+
+/// Longest wait for the main loop's answer.
+const ANSWER_WAIT: Duration = Duration::from_secs(2);
+const KEEP_ALIVE_EVERY: Duration = Duration::from_secs(20);
+const KEEP_ALIVE_WAIT: Duration = Duration::from_secs(5);
+/// Most calls of one connection that are served at once.
+const STREAM_LIMIT: u32 = 64;
+/// Most parts that one call may ask for.
+const PARTS_LIMIT: usize = 4096;
+/// Most entries of the audit trail in one answer.
+const AUDIT_LIMIT: usize = 1000;
+
+/// Serves the control interface, with a new server whenever the certificates change.
+///
+/// The server that has the old certificates takes no more connections then,
+/// and ends when the last of its connections does.
+pub async fn serve(
+    listener: TcpListener,
+    mut bundles: watch::Receiver<TlsBundle>,
+    desk: CallDesk,
+    events: Channel<LinkEvent>,
+    metrics: Arc<MetricSet>,
+) -> Result<()> {
+    loop {
+        let bundle = bundles.borrow_and_update().clone();
+        let (stop, stopped) = oneshot::channel::<()>();
+        let listener = tokio::net::TcpListener::from_std(listener.try_clone()?)?;
+        let metrics = metrics.clone();
+        let incoming = TcpListenerStream::new(listener)
+            .map(move |accepted| accepted.map(|stream| CountedStream::new(stream, &metrics)));
+        let mut builder = Server::builder()
+            .http2_keepalive_interval(Some(KEEP_ALIVE_EVERY))
+            .http2_keepalive_timeout(Some(KEEP_ALIVE_WAIT))
+            .max_concurrent_streams(STREAM_LIMIT);
+        if let Some(tls) = bundle.server {
+            builder = builder.tls_config(tls)?;
+        }
+        let service = ControlService { desk: desk.clone(), events: events.clone() };
+        let server = builder
+            .add_service(PeerServer::new(service.clone()))
+            .add_service(AdminServer::new(service))
+            .serve_with_incoming_shutdown(incoming, async { drop(stopped.await) });
+        let mut server = tokio::spawn(server);
+        tokio::select! {
+            changed = bundles.changed() => {
+                changed?;
+                info!("link: control server goes on with new certificates");
+                drop(stop);
+            }
+            ended = &mut server => {
+                ended??;
+                anyhow::bail!("the control server ended");
+            }
+        }
+    }
+}
+
+/// `ControlService` hands calls to the main loop.
+#[derive(Clone)]
+struct ControlService {
+    desk: CallDesk,
+    events: Channel<LinkEvent>,
+}
+
+impl ControlService {
+    /// Asks the main loop and waits for its answer, for a bounded time.
+    async fn ask<T>(
+        &self,
+        question: impl FnOnce(oneshot::Sender<T>) -> LinkEvent,
+    ) -> Result<T, Status> {
+        let (sender, answer) = oneshot::channel();
+        if !self.events.send(question(sender)) {
+            return Err(Status::unavailable("the instance stops"));
+        }
+        match timeout(ANSWER_WAIT, answer).await {
+            Ok(Ok(answer)) => Ok(answer),
+            Ok(Err(_)) => Err(Status::unavailable("the part that should answer isn't running")),
+            Err(_) => Err(Status::deadline_exceeded("the main loop didn't answer")),
+        }
+    }
+}
+
+#[async_trait]
+impl Peer for ControlService {
+    async fn beat(&self, request: Request<Heartbeat>) -> Result<Response<HeartbeatReply>, Status> {
+        let beat = request.into_inner();
+        self.ask(|answer| LinkEvent::BeatArrived(beat, answer)).await.map(Response::new)
+    }
+
+    async fn fetch_manifest(
+        &self,
+        _request: Request<ManifestRequest>,
+    ) -> Result<Response<Manifest>, Status> {
+        let manifest = self.ask(LinkEvent::ManifestAsked).await?;
+        manifest.map(Response::new).ok_or_else(|| Status::not_found("no list yet"))
+    }
+
+    async fn fetch_parts(
+        &self,
+        request: Request<PartsRequest>,
+    ) -> Result<Response<PartsReply>, Status> {
+        let digests = request.into_inner().digests;
+        if digests.len() > PARTS_LIMIT {
+            return Err(Status::invalid_argument("too many parts asked for"));
+        }
+        let parts = self.ask(|answer| LinkEvent::PartsAsked(digests, answer)).await?;
+        Ok(Response::new(PartsReply { parts }))
+    }
+
+    async fn probe_for(
+        &self,
+        request: Request<RelayProbe>,
+    ) -> Result<Response<RelayProbeReply>, Status> {
+        let address = request.into_inner().control_address;
+        let address = address
+            .parse()
+            .map_err(|_| Status::invalid_argument("not an IP number with a port"))?;
+        let answered = self.desk.probe(address).await;
+        Ok(Response::new(RelayProbeReply { answered }))
+    }
+}
+
+#[async_trait]
+impl Admin for ControlService {
+    async fn status(
+        &self,
+        _request: Request<StatusRequest>,
+    ) -> Result<Response<StatusReply>, Status> {
+        let json = self.ask(LinkEvent::StatusAsked).await?;
+        Ok(Response::new(StatusReply { json }))
+    }
+
+    async fn explain(
+        &self,
+        request: Request<ExplainRequest>,
+    ) -> Result<Response<ExplainReply>, Status> {
+        let ExplainRequest { address, member, work, flow } = request.into_inner();
+        let question = FlowQuestion { address, member, work, flow };
+        let explained = self.ask(|answer| LinkEvent::ExplainAsked(question, answer)).await?;
+        let json = explained.map_err(Status::invalid_argument)?;
+        Ok(Response::new(ExplainReply { json }))
+    }
+
+    async fn audit(&self, request: Request<AuditRequest>) -> Result<Response<AuditReply>, Status> {
+        let AuditRequest { after, limit } = request.into_inner();
+        let limit = match limit {
+            0 => AUDIT_LIMIT,
+            limit => (limit as usize).min(AUDIT_LIMIT),
+        };
+        let json = self.ask(|answer| LinkEvent::AuditAsked { after, limit, answer }).await?;
+        Ok(Response::new(AuditReply { json }))
+    }
+
+    async fn drain(&self, _request: Request<DrainRequest>) -> Result<Response<DrainReply>, Status> {
+        let accepted = self.ask(LinkEvent::DrainAsked).await?;
+        if accepted {
+            warn!("link: an operator asked this instance to leave");
+        }
+        Ok(Response::new(DrainReply { accepted }))
+    }
+}
--- /dev/null
+++ b/crates/foxledge-daemon/src/side/watch.rs
@@ -0,0 +1,240 @@
+//! Reading and watching the platform.
+
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc, Mutex, PoisonError,
+        atomic::{AtomicUsize, Ordering},
+    },
+    time::Duration,
+};
+
+use foxledge_members::ListSource;
+use foxledge_wire::control::{
+    ListPart, Manifest, MemberListing, ReadReply, ReadRequest, platform_client::PlatformClient,
+};
+use log::{debug, warn};
+use prost::Message;
+use rand::{Rng, SeedableRng, rngs::StdRng};
+use stakker::sync::Channel;
+use tokio::{sync::watch, time::sleep};
+
+use crate::metrics::MetricSet;
+
+use super::{
+    clients::ClientPool,
+    messages::{CallError, LinkEvent, PlatformState, WatchOrder},
+    tls::TlsBundle,
+};
+
+const MANIFEST_KEY: &str = "manifest";
+const MEMBERS_KEY: &str = "members";
+/// Longest wait for the answer to a plain read.
+const READ_WAIT: Duration = Duration::from_secs(3);
+/// How much longer than its wait a watch may take to be answered.
+const WATCH_MARGIN: Duration = Duration::from_secs(2);
+/// Time between two reads of the list of instances.
+const MEMBERS_EVERY: Duration = Duration::from_secs(5);
+const FIRST_BACKOFF: Duration = Duration::from_millis(100);
+/// Pause when the platform has no list at all.
+const EMPTY_PAUSE: Duration = Duration::from_millis(300);
+const LONGEST_BACKOFF: Duration = Duration::from_secs(5);
+/// Longest value that the platform holds, with room for the message around it.
+const MESSAGE_LIMIT: usize = 2 << 20;
+
+/// `PlatformWatch` reads the platform over its addresses in turn.
+#[derive(Clone)]
+pub struct PlatformWatch {
+    addresses: Vec<SocketAddr>,
+    turn: Arc<AtomicUsize>,
+    pool: ClientPool,
+    wait: Duration,
+    reader: String,
+    metrics: Arc<MetricSet>,
+    events: Channel<LinkEvent>,
+    rng: Arc<Mutex<StdRng>>,
+}
+
+impl PlatformWatch {
+    /// Makes the watch; it makes no call before it is told to.
+    pub fn new(
+        addresses: &[SocketAddr],
+        wait: Duration,
+        reader: String,
+        metrics: Arc<MetricSet>,
+        events: Channel<LinkEvent>,
+        seed: u64,
+    ) -> PlatformWatch {
+        let mut rng = StdRng::seed_from_u64(seed);
+        // Readers begin at different addresses, so that one that is stale misleads few of them.
+        let first = rng.random_range(0..addresses.len().max(1));
+        // The platform's interface has no certificates of foxledge's; its sender is never used.
+        let (_, plain) = watch::channel(TlsBundle::default());
+        PlatformWatch {
+            addresses: addresses.to_vec(),
+            turn: Arc::new(AtomicUsize::new(first)),
+            pool: ClientPool::new(metrics.clone(), plain),
+            wait,
+            reader,
+            metrics,
+            events,
+            rng: Arc::new(Mutex::new(rng)),
+        }
+    }
+
+    /// Watches while the orders say so.
+    pub async fn run(self, mut orders: watch::Receiver<WatchOrder>) -> anyhow::Result<()> {
+        if self.addresses.is_empty() {
+            std::future::pending::<()>().await;
+        }
+        let mut newest = 0;
+        loop {
+            let order = *orders.borrow_and_update();
+            match order {
+                WatchOrder::Pause => orders.changed().await?,
+                WatchOrder::Run { after } => {
+                    newest = newest.max(after);
+                    tokio::select! {
+                        changed = orders.changed() => changed?,
+                        () = self.watch_manifest(&mut newest) => {}
+                        () = self.watch_members() => {}
+                    }
+                }
+            }
+        }
+    }
+
+    /// Reads the manifest as it is now.
+    pub async fn fetch_manifest(&self) -> Result<Manifest, CallError> {
+        let reply = self.read(MANIFEST_KEY, 0, Duration::ZERO).await?;
+        decode_manifest(&reply)
+    }
+
+    /// Reads parts one by one; a part that isn't there is left out.
+    pub async fn fetch_parts(&self, digests: &[u64]) -> Result<Vec<ListPart>, CallError> {
+        let mut parts = Vec::new();
+        for digest in digests {
+            let reply = self.read(&format!("part/{digest:016x}"), 0, Duration::ZERO).await?;
+            if reply.found {
+                parts.push(ListPart { digest: *digest, text: reply.value });
+            }
+        }
+        Ok(parts)
+    }
+
+    /// Watches for manifests, for ever.
+    async fn watch_manifest(&self, newest: &mut u64) {
+        let mut backoff = FIRST_BACKOFF;
+        let mut failures = 0;
+        // What is there is read at once, not waited for.
+        let mut wait = Duration::ZERO;
+        loop {
+            match self.read(MANIFEST_KEY, *newest, wait).await {
+                Ok(reply) => {
+                    failures = 0;
+                    backoff = FIRST_BACKOFF;
+                    wait = self.wait;
+                    self.take_reply(&reply, newest).await;
+                }
+                Err(error) => {
+                    failures += 1;
+                    debug!("link: platform read failed: {error}");
+                    if failures == self.addresses.len() {
+                        warn!("link: the platform can't be reached");
+                        self.events.send(LinkEvent::PlatformHeard(PlatformState::Unreachable));
+                    }
+                    sleep(backoff.mul_f64(self.jitter())).await;
+                    backoff = (backoff * 2).min(LONGEST_BACKOFF);
+                }
+            }
+        }
+    }
+
+    async fn take_reply(&self, reply: &ReadReply, newest: &mut u64) {
+        if reply.unchanged && reply.revision < *newest {
+            warn!("link: the platform is at revision {}, older than {newest}", reply.revision);
+        }
+        if reply.found && !reply.unchanged {
+            *newest = (*newest).max(reply.revision);
+            let outcome = decode_manifest(reply);
+            self.events.send(LinkEvent::ManifestFetched(ListSource::Platform, outcome));
+        }
+        // After the manifest, so that nobody takes the platform for asked while its list is on the way.
+        self.events.send(LinkEvent::PlatformHeard(PlatformState::Answered));
+        if !reply.found {
+            sleep(EMPTY_PAUSE.mul_f64(self.jitter())).await;
+        }
+        if !reply.found || reply.unchanged {
+            // An address that is stale would otherwise be believed for ever.
+            self.next_address();
+        }
+    }
+
+    /// Reads the list of instances now and then, for ever.
+    async fn watch_members(&self) {
+        loop {
+            self.read_members().await;
+            sleep(MEMBERS_EVERY.mul_f64(self.jitter())).await;
+        }
+    }
+
+    async fn read_members(&self) {
+        let Ok(reply) = self.read(MEMBERS_KEY, 0, Duration::ZERO).await else { return };
+        match MemberListing::decode(reply.value.as_slice()) {
+            Ok(listing) if reply.found => drop(self.events.send(LinkEvent::ListingRead(listing))),
+            Ok(_) => {}
+            Err(error) => warn!("link: the platform's list of instances: {error}"),
+        }
+    }
+
+    /// Reads a value at the present address; the next read goes elsewhere after a failure.
+    async fn read(
+        &self,
+        key: &str,
+        after_revision: u64,
+        wait: Duration,
+    ) -> Result<ReadReply, CallError> {
+        let turn = self.turn.load(Ordering::Relaxed) % self.addresses.len().max(1);
+        let Some(address) = self.addresses.get(turn).copied() else {
+            return Err(CallError::Refused("no platform in the settings".to_owned()));
+        };
+        let request = ReadRequest {
+            key: key.to_owned(),
+            after_revision,
+            wait_ms: wait.as_millis() as u32,
+            reader: self.reader.clone(),
+        };
+        self.metrics.platform_reads.inc();
+        let limit = if wait.is_zero() { READ_WAIT } else { wait + WATCH_MARGIN };
+        let call = |channel| async {
+            let mut client = PlatformClient::new(channel).max_decoding_message_size(MESSAGE_LIMIT);
+            client.read(request).await
+        };
+        let outcome = self.pool.call(address, limit, call).await;
+        if outcome.is_err() {
+            self.metrics.call_failures.with_label_values(&["platform_read"]).inc();
+            self.next_address();
+        }
+        outcome
+    }
+
+    fn next_address(&self) {
+        self.turn.fetch_add(1, Ordering::Relaxed);
+    }
+
+    /// A factor that spreads the readers' calls in time.
+    fn jitter(&self) -> f64 {
+        self.rng.lock().unwrap_or_else(PoisonError::into_inner).random_range(0.5..=1.0)
+    }
+}
+
+/// The manifest in a reply; its revision is the one that the platform gives.
+fn decode_manifest(reply: &ReadReply) -> Result<Manifest, CallError> {
+    if !reply.found {
+        return Err(CallError::Refused("the platform has no manifest".to_owned()));
+    }
+    let mut manifest = Manifest::decode(reply.value.as_slice())
+        .map_err(|error| CallError::Refused(error.to_string()))?;
+    manifest.revision = reply.revision;
+    Ok(manifest)
+}
--- /dev/null
+++ b/crates/foxledge-daemon/src/signals.rs
@@ -0,0 +1,37 @@
+//! The signals that begin the planned stop.
+
+use std::{io, rc::Rc, thread};
+
+use log::info;
+use signal_hook::{
+    consts::{SIGINT, SIGTERM},
+    iterator::Signals,
+};
+use stakker::{
+    Stakker, fwd_do,
+    sync::{Channel, ChannelGuard},
+};
+
+use crate::context::DaemonContext;
+
+/// Begins the planned stop at SIGTERM or SIGINT, as long as the guard is kept.
+///
+/// The signals have a thread of their own, so that a stop can begin while
+/// any part, the side thread included, is being started anew.
+pub fn watch_signals(
+    stakker: &mut Stakker,
+    context: Rc<DaemonContext>,
+) -> io::Result<ChannelGuard> {
+    let mut signals = Signals::new([SIGTERM, SIGINT])?;
+    let begin_stop = fwd_do!(move |signal: i32| {
+        info!("life: signal {signal}");
+        context.stop_wanted.set(true);
+    });
+    let (channel, guard) = Channel::new(stakker, begin_stop);
+    thread::Builder::new().name("signals".to_owned()).spawn(move || {
+        for signal in signals.forever() {
+            channel.send(signal);
+        }
+    })?;
+    Ok(guard)
+}
