Prove run-once and flow tokens in virtual time; mend two faults they found

Cause: (1) a desk that was dropped as idle and made anew drew the same dispatch ids, so a backend server took a new bid for a copy and answered without running it; found by core_sweep, kept as desk_remade. (2) a ticket of a former process of the same instance was forwarded by the new process to its own address for ever, each time acknowledged; found by home_restarted. Ruled out: the fake target (it counted no run for a dispatch it already knew, as the protocol asks); the ledger (the request was new to it). Conclusion: desks draw their seed from the process's generator; a ticket of another process of this instance is answered UNKNOWN at once, hops are bounded.

--- a/crates/foxledge-engine/src/desks.rs
+++ b/crates/foxledge-engine/src/desks.rs
@@ -10,6 +10,7 @@
     time::ClockTime,
 };
 use foxledge_policy::{DeskEffect, DeskOptions, HomeDesk, policy_by_name};
+use rand::{Rng, SeedableRng, rngs::StdRng};
 
 use crate::placement::{DeskKey, HomePlacement};
 
@@ -25,13 +26,18 @@
     desks: BTreeMap<DeskKey, HomeDesk>,
     options: DeskOptions,
     policy: String,
-    seed: u64,
+    rng: StdRng,
 }
 
 impl DeskSet {
     /// Makes an empty set; each desk gets the options and a policy of that name.
     pub fn new(options: DeskOptions, policy: &str, seed: u64) -> DeskSet {
-        DeskSet { desks: BTreeMap::new(), options, policy: policy.to_owned(), seed }
+        DeskSet {
+            desks: BTreeMap::new(),
+            options,
+            policy: policy.to_owned(),
+            rng: StdRng::seed_from_u64(seed),
+        }
     }
 
     /// The desk of that key, made on first use.
@@ -44,7 +50,7 @@
     ) -> (&mut HomeDesk, Vec<DeskEffect>) {
         let mut effects = Vec::new();
         if !self.desks.contains_key(key) {
-            let mut desk = self.make_desk(key);
+            let mut desk = self.make_desk();
             desk.set_queue_limit(queue_limit);
             effects = desk.set_targets(now, targets());
             self.desks.insert(key.clone(), desk);
@@ -73,8 +79,14 @@
         self.desks.retain(|key, desk| desk.unfinished() > 0 || is_kept(key));
     }
 
-    fn make_desk(&self, key: &DeskKey) -> HomeDesk {
-        let seed = self.seed ^ foxledge_core::hash::digest_of(key.hash_text().as_bytes());
+    /// Makes a desk with a seed that no desk of this process had before.
+    ///
+    /// A desk is dropped when it is idle and made anew when work comes back. If
+    /// it then drew the same dispatch ids again, a backend server would take a
+    /// new request for a copy of an old one and answer without running it; one
+    /// would notice answered requests that never ran.
+    fn make_desk(&mut self) -> HomeDesk {
+        let seed = self.rng.random();
         let policy = policy_by_name(&self.policy, seed)
             .or_else(|_| policy_by_name("freest", seed))
             .expect("the default policy exists");
--- a/crates/foxledge-engine/src/engine.rs
+++ b/crates/foxledge-engine/src/engine.rs
@@ -198,6 +198,11 @@
         requests + tickets + self.forwards.len()
     }
 
+    /// What this instance is.
+    pub fn me(&self) -> &PeerInfo {
+        &self.me
+    }
+
     /// The engine's counters.
     pub fn counters(&self) -> &EngineCounters {
         &self.counters
--- a/crates/foxledge-engine/src/entry.rs
+++ b/crates/foxledge-engine/src/entry.rs
@@ -167,7 +167,9 @@
         if !self.options.trial.run_once {
             return self.route_by_rank(now, from, packet, hops);
         }
-        if self.home_is_gone(&ticket) {
+        // A packet that went round too often has a ticket whose address leads
+        // nowhere: each forwarding would be acknowledged and go on for ever.
+        if self.home_is_gone(&ticket) || hops >= MAX_HOPS {
             let refusal = unknown(RefusalReason::HomeLost, DEFAULT_RETRY);
             return self.refuse(now, from, &packet, refusal);
         }
@@ -215,6 +217,10 @@
 
     /// True when the process that issued the ticket is known to be no more.
     fn home_is_gone(&self, ticket: &Ticket) -> bool {
+        if ticket.home == self.me.name.as_str() {
+            // This is another process of the same instance.
+            return true;
+        }
         let Some(home) = self.view.find(&ticket.home) else { return false };
         home.incarnation > ticket.home_incarnation
             || (home.incarnation == ticket.home_incarnation
--- /dev/null
+++ b/crates/foxledge-engine/tests/common/mod.rs
@@ -0,0 +1,398 @@
+//! A few engines, fake targets and a faulty network in virtual time.
+
+#![allow(dead_code)]
+
+pub mod targets;
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    sync::Arc,
+};
+
+use foxledge_core::{
+    lists::{
+        FlowMatch, FlowRule, FlowTreatment, FullAction, KeySpec, ListVersion, MemberSpec,
+        PaidPriority, RuleList, ServeTreatment, ServiceSpec, TargetSpec,
+    },
+    names::{CentreName, InstanceName, MemberName, RuleName, ServiceAddress, ServiceName},
+    peers::{PeerInfo, PeerState, PeerView},
+    time::ClockTime,
+};
+use foxledge_engine::{EngineEffect, EngineOptions, EnginePhase, FlowEngine};
+use foxledge_wire::{
+    decode_packet, encode_packet,
+    flow::{Packet, PacketKind, RunOutcome, WorkKind},
+};
+use rand::{Rng, SeedableRng, rngs::StdRng};
+
+use targets::FakeTarget;
+
+pub const CENTRE: &str = "toledo";
+const TICK_MS: u64 = 10;
+
+/// `NetFaults` is what the network does to datagrams.
+#[derive(Clone, Copy, Default)]
+pub struct NetFaults {
+    pub loss: f64,
+    pub duplicate: f64,
+    pub delay_ms: u64,
+}
+
+#[derive(Clone, PartialEq, Eq, PartialOrd, Ord)]
+enum Delivery {
+    Datagram { from: SocketAddr, to: SocketAddr, bytes: Vec<u8> },
+    TargetEnd { target: usize, dispatch: u64 },
+}
+
+/// `TestNet` is the engines, the targets and what is on its way between them.
+pub struct TestNet {
+    pub now: ClockTime,
+    pub engines: Vec<Option<FlowEngine>>,
+    frozen: BTreeSet<usize>,
+    pub targets: Vec<FakeTarget>,
+    pub faults: NetFaults,
+    pub cuts: BTreeSet<(SocketAddr, SocketAddr)>,
+    pub inbox: BTreeMap<SocketAddr, Vec<Packet>>,
+    queue: BTreeSet<(ClockTime, u64, Delivery)>,
+    sequence: u64,
+    next_tick: ClockTime,
+    pub rng: StdRng,
+    pub options: EngineOptions,
+    incarnation: u64,
+}
+
+pub fn address(port: u16) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], port))
+}
+
+pub fn data_address(instance: usize) -> SocketAddr {
+    address(1000 + instance as u16)
+}
+
+pub fn target_address(target: usize) -> SocketAddr {
+    address(4000 + target as u16)
+}
+
+pub fn caller_address(caller: u64) -> SocketAddr {
+    address(5000 + caller as u16)
+}
+
+/// A list with an auction desk on the first targets and lot intake on the last.
+pub fn test_list(revision: u64, targets: &[TargetSpec], intake: &[TargetSpec]) -> RuleList {
+    let mut list = RuleList {
+        version: ListVersion { revision, digest: revision },
+        keys: vec![KeySpec { id: 1, secret: vec![7; 32] }],
+        ..RuleList::default()
+    };
+    for (name, place, specs) in
+        [("auction-desk", "auction", targets), ("lot-intake", "intake", intake)]
+    {
+        let service = ServiceSpec {
+            name: ServiceName::new(name),
+            addresses: vec![ServiceAddress::new(place)],
+            queue_limit: 50,
+            shards: 1,
+            targets: specs.to_vec(),
+        };
+        list.services.insert(service.name.clone(), service);
+        list.rules.push(FlowRule {
+            name: RuleName::new(name),
+            when: FlowMatch { addresses: vec![ServiceAddress::new(place)], ..FlowMatch::default() },
+            then: FlowTreatment::Serve(ServeTreatment {
+                service: ServiceName::new(name),
+                priority: PaidPriority(1),
+                weight: 1,
+                member_limit: 0,
+                when_full: FullAction::Queue,
+            }),
+        });
+    }
+    for member in ["bricks", "tiles"] {
+        let name = MemberName::new(member);
+        list.members.insert(name.clone(), MemberSpec { name, secret: Vec::new() });
+    }
+    list
+}
+
+pub fn target_spec(index: usize, incarnation: u64) -> TargetSpec {
+    TargetSpec {
+        name: format!("t{index}").as_str().into(),
+        address: target_address(index),
+        incarnation,
+        data_centre: CentreName::new(CENTRE),
+        slots: 2,
+        connections: 100,
+        draining: false,
+    }
+}
+
+impl TestNet {
+    /// Engines that know each other, two auction targets and one intake target.
+    pub fn new(instances: usize, seed: u64, options: EngineOptions) -> TestNet {
+        let mut net = TestNet {
+            now: ClockTime::from_micros(1_000_000),
+            engines: Vec::new(),
+            frozen: BTreeSet::new(),
+            targets: Vec::new(),
+            faults: NetFaults::default(),
+            cuts: BTreeSet::new(),
+            inbox: BTreeMap::new(),
+            queue: BTreeSet::new(),
+            sequence: 0,
+            next_tick: ClockTime::from_micros(1_000_000),
+            rng: StdRng::seed_from_u64(seed),
+            options,
+            incarnation: 100,
+        };
+        for index in 0..3 {
+            let service = if index < 2 { "auction-desk" } else { "lot-intake" };
+            net.targets.push(FakeTarget::new(service, target_spec(index, 1)));
+        }
+        for instance in 0..instances {
+            net.engines.push(None);
+            net.start(instance);
+        }
+        net.share_view();
+        net
+    }
+
+    /// Starts a new process of the instance, with the first list.
+    pub fn start(&mut self, instance: usize) {
+        self.incarnation += 1;
+        let me = PeerInfo {
+            name: InstanceName::new(&format!("i{instance}")),
+            incarnation: self.incarnation,
+            refutation: 0,
+            state: PeerState::Alive,
+            data_centre: CentreName::new(CENTRE),
+            data_address: data_address(instance),
+            peer_address: address(2000 + instance as u16),
+            control_address: address(3000 + instance as u16),
+        };
+        let seed = self.rng.random();
+        let mut engine = FlowEngine::new(self.options.clone(), me, seed);
+        engine.on_list(self.now, Arc::new(self.list(1)));
+        engine.set_phase(self.now, EnginePhase::Serving);
+        self.engines[instance] = Some(engine);
+        self.frozen.remove(&instance);
+    }
+
+    pub fn list(&self, revision: u64) -> RuleList {
+        let specs: Vec<_> = self.targets.iter().map(|target| target.spec.clone()).collect();
+        test_list(revision, &specs[..2], &specs[2..])
+    }
+
+    pub fn kill(&mut self, instance: usize) {
+        self.engines[instance] = None;
+    }
+
+    /// Stops an instance's work; datagrams wait in its socket.
+    pub fn freeze(&mut self, instance: usize) {
+        self.frozen.insert(instance);
+    }
+
+    pub fn wake(&mut self, instance: usize) {
+        self.frozen.remove(&instance);
+    }
+
+    /// Gives every live instance the view of all that are live.
+    pub fn share_view(&mut self) {
+        let all: Vec<usize> = (0..self.engines.len()).collect();
+        self.show_view(&all, &all);
+    }
+
+    /// Shows `members` to `viewers`.
+    pub fn show_view(&mut self, viewers: &[usize], members: &[usize]) {
+        let peers: Vec<_> = members
+            .iter()
+            .filter_map(|&index| self.engines[index].as_ref().map(|engine| engine.me().clone()))
+            .collect();
+        let view = Arc::new(PeerView { peers, reachable_centres: Vec::new() });
+        for &viewer in viewers {
+            let Some(engine) = self.engines[viewer].as_mut() else { continue };
+            let effects = engine.on_view(self.now, view.clone());
+            self.carry_out(viewer, effects);
+        }
+    }
+
+    pub fn publish(&mut self, instance: usize, list: RuleList) {
+        let Some(engine) = self.engines[instance].as_mut() else { return };
+        let effects = engine.on_list(self.now, Arc::new(list));
+        self.carry_out(instance, effects);
+    }
+
+    /// Sends a caller's packet to one instance, through the faulty network.
+    pub fn send(&mut self, caller: u64, instance: usize, packet: &Packet) {
+        let to = data_address(instance);
+        self.transmit(caller_address(caller), to, encode_packet(packet));
+    }
+
+    /// Lets `millis` pass.
+    pub fn run(&mut self, millis: u64) {
+        let end = self.now.after_millis(millis);
+        while self.step(end) {}
+        self.now = end;
+    }
+
+    /// Takes the packets that reached a caller.
+    pub fn take_answers(&mut self, caller: u64) -> Vec<Packet> {
+        self.inbox.remove(&caller_address(caller)).unwrap_or_default()
+    }
+
+    /// Gets a ticket through an instance, resending until it comes.
+    pub fn obtain_ticket(&mut self, caller: u64, instance: usize, place: &str) -> Option<Vec<u8>> {
+        let packet = Packet { idempotent: false, ..work(caller, 1, 0, place) };
+        let packet = Packet { kind: PacketKind::TicketRequest.into(), ..packet };
+        for _ in 0..5 {
+            self.send(caller, instance, &packet);
+            self.run(400);
+            let answers = self.take_answers(caller);
+            let grant = answers.iter().find(|answer| answer.kind() == PacketKind::TicketGrant);
+            if let Some(grant) = grant {
+                return Some(grant.ticket.clone());
+            }
+        }
+        None
+    }
+
+    fn step(&mut self, end: ClockTime) -> bool {
+        let next = self.queue.first().map_or(ClockTime::FAR, |(at, ..)| *at);
+        if next.min(self.next_tick) > end {
+            return false;
+        }
+        if self.next_tick <= next {
+            self.now = self.next_tick;
+            self.next_tick = self.next_tick.after_millis(TICK_MS);
+            self.tick();
+            return true;
+        }
+        let Some((at, _, delivery)) = self.queue.pop_first() else { return false };
+        self.now = self.now.max(at);
+        self.deliver(delivery);
+        true
+    }
+
+    fn tick(&mut self) {
+        for instance in 0..self.engines.len() {
+            if self.frozen.contains(&instance) {
+                continue;
+            }
+            let Some(engine) = self.engines[instance].as_mut() else { continue };
+            let effects = engine.on_tick(self.now);
+            self.carry_out(instance, effects);
+        }
+    }
+
+    fn deliver(&mut self, delivery: Delivery) {
+        match delivery {
+            Delivery::TargetEnd { target, dispatch } => {
+                let sends = self.targets[target].end(dispatch);
+                self.send_from_target(target, sends);
+            }
+            Delivery::Datagram { from, to, bytes } => match to.port() {
+                1000..=2999 => self.deliver_to_instance(from, to, bytes),
+                4000..=4999 => self.deliver_to_target(from, to, &bytes),
+                _ => {
+                    let packet = decode_packet(&bytes).expect("instances send sound packets");
+                    self.inbox.entry(to).or_default().push(packet);
+                }
+            },
+        }
+    }
+
+    fn deliver_to_instance(&mut self, from: SocketAddr, to: SocketAddr, bytes: Vec<u8>) {
+        let instance = usize::from(to.port() % 1000);
+        if self.frozen.contains(&instance) {
+            // It waits in the socket until the process wakes up.
+            let later = self.now.after_millis(5);
+            return self.enqueue(later, Delivery::Datagram { from, to, bytes });
+        }
+        let Some(engine) = self.engines[instance].as_mut() else { return };
+        let effects = match to.port() {
+            1000..=1999 => engine.on_datagram(self.now, from, &bytes),
+            _ => engine.on_peer_datagram(self.now, from, &bytes),
+        };
+        self.carry_out(instance, effects);
+    }
+
+    fn deliver_to_target(&mut self, from: SocketAddr, to: SocketAddr, bytes: &[u8]) {
+        let target = usize::from(to.port() - 4000);
+        let packet = decode_packet(bytes).expect("instances send sound packets");
+        let sends = self.targets[target].take(from, packet);
+        self.send_from_target(target, sends);
+    }
+
+    fn send_from_target(&mut self, target: usize, sends: targets::TargetSends) {
+        let from = target_address(target);
+        for (to, packet) in sends.packets {
+            self.transmit(from, to, encode_packet(&packet));
+        }
+        if let Some(dispatch) = sends.started {
+            let work = self.rng.random_range(5..60);
+            self.enqueue(self.now.after_millis(work), Delivery::TargetEnd { target, dispatch });
+        }
+    }
+
+    fn carry_out(&mut self, instance: usize, effects: Vec<EngineEffect>) {
+        for effect in effects {
+            match effect {
+                EngineEffect::SendData { to, bytes } => {
+                    self.transmit(data_address(instance), to, bytes);
+                }
+                EngineEffect::SendPeer { to, bytes } => {
+                    self.transmit(address(2000 + instance as u16), to, bytes);
+                }
+                EngineEffect::Audit(_) | EngineEffect::Observe { .. } => {}
+            }
+        }
+    }
+
+    fn transmit(&mut self, from: SocketAddr, to: SocketAddr, bytes: Vec<u8>) {
+        if self.cuts.contains(&(from, to)) {
+            return;
+        }
+        let copies = 1 + usize::from(self.rng.random_bool(self.faults.duplicate));
+        for _ in 0..copies {
+            if self.rng.random_bool(self.faults.loss) {
+                continue;
+            }
+            let delay = 1 + self.rng.random_range(0..=self.faults.delay_ms);
+            let at = self.now.after_millis(delay);
+            self.enqueue(at, Delivery::Datagram { from, to, bytes: bytes.clone() });
+        }
+    }
+
+    fn enqueue(&mut self, at: ClockTime, delivery: Delivery) {
+        self.sequence += 1;
+        self.queue.insert((at, self.sequence, delivery));
+    }
+}
+
+/// A bid of one part.
+pub fn work(caller: u64, flow: u64, request: u64, place: &str) -> Packet {
+    Packet {
+        version: foxledge_wire::PROTOCOL_VERSION,
+        kind: PacketKind::Work.into(),
+        flow,
+        address: place.to_owned(),
+        member: "bricks".to_owned(),
+        caller,
+        request,
+        work: WorkKind::Bid.into(),
+        time_left_ms: 2000,
+        parts: 1,
+        payload: b"bid".to_vec(),
+        ..Packet::default()
+    }
+}
+
+/// Outcomes of the refusals among some answers.
+pub fn refusals(answers: &[Packet]) -> Vec<RunOutcome> {
+    answers.iter().filter_map(|answer| Some(answer.refusal.as_ref()?.outcome())).collect()
+}
+
+/// True when an answer part is among some answers.
+pub fn is_answered(answers: &[Packet]) -> bool {
+    answers.iter().any(|answer| answer.kind() == PacketKind::Answer)
+}
--- /dev/null
+++ b/crates/foxledge-engine/tests/common/targets.rs
@@ -0,0 +1,146 @@
+//! A fake target that counts how often each request ran.
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    net::SocketAddr,
+};
+
+use foxledge_core::lists::TargetSpec;
+use foxledge_wire::flow::{
+    LoadReport, Packet, PacketKind, Refusal, RefusalReason, RunOutcome, WorkKind,
+};
+
+/// (caller, flow, request).
+pub type RunKey = (u64, u64, u64);
+
+/// `TargetSends` is what a target does upon a packet.
+#[derive(Default)]
+pub struct TargetSends {
+    pub packets: Vec<(SocketAddr, Packet)>,
+    /// A dispatch that was started and will end.
+    pub started: Option<u64>,
+}
+
+struct KnownDispatch {
+    opener: SocketAddr,
+    packet: Packet,
+    is_ended: bool,
+    refusal: Option<Refusal>,
+}
+
+/// `FakeTarget` is one backend server.
+pub struct FakeTarget {
+    pub service: String,
+    pub spec: TargetSpec,
+    pub runs: BTreeMap<RunKey, u32>,
+    pub strangers: u32,
+    pub draining: bool,
+    busy: u32,
+    known: HashMap<u64, KnownDispatch>,
+}
+
+impl FakeTarget {
+    pub fn new(service: &str, spec: TargetSpec) -> FakeTarget {
+        FakeTarget {
+            service: service.to_owned(),
+            spec,
+            runs: BTreeMap::new(),
+            strangers: 0,
+            draining: false,
+            busy: 0,
+            known: HashMap::new(),
+        }
+    }
+
+    /// Takes a packet from an instance.
+    pub fn take(&mut self, from: SocketAddr, packet: Packet) -> TargetSends {
+        let is_mine =
+            packet.service == self.service && packet.target_incarnation == self.spec.incarnation;
+        match packet.kind() {
+            PacketKind::Probe => self.reply(from, &packet, PacketKind::ProbeReply),
+            _ if !is_mine => {
+                self.strangers += 1;
+                self.refuse(from, &packet, RefusalReason::WrongTarget)
+            }
+            PacketKind::Work => self.take_work(from, packet),
+            PacketKind::Poll => self.reply(from, &packet, PacketKind::FeedItem),
+            _ => TargetSends::default(),
+        }
+    }
+
+    /// Ends a run.
+    pub fn end(&mut self, dispatch: u64) -> TargetSends {
+        let Some(known) = self.known.get_mut(&dispatch) else { return TargetSends::default() };
+        known.is_ended = true;
+        let (opener, packet) = (known.opener, known.packet.clone());
+        self.busy -= 1;
+        let mut sends = self.reply(opener, &packet, PacketKind::Answer);
+        sends.packets.extend(self.reply(opener, &packet, PacketKind::Done).packets);
+        sends
+    }
+
+    fn take_work(&mut self, from: SocketAddr, packet: Packet) -> TargetSends {
+        if let Some(known) = self.known.get(&packet.dispatch) {
+            return match (&known.refusal, known.is_ended) {
+                (Some(refusal), _) => self.refuse(from, &packet, refusal.reason()),
+                (None, true) => self.reply(from, &packet, PacketKind::Answer),
+                (None, false) => self.reply(from, &packet, PacketKind::Ack),
+            };
+        }
+        let is_feed = packet.work() == WorkKind::Feed;
+        let is_full = !is_feed && self.busy >= self.spec.slots;
+        let refusal = is_full.then(|| Refusal {
+            outcome: RunOutcome::NotRun.into(),
+            reason: RefusalReason::TargetShed.into(),
+            retry_after_ms: 10,
+        });
+        let known =
+            KnownDispatch { opener: from, packet: packet.clone(), is_ended: false, refusal };
+        self.known.insert(packet.dispatch, known);
+        if is_full {
+            return self.refuse(from, &packet, RefusalReason::TargetShed);
+        }
+        *self.runs.entry((packet.caller, packet.flow, packet.request)).or_default() += 1;
+        let mut sends = self.reply(from, &packet, PacketKind::Ack);
+        if !is_feed {
+            self.busy += 1;
+            sends.started = Some(packet.dispatch);
+        }
+        sends
+    }
+
+    fn refuse(&self, to: SocketAddr, packet: &Packet, reason: RefusalReason) -> TargetSends {
+        let refusal = Refusal {
+            outcome: RunOutcome::NotRun.into(),
+            reason: reason.into(),
+            retry_after_ms: 10,
+        };
+        let mut sends = self.reply(to, packet, PacketKind::Refusal);
+        sends.packets[0].1.refusal = Some(refusal);
+        sends
+    }
+
+    fn reply(&self, to: SocketAddr, packet: &Packet, kind: PacketKind) -> TargetSends {
+        let is_answer = kind == PacketKind::Answer;
+        let load = LoadReport {
+            busy_slots: self.busy,
+            draining: self.draining,
+            healthy: true,
+            ..LoadReport::default()
+        };
+        let reply = Packet {
+            version: packet.version,
+            kind: kind.into(),
+            flow: packet.flow,
+            request: packet.request,
+            dispatch: packet.dispatch,
+            address: packet.address.clone(),
+            service: packet.service.clone(),
+            return_path: packet.return_path.clone(),
+            parts: u32::from(is_answer),
+            load: Some(load),
+            ..Packet::default()
+        };
+        TargetSends { packets: vec![(to, reply)], started: None }
+    }
+}
