Keep membership by rings, news and suspicion; fetch lists by their parts

Cause: the first version beat everybody and spread whole tables; lists were fetched from one source only. After: successors on four hash rings, bounded news, relayed probes, refutation, tombstones, page exchange, summaries of other data centres; lists judged by build_list, never back, parts by digest from any source.

--- a/crates/foxledge-members/src/lib.rs
+++ b/crates/foxledge-members/src/lib.rs
@@ -5,8 +5,14 @@
 //! live and which other data centres answer; [`ListStore`] keeps the newest
 //! accepted list and fetches newer ones.
 
+mod centres;
 mod effects;
+mod hints;
+mod news;
 mod options;
+mod rings;
+mod table;
+mod watch;
 
 pub mod lists;
 pub mod membership;
--- /dev/null
+++ b/crates/foxledge-members/src/lists/options.rs
@@ -0,0 +1,72 @@
+//! Settings of fetching lists.
+
+use std::{fmt, time::Duration};
+
+use super::builder::{ListBuilder, RulesBuilder};
+
+/// `ListOptions` is how lists are fetched; each setting has a default.
+pub struct ListOptions {
+    pub(super) builder: Box<dyn ListBuilder>,
+    pub(super) fetch_wait: Duration,
+    pub(super) retry_wait: Duration,
+    pub(super) reply_bytes: usize,
+    pub(super) list_bytes: usize,
+    pub(super) list_parts: usize,
+}
+
+impl Default for ListOptions {
+    fn default() -> ListOptions {
+        ListOptions {
+            builder: Box::new(RulesBuilder),
+            fetch_wait: Duration::from_secs(2),
+            retry_wait: Duration::from_millis(500),
+            reply_bytes: 256 * 1024,
+            list_bytes: 8 * 1024 * 1024,
+            list_parts: 4096,
+        }
+    }
+}
+
+impl fmt::Debug for ListOptions {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("ListOptions").finish_non_exhaustive()
+    }
+}
+
+impl ListOptions {
+    /// What makes a list of its parts.
+    pub fn builder(mut self, builder: Box<dyn ListBuilder>) -> ListOptions {
+        self.builder = builder;
+        self
+    }
+
+    /// Time after which a fetch without an end is given up.
+    pub fn fetch_wait(mut self, wait: Duration) -> ListOptions {
+        self.fetch_wait = wait;
+        self
+    }
+
+    /// Time for which a source that failed isn't asked; doubled by each failure in a row.
+    pub fn retry_wait(mut self, wait: Duration) -> ListOptions {
+        self.retry_wait = wait;
+        self
+    }
+
+    /// Bytes after which a reply with parts ends; it holds one part at least.
+    pub fn reply_bytes(mut self, bytes: usize) -> ListOptions {
+        self.reply_bytes = bytes;
+        self
+    }
+
+    /// Most bytes of one list's parts.
+    pub fn list_bytes(mut self, bytes: usize) -> ListOptions {
+        self.list_bytes = bytes;
+        self
+    }
+
+    /// Most parts of one list.
+    pub fn list_parts(mut self, parts: usize) -> ListOptions {
+        self.list_parts = parts;
+        self
+    }
+}
--- a/crates/foxledge-members/src/membership.rs
+++ b/crates/foxledge-members/src/membership.rs
@@ -1,9 +1,21 @@
-//! Which instances of the data centre live.
+//! Which instances of the data centre live, and which other data centres answer.
+//!
+//! Each instance sends beats to its successors on a few hash rings (see
+//! [`crate::rings`]). Beats and replies carry what changed lately. An instance
+//! that doesn't answer its observers, neither directly nor through a relay, is
+//! suspected first and counts as dead only if it doesn't refute in time: the
+//! suspicion mechanism of SWIM (Das, Gupta and Motivala, "SWIM: scalable
+//! weakly-consistent infection-style process group membership protocol", DSN 2002).
 
-use std::{collections::BTreeMap, net::SocketAddr, sync::Arc};
+mod beats;
+mod claims;
+mod deaths;
+mod exchange;
+
+use std::{net::SocketAddr, sync::Arc};
 
 use foxledge_core::{
-    hash::rendezvous_weight,
+    audit::{AuditChange, AuditKind},
     lists::ListVersion,
     names::InstanceName,
     peers::{PeerInfo, PeerState, PeerView},
@@ -15,56 +27,89 @@
 };
 use rand::{SeedableRng, rngs::StdRng};
 
-use crate::{MemberEffect, MemberOptions, ProbeResult};
+use self::{beats::BeatRound, exchange::TableExchange};
+use crate::{
+    MemberEffect, MemberOptions, ProbeResult,
+    centres::{CentreTable, is_elected},
+    hints::HintTable,
+    news::NewsQueue,
+    rings::{HashRings, name_salt},
+    table::MemberTable,
+    watch::WatchList,
+};
+
+/// Key under which the readers of the platform are drawn.
+const READER_KEY: &str = "platform-reader";
 
 /// `Membership` is one instance's knowledge of who lives.
+#[derive(Debug)]
 pub struct Membership {
     options: MemberOptions,
     me: PeerInfo,
+    own_positions: Vec<u64>,
     version: ListVersion,
-    peers: BTreeMap<InstanceName, (PeerInfo, ClockTime)>,
+    table: MemberTable,
+    news: NewsQueue,
+    watch: WatchList,
+    hints: HintTable,
+    centres: CentreTable,
+    exchange: TableExchange,
+    round: BeatRound,
     view: Arc<PeerView>,
-    next_beat: ClockTime,
-    _rng: StdRng,
+    /// Changes of the table that the view shows.
+    viewed_changes: u64,
+    /// Size of the last listing that was believed.
+    listed: usize,
+    last_tick: ClockTime,
+    rng: StdRng,
 }
 
 impl Membership {
     /// Makes the membership of one instance, which knows only itself and its seeds.
     pub fn new(options: MemberOptions, me: PeerInfo, seed: u64, now: ClockTime) -> Membership {
+        let rings = HashRings::new(options.rings);
+        let own_positions = rings.positions(&me.name);
+        let mut hints = HintTable::new(options.retry_every);
+        for seed_address in &options.seeds {
+            hints.add(now, *seed_address, ClockTime::FAR);
+        }
         let mut membership = Membership {
-            options,
-            me,
+            own_positions,
             version: ListVersion::default(),
-            peers: BTreeMap::new(),
+            table: MemberTable::new(rings),
+            news: NewsQueue::default(),
+            watch: WatchList::new(options.suspect_after),
+            hints,
+            centres: CentreTable::new(
+                me.data_centre.clone(),
+                options.summary_deadline,
+                options.summary_every,
+            ),
+            exchange: TableExchange::new(now),
+            round: BeatRound::new(now),
             view: Arc::new(PeerView::default()),
-            next_beat: now,
-            _rng: StdRng::seed_from_u64(seed),
+            viewed_changes: 0,
+            listed: 0,
+            last_tick: now,
+            rng: StdRng::seed_from_u64(seed ^ name_salt(&me.name)),
+            options,
+            me,
         };
-        membership.renew_view();
+        membership.renew_view(now);
         membership
     }
 
     /// Does what is due; call it several times a heartbeat.
     pub fn on_tick(&mut self, now: ClockTime) -> Vec<MemberEffect> {
+        self.grant_after_pause(now);
+        self.last_tick = now;
         let mut effects = Vec::new();
-        if self.next_beat.is_past(now) {
-            self.next_beat = now.after(self.options.heartbeat);
-            let mut addresses: Vec<SocketAddr> =
-                self.peers.values().map(|(peer, _)| peer.control_address).collect();
-            addresses.extend(&self.options.seeds);
-            addresses.sort();
-            addresses.dedup();
-            addresses.retain(|address| *address != self.me.control_address);
-            for to in addresses {
-                effects.push(MemberEffect::Beat { to, beat: self.beat() });
-            }
-        }
-        for (peer, heard_until) in self.peers.values_mut() {
-            if heard_until.is_past(now) {
-                peer.state = PeerState::Dead;
-            }
-        }
-        effects.extend(self.renew_view());
+        self.expire(now, &mut effects);
+        self.suspect_silent(now, &mut effects);
+        effects.extend(self.renew_view(now));
+        self.send_round(now, &mut effects);
+        self.try_hints(now, &mut effects);
+        self.talk_across(now, &mut effects);
         effects
     }
 
@@ -75,82 +120,137 @@
         beat: Heartbeat,
     ) -> (HeartbeatReply, Vec<MemberEffect>) {
         let mut effects = Vec::new();
-        let sender = beat.sender.as_ref().and_then(|sender| convert::peer_info(sender).ok());
-        if let Some(sender) = sender {
-            effects = self.take_sender(now, sender, beat.version.unwrap_or_default());
-        }
-        let own = self.beat();
-        let reply = HeartbeatReply {
-            sender: own.sender,
-            version: own.version,
-            news: own.news,
-            centres: own.centres,
-            table_digest: own.table_digest,
+        let Ok(sender) = convert::peer_info(&beat.sender.clone().unwrap_or_default()) else {
+            return (self.bare_reply(), effects);
         };
-        (reply, effects)
+        self.compare_version(&sender, beat.version, &mut effects);
+        if sender.data_centre != self.me.data_centre {
+            self.take_foreign(now, &sender, &beat.centres);
+            let reply = self.foreign_reply(now);
+            effects.extend(self.renew_view(now));
+            return (reply, effects);
+        }
+
+        let name = sender.name.clone();
+        let mut corrections = self.take_sender(now, sender, &mut effects);
+        corrections.extend(self.take_news(now, &name, &beat.news, &mut effects));
+        self.take_relayed(now, &beat.centres);
+        self.compare_digest(now, beat.table_digest);
+        effects.extend(self.renew_view(now));
+        (self.reply_to(now, &beat, corrections), effects)
     }
 
-    /// Takes the answer to a beat; `from` is the name that the caller knows, or the reply's sender.
+    /// Takes the answer to a beat; the caller believed to call `_from`.
+    ///
+    /// What counts is who says that it answered: an address may have another owner by now.
     pub fn on_reply(
         &mut self,
         now: ClockTime,
         _from: &InstanceName,
         reply: HeartbeatReply,
     ) -> Vec<MemberEffect> {
-        let sender = reply.sender.as_ref().and_then(|sender| convert::peer_info(sender).ok());
-        let Some(sender) = sender else { return Vec::new() };
-        let mut effects = self.take_sender(now, sender, reply.version.unwrap_or_default());
-        for record in &reply.news {
-            let Ok(info) = convert::peer_info(record) else { continue };
-            if info.name != self.me.name && info.state != PeerState::Dead {
-                let until = now.after(self.options.dead_after);
-                self.peers.entry(info.name.clone()).or_insert((info, until));
-            }
+        let mut effects = Vec::new();
+        let Ok(sender) = convert::peer_info(&reply.sender.clone().unwrap_or_default()) else {
+            return effects;
+        };
+        self.compare_version(&sender, reply.version, &mut effects);
+        if sender.data_centre != self.me.data_centre {
+            self.take_foreign(now, &sender, &reply.centres);
+            effects.extend(self.renew_view(now));
+            return effects;
+        }
+
+        let name = sender.name.clone();
+        let address = sender.control_address;
+        let refutation = self.me.refutation;
+        self.watch.answered(now, &name);
+        self.take_page(&sender, &reply.news);
+        self.take_sender(now, sender, &mut effects);
+        self.take_news(now, &name, &reply.news, &mut effects);
+        self.take_relayed(now, &reply.centres);
+        self.compare_digest(now, reply.table_digest);
+        effects.extend(self.renew_view(now));
+        // Whoever held this instance for dead learns at once that it isn't.
+        if refutation != self.me.refutation {
+            effects.push(self.beat_to(now, address, Some(&name)));
         }
-        effects.extend(self.renew_view());
         effects
     }
 
-    /// Takes the failure of a beat to a control address.
-    pub fn on_failure(&mut self, _now: ClockTime, _from: SocketAddr) -> Vec<MemberEffect> {
-        Vec::new()
+    /// Takes the failure of a beat to a control address: another way to it is tried at once.
+    pub fn on_failure(&mut self, _now: ClockTime, from: SocketAddr) -> Vec<MemberEffect> {
+        // Later failures of the same silence are followed by probes in each round.
+        let Some(name) = self.watch.at_first_failure(from) else { return Vec::new() };
+        self.probe_through(&name).into_iter().collect()
     }
 
     /// Takes the end of a relayed probe.
+    ///
+    /// An instance that answers somebody lives, though the link to it may be cut one way.
     pub fn on_probe_result(
         &mut self,
-        _now: ClockTime,
-        _name: &InstanceName,
-        _result: ProbeResult,
+        now: ClockTime,
+        name: &InstanceName,
+        result: ProbeResult,
     ) -> Vec<MemberEffect> {
+        if result == ProbeResult::Answered {
+            self.watch.answered(now, name);
+        }
         Vec::new()
     }
 
     /// Takes the platform's list of instances: a hint whom to try, and no more.
+    ///
+    /// The list lags and may be empty for no reason. Nobody is removed because
+    /// of it, and nobody is believed to live before an answer came.
     pub fn on_platform_list(
         &mut self,
-        _now: ClockTime,
+        now: ClockTime,
         listing: &MemberListing,
     ) -> Vec<MemberEffect> {
+        let listed = listing.members.len();
+        if listed * 2 < self.listed {
+            let change = AuditChange::new(AuditKind::MemberChanged, "platform listing")
+                .values(format!("{} instances", self.listed), format!("{listed} instances"))
+                .because("shrank to less than half, earlier hints are kept", "platform");
+            self.listed = listed;
+            return vec![MemberEffect::Audit(change)];
+        }
+        self.listed = listed;
+        let expire_deadline = now.after(self.options.tombstone);
         for record in &listing.members {
-            if let Ok(info) = convert::peer_info(record)
-                && !self.options.seeds.contains(&info.control_address)
-            {
-                self.options.seeds.push(info.control_address);
+            let Ok(info) = convert::peer_info(record) else { continue };
+            if info.data_centre != self.me.data_centre {
+                self.centres.add_address(now, &info.data_centre, info.control_address);
+            } else if !self.knows_alive(&info.name) {
+                self.hints.add(now, info.control_address, expire_deadline);
             }
         }
         Vec::new()
     }
 
-    /// Sets the own state; it spreads with the next beats.
-    pub fn set_state(&mut self, _now: ClockTime, state: PeerState) -> Vec<MemberEffect> {
+    /// Sets the own state; a step back is ignored.
+    ///
+    /// The end of a planned stop is [`PeerState::Dead`]: the returned beats tell the observers.
+    pub fn set_state(&mut self, now: ClockTime, state: PeerState) -> Vec<MemberEffect> {
+        if state <= self.me.state || state == PeerState::Suspect {
+            return Vec::new();
+        }
         self.me.state = state;
-        self.renew_view().into_iter().collect()
+        self.round.widen();
+        let mut effects: Vec<_> = self.renew_view(now).into_iter().collect();
+        if state == PeerState::Dead {
+            self.say_farewell(now, &mut effects);
+        }
+        effects
     }
 
     /// Sets the version of the list in force here.
     pub fn set_version(&mut self, version: ListVersion) {
-        self.version = version;
+        if version != self.version {
+            self.version = version;
+            self.round.widen();
+        }
     }
 
     /// The present view.
@@ -160,60 +260,46 @@
 
     /// True when this instance reads the platform on behalf of its data centre.
     pub fn is_reader(&self) -> bool {
-        let mut ranked: Vec<_> = self
-            .view
-            .peers
-            .iter()
-            .filter(|peer| peer.state.holds_homes())
-            .map(|peer| (rendezvous_weight("platform-reader", &peer.name), &peer.name))
-            .collect();
-        ranked.sort_by(|a, b| b.cmp(a));
-        ranked.truncate(self.options.readers_per_centre);
-        ranked.is_empty() || ranked.iter().any(|(_, name)| **name == self.me.name)
+        elected_in(&self.view, &self.me, READER_KEY, self.options.readers_per_centre)
     }
 
-    fn beat(&self) -> Heartbeat {
-        Heartbeat {
-            sender: Some(convert::peer_record(&self.me)),
-            version: Some(convert::wire_version(self.version)),
-            news: self.peers.values().map(|(peer, _)| convert::peer_record(peer)).collect(),
-            ..Heartbeat::default()
-        }
+    /// Number of records held, the dead ones and the addresses to try included.
+    pub fn table_len(&self) -> usize {
+        self.table.living_len() + self.table.dead().count() + self.hints.len()
     }
 
-    fn take_sender(
-        &mut self,
-        now: ClockTime,
-        sender: PeerInfo,
-        version: foxledge_wire::control::ListVersion,
-    ) -> Vec<MemberEffect> {
-        let mut effects = Vec::new();
-        let version = convert::list_version(&version);
-        if version.revision > self.version.revision {
-            effects.push(MemberEffect::PeerVersion { from: sender.control_address, version });
-        }
-        if sender.name != self.me.name && sender.data_centre == self.me.data_centre {
-            let until = now.after(self.options.dead_after);
-            self.peers.insert(sender.name.clone(), (sender, until));
-        }
-        effects.extend(self.renew_view());
-        effects
+    fn knows_alive(&self, name: &str) -> bool {
+        self.table.get(name).is_some_and(|entry| entry.info.state != PeerState::Dead)
+    }
+
+    /// Number of living instances of the data centre, the own one included.
+    fn size(&self) -> usize {
+        self.table.living_len() + 1
     }
 
-    fn renew_view(&mut self) -> Option<MemberEffect> {
-        let mut peers: Vec<_> = self
-            .peers
-            .values()
-            .map(|(peer, _)| peer.clone())
-            .filter(|peer| peer.state != PeerState::Dead)
-            .collect();
-        peers.push(self.me.clone());
-        peers.sort_by(|a, b| a.name.cmp(&b.name));
-        let view = PeerView { peers, reachable_centres: vec![self.me.data_centre.clone()] };
-        if view == *self.view {
+    fn renew_view(&mut self, now: ClockTime) -> Option<MemberEffect> {
+        let reachable_centres = self.centres.reachable(now);
+        let is_same = reachable_centres == self.view.reachable_centres
+            && self.viewed_changes == self.table.changes()
+            && self.view.find(&self.me.name) == Some(&self.me);
+        if is_same {
             return None;
         }
-        self.view = Arc::new(view);
+        self.viewed_changes = self.table.changes();
+        let mut peers: Vec<_> = self.table.living().map(|entry| entry.info.clone()).collect();
+        let own = peers.partition_point(|peer| peer.name < self.me.name);
+        peers.insert(own, self.me.clone());
+        self.view = Arc::new(PeerView { peers, reachable_centres });
+        self.renew_watch(now);
         Some(MemberEffect::ViewChanged(self.view.clone()))
     }
 }
+
+/// True when `me` is among the `count` drawn for `key` from those who stay; alone, it always is.
+fn elected_in(view: &PeerView, me: &PeerInfo, key: &str, count: usize) -> bool {
+    let stays = |peer: &&PeerInfo| peer.state < PeerState::Leaving;
+    let names = view.peers.iter().filter(stays).map(|peer| &peer.name);
+    let has_other = names.clone().any(|name| *name != me.name);
+    let own_stays = me.state < PeerState::Leaving;
+    !has_other || (own_stays && is_elected(key, count, &me.name, names))
+}
