Add stand-ins for backend servers and callers

Cause: nothing to serve a request end to end with, and no ground truth for doubled runs. Ruled out: suppressing by request at the backend server, which would hide a doubled dispatch. Before: empty modules.

--- a/crates/foxledge-fakes/src/backend/mod.rs
+++ b/crates/foxledge-fakes/src/backend/mod.rs
@@ -1,13 +1,106 @@
-//! Stand-in for a backend.
+//! Stand-in for a backend server.
+//!
+//! [`BackendState`] decides, without sockets or clock; [`BackendServer`] is the loop around it.
 
-use clap::{ArgMatches, Command};
+pub mod content;
+mod control;
+pub mod dispatches;
+pub mod feeds;
+pub mod gauge;
+pub mod options;
+pub mod orders;
+mod requests;
+pub mod runs;
+mod sends;
+pub mod server;
+pub mod slots;
+pub mod state;
+
+use std::net::SocketAddr;
+
+use clap::{Arg, ArgMatches, Command, value_parser};
+use log::info;
+
+pub use options::BackendOptions;
+pub use orders::{BackendOrder, BackendReply, LoadSaying};
+pub use server::BackendServer;
+pub use state::{BackendEffect, BackendState};
 
 /// The command line of `foxledge-fake backend`.
 pub fn command() -> Command {
     Command::new("backend")
+        .about("Stand-in for a backend server of one service")
+        .arg(
+            Arg::new("listen")
+                .long("listen")
+                .value_name("IP:PORT")
+                .required(true)
+                .value_parser(value_parser!(SocketAddr))
+                .help("Data socket"),
+        )
+        .arg(
+            Arg::new("control")
+                .long("control")
+                .value_name("IP:PORT")
+                .required(true)
+                .value_parser(value_parser!(SocketAddr))
+                .help("Control port, JSON lines"),
+        )
+        .arg(Arg::new("name").long("name").required(true).help("Name of the target"))
+        .arg(Arg::new("service").long("service").required(true).help("Service it belongs to"))
+        .arg(Arg::new("data-centre").long("data-centre").default_value("").help("Data centre"))
+        .arg(number("incarnation", "1", "Number of the process at its address"))
+        .arg(number("slots", "2", "Requests that run at once"))
+        .arg(number("connections", "2000", "Requests and feeds open at once"))
+        .arg(number("work-ms", "20", "Mean service time of a bid"))
+        .arg(number("cold-ms", "0", "How long it is slow after its start"))
+        .arg(number("feed-ms", "200", "Time between two items of a feed"))
+        .arg(number("seed", "1", "Seed of the service times"))
+}
+
+fn number(name: &'static str, default: &'static str, help: &'static str) -> Arg {
+    Arg::new(name)
+        .long(name)
+        .value_name("N")
+        .default_value(default)
+        .value_parser(value_parser!(u64))
+        .help(help)
 }
 
 /// Runs `foxledge-fake backend`.
-pub fn run(_matches: &ArgMatches) -> anyhow::Result<()> {
-    anyhow::bail!("backend: not written yet")
+pub fn run(matches: &ArgMatches) -> anyhow::Result<()> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    runtime.block_on(serve(matches))
+}
+
+async fn serve(matches: &ArgMatches) -> anyhow::Result<()> {
+    let address = |name: &str| matches.get_one::<SocketAddr>(name).copied();
+    let Some((listen, control)) = address("listen").zip(address("control")) else {
+        anyhow::bail!("backend: no address");
+    };
+    let options = read_options(matches);
+    let name = options.name.clone();
+    let server = BackendServer::bind(listen, control, options).await?;
+    info!("backend: {name} on {}", server.data_address()?);
+    server.serve().await
+}
+
+fn read_options(matches: &ArgMatches) -> BackendOptions {
+    let text = |name: &str| matches.get_one::<String>(name).cloned().unwrap_or_default();
+    let number = |name: &str| matches.get_one::<u64>(name).copied().unwrap_or_default();
+    let count = |name: &str| u32::try_from(number(name)).unwrap_or(u32::MAX);
+    BackendOptions::new(&text("name"), &text("service"))
+        .data_centre(&text("data-centre"))
+        .incarnation(number("incarnation"))
+        .slots(count("slots"))
+        .connections(count("connections"))
+        .work_ms(number("work-ms"))
+        .cold_ms(number("cold-ms"))
+        .feed_ms(number("feed-ms"))
+        .seed(number("seed"))
+}
+
+/// The word for a refusal's reason in counts, such as `TARGET_SHED`.
+pub(crate) fn reason_word(reason: foxledge_wire::flow::RefusalReason) -> String {
+    reason.as_str_name().trim_start_matches("REFUSAL_REASON_").to_owned()
 }
--- /dev/null
+++ b/crates/foxledge-fakes/src/caller/runner.rs
@@ -0,0 +1,71 @@
+//! The socket loop around [`LoadState`].
+
+use std::{
+    net::SocketAddr,
+    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
+};
+
+use anyhow::Context;
+use foxledge_core::time::ClockTime;
+use tokio::net::UdpSocket;
+
+use super::{load::LoadState, options::LoadOptions};
+use crate::report::LoadReport;
+
+/// Longest sleep between two looks at the state.
+const LONGEST_SLEEP: Duration = Duration::from_millis(100);
+/// Datagrams taken at once before timers are looked at.
+const BATCH: usize = 64;
+
+/// Runs the load and returns its report.
+pub async fn run_load(options: LoadOptions) -> anyhow::Result<LoadReport> {
+    let options = options.settled();
+    let socket = UdpSocket::bind(unspecified(options.fabric)).await.context("caller: socket")?;
+    let fabric = options.fabric;
+    let started = Instant::now();
+    let clock = || ClockTime::ZERO.after(started.elapsed());
+    let unix = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    let mut state = LoadState::new(clock(), unix.as_millis() as u64, options);
+    while !state.is_finished(clock()) {
+        let sleep = state.next_wake().left(clock()).min(LONGEST_SLEEP);
+        tokio::select! {
+            ready = socket.readable() => {
+                ready?;
+                receive_batch(&socket, fabric, &mut state, clock).await;
+            }
+            () = tokio::time::sleep(sleep) => (),
+        }
+        send_all(&socket, fabric, state.on_wake(clock())).await;
+    }
+    let (datagrams, report) = state.finish(clock());
+    send_all(&socket, fabric, datagrams).await;
+    Ok(report)
+}
+
+/// Any address of the same family, and a free port.
+pub(super) fn unspecified(fabric: SocketAddr) -> SocketAddr {
+    match fabric {
+        SocketAddr::V4(_) => SocketAddr::from(([0, 0, 0, 0], 0)),
+        SocketAddr::V6(_) => SocketAddr::from(([0u16; 8], 0)),
+    }
+}
+
+async fn receive_batch(
+    socket: &UdpSocket,
+    fabric: SocketAddr,
+    state: &mut LoadState,
+    clock: impl Fn() -> ClockTime,
+) {
+    let mut buffer = [0; 2048];
+    for _ in 0..BATCH {
+        let Ok((size, _)) = socket.try_recv_from(&mut buffer) else { return };
+        send_all(socket, fabric, state.on_datagram(clock(), &buffer[..size])).await;
+    }
+}
+
+/// A datagram that can't be sent is as good as lost, which the protocol expects.
+async fn send_all(socket: &UdpSocket, fabric: SocketAddr, datagrams: Vec<Vec<u8>>) {
+    for bytes in datagrams {
+        let _ = socket.send_to(&bytes, fabric).await;
+    }
+}
