Find never-matching rules beside other findings; print building speed

Cause: rules that never match were looked for only in lists without other findings, so that an operator needed two rounds. Ruled out: comparing rules that were read wrong: what was read may match more than what was meant. Before: build_list hid them behind the first finding.

--- a/crates/foxledge-document/src/notes.rs
+++ b/crates/foxledge-document/src/notes.rs
@@ -55,6 +55,11 @@
         self.findings.borrow().is_empty()
     }
 
+    /// Number of findings so far.
+    pub fn count(&self) -> usize {
+        self.findings.borrow().len()
+    }
+
     /// The findings by line; those of one line stay in the order found.
     pub fn into_findings(self) -> FindingList {
         let mut findings = self.findings.into_inner();
--- /dev/null
+++ b/crates/foxledge-rules/examples/build_speed.rs
@@ -0,0 +1,113 @@
+//! Prints how long lists of several sizes take to build, compare and decide.
+//!
+//! `cargo run --release -p foxledge-rules --example build_speed`
+
+use std::{
+    fmt::Write,
+    hint::black_box,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use foxledge_core::{
+    lists::{FlowTraits, RuleList},
+    traffic::TrafficKind,
+};
+use foxledge_rules::{ListText, RuleIndex, build_list, diff_lists};
+
+const ROUNDS: u32 = 9;
+const DECISIONS: usize = 10_000;
+
+fn main() {
+    println!(
+        "{:>9} {:>6} {:>8} {:>9} {:>10} {:>10} {:>11} {:>11}",
+        "bytes", "rules", "services", "targets", "build", "compare", "decide", "by index"
+    );
+    for size in [10_000, 100_000, 300_000, 1_000_000] {
+        measure(&list_text(size));
+    }
+}
+
+fn measure(text: &str) {
+    let parts = [ListText { name: "list".to_owned(), text: text.to_owned() }];
+    let list = build_list(1, &parts).unwrap_or_else(|findings| panic!("{findings}"));
+    let build = median(|| drop(black_box(build_list(1, &parts))));
+    let compare = median(|| drop(black_box(diff_lists(&list, &list))));
+    let targets: usize = list.services.values().map(|service| service.targets.len()).sum();
+    let list = Arc::new(list);
+    let index = RuleIndex::new(list.clone());
+    let addresses = some_addresses(&list);
+    let plain = median(|| decide_all(&addresses, |flow| list.decide(flow).is_some()));
+    let indexed = median(|| decide_all(&addresses, |flow| index.decide(flow).is_some()));
+    println!(
+        "{:>9} {:>6} {:>8} {:>9} {:>10.2?} {:>10.2?} {:>8} ns {:>8} ns",
+        text.len(),
+        list.rules.len(),
+        list.services.len(),
+        targets,
+        build,
+        compare,
+        plain.as_nanos() / DECISIONS as u128,
+        indexed.as_nanos() / DECISIONS as u128,
+    );
+}
+
+/// Median time of some rounds.
+fn median(mut run: impl FnMut()) -> Duration {
+    let mut times: Vec<_> = (0..ROUNDS)
+        .map(|_| {
+            let start = Instant::now();
+            run();
+            start.elapsed()
+        })
+        .collect();
+    times.sort();
+    times[times.len() / 2]
+}
+
+fn some_addresses(list: &RuleList) -> Vec<String> {
+    let services = list.services.values();
+    services.flat_map(|service| service.addresses.iter().map(ToString::to_string)).collect()
+}
+
+fn decide_all(addresses: &[String], decide: impl Fn(&FlowTraits<'_>) -> bool) {
+    let mut served = 0;
+    for number in 0..DECISIONS {
+        // Steps by a prime, so that the whole list is asked.
+        let address = &addresses[number * 7919 % addresses.len()];
+        let traits =
+            FlowTraits { address, member: "m0", data_centre: "toledo", kind: TrafficKind::Bid };
+        served += usize::from(decide(&traits));
+    }
+    black_box(served);
+}
+
+/// A list of about `size` bytes: each service has two rules and seven targets.
+fn list_text(size: usize) -> String {
+    let mut text = String::from(
+        "[[key]]\nid = 1\nsecret = \"000102030405060708090a0b0c0d0e0f\"\n[[member]]\nname = \"m0\"\n",
+    );
+    let mut number = 0;
+    while text.len() < size {
+        push_service(&mut text, number).expect("writing to a string");
+        number += 1;
+    }
+    text
+}
+
+fn push_service(text: &mut String, number: usize) -> std::fmt::Result {
+    writeln!(text, "[[rule]]\nname = \"bids-{number}\"")?;
+    writeln!(text, "when = {{ address = [\"s{number}.lakeshore\"], kind = [\"bid\"] }}")?;
+    writeln!(text, "then = {{ service = \"service-{number}\", priority = 5 }}")?;
+    writeln!(text, "[[rule]]\nname = \"rest-{number}\"")?;
+    writeln!(text, "then = {{ service = \"service-{number}\" }}")?;
+    writeln!(text, "[[service]]\nname = \"service-{number}\"")?;
+    writeln!(text, "addresses = [\"s{number}.lakeshore\"]")?;
+    for target in 0..7 {
+        let (high, low) = (number / 250, number % 250);
+        writeln!(text, "[[service.target]]\nname = \"t{target}\"")?;
+        writeln!(text, "address = \"10.{high}.{low}.{}:9001\"", target + 1)?;
+        writeln!(text, "incarnation = 1\ndata_centre = \"toledo\"")?;
+    }
+    Ok(())
+}
--- a/crates/foxledge-rules/src/checks.rs
+++ b/crates/foxledge-rules/src/checks.rs
@@ -28,10 +28,8 @@
     let book = ServiceBook::read(sources, services);
     let members = members.iter().map(|member| &member.member.name).collect();
     check_rule_names(sources, rules, &members);
-    bind_rules(sources, &book, rules);
-    if sources.are_clean() {
-        check_shadows(sources, &draft.rules);
-    }
+    let bound = bind_rules(sources, &book, rules);
+    check_shadows(sources, &rules[..bound]);
 }
 
 fn check_rule_names(sources: &ListSources, rules: &[RuleDraft], members: &HashSet<&MemberName>) {
@@ -52,10 +50,11 @@
 ///
 /// A rule that matched another service's address would take that service's
 /// packets to the wrong backend servers; callers would see wrong answers. After
-/// this no rule that serves matches an address outside of its service.
-fn bind_rules(sources: &ListSources, book: &ServiceBook<'_>, rules: &mut [RuleDraft]) {
+/// this no rule that serves matches an address outside of its service. Returns
+/// how many rules were bound before the addresses became too many.
+fn bind_rules(sources: &ListSources, book: &ServiceBook<'_>, rules: &mut [RuleDraft]) -> usize {
     let mut addresses = 0;
-    for rule in rules {
+    for (number, rule) in rules.iter_mut().enumerate() {
         bind_rule(sources, book, rule);
         // A rule without addresses implies all of its service, so that a small
         // list can imply very many.
@@ -63,9 +62,10 @@
         if addresses > MAX_RULE_ADDRESSES {
             let text = "brings the addresses of all rules above";
             sources.add(&rule.spot, format!("{text} {MAX_RULE_ADDRESSES}"));
-            return;
+            return number;
         }
     }
+    rules.len()
 }
 
 fn bind_rule(sources: &ListSources, book: &ServiceBook<'_>, rule: &mut RuleDraft) {
@@ -84,6 +84,7 @@
     };
     let Some(service) = book.services.get(&serve.service) else {
         sources.add(&serve.service_spot, format!("no service \"{}\"", serve.service));
+        rule.is_sound = false;
         return;
     };
     for (address, spot) in placed {
@@ -95,6 +96,8 @@
     if rule.when.addresses.is_empty() {
         rule.when.addresses =
             service.addresses.iter().map(|(address, _)| address.clone()).collect();
+        // A service without a good address has a finding of its own.
+        rule.is_sound &= !rule.when.addresses.is_empty();
     }
 }
 
--- a/crates/foxledge-rules/src/draft.rs
+++ b/crates/foxledge-rules/src/draft.rs
@@ -29,6 +29,8 @@
     pub(crate) address_spots: Vec<ListSpot>,
     pub(crate) member_spots: Vec<ListSpot>,
     pub(crate) then: Option<ThenDraft>,
+    /// True while no finding says that what it matches was read wrong.
+    pub(crate) is_sound: bool,
 }
 
 /// `ThenDraft` is what a rule decides.
--- a/crates/foxledge-rules/src/parts.rs
+++ b/crates/foxledge-rules/src/parts.rs
@@ -62,6 +62,8 @@
     }
 
     fn read_rule(&self, table: &TableReader<'_>) -> RuleDraft {
+        let notes = self.sources.notes(self.part);
+        let findings_before = notes.count();
         let name = table.require("name", table.name("name"));
         let when = table.table("when");
         let addresses = when.names("address");
@@ -84,6 +86,7 @@
             address_spots: self.spots(addresses),
             member_spots: self.spots(members),
             then,
+            is_sound: notes.count() == findings_before,
         }
     }
 
--- a/crates/foxledge-rules/src/shadows.rs
+++ b/crates/foxledge-rules/src/shadows.rs
@@ -11,13 +11,16 @@
 
 /// Notes each rule whose matches are all taken by one earlier rule.
 ///
-/// Invariant on entry: the draft has no findings, so that names are unique and
-/// every rule that serves has addresses.
+/// Rules that aren't sound are left out: what was read of them may match more
+/// than what was meant.
 pub(crate) fn check_shadows(sources: &ListSources, rules: &[RuleDraft]) {
     let mut numbers = NameNumbers::default();
     let sets: Vec<_> = rules.iter().map(|rule| RuleSets::new(&mut numbers, rule)).collect();
     let mut earlier = EarlierRules::default();
     for (number, (rule, set)) in rules.iter().zip(&sets).enumerate() {
+        if !rule.is_sound {
+            continue;
+        }
         let mut candidates = earlier.candidates(set).into_iter();
         let taker = candidates.find(|taker| sets[*taker].covers(set));
         if let Some(taker) = taker {
--- a/crates/foxledge-rules/tests/bad_lists.rs
+++ b/crates/foxledge-rules/tests/bad_lists.rs
@@ -468,3 +468,33 @@
     "#]],
     );
 }
+
+/// Rules that were read wrong take part in no comparison; all others do.
+#[test]
+fn never_matching_beside_other_findings() {
+    let text = r#"[[rule]]
+name = "misread"
+when = { member = [1] }
+then = { deny = true }
+[[rule]]
+name = "elsewhere"
+then = { service = "shop" }
+[[rule]]
+name = "bids"
+when = { kind = ["bid"] }
+then = { service = "desk", priority = 8 }
+[[rule]]
+name = "lots"
+then = { service = "lots" }
+[[rule]]
+name = "lots-again"
+when = { kind = ["upload"] }
+then = { service = "lots" }
+"#;
+    check(text, expect![[r#"
+        more:3: rule[0].when.member[0]: must be a text
+        more:7: rule[1].then.service: no service "shop"
+        more:11: rule[2].then.priority: must be from 0 to 7
+        more:15: rule[4]: never matches: rule "lots" (more:12) takes it all before
+    "#]]);
+}
