Answer nothing with more than was asked

Cause: a ticket grant is larger than a bare ticket request, so forged source addresses would turn the fleet into an amplifier. Ruled out: a cookie round trip (one more round trip for each caller); rate limits per source (the forged source is the victim). Before: never_amplified red with TICKET_PADDING = 0 (120 bytes answered to 26). After: green over 2,000 datagrams. Rules are looked up by address through RuleIndex.

--- a/crates/foxledge-engine/src/engine.rs
+++ b/crates/foxledge-engine/src/engine.rs
@@ -12,6 +12,7 @@
     peers::{PeerInfo, PeerView},
     time::ClockTime,
 };
+use foxledge_rules::RuleIndex;
 use foxledge_seal::{
     KeyRing,
     seals::{open_datagram, seal_datagram},
@@ -20,6 +21,7 @@
     decode_packet, encode_packet,
     flow::{Packet, PacketKind, PeerDatagram, Refusal, RunOutcome, peer_datagram::Body},
 };
+use prost::Message;
 use rand::{SeedableRng, rngs::StdRng};
 
 use crate::{
@@ -46,6 +48,7 @@
     pub(crate) me: PeerInfo,
     pub(crate) phase: EnginePhase,
     pub(crate) list: Arc<RuleList>,
+    pub(crate) index: RuleIndex,
     pub(crate) view: Arc<PeerView>,
     pub(crate) ring: KeyRing,
     pub(crate) placement: Box<dyn HomePlacement>,
@@ -75,6 +78,7 @@
         FlowEngine {
             phase: EnginePhase::Joining,
             list: Arc::default(),
+            index: RuleIndex::new(Arc::default()),
             view: Arc::default(),
             ring: KeyRing::default(),
             placement: placement_of(options.placement),
@@ -173,6 +177,7 @@
         let ring = KeyRing::from_keys(&list.keys);
         self.audit_keys(&ring, list.version.revision);
         self.ring = ring;
+        self.index = RuleIndex::new(list.clone());
         self.list = list;
         self.refresh_owners();
         self.refresh_desks(now);
@@ -248,7 +253,7 @@
             reasons.push(format!("member {} is not listed, so the flow is refused", traits.member));
             return;
         }
-        let Some(rule) = self.list.decide(traits) else {
+        let Some(rule) = self.index.decide(traits) else {
             reasons.push("no rule matches, so the flow is refused".to_owned());
             return;
         };
@@ -378,7 +383,12 @@
         }
         let text = format!("refused {:?} {:?}", refusal.outcome(), refusal.reason());
         self.journal.note(now, packet.flow, packet.request, text);
-        let reply = Packet { refusal: Some(refusal), ..reply_to(packet, PacketKind::Refusal) };
+        let mut reply = Packet { refusal: Some(refusal), ..reply_to(packet, PacketKind::Refusal) };
+        if reply.encoded_len() > packet.encoded_len() {
+            // The sender's address may be forged; an answer larger than the
+            // datagram would make instances amplify an attack on it.
+            reply.address.clear();
+        }
         self.send_data(to, &reply);
     }
 }
--- a/crates/foxledge-engine/src/entry.rs
+++ b/crates/foxledge-engine/src/entry.rs
@@ -397,7 +397,7 @@
             data_centre: &self.me.data_centre,
             kind,
         };
-        let rule = self.list.decide(&traits).ok_or_else(|| {
+        let rule = self.index.decide(&traits).ok_or_else(|| {
             let is_known = self
                 .list
                 .services
--- a/crates/foxledge-engine/src/home.rs
+++ b/crates/foxledge-engine/src/home.rs
@@ -11,6 +11,7 @@
 use foxledge_policy::{DeskEffect, DeskRefusal, RunState, WorkItem};
 use foxledge_seal::seals::{open_ticket, seal_path, seal_ticket, seal_token};
 use foxledge_wire::{
+    TICKET_PADDING,
     convert::{traffic_kind, work_kind},
     flow::{FlowToken, Packet, PacketKind, Refusal, RefusalReason, ReturnPath, RunOutcome, Ticket},
 };
@@ -88,8 +89,15 @@
                 self.take_untracked(now, caller, packet);
             }
             // Non-idempotent work without a ticket runs nowhere, so that a copy
-            // at another home can't run either. Its caller gets a ticket.
-            PacketKind::Work => self.grant_ticket(now, caller, &packet),
+            // at another home can't run either. Its caller gets a ticket, if its
+            // packet is large enough to be answered by one.
+            PacketKind::Work if packet.payload.len() >= TICKET_PADDING => {
+                self.grant_ticket(now, caller, &packet);
+            }
+            PacketKind::Work => {
+                let refusal = not_run(RefusalReason::BadTicket, Duration::ZERO);
+                self.refuse(now, caller, &packet, refusal);
+            }
             _ => self.counters.malformed += 1,
         }
     }
--- a/crates/foxledge-engine/tests/common/mod.rs
+++ b/crates/foxledge-engine/tests/common/mod.rs
@@ -21,7 +21,7 @@
 };
 use foxledge_engine::{EngineEffect, EngineOptions, EnginePhase, FlowEngine};
 use foxledge_wire::{
-    decode_packet, encode_packet,
+    TICKET_PADDING, decode_packet, encode_packet,
     flow::{Packet, PacketKind, RunOutcome, WorkKind},
 };
 use rand::{Rng, SeedableRng, rngs::StdRng};
@@ -243,7 +243,8 @@
     /// Gets a ticket through an instance, resending until it comes.
     pub fn obtain_ticket(&mut self, caller: u64, instance: usize, place: &str) -> Option<Vec<u8>> {
         let packet = Packet { idempotent: false, ..work(caller, 1, 0, place) };
-        let packet = Packet { kind: PacketKind::TicketRequest.into(), ..packet };
+        let kind = PacketKind::TicketRequest.into();
+        let packet = Packet { kind, payload: vec![0; TICKET_PADDING], ..packet };
         for _ in 0..5 {
             self.send(caller, instance, &packet);
             self.run(400);
--- a/crates/foxledge-wire/src/datagram.rs
+++ b/crates/foxledge-wire/src/datagram.rs
@@ -13,6 +13,12 @@
 pub const MAX_DATAGRAM: usize = 1400;
 /// Longest payload of one part, in bytes.
 pub const MAX_PAYLOAD: usize = 1000;
+/// Least payload of a ticket request, in bytes of padding.
+///
+/// A ticket is larger than the request for it. Without padding, whoever forges
+/// the source address of small requests has instances send large grants to a
+/// victim; with it no answer is larger than what asked for it.
+pub const TICKET_PADDING: usize = 400;
 /// Most parts of one request or answer.
 pub const MAX_PARTS: u32 = 4096;
 
@@ -33,6 +39,7 @@
     check_head(&packet)?;
     check_sizes(&packet)?;
     check_parts(&packet)?;
+    check_padding(&packet)?;
     Ok(packet)
 }
 
@@ -85,3 +92,11 @@
     }
     Ok(())
 }
+
+fn check_padding(packet: &Packet) -> Result<()> {
+    let is_request = packet.kind() == PacketKind::TicketRequest;
+    if is_request && packet.payload.len() < TICKET_PADDING {
+        return Err(bad_field("payload", "ticket request without its padding"));
+    }
+    Ok(())
+}
--- a/crates/foxledge-wire/src/lib.rs
+++ b/crates/foxledge-wire/src/lib.rs
@@ -21,5 +21,7 @@
 pub mod datagram;
 pub mod errors;
 
-pub use datagram::{MAX_DATAGRAM, MAX_PAYLOAD, PROTOCOL_VERSION, decode_packet, encode_packet};
+pub use datagram::{
+    MAX_DATAGRAM, MAX_PAYLOAD, PROTOCOL_VERSION, TICKET_PADDING, decode_packet, encode_packet,
+};
 pub use errors::{Error, Result};
