Offer only those desk settings that have an effect

Cause: three keys of [desk] had no counterpart in the home's desk, and defaults differed from its own. Ruled out: keeping them for later; a key without effect misleads. Before: queue_wait_ms, eject_percent and lowest_share_percent were read and ignored. Conclusion: keys come with the mechanism that they set.

--- a/crates/foxledge-settings/src/parse.rs
+++ b/crates/foxledge-settings/src/parse.rs
@@ -146,16 +146,13 @@
 
 fn read_desk(table: &TableReader<'_>) -> DeskSettings {
     let desk = DeskSettings {
-        ack_ms: millis(table, "ack_ms", 200),
+        ack_ms: millis(table, "ack_ms", 100),
         resends: table.number_or("resends", 0..=100, 3) as u32,
-        queue_wait_ms: millis(table, "queue_wait_ms", 2000),
-        eject_after_losses: table.number_or("eject_after_losses", 1..=1000, 3) as u32,
+        eject_after_losses: table.number_or("eject_after_losses", 1..=1000, 2) as u32,
         eject_ms: millis(table, "eject_ms", 2000),
-        eject_percent: percent(table, "eject_percent", 34),
-        slow_start_ms: millis(table, "slow_start_ms", 5000),
+        slow_start_ms: millis(table, "slow_start_ms", 3000),
         retry_budget_percent: percent(table, "retry_budget_percent", 10),
-        lowest_share_percent: percent(table, "lowest_share_percent", 5),
-        probe_ms: millis(table, "probe_ms", 500),
+        probe_ms: millis(table, "probe_ms", 1000),
     };
     table.finish();
     desk
--- a/crates/foxledge-settings/src/settings.rs
+++ b/crates/foxledge-settings/src/settings.rs
@@ -106,20 +106,14 @@
     pub ack_ms: u64,
     /// Resends of one dispatch before its backend server counts as lost.
     pub resends: u32,
-    /// Longest wait in the queue, in milliseconds.
-    pub queue_wait_ms: u64,
     /// Losses in a row after which a backend server is ejected.
     pub eject_after_losses: u32,
-    /// How long an ejection lasts, in milliseconds.
+    /// How long a first ejection lasts, in milliseconds.
     pub eject_ms: u64,
-    /// Largest share of a service's backend servers that may be ejected at once, in percent.
-    pub eject_percent: u32,
     /// Time over which a new or returned backend server gets its full share, in milliseconds.
     pub slow_start_ms: u64,
     /// Retries allowed, as a share of first tries, in percent.
     pub retry_budget_percent: u32,
-    /// Share of the slots kept for work of the lowest paid priority, in percent.
-    pub lowest_share_percent: u32,
     /// Time between probes of one backend server, in milliseconds.
     pub probe_ms: u64,
 }
