--- a/crates/foxledge-fakes/src/harness/waits.rs
+++ b/crates/foxledge-fakes/src/harness/waits.rs
@@ -10,7 +10,7 @@
 /// Wide limit for a process to start and answer, on a busy machine too.
 pub const START_LIMIT: Duration = Duration::from_secs(30);
 /// Time between two looks at a condition.
-const LOOK_PERIOD: Duration = Duration::from_millis(20);
+const LOOK_PERIOD: Duration = Duration::from_millis(5);
 
 /// Waits until `condition` holds; an error names `what` when it doesn't within `limit`.
 pub fn wait_until(
