Test the daemon: settings, ports, health, restarts, silent links, stop

Cause: the process around the decisions had been tried by hand only. Ruled out: fixed ports and sleeps; every wait is on a condition. Conclusion: fleets of several instances are still to be tried.

--- a/crates/foxledge-daemon/src/choices.rs
+++ b/crates/foxledge-daemon/src/choices.rs
@@ -1,4 +1,4 @@
-//! The engine's options from the settings.
+//! What the parts are told, from the settings.
 
 use std::time::Duration;
 
@@ -6,6 +6,8 @@
 use foxledge_policy::DeskOptions;
 use foxledge_settings::{DaemonSettings, PlacementChoice};
 
+use crate::routes::RouteTable;
+
 /// The engine's options from the settings.
 pub fn engine_options(settings: &DaemonSettings) -> EngineOptions {
     let flow = &settings.flow;
@@ -49,3 +51,8 @@
         ..TrialSwitches::default()
     }
 }
+
+/// The addresses that stand in for others.
+pub fn route_table(_settings: &DaemonSettings) -> RouteTable {
+    RouteTable::default()
+}
--- a/crates/foxledge-daemon/src/context.rs
+++ b/crates/foxledge-daemon/src/context.rs
@@ -17,9 +17,10 @@
 use stakker::{Actor, Fwd};
 
 use crate::{
-    clock::ProcessClock, control_link::ControlLink, engine_part::EnginePart, life_cycle::LifeCycle,
-    list_keeper::ListKeeper, listener::DatagramListener, member_keeper::MemberKeeper,
-    metrics::MetricSet, phase::PhaseCell, sockets::ListenSockets, supervisor::Supervisor,
+    choices::route_table, clock::ProcessClock, control_link::ControlLink, engine_part::EnginePart,
+    life_cycle::LifeCycle, list_keeper::ListKeeper, listener::DatagramListener,
+    member_keeper::MemberKeeper, metrics::MetricSet, phase::PhaseCell, routes::RouteTable,
+    sockets::ListenSockets, supervisor::Supervisor,
 };
 
 /// `DaemonContext` is what every part can reach, and what outlives a failed part.
@@ -46,6 +47,8 @@
     pub is_reader: Cell<bool>,
     /// Set by a signal; kept here so that it isn't lost while the life cycle is started anew.
     pub stop_wanted: Cell<bool>,
+    /// Addresses that stand in for others.
+    pub routes: RouteTable,
     seeds: RefCell<StdRng>,
     audit: OnceCell<Fwd<AuditChange>>,
 }
@@ -120,6 +123,7 @@
         seeds: StdRng,
     ) -> Rc<DaemonContext> {
         Rc::new(DaemonContext {
+            routes: route_table(&settings),
             settings,
             clock,
             sockets,
--- a/crates/foxledge-daemon/src/control_link.rs
+++ b/crates/foxledge-daemon/src/control_link.rs
@@ -173,5 +173,6 @@
         .platforms(settings.platform.addresses.clone(), settings.platform.wait_ms)
         .reader(reader)
         .tls(settings.tls.clone())
+        .routes(context.routes.clone())
         .shared(context.metrics.clone(), context.phase.clone()))
 }
--- a/crates/foxledge-daemon/src/lib.rs
+++ b/crates/foxledge-daemon/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod parts;
 pub mod phase;
 pub mod restarts;
+pub mod routes;
 pub mod side;
 pub mod signals;
 pub mod sockets;
--- a/crates/foxledge-daemon/src/listener.rs
+++ b/crates/foxledge-daemon/src/listener.rs
@@ -100,7 +100,8 @@
     /// every other flow.
     pub fn send(&mut self, _cx: CX![], datagrams: Vec<OutgoingDatagram>) {
         for datagram in datagrams {
-            let sent = self.source(datagram.socket).send_to(&datagram.bytes, datagram.to);
+            let to = self.context.routes.via(datagram.to);
+            let sent = self.source(datagram.socket).send_to(&datagram.bytes, to);
             let word = datagram.socket.as_str();
             match sent {
                 Ok(_) => self.context.metrics.datagrams.with_label_values(&[word, "out"]).inc(),
--- a/crates/foxledge-daemon/src/side/clients.rs
+++ b/crates/foxledge-daemon/src/side/clients.rs
@@ -16,7 +16,7 @@
 };
 use tower::service_fn;
 
-use crate::metrics::MetricSet;
+use crate::{metrics::MetricSet, routes::RouteTable};
 
 use super::{counted::CountedStream, messages::CallError, tls::TlsBundle};
 
@@ -32,6 +32,7 @@
     channels: Arc<Mutex<ChannelTable>>,
     metrics: Arc<MetricSet>,
     bundles: watch::Receiver<TlsBundle>,
+    routes: RouteTable,
 }
 
 #[derive(Default)]
@@ -58,8 +59,12 @@
 
 impl ClientPool {
     /// Makes an empty pool.
-    pub fn new(metrics: Arc<MetricSet>, bundles: watch::Receiver<TlsBundle>) -> ClientPool {
-        ClientPool { channels: Arc::default(), metrics, bundles }
+    pub fn new(
+        metrics: Arc<MetricSet>,
+        bundles: watch::Receiver<TlsBundle>,
+        routes: RouteTable,
+    ) -> ClientPool {
+        ClientPool { channels: Arc::default(), metrics, bundles, routes }
     }
 
     /// Makes a call with a deadline.
@@ -141,11 +146,11 @@
                 .tls_config(client.clone())
                 .map_err(|error| CallError::Refused(error.to_string()))?;
         }
-        let metrics = self.metrics.clone();
+        let (metrics, via) = (self.metrics.clone(), self.routes.via(to));
         let connector = service_fn(move |_: Uri| {
             let metrics = metrics.clone();
             async move {
-                let stream = TcpStream::connect(to).await?;
+                let stream = TcpStream::connect(via).await?;
                 stream.set_nodelay(true)?;
                 Ok::<_, std::io::Error>(TokioIo::new(CountedStream::new(stream, &metrics)))
             }
--- a/crates/foxledge-daemon/src/side/mod.rs
+++ b/crates/foxledge-daemon/src/side/mod.rs
@@ -5,12 +5,12 @@
 //! [`LinkCommand`] becomes one call with a deadline.
 
 mod calls;
-mod clients;
+pub mod clients;
 mod counted;
 mod http;
 pub mod messages;
 mod server;
-mod tls;
+pub mod tls;
 mod watch;
 
 use std::{
@@ -26,7 +26,7 @@
 use stakker::sync::Channel;
 use tokio::{runtime, sync::mpsc, task::JoinSet};
 
-use crate::{metrics::MetricSet, phase::PhaseCell};
+use crate::{metrics::MetricSet, phase::PhaseCell, routes::RouteTable};
 
 use self::{
     calls::CallDesk,
@@ -47,6 +47,7 @@
     tls: Option<TlsSettings>,
     metrics: Arc<MetricSet>,
     phase: Arc<PhaseCell>,
+    routes: RouteTable,
 }
 
 impl SideOptions {
@@ -62,6 +63,7 @@
             tls: None,
             metrics: Arc::default(),
             phase: Arc::default(),
+            routes: RouteTable::default(),
         }
     }
 
@@ -84,6 +86,12 @@
         self
     }
 
+    /// Sets the addresses that stand in for peers'.
+    pub fn routes(mut self, routes: RouteTable) -> SideOptions {
+        self.routes = routes;
+        self
+    }
+
     /// Sets the metrics and the phase that are shared with the main thread.
     pub fn shared(mut self, metrics: Arc<MetricSet>, phase: Arc<PhaseCell>) -> SideOptions {
         self.metrics = metrics;
@@ -131,7 +139,7 @@
 ) -> anyhow::Result<()> {
     let metrics = options.metrics.clone();
     let (bundle_sender, bundles) = tokio::sync::watch::channel(tls.bundle());
-    let peers = ClientPool::new(metrics.clone(), bundles.clone());
+    let peers = ClientPool::new(metrics.clone(), bundles.clone(), options.routes.clone());
     let desk = CallDesk::new(peers.clone(), events.clone(), metrics.clone());
     let platform = PlatformWatch::new(
         &options.platforms,
--- a/crates/foxledge-daemon/src/side/watch.rs
+++ b/crates/foxledge-daemon/src/side/watch.rs
@@ -19,7 +19,7 @@
 use stakker::sync::Channel;
 use tokio::{sync::watch, time::sleep};
 
-use crate::metrics::MetricSet;
+use crate::{metrics::MetricSet, routes::RouteTable};
 
 use super::{
     clients::ClientPool,
@@ -73,7 +73,7 @@
         PlatformWatch {
             addresses: addresses.to_vec(),
             turn: Arc::new(AtomicUsize::new(first)),
-            pool: ClientPool::new(metrics.clone(), plain),
+            pool: ClientPool::new(metrics.clone(), plain, RouteTable::default()),
             wait,
             reader,
             metrics,
--- /dev/null
+++ b/crates/foxledge-daemon/tests/common/mod.rs
@@ -0,0 +1,72 @@
+//! What the daemon's tests share.
+#![allow(dead_code)]
+
+use std::{
+    fs,
+    net::SocketAddr,
+    path::{Path, PathBuf},
+    time::Duration,
+};
+
+use anyhow::Result;
+use foxledge_fakes::harness::{
+    InstanceAddresses, START_LIMIT, TestProcess, free_address, http, make_directory, wait_until_ok,
+};
+
+/// Wide limit for a process to end.
+pub const STOP_LIMIT: Duration = Duration::from_secs(30);
+
+/// `OneDaemon` is one started daemon without a platform.
+pub struct OneDaemon {
+    pub process: TestProcess,
+    pub listen: InstanceAddresses,
+    pub directory: PathBuf,
+}
+
+impl OneDaemon {
+    /// Starts a daemon with `more` after its settings and waits until it answers.
+    pub fn start(name: &str, more: &str) -> Result<OneDaemon> {
+        let directory = make_directory()?;
+        let listen = InstanceAddresses::pick()?;
+        let settings = write_settings(&directory, name, listen, more)?;
+        let process = start_daemon(name, &settings, &directory)?;
+        wait_until_ok("the admin port answers", START_LIMIT, || {
+            http::get(listen.admin, "/healthz")
+        })?;
+        Ok(OneDaemon { process, listen, directory })
+    }
+}
+
+/// Starts the daemon under test.
+pub fn start_daemon(name: &str, settings: &Path, directory: &Path) -> Result<TestProcess> {
+    let arguments = vec!["--config".to_owned(), settings.display().to_string()];
+    TestProcess::start(name, "foxledged", &arguments, directory)
+}
+
+/// Writes good settings that name a platform which isn't there.
+pub fn write_settings(
+    directory: &Path,
+    name: &str,
+    listen: InstanceAddresses,
+    more: &str,
+) -> Result<PathBuf> {
+    let path = directory.join(format!("{name}.toml"));
+    fs::write(&path, settings_text(name, listen, free_address()?, more))?;
+    Ok(path)
+}
+
+/// The text of good settings.
+pub fn settings_text(
+    name: &str,
+    listen: InstanceAddresses,
+    platform: SocketAddr,
+    more: &str,
+) -> String {
+    let InstanceAddresses { data, peer, control, admin } = listen;
+    format!(
+        "[instance]\nname = \"{name}\"\ndata_centre = \"toledo\"\n\
+         [listen]\ndata = \"{data}\"\npeer = \"{peer}\"\n\
+         control = \"{control}\"\nadmin = \"{admin}\"\n\
+         [platform]\naddresses = [\"{platform}\"]\n{more}"
+    )
+}
