--- a/crates/foxledge-policy/src/admission.rs
+++ b/crates/foxledge-policy/src/admission.rs
@@ -6,7 +6,7 @@
 
 use crate::{
     desk::{HomeDesk, WorkClass},
-    dispatches::{CallerState, DispatchPhase, RunningDispatch},
+    dispatches::{CallerState, DispatchPhase, RunningDispatch, SlotHold},
     effects::{DeskEffect, DeskRefusal, RefuseReason, RunState},
     policies::TargetState,
     targets::{SlowWait, leave_out_tried},
@@ -66,6 +66,7 @@
         self.dispatches.update(dispatch, |running| {
             running.caller = CallerState::Cancelled;
             running.unanswered = 0;
+            running.sendings += 1;
             running.check_at = check_at;
             let target = Arc::clone(&running.spec);
             effects.push(DeskEffect::Cancel { dispatch, target });
@@ -218,10 +219,12 @@
             spec: Arc::clone(&target),
             phase: DispatchPhase::Sent,
             caller: CallerState::Waiting,
+            hold: SlotHold::Held,
             unanswered: 0,
             sendings: 1,
             sent_at: now,
             check_at: now.after(self.options.ack_wait),
+            resend_deadline: now.after(self.options.resend_window),
         };
         self.out.insert(work, dispatch);
         self.dispatches.insert(dispatch, running);
--- a/crates/foxledge-policy/src/desk.rs
+++ b/crates/foxledge-policy/src/desk.rs
@@ -102,6 +102,7 @@
             return effects;
         };
         self.take_load(now, id, load, &mut effects);
+        self.presume_ended(now, id, load);
         self.pump(now, &mut effects);
         effects
     }
--- a/crates/foxledge-policy/src/dispatches.rs
+++ b/crates/foxledge-policy/src/dispatches.rs
@@ -31,6 +31,8 @@
     pub phase: DispatchPhase,
     /// Whether the caller still waits.
     pub caller: CallerState,
+    /// Whether it is counted in the target's ledger.
+    pub hold: SlotHold,
     /// Sendings since the last sign of the target.
     pub unanswered: u32,
     /// All sendings.
@@ -39,6 +41,8 @@
     pub sent_at: ClockTime,
     /// When it is asked about next.
     pub check_at: ClockTime,
+    /// Until when it may be sent again to the same target.
+    pub resend_deadline: ClockTime,
     /// When the slot is given back whatever happens.
     pub lease_deadline: ClockTime,
 }
@@ -63,6 +67,15 @@
     Answered,
 }
 
+/// `SlotHold` is whether a dispatch is counted in its target's ledger.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SlotHold {
+    /// Counted.
+    Held,
+    /// Its end seems to be lost; the slot was given back before.
+    Presumed,
+}
+
 impl RunningDispatch {
     /// Kind of traffic.
     pub fn kind(&self) -> TrafficKind {
@@ -119,6 +132,21 @@
         due.map(|&(_, dispatch)| dispatch).collect()
     }
 
+    /// Requests at a target that hold a slot and were sent before `sent_before`,
+    /// the oldest first.
+    pub fn old_requests(&self, target: u64, sent_before: ClockTime) -> Vec<u64> {
+        let is_old = |running: &RunningDispatch| {
+            running.target == target
+                && running.hold == SlotHold::Held
+                && !running.pending.item.is_feed()
+                && running.sent_at < sent_before
+        };
+        let found = self.dispatches.iter().filter(|(_, running)| is_old(running));
+        let mut old: Vec<_> = found.map(|(&id, running)| (running.sent_at, id)).collect();
+        old.sort_unstable();
+        old.into_iter().map(|(_, id)| id).collect()
+    }
+
     /// Every dispatch, in no order.
     pub fn iter(&self) -> impl Iterator<Item = &RunningDispatch> {
         self.dispatches.values()
--- a/crates/foxledge-policy/src/effects.rs
+++ b/crates/foxledge-policy/src/effects.rs
@@ -19,8 +19,8 @@
     },
     /// Send the opening packet of the same dispatch to the same target again.
     ///
-    /// It also comes for accepted work from time to time: the target answers
-    /// with the present state, which makes up for a lost `DONE`.
+    /// With [`DeskOptions::run_check`](crate::DeskOptions::run_check) set it also
+    /// comes for accepted work: the target answers with the present state.
     Resend {
         /// The work.
         work: u64,
--- a/crates/foxledge-policy/src/health.rs
+++ b/crates/foxledge-policy/src/health.rs
@@ -12,13 +12,17 @@
 // Runs before a pace counts.
 const PACE_RUNS: u32 = 8;
 // A pace counts this long after the last run, then the target gets a trial.
-const PACE_LIFE: Duration = Duration::from_secs(10);
+const PACE_LIFE: Duration = Duration::from_secs(5);
+// Weight of a trial's run time, as trials are few.
+const TRIAL_GAIN: f64 = 0.3;
 // A run that took longer counts as this many times the usual.
 const PACE_MOST: f64 = 20.0;
 // What was seen of a target outweighs what it says of its health this long.
 const SEEN_LIFE: Duration = Duration::from_secs(1);
 // Doublings of ejection times and of shed holds.
 const MOST_DOUBLINGS: u32 = 4;
+// How often the slots counted are compared with those reported.
+const REVIEW_PERIOD: Duration = Duration::from_millis(500);
 // Probes without any answer after which a target counts as silent.
 const MISSED_PROBES: u32 = 3;
 
@@ -40,6 +44,7 @@
     pace_until: ClockTime,
     next_probe: ClockTime,
     missed_probes: u32,
+    next_review: ClockTime,
 }
 
 /// `TargetEjection` is until when a target is out, at least.
@@ -77,6 +82,7 @@
             pace_until: ClockTime::ZERO,
             next_probe,
             missed_probes: 0,
+            next_review: ClockTime::ZERO,
         }
     }
 
@@ -100,7 +106,8 @@
     /// The target ran a work in `ratio` times the usual time.
     pub fn on_run(&mut self, now: ClockTime, ratio: f64) {
         let ratio = ratio.min(PACE_MOST);
-        let gain = PACE_GAIN.max(1.0 / f64::from(self.pace_runs + 1));
+        let usual_gain = if self.pace_until.is_past(now) { TRIAL_GAIN } else { PACE_GAIN };
+        let gain = usual_gain.max(1.0 / f64::from(self.pace_runs + 1));
         self.pace += (ratio - self.pace) * gain;
         self.pace_runs = self.pace_runs.saturating_add(1);
         self.pace_until = now.after(PACE_LIFE);
@@ -160,6 +167,15 @@
         Some(if silent { HealthVerdict::Eject } else { HealthVerdict::Keep })
     }
 
+    /// True when slots may be compared with reports again.
+    pub fn review_due(&mut self, now: ClockTime) -> bool {
+        if !self.next_review.is_past(now) {
+            return false;
+        }
+        self.next_review = now.after(REVIEW_PERIOD);
+        true
+    }
+
     /// True while the target is out.
     pub fn is_ejected(&self) -> bool {
         self.ejection.is_some()
--- a/crates/foxledge-policy/src/options.rs
+++ b/crates/foxledge-policy/src/options.rs
@@ -10,6 +10,8 @@
     pub(crate) resends: u32,
     pub(crate) run_check: Duration,
     pub(crate) feed_check: Duration,
+    pub(crate) resend_window: Duration,
+    pub(crate) presume_after: Duration,
     pub(crate) run_grace: Duration,
     pub(crate) abandoned_hold: Duration,
     pub(crate) tries: u32,
@@ -30,8 +32,10 @@
             queue_limit: 400,
             ack_wait: Duration::from_millis(100),
             resends: 3,
-            run_check: Duration::from_secs(1),
-            feed_check: Duration::from_secs(60),
+            run_check: Duration::MAX,
+            feed_check: Duration::MAX,
+            resend_window: Duration::from_secs(25),
+            presume_after: Duration::from_secs(2),
             run_grace: Duration::from_millis(500),
             abandoned_hold: Duration::from_secs(2),
             tries: 3,
@@ -66,17 +70,31 @@
         DeskOptions::default()
     }
 
+    /// True when accepted work is asked about.
+    pub(crate) fn checks_runs(&self) -> bool {
+        self.run_check != Duration::MAX
+    }
+
     setters! {
         /// Most requests, and most feeds, that wait.
         queue_limit: u32,
-        /// How long a target may take to say that it has a dispatch.
+        /// How long a target may take to say that it has a dispatch. It must be shorter than
+        /// the replacement of a process under its address takes.
         ack_wait: Duration,
         /// How often a silent dispatch is sent again before its target counts as silent.
         resends: u32,
-        /// How often an accepted request is asked about.
+        /// How often an accepted request is asked about by [`Resend`](crate::DeskEffect::Resend);
+        /// [`Duration::MAX`], the default, is never. It needs a caller that keeps the opening
+        /// packet of accepted work, or all work that runs longer counts as lost.
         run_check: Duration,
-        /// How often an open feed is asked about.
+        /// How often an open feed is asked about, in the same way.
         feed_check: Duration,
+        /// How long after a target's last sign a dispatch may be sent again. It must be
+        /// shorter than targets remember dispatches (30 s), or a copy runs as new work.
+        resend_window: Duration,
+        /// Age from which a request's slot is given back when its target reports fewer
+        /// slots in use than this desk counts.
+        presume_after: Duration,
         /// How long after the caller's deadline a slot is still leased.
         run_grace: Duration,
         /// How long a slot stays taken by work whose target fell silent.
--- a/crates/foxledge-policy/src/running.rs
+++ b/crates/foxledge-policy/src/running.rs
@@ -2,11 +2,11 @@
 
 use std::sync::Arc;
 
-use foxledge_core::time::ClockTime;
+use foxledge_core::{time::ClockTime, traffic::TrafficKind};
 
 use crate::{
     desk::HomeDesk,
-    dispatches::{CallerState, DispatchPhase, RunningDispatch},
+    dispatches::{CallerState, DispatchPhase, RunningDispatch, SlotHold},
     effects::{DeskEffect, RefuseReason, RunState, TargetLoad, TargetSignal},
     health::HealthVerdict,
 };
@@ -50,6 +50,12 @@
             if running.lease_deadline.is_past(now) {
                 self.end_lease(dispatch, effects);
             } else if running.unanswered >= self.options.resends {
+                self.blame(now, running.target, effects);
+                self.on_lost(now, dispatch, effects);
+            } else if running.resend_deadline.is_past(now) {
+                // This process was paused for long. The target may have
+                // forgotten the dispatch and would run a copy as new work, so
+                // it isn't asked; nor is it to blame.
                 self.on_lost(now, dispatch, effects);
             } else {
                 self.ask_again(now, dispatch, effects);
@@ -63,8 +69,13 @@
             if running.caller == CallerState::Answered {
                 return;
             }
-            let period =
-                if running.pending.item.is_feed() { options.feed_check } else { options.run_check };
+            let mut period = options.run_check;
+            if running.pending.item.is_feed() {
+                period = options.feed_check;
+                // A feed's deadline is for its opening; it then stays open.
+                running.lease_deadline = ClockTime::FAR;
+            }
+            running.resend_deadline = now.after(options.resend_window);
             running.phase = DispatchPhase::Accepted;
             running.unanswered = 0;
             running.check_at = now.after(period);
@@ -105,11 +116,7 @@
         if reason == RefuseReason::WrongTarget {
             self.blame(now, running.target, effects);
         }
-        // Another process that took the address over answers a resend by
-        // "wrong target" although the former process may have run the work.
-        // It shows by an earlier sending; the work then counts as unknown.
-        let seen_before = running.sendings > 1 || running.phase == DispatchPhase::Accepted;
-        if reason == RefuseReason::WrongTarget && seen_before {
+        if reason == RefuseReason::WrongTarget && !self.believes_wrong_target(now, &running) {
             self.give_up_unknown(now, running, RefuseReason::TargetLost, effects);
             return;
         }
@@ -123,6 +130,15 @@
         }
     }
 
+    // Another process that took the address over answers a copy by "wrong
+    // target" although the former process may have run the work. So the word
+    // counts only for a single sending, and only so soon after it that no
+    // process can have been replaced in between; later it means "unknown".
+    fn believes_wrong_target(&self, now: ClockTime, running: &RunningDispatch) -> bool {
+        let replaced_by = running.sent_at.after(self.options.ack_wait);
+        running.sendings == 1 && running.phase == DispatchPhase::Sent && !replaced_by.is_past(now)
+    }
+
     fn on_unknown(&mut self, now: ClockTime, dispatch: u64, effects: &mut Vec<DeskEffect>) {
         if let Some(running) = self.take_out(dispatch) {
             self.give_up_unknown(now, running, RefuseReason::TargetLost, effects);
@@ -167,8 +183,14 @@
 
     fn may_retry(&mut self, now: ClockTime, running: &RunningDispatch) -> bool {
         let tries = running.pending.tried.len() as u32 + 1;
+        // The opening packet of accepted work is only kept where it is asked about.
+        let is_kept = running.phase == DispatchPhase::Sent || self.options.checks_runs();
         let in_time = !running.pending.item.latest_start().is_past(now);
-        tries < self.options.tries && in_time && self.table.takes_work() && self.budget.spend()
+        tries < self.options.tries
+            && is_kept
+            && in_time
+            && self.table.takes_work()
+            && self.budget.spend()
     }
 
     fn try_elsewhere(&mut self, running: RunningDispatch, ran: RunState) {
@@ -204,17 +226,25 @@
         let Some(mut running) = self.take_out(dispatch) else {
             return;
         };
-        self.blame(now, running.target, effects);
         if running.caller == CallerState::Answered {
             return;
         }
+        // The caller of an open feed notices the silence itself and reopens it;
+        // opening it elsewhere on its behalf would feed it twice.
+        if running.pending.item.is_feed() && running.phase == DispatchPhase::Accepted {
+            self.counters.ended += 1;
+            self.release_member(&running.pending.item);
+            return;
+        }
         effects.push(DeskEffect::Cancel { dispatch, target: Arc::clone(&running.spec) });
         let lost = running.clone();
         self.give_up_unknown(now, lost, RefuseReason::TargetLost, effects);
         running.caller = CallerState::Answered;
         running.check_at = ClockTime::FAR;
         running.lease_deadline = running.lease_deadline.min(now.after(self.options.abandoned_hold));
-        if let Some(entry) = self.table.get_mut(running.target) {
+        if running.hold == SlotHold::Held
+            && let Some(entry) = self.table.get_mut(running.target)
+        {
             entry.ledger.take(running.kind());
             self.dispatches.insert(dispatch, running);
         }
@@ -234,6 +264,33 @@
         self.refuse(&running.pending, RunState::Unknown, reason, effects);
     }
 
+    /// Gives the slots of old requests back when their target reports fewer in
+    /// use than are counted.
+    ///
+    /// When an end gets lost its slot would stay taken until the caller's
+    /// deadline, and one lost datagram in a hundred would cost more than half
+    /// of all slots. A report that misleads costs little: a target without
+    /// room sheds what is sent too much, which is then "not run".
+    pub(crate) fn presume_ended(&mut self, now: ClockTime, target: u64, load: TargetLoad) {
+        let Some(entry) = self.table.get_mut(target) else {
+            return;
+        };
+        let busy = load.busy_slots + load.queued;
+        let excess = entry.ledger.busy().saturating_sub(busy);
+        if excess == 0 || !entry.health.review_due(now) {
+            return;
+        }
+        let age = self.options.presume_after.as_micros() as u64;
+        let sent_before = ClockTime::from_micros(now.as_micros().saturating_sub(age));
+        let old = self.dispatches.old_requests(target, sent_before);
+        for dispatch in old.into_iter().take(excess as usize) {
+            self.dispatches.update(dispatch, |running| running.hold = SlotHold::Presumed);
+            if let Some(entry) = self.table.get_mut(target) {
+                entry.ledger.give(TrafficKind::Bid);
+            }
+        }
+    }
+
     fn blame(&mut self, now: ClockTime, target: u64, effects: &mut Vec<DeskEffect>) {
         let Some(entry) = self.table.get_mut(target) else {
             return;
@@ -247,7 +304,9 @@
     // Takes a dispatch out of the table and gives its slot back.
     fn take_out(&mut self, dispatch: u64) -> Option<RunningDispatch> {
         let running = self.dispatches.remove(dispatch)?;
-        if let Some(entry) = self.table.get_mut(running.target) {
+        if running.hold == SlotHold::Held
+            && let Some(entry) = self.table.get_mut(running.target)
+        {
             entry.ledger.give(running.kind());
         }
         if running.caller != CallerState::Answered {
--- a/crates/foxledge-policy/src/targets.rs
+++ b/crates/foxledge-policy/src/targets.rs
@@ -270,6 +270,9 @@
     }
 
     fn state(&self, now: ClockTime, id: u64, options: &DeskOptions) -> TargetState {
+        // A trial is made as if the target were as quick as the others, or a
+        // policy that prefers quick ones would never find out that it is again.
+        let on_trial = self.health.wants_trial(now, options);
         TargetState {
             name: self.spec.name.clone(),
             slots: self.allowed_slots(now, options),
@@ -277,7 +280,7 @@
             connections: self.ledger.connections(),
             connection_limit: self.spec.connections,
             reported: self.health.trusted_report(now, options),
-            pace: self.health.pace(),
+            pace: if on_trial { 1.0 } else { self.health.pace() },
             warmth: self.health.warmth(now, options),
             id,
         }
