--- a/crates/foxledge-fakes/src/backend/dispatches.rs
+++ b/crates/foxledge-fakes/src/backend/dispatches.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use foxledge_core::{hash::digest_of, time::ClockTime};
-use foxledge_wire::flow::{Packet, Refusal, WorkKind};
+use foxledge_wire::flow::{Packet, Refusal, RunOutcome, WorkKind};
 
 use crate::report::RequestId;
 
@@ -132,8 +132,11 @@
         self.parts = Vec::new();
     }
 
-    /// True while it counts as a connection.
-    pub fn is_open(&self) -> bool {
-        !matches!(self.state, DispatchState::Answered(_) | DispatchState::Refused(_))
+    /// What can be said of its run once it has ended.
+    pub fn outcome(&self) -> RunOutcome {
+        match &self.state {
+            DispatchState::Refused(refusal) => refusal.outcome(),
+            _ => RunOutcome::Unknown,
+        }
     }
 }
--- a/crates/foxledge-fakes/src/backend/mod.rs
+++ b/crates/foxledge-fakes/src/backend/mod.rs
@@ -7,6 +7,7 @@
 pub mod dispatches;
 pub mod feeds;
 pub mod gauge;
+pub mod memory;
 pub mod options;
 pub mod orders;
 mod requests;
--- a/crates/foxledge-fakes/src/backend/requests.rs
+++ b/crates/foxledge-fakes/src/backend/requests.rs
@@ -7,7 +7,7 @@
 
 use super::{
     dispatches::{DispatchEntry, DispatchState, ReturnRoute},
-    sends::{refusal_of, request_id},
+    sends::refusal_of,
     state::{BackendState, WakeCause},
 };
 
@@ -35,8 +35,22 @@
             (Some(opened_at), _) if self.is_mute_for(opened_at) => (),
             (Some(_), PacketKind::Cancel) => self.on_cancel(now, from, packet),
             (Some(_), _) => self.on_known(now, from, packet),
-            (None, PacketKind::Work) => self.on_opening(now, from, packet),
-            (None, _) => self.on_unknown(now, from, packet),
+            (None, _) => self.on_new(now, from, packet),
+        }
+    }
+
+    fn on_new(&mut self, now: ClockTime, from: SocketAddr, packet: &Packet) {
+        if let Some(outcome) = self.memory.find(packet.dispatch) {
+            let refusal = refusal_of(outcome, RefusalReason::TargetLost);
+            return self.send_refusal(now, packet, &ReturnRoute::of(from, packet), refusal);
+        }
+        match packet.kind() {
+            PacketKind::Work => self.on_opening(now, from, packet),
+            PacketKind::Cancel => self.cancel_ahead(now, from, packet),
+            _ => {
+                let refusal = refusal_of(RunOutcome::Unknown, RefusalReason::TargetLost);
+                self.send_refusal(now, packet, &ReturnRoute::of(from, packet), refusal);
+            }
         }
     }
 
@@ -122,18 +136,11 @@
         }
     }
 
-    /// A poll or cancel for a dispatch that isn't known, or no longer.
-    fn on_unknown(&mut self, now: ClockTime, from: SocketAddr, packet: &Packet) {
-        if packet.kind() == PacketKind::Poll {
-            let refusal = refusal_of(RunOutcome::Unknown, RefusalReason::TargetLost);
-            return self.send_refusal(now, packet, &ReturnRoute::of(from, packet), refusal);
-        }
-        // A cancel may overtake the work. Without the entry the work would run after its sender
-        // had been told that it is cancelled; one would see a run of a request refused as not run.
-        let ran = self.runs.find(request_id(packet)).is_some();
-        let outcome = if ran { RunOutcome::Unknown } else { RunOutcome::NotRun };
-        let refusal = refusal_of(outcome, RefusalReason::Cancelled);
+    /// A cancel may overtake the work. Without the entry the work would run after its sender had
+    /// been told that it is cancelled; one would see a run of a request refused as not run.
+    fn cancel_ahead(&mut self, now: ClockTime, from: SocketAddr, packet: &Packet) {
         self.entries.insert(packet.dispatch, DispatchEntry::new(now, from, packet));
+        let refusal = refusal_of(RunOutcome::NotRun, RefusalReason::Cancelled);
         self.end_refused(now, packet.dispatch, refusal);
     }
 
--- a/crates/foxledge-fakes/src/backend/sends.rs
+++ b/crates/foxledge-fakes/src/backend/sends.rs
@@ -10,12 +10,6 @@
     dispatches::{DispatchState, ReturnRoute},
     state::{BackendEffect, BackendState},
 };
-use crate::report::RequestId;
-
-/// The request that a packet is about.
-pub(super) fn request_id(packet: &Packet) -> RequestId {
-    RequestId { flow: packet.flow, request: packet.request }
-}
 
 /// A refusal without a hint when to come back.
 pub(super) fn refusal_of(outcome: RunOutcome, reason: RefusalReason) -> Refusal {
--- a/crates/foxledge-fakes/src/backend/state.rs
+++ b/crates/foxledge-fakes/src/backend/state.rs
@@ -12,7 +12,10 @@
 };
 use rand::{SeedableRng, rngs::StdRng};
 
-use super::{dispatches::DispatchEntry, gauge::LoadGauge, options::BackendOptions, runs::RunTable};
+use super::{
+    dispatches::DispatchEntry, gauge::LoadGauge, memory::DispatchMemory, options::BackendOptions,
+    runs::RunTable,
+};
 
 /// `BackendEffect` is what the socket loop has to do.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -57,6 +60,7 @@
     pub(super) outbox: Vec<BackendEffect>,
     pub(super) gauge: LoadGauge,
     pub(super) runs: RunTable,
+    pub(super) memory: DispatchMemory,
     pub(super) plan: DrainPlan,
     pub(super) counts: BackendCounts,
     pub(super) shedding: bool,
@@ -93,6 +97,7 @@
             outbox: Vec::new(),
             gauge: LoadGauge::new(options.origin_us),
             runs: RunTable::default(),
+            memory: DispatchMemory::default(),
             plan: DrainPlan::default(),
             counts: BackendCounts::default(),
             shedding: false,
@@ -142,9 +147,7 @@
             match cause {
                 WakeCause::RunEnds(dispatch) => self.end_run(now, dispatch),
                 WakeCause::StartDeadline(dispatch) => self.miss_start(now, dispatch),
-                WakeCause::Forget(dispatch) => {
-                    self.entries.remove(&dispatch);
-                }
+                WakeCause::Forget(dispatch) => self.forget(dispatch),
                 WakeCause::FeedPush(dispatch) => self.push_feed(now, dispatch),
                 WakeCause::FeedIdle(dispatch) => self.close_idle(now, dispatch),
                 WakeCause::GoAway => self.send_away(now),
@@ -153,6 +156,12 @@
         self.flush(now)
     }
 
+    fn forget(&mut self, dispatch: u64) {
+        if let Some(entry) = self.entries.remove(&dispatch) {
+            self.memory.remember(dispatch, entry.outcome());
+        }
+    }
+
     /// When [`BackendState::on_wake`] is due next.
     pub fn next_wake(&self) -> Option<ClockTime> {
         self.wakes.first().map(|(at, _)| *at)
--- a/crates/foxledge-fakes/tests/backend_dispatch.rs
+++ b/crates/foxledge-fakes/tests/backend_dispatch.rs
@@ -261,3 +261,21 @@
     let refused = bench.take(home(), &poll);
     assert_eq!(refusal_in(&refused), (RunOutcome::Unknown, RefusalReason::WrongTarget));
 }
+
+// Symptom: a request that ran, or was refused as "not run", runs when its answer is long gone.
+// Sequence: the network holds a copy back for longer than answers are kept.
+// Cause: the dispatch forgotten together with its answer.
+#[test]
+fn a_copy_that_outlasts_the_answer_starts_nothing() {
+    let mut bench = DispatchBench::new(2);
+    bench.kinds(&bid(1, 11));
+    bench.take(home(), &of_kind(bid(2, 12), PacketKind::Cancel));
+    bench.pass(LONG_MS);
+    bench.pass(60_000);
+    let ran = bench.take(home(), &bid(1, 11));
+    assert_eq!(refusal_in(&ran), (RunOutcome::Unknown, RefusalReason::TargetLost));
+    let cancelled = bench.take(home(), &bid(2, 12));
+    assert_eq!(refusal_in(&cancelled), (RunOutcome::NotRun, RefusalReason::TargetLost));
+    bench.pass(LONG_MS);
+    assert_eq!((bench.runs(1), bench.runs(2)), (1, 0));
+}
