Add foxledgectl: check, status, explain, audit, drain

Cause: operators need to check files offline and to ask daemons what they do and why. Ruled out: typed reports; a daemon of another version may report more or less, so that reports are read field by field. Before: no tool. Conclusion: TLS options and a real daemon are still to be tried.

--- /dev/null
+++ b/crates/foxledge-ctl/src/report/status.rs
@@ -0,0 +1,118 @@
+//! The status report as text.
+
+use serde_json::{Map, Value};
+
+use crate::{
+    report::values::{hex_text, tree_text, value_text},
+    tables::write_table,
+};
+
+/// The status report as text.
+pub fn status_text(report: &Value) -> String {
+    let instance = report.get("instance").unwrap_or(report);
+    let mut text = head_text(report, instance);
+    text += &list_text(report.get("list").or(report.get("version")));
+    let view = report.get("view").unwrap_or(report);
+    text += &peers_text(view);
+    text += &parts_text(&report["parts"]);
+    if let Some(engine) = report.get("engine") {
+        text += "engine:\n";
+        text += &tree_text(engine, 1);
+    }
+    text += &rest_text(report);
+    text
+}
+
+fn head_text(report: &Value, instance: &Value) -> String {
+    let mut text = format!(
+        "{} in {}: {}\n",
+        value_text(&instance["name"]),
+        value_text(&instance["data_centre"]),
+        value_text(&report["phase"]),
+    );
+    text += &format!("incarnation: {}\n", hex_text(&instance["incarnation"]));
+    if let Some(millis) = report["uptime_ms"].as_u64() {
+        text += &format!("up: {}\n", span_text(millis / 1000));
+    }
+    if let Some(reads) = report.get("reads_platform") {
+        text += &format!("reads the platform: {}\n", value_text(reads));
+    }
+    text
+}
+
+fn span_text(seconds: u64) -> String {
+    let (hours, minutes, seconds) = (seconds / 3600, seconds / 60 % 60, seconds % 60);
+    match (hours, minutes) {
+        (0, 0) => format!("{seconds} s"),
+        (0, _) => format!("{minutes} min {seconds} s"),
+        _ => format!("{hours} h {minutes} min"),
+    }
+}
+
+fn list_text(version: Option<&Value>) -> String {
+    let Some(version) = version else {
+        return String::new();
+    };
+    if version["revision"].as_u64() == Some(0) {
+        return "rule list: none\n".to_owned();
+    }
+    let revision = value_text(&version["revision"]);
+    format!("rule list: revision {revision}, digest {}\n", hex_text(&version["digest"]))
+}
+
+fn peers_text(view: &Value) -> String {
+    let Some(peers) = view["peers"].as_array() else {
+        return String::new();
+    };
+    let head = ["name", "state", "incarnation", "data", "peer", "control"];
+    let rows = peers.iter().map(|peer| {
+        vec![
+            value_text(&peer["name"]),
+            value_text(&peer["state"]),
+            hex_text(&peer["incarnation"]),
+            value_text(&peer["data_address"]),
+            value_text(&peer["peer_address"]),
+            value_text(&peer["control_address"]),
+        ]
+    });
+    let mut text = "instances of the data centre:\n".to_owned();
+    text += &write_table("  ", head.map(str::to_owned).to_vec(), rows.collect());
+    text += &format!("reachable data centres: {}\n", value_text(&view["reachable_centres"]));
+    text
+}
+
+fn parts_text(parts: &Value) -> String {
+    let Some(parts) = parts.as_array() else {
+        return String::new();
+    };
+    let head = ["part", "running", "restarts"];
+    let rows = parts.iter().map(|part| head.map(|key| value_text(&part[key])).to_vec());
+    let table = write_table("  ", head.map(str::to_owned).to_vec(), rows.collect());
+    format!("parts:\n{table}")
+}
+
+/// What a newer daemon reports beyond what this tool knows.
+fn rest_text(report: &Value) -> String {
+    let known = [
+        "instance",
+        "name",
+        "data_centre",
+        "incarnation",
+        "phase",
+        "uptime_ms",
+        "reads_platform",
+        "list",
+        "version",
+        "view",
+        "peers",
+        "reachable_centres",
+        "parts",
+        "engine",
+    ];
+    let Some(fields) = report.as_object() else {
+        return String::new();
+    };
+    let rest = fields.iter().filter(|(key, _)| !known.contains(&key.as_str()));
+    let rest: Map<_, _> = rest.map(|(key, value)| (key.clone(), value.clone())).collect();
+    tree_text(&Value::Object(rest), 0)
+}
--- /dev/null
+++ b/crates/foxledge-ctl/tests/check_files.rs
@@ -0,0 +1,156 @@
+//! `foxledgectl check` on good and bad files.
+
+mod common;
+
+use std::path::{Path, PathBuf};
+
+use common::run_to_text;
+use expect_test::expect;
+
+/// `FileFolder` is a folder of its own for one test; dropping it removes it.
+struct FileFolder(PathBuf);
+
+impl FileFolder {
+    fn new(test: &str) -> FileFolder {
+        let path = std::env::temp_dir().join(format!("foxledgectl-{test}-{}", std::process::id()));
+        std::fs::create_dir_all(&path).unwrap();
+        FileFolder(path)
+    }
+
+    fn write(&self, name: &str, text: &str) -> String {
+        let path = self.0.join(name);
+        std::fs::write(&path, text).unwrap();
+        path.display().to_string()
+    }
+
+    /// Runs the tool and leaves the folder's path out of what it wrote.
+    fn run(&self, arguments: &[&str]) -> String {
+        run_to_text(arguments).replace(&format!("{}/", self.0.display()), "")
+    }
+}
+
+impl Drop for FileFolder {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.0);
+    }
+}
+
+fn example(name: &str) -> String {
+    let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../docs/examples").join(name);
+    path.display().to_string()
+}
+
+#[test]
+fn examples_are_good() {
+    let settings = example("foxledged.toml");
+    expect![[r#"
+        good: instance toledo-1 in toledo
+        exit code 0
+    "#]]
+    .assert_eq(&run_to_text(&["check", "settings", &settings]));
+    let rules = example("lakeshore-rules.toml");
+    expect![[r#"
+        good: 5 rules, 2 services, 3 targets, 2 members, 1 key
+        exit code 0
+    "#]]
+    .assert_eq(&run_to_text(&["check", "rules", &rules]));
+    expect![[r#"
+        {
+          "findings": [],
+          "summary": "5 rules, 2 services, 3 targets, 2 members, 1 key",
+          "warnings": []
+        }
+        exit code 0
+    "#]]
+    .assert_eq(&run_to_text(&["check", "rules", &rules, "--format", "json"]));
+}
+
+#[test]
+fn every_finding_is_reported() {
+    let folder = FileFolder::new("findings");
+    let settings = folder.write("bad.toml", "[instance]\nname = \"\"\n[log]\nlevel = \"loud\"\n");
+    expect![[r#"
+        bad.toml: listen.data: is missing
+        bad.toml: listen.peer: is missing
+        bad.toml: listen.control: is missing
+        bad.toml: listen.admin: is missing
+        bad.toml: platform.addresses: is missing
+        bad.toml:1: instance.data_centre: is missing
+        bad.toml:2: instance.name: must not be empty
+        bad.toml:4: log.level: must be one of "off", "error", "warn", "info", "debug", "trace"
+        8 findings
+        exit code 1
+    "#]]
+    .assert_eq(&folder.run(&["check", "settings", &settings]));
+    let first = folder.write("first.toml", "[[rule]]\nname = \"r\"\n");
+    let second = folder.write("second.toml", "[[key]]\nid = 0\n");
+    expect![[r#"
+        list: has no [[key]], so no ticket could be sealed
+        first.toml:1: rule[0].then: is missing
+        second.toml:1: key[0].secret: is missing
+        second.toml:2: key[0].id: must be from 1 to 4294967295
+        4 findings
+        exit code 1
+    "#]]
+    .assert_eq(&folder.run(&["check", "rules", &first, &second]));
+    expect![[r#"
+        {
+          "findings": [
+            {
+              "key": "",
+              "line": 0,
+              "source": "list",
+              "text": "has no [[key]], so no ticket could be sealed"
+            },
+            {
+              "key": "key[0].secret",
+              "line": 1,
+              "source": "second.toml",
+              "text": "is missing"
+            },
+            {
+              "key": "key[0].id",
+              "line": 2,
+              "source": "second.toml",
+              "text": "must be from 1 to 4294967295"
+            }
+          ],
+          "summary": "",
+          "warnings": []
+        }
+        exit code 1
+    "#]]
+    .assert_eq(&folder.run(&["--format", "json", "check", "rules", &second]));
+}
+
+#[test]
+fn trial_switches_bring_warnings() {
+    let folder = FileFolder::new("warnings");
+    let good = std::fs::read_to_string(example("foxledged.toml")).unwrap();
+    let settings = folder.write("trial.toml", &good.replace("run_once = true", "run_once = false"));
+    expect![[r#"
+        good: instance toledo-1 in toledo
+        warning: trial.run_once is off: only for proving that it matters
+        exit code 0
+    "#]]
+    .assert_eq(&folder.run(&["check", "settings", &settings]));
+}
+
+#[test]
+fn missing_files() {
+    let folder = FileFolder::new("missing");
+    let missing = folder.0.join("missing.toml").display().to_string();
+    expect![[r#"
+        missing.toml: can't be read: No such file or directory (os error 2)
+        1 finding
+        exit code 1
+    "#]]
+    .assert_eq(&folder.run(&["check", "settings", &missing]));
+    let rules = example("lakeshore-rules.toml");
+    expect![[r#"
+        missing.toml: can't be read: No such file or directory (os error 2)
+        1 finding
+        exit code 1
+    "#]]
+    .assert_eq(&folder.run(&["check", "rules", &rules, &missing]));
+}
--- /dev/null
+++ b/crates/foxledge-ctl/tests/common/mod.rs
@@ -0,0 +1,18 @@
+//! Runs the real binary.
+
+use std::process::{Command, Output};
+
+/// Runs `foxledgectl` to its end.
+pub fn run(arguments: &[&str]) -> Output {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_foxledgectl"));
+    command.args(arguments).env("NO_COLOR", "1").output().expect("foxledgectl starts")
+}
+
+/// The exit code and everything written, as one text.
+pub fn run_to_text(arguments: &[&str]) -> String {
+    let output = run(arguments);
+    let code = output.status.code().map_or("none".to_owned(), |code| code.to_string());
+    let written = String::from_utf8_lossy(&output.stdout);
+    let errors = String::from_utf8_lossy(&output.stderr);
+    format!("{written}{errors}exit code {code}\n")
+}
--- /dev/null
+++ b/crates/foxledge-ctl/tests/online_commands.rs
@@ -0,0 +1,343 @@
+//! The commands that ask a daemon, against canned answers.
+
+mod common;
+
+use std::{
+    io::{BufRead, BufReader},
+    net::{SocketAddr, TcpListener},
+    process::{Command, Stdio},
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+        mpsc,
+    },
+    thread,
+};
+
+use common::run_to_text;
+use expect_test::{Expect, expect};
+use foxledge_wire::control::{
+    AuditReply, AuditRequest, DrainReply, DrainRequest, ExplainReply, ExplainRequest, StatusReply,
+    StatusRequest,
+    admin_server::{Admin, AdminServer},
+};
+use serde_json::{Value, json};
+use tokio_stream::wrappers::TcpListenerStream;
+use tonic::{Request, Response, Status, async_trait, transport::Server};
+
+/// Most entries that the canned daemon gives at once.
+const AUDIT_PAGE: usize = 2;
+
+/// `CannedDaemon` answers with the same reports always.
+struct CannedDaemon {
+    /// Number of the newest audit entry that it shows.
+    newest: Arc<AtomicU64>,
+}
+
+#[async_trait]
+impl Admin for CannedDaemon {
+    async fn status(&self, _: Request<StatusRequest>) -> Result<Response<StatusReply>, Status> {
+        Ok(Response::new(StatusReply { json: status_report().to_string() }))
+    }
+
+    async fn explain(
+        &self,
+        request: Request<ExplainRequest>,
+    ) -> Result<Response<ExplainReply>, Status> {
+        let request = request.into_inner();
+        if request.address == "nowhere" {
+            return Err(Status::invalid_argument("no such address"));
+        }
+        Ok(Response::new(ExplainReply { json: explanation(&request).to_string() }))
+    }
+
+    async fn audit(&self, request: Request<AuditRequest>) -> Result<Response<AuditReply>, Status> {
+        let after = request.into_inner().after;
+        let entries = audit_entries().into_iter();
+        let shown = after + 1..=self.newest.load(Ordering::SeqCst);
+        let entries = entries.filter(|entry| shown.contains(&entry["number"].as_u64().unwrap()));
+        let entries: Vec<_> = entries.take(AUDIT_PAGE).collect();
+        Ok(Response::new(AuditReply { json: json!(entries).to_string() }))
+    }
+
+    async fn drain(&self, _: Request<DrainRequest>) -> Result<Response<DrainReply>, Status> {
+        Ok(Response::new(DrainReply { accepted: false }))
+    }
+}
+
+fn status_report() -> Value {
+    let peer = |name: &str, port: u16, state: &str| {
+        json!({
+            "name": name, "incarnation": 0x1234_5678_9abc_def0_u64, "refutation": 0,
+            "state": state, "data_centre": "toledo",
+            "data_address": format!("10.0.1.11:{port}"),
+            "peer_address": format!("10.0.1.11:{}", port + 1),
+            "control_address": format!("10.0.1.11:{}", port + 2),
+        })
+    };
+    json!({
+        "instance": peer("toledo-1", 7000, "alive"),
+        "phase": "serving",
+        "uptime_ms": 3_725_000,
+        "list": { "revision": 12, "digest": 255 },
+        "reads_platform": true,
+        "view": {
+            "peers": [peer("toledo-1", 7000, "alive"), peer("toledo-10", 7100, "suspect")],
+            "reachable_centres": ["erie", "toledo"],
+        },
+        "parts": [
+            { "part": "listener", "running": true, "restarts": 0 },
+            { "part": "engine", "running": false, "restarts": 2 },
+        ],
+        "engine": {
+            "open_works": 3,
+            "keys": [1, 2],
+            "desks": [{
+                "key": { "service": "auction-desk", "shard": 0 },
+                "desk": { "queued": 1, "targets": [
+                    { "name": "a1", "busy": 2, "ejected": false },
+                    { "name": "a10", "busy": 0, "ejected": true },
+                ] },
+            }],
+        },
+        "weather": "fine",
+    })
+}
+
+fn explanation(request: &ExplainRequest) -> Value {
+    if request.member == "nobody" {
+        return json!({ "revision": 12, "rule": null, "reasons": ["nobody is no member"] });
+    }
+    json!({
+        "revision": 12,
+        "rule": format!("{}-rule", request.work),
+        "treatment": { "serve": { "service": "auction-desk", "priority": 5, "member_limit": 0 } },
+        "shard": 0,
+        "homes": ["toledo-1", "toledo-2"],
+        "targets": ["a1", "a2"],
+        "target": "a2",
+        "reasons": ["the rule matches", "a2 has the most free slots"],
+        "flow_events": [{ "at_us": 1_500_000, "request": request.flow, "text": "dispatched to a2" }],
+    })
+}
+
+fn audit_entries() -> Vec<Value> {
+    let entry = |number: u64, kind: &str, subject: &str, texts: [&str; 4]| {
+        let [old, new, cause, source] = texts;
+        json!({
+            "number": number, "at_us": number * 1_000_500, "kind": kind, "subject": subject,
+            "old": old, "new": new, "cause": cause, "source": source, "revision": 12,
+        })
+    };
+    vec![
+        entry(3, "process_changed", "toledo-1", ["", "serving", "", ""]),
+        entry(4, "list_accepted", "list", ["11", "12", "newer", "platform"]),
+        entry(7, "target_ejected", "auction-desk/a1", ["", "ejected", "2 losses", "observation"]),
+        entry(8, "member_changed", "toledo-2", ["alive", "", "", "toledo-3"]),
+        entry(9, "keys_rotated", "keys", ["", "", "", "platform"]),
+    ]
+}
+
+/// Starts the canned daemon on a thread that lives as long as the test process.
+fn start_daemon(newest: Arc<AtomicU64>) -> SocketAddr {
+    let (sender, receiver) = mpsc::channel();
+    thread::spawn(move || {
+        let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap();
+        runtime.block_on(async {
+            let listener = tokio::net::TcpListener::bind("127.0.0.1:0").await.unwrap();
+            sender.send(listener.local_addr().unwrap()).unwrap();
+            let server = Server::builder().add_service(AdminServer::new(CannedDaemon { newest }));
+            server.serve_with_incoming(TcpListenerStream::new(listener)).await.unwrap();
+        });
+    });
+    receiver.recv().unwrap()
+}
+
+fn all_entries() -> Arc<AtomicU64> {
+    Arc::new(AtomicU64::new(u64::MAX))
+}
+
+fn check(arguments: &[&str], text: Expect) {
+    let address = start_daemon(all_entries()).to_string();
+    let output = run_to_text(&[arguments, &["--daemon", &address]].concat());
+    text.assert_eq(&output.replace(&address, "DAEMON"));
+}
+
+fn explain(address: &str, member: &str, more: &[&str], text: Expect) {
+    let asked = ["explain", "--kind", "bid", "--address", address, "--member", member];
+    check(&[&asked[..], more].concat(), text);
+}
+
+#[test]
+fn status_as_text() {
+    check(
+        &["status"],
+        expect![[r#"
+            toledo-1 in toledo: serving
+            incarnation: 123456789abcdef0
+            up: 1 h 2 min
+            reads the platform: yes
+            rule list: revision 12, digest 00000000000000ff
+            instances of the data centre:
+              name       state    incarnation       data            peer            control
+              toledo-1   alive    123456789abcdef0  10.0.1.11:7000  10.0.1.11:7001  10.0.1.11:7002
+              toledo-10  suspect  123456789abcdef0  10.0.1.11:7100  10.0.1.11:7101  10.0.1.11:7102
+            reachable data centres: erie toledo
+            parts:
+              part      running  restarts
+              listener  yes      0
+              engine    no       2
+            engine:
+              keys: 1 2
+              open works: 3
+              desks:
+                key: service=auction-desk shard=0
+                desk:
+                  queued: 1
+                  targets:
+                    name  busy  ejected
+                    a1    2     no
+                    a10   0     yes
+            weather: fine
+            exit code 0
+        "#]],
+    );
+}
+
+#[test]
+fn status_as_json() {
+    let address = start_daemon(all_entries()).to_string();
+    let output = common::run(&["status", "--format", "json", "--daemon", &address]);
+    let report: Value = serde_json::from_slice(&output.stdout).unwrap();
+    assert_eq!(report, status_report());
+}
+
+#[test]
+fn explained_flows() {
+    explain(
+        "auction",
+        "bricks",
+        &["--flow", "0x1f"],
+        expect![[r#"
+            rule list: revision 12
+            rule: bid-rule
+            treatment: serve, member limit 0, priority 5
+            service: auction-desk
+            shard: 0
+            homes, the best first: toledo-1 toledo-2
+            backend servers here: a1 a2
+            next request goes to: a2
+            why:
+              1. the rule matches
+              2. a2 has the most free slots
+            lately decided for the flow:
+              at (s)    request  decision
+              1.500000  31       dispatched to a2
+            exit code 0
+        "#]],
+    );
+    explain(
+        "auction",
+        "nobody",
+        &[],
+        expect![[r#"
+        rule list: revision 12
+        rule: none matches, so the flow is refused
+        why:
+          1. nobody is no member
+        exit code 0
+    "#]],
+    );
+    explain(
+        "nowhere",
+        "bricks",
+        &[],
+        expect![[r#"
+        foxledgectl: DAEMON refused: no such address
+        exit code 3
+    "#]],
+    );
+}
+
+#[test]
+fn audit_entries_in_pages() {
+    check(
+        &["audit"],
+        expect![[r#"
+            3 at 3.001500 s, list 12: process changed toledo-1: serving
+            4 at 4.002000 s, list 12: list accepted list: 11 -> 12; because newer; said by platform
+            ... 2 dropped unread
+            7 at 7.003500 s, list 12: target ejected auction-desk/a1: ejected; because 2 losses; said by observation
+            8 at 8.004000 s, list 12: member changed toledo-2: no longer alive; said by toledo-3
+            9 at 9.004500 s, list 12: keys rotated keys; said by platform
+            exit code 0
+        "#]],
+    );
+    check(
+        &["audit", "--limit", "1", "--format", "json"],
+        expect![[r#"
+        {"at_us":9004500,"cause":"","kind":"keys_rotated","new":"","number":9,"old":"","revision":12,"source":"platform","subject":"keys"}
+        exit code 0
+    "#]],
+    );
+    check(
+        &["audit", "--after", "9"],
+        expect![[r#"
+        exit code 0
+    "#]],
+    );
+}
+
+#[test]
+fn followed_audit_trail() {
+    let newest = Arc::new(AtomicU64::new(4));
+    let address = start_daemon(newest.clone()).to_string();
+    let mut child = Command::new(env!("CARGO_BIN_EXE_foxledgectl"))
+        .args(["audit", "--follow", "--limit", "1", "--daemon", &address])
+        .stdout(Stdio::piped())
+        .spawn()
+        .unwrap();
+    let mut lines = BufReader::new(child.stdout.take().unwrap()).lines();
+    let first = lines.next().unwrap().unwrap();
+    newest.store(7, Ordering::SeqCst);
+    let gap = lines.next().unwrap().unwrap();
+    let second = lines.next().unwrap().unwrap();
+    newest.store(8, Ordering::SeqCst);
+    let third = lines.next().unwrap().unwrap();
+    child.kill().unwrap();
+    child.wait().unwrap();
+    expect![[r#"
+        4 at 4.002000 s, list 12: list accepted list: 11 -> 12; because newer; said by platform
+        ... 2 dropped unread
+        7 at 7.003500 s, list 12: target ejected auction-desk/a1: ejected; because 2 losses; said by observation
+        8 at 8.004000 s, list 12: member changed toledo-2: no longer alive; said by toledo-3"#]].assert_eq(&[first, gap, second, third].join("\n"));
+}
+
+#[test]
+fn declined_drain() {
+    check(
+        &["drain"],
+        expect![[r#"
+        The daemon declined.
+        exit code 1
+    "#]],
+    );
+}
+
+/// Symptom: the tool hangs, and the operator can't tell a dead daemon from a slow one.
+/// Sequence: the daemon's process is frozen; its port still takes connections.
+/// Cause: a call without a deadline.
+#[test]
+fn daemons_that_do_not_answer() {
+    let frozen = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = frozen.local_addr().unwrap().to_string();
+    let arguments = ["status", "--wait-ms", "300", "--daemon", &address];
+    expect![[r#"
+        foxledgectl: no answer from DAEMON within 300 ms
+        exit code 3
+    "#]]
+    .assert_eq(&run_to_text(&arguments).replace(&address, "DAEMON"));
+    drop(frozen);
+    let output = common::run(&arguments);
+    assert_eq!(output.status.code(), Some(3));
+}
