--- a/crates/foxledge-daemon/src/control_link.rs
+++ b/crates/foxledge-daemon/src/control_link.rs
@@ -68,9 +68,9 @@
             | LinkEvent::PartsAsked(..)
             | LinkEvent::ManifestFetched(..)
             | LinkEvent::PartsFetched(..) => self.tell_lists(event),
-            LinkEvent::PlatformHeard(state) => {
+            LinkEvent::PlatformAsked => {
                 if let Some(life) = self.context.directory.life.get() {
-                    call!([life], platform_heard(state));
+                    call!([life], platform_done());
                 }
             }
             LinkEvent::Ended(why) => {
--- a/crates/foxledge-daemon/src/list_keeper.rs
+++ b/crates/foxledge-daemon/src/list_keeper.rs
@@ -3,6 +3,7 @@
 use std::{net::SocketAddr, rc::Rc, sync::Arc, time::Duration};
 
 use foxledge_core::lists::{ListVersion, RuleList};
+use foxledge_engine::EnginePhase;
 use foxledge_members::{ListEffect, ListOptions, ListSource, ListStore};
 use foxledge_wire::control::{ListPart, Manifest};
 use log::{debug, info};
@@ -95,11 +96,6 @@
         stakker::ret!([answer], self.store.version(), self.store.newest_heard());
     }
 
-    /// Goes by whether this instance reads the platform now.
-    pub fn reader_changed(&mut self, _cx: CX![]) {
-        self.order_watch();
-    }
-
     /// Tells a side thread that was started anew what to watch.
     pub fn link_started(&mut self, _cx: CX![]) {
         self.watch = WatchOrder::Pause;
@@ -108,14 +104,16 @@
 
     fn on_tick(&mut self, cx: CX![]) {
         after!(TICK, [cx], on_tick());
+        self.order_watch();
         let effects = self.store.on_tick(self.context.clock.now());
         self.carry_out(effects);
     }
 
-    /// Watches while this instance is a reader, or while it has no list at all.
+    /// Watches while this instance is a reader, has no list at all, or hasn't served yet.
     fn order_watch(&mut self) {
         let has_list = self.store.version().revision > 0;
-        let wanted = self.context.is_reader.get() || !has_list;
+        let is_joining = self.context.phase.get() == EnginePhase::Joining;
+        let wanted = self.context.is_reader.get() || !has_list || is_joining;
         let order = match wanted {
             true => WatchOrder::Run { after: self.store.version().revision },
             false => WatchOrder::Pause,
--- a/crates/foxledge-daemon/src/member_keeper.rs
+++ b/crates/foxledge-daemon/src/member_keeper.rs
@@ -53,6 +53,10 @@
         answer: oneshot::Sender<HeartbeatReply>,
     ) {
         let now = self.context.clock.now();
+        let from = beat.sender.as_ref().and_then(|sender| sender.control_address.parse().ok());
+        if let (Some(from), Some(life)) = (from, self.context.directory.life.get()) {
+            call!([life], peer_answered(from));
+        }
         let (reply, effects) = self.membership.on_heartbeat(now, beat);
         let _ = answer.send(reply);
         self.carry_out(effects);
@@ -115,12 +119,7 @@
         after!(self.tick, [cx], on_tick());
         let effects = self.membership.on_tick(self.context.clock.now());
         self.carry_out(effects);
-        let is_reader = self.membership.is_reader();
-        if self.context.is_reader.replace(is_reader) != is_reader
-            && let Some(lists) = self.context.directory.lists.get()
-        {
-            call!([lists], reader_changed());
-        }
+        self.context.is_reader.set(self.membership.is_reader());
     }
 
     fn carry_out(&self, effects: Vec<MemberEffect>) {
--- a/crates/foxledge-daemon/src/side/messages.rs
+++ b/crates/foxledge-daemon/src/side/messages.rs
@@ -89,7 +89,7 @@
     /// The end of a fetch of parts.
     PartsFetched(ListSource, Result<Vec<ListPart>, CallError>),
     /// The platform answered a watch, or could not be reached at any address.
-    PlatformHeard(PlatformState),
+    PlatformAsked,
     /// The platform's list of instances.
     ListingRead(MemberListing),
     /// An operator wants the status.
@@ -113,15 +113,6 @@
     Ended(String),
 }
 
-/// `PlatformState` is whether the platform answered.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum PlatformState {
-    /// It did.
-    Answered,
-    /// No address did.
-    Unreachable,
-}
-
 /// `FlowQuestion` is the flow that an operator wants explained.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct FlowQuestion {
--- a/crates/foxledge-daemon/src/side/watch.rs
+++ b/crates/foxledge-daemon/src/side/watch.rs
@@ -23,7 +23,7 @@
 
 use super::{
     clients::ClientPool,
-    messages::{CallError, LinkEvent, PlatformState, WatchOrder},
+    messages::{CallError, LinkEvent, WatchOrder},
     tls::TlsBundle,
 };
 
@@ -141,7 +141,7 @@
                     debug!("link: platform read failed: {error}");
                     if failures == self.addresses.len() {
                         warn!("link: the platform can't be reached");
-                        self.events.send(LinkEvent::PlatformHeard(PlatformState::Unreachable));
+                        self.events.send(LinkEvent::PlatformAsked);
                     }
                     sleep(backoff.mul_f64(self.jitter())).await;
                     backoff = (backoff * 2).min(LONGEST_BACKOFF);
@@ -160,7 +160,7 @@
             self.events.send(LinkEvent::ManifestFetched(ListSource::Platform, outcome));
         }
         // After the manifest, so that nobody takes the platform for asked while its list is on the way.
-        self.events.send(LinkEvent::PlatformHeard(PlatformState::Answered));
+        self.events.send(LinkEvent::PlatformAsked);
         if !reply.found {
             sleep(EMPTY_PAUSE.mul_f64(self.jitter())).await;
         }
