--- /dev/null
+++ b/crates/foxledge-proofs/src/lasting.rs
@@ -0,0 +1,1 @@
+//! Helpers for proofs about feeds, rule lists and planned stops.
--- /dev/null
+++ b/crates/foxledge-proofs/src/lib.rs
@@ -0,0 +1,7 @@
+//! Scenario helpers of the proofs with real processes; the proofs are in `tests`.
+//!
+//! [`once`] serves the promises that a request runs once, that "not run" is true and that answers
+//! come from the right service; [`lasting`] those that feeds, rule lists and planned stops last.
+
+pub mod lasting;
+pub mod once;
--- /dev/null
+++ b/crates/foxledge-proofs/src/once.rs
@@ -0,0 +1,1 @@
+//! Helpers for proofs about single requests and their answers.
