Read trial.routes and trial.remember_refusals from the settings

Cause: the harness writes [trial.routes] for routed fleets, but the daemon refused it as an unknown key, so that nothing between two instances could be cut in a test. Before: a routed fleet didn't start; the switch remember_refusals couldn't be set. Conclusion: proofs under a cut between instances can be run with real processes.

--- a/crates/foxledge-daemon/src/choices.rs
+++ b/crates/foxledge-daemon/src/choices.rs
@@ -48,11 +48,11 @@
         run_once: trial.run_once,
         check_target_owner: trial.check_target_owner,
         pass_over_homes: trial.pass_over_homes,
-        ..TrialSwitches::default()
+        remember_refusals: trial.remember_refusals,
     }
 }
 
 /// The addresses that stand in for others.
-pub fn route_table(_settings: &DaemonSettings) -> RouteTable {
-    RouteTable::default()
+pub fn route_table(settings: &DaemonSettings) -> RouteTable {
+    RouteTable::new(settings.trial.routes.clone())
 }
--- a/crates/foxledge-document/src/reader.rs
+++ b/crates/foxledge-document/src/reader.rs
@@ -1,6 +1,11 @@
 //! Reading a table key by key.
 
-use std::{cell::RefCell, collections::HashSet, net::SocketAddr, ops::RangeInclusive};
+use std::{
+    cell::RefCell,
+    collections::{BTreeMap, HashSet},
+    net::SocketAddr,
+    ops::RangeInclusive,
+};
 
 use toml::{
     Spanned,
@@ -234,6 +239,26 @@
         addresses
     }
 
+    /// The table under `key` whose keys and values are IP numbers with ports; absent reads as empty.
+    pub fn address_pairs(&self, key: &'static str) -> BTreeMap<SocketAddr, SocketAddr> {
+        let reader = self.table(key);
+        let mut pairs = BTreeMap::new();
+        let Some(table) = reader.table else { return pairs };
+        for (name, value) in table {
+            let line = self.notes.line_at(name.span().start);
+            let place = Place { line, key: reader.path_of(name.get_ref()) };
+            let DeValue::String(text) = value.get_ref() else {
+                self.notes.add(&place, "must be a text");
+                continue;
+            };
+            let from =
+                self.parse_address(&PlacedText { text: name.get_ref(), place: place.clone() });
+            let to = self.parse_address(&PlacedText { text, place });
+            pairs.extend(from.zip(to));
+        }
+        pairs
+    }
+
     /// Notes an array that is missing or empty.
     pub fn require_items(&self, key: &'static str) {
         match self.find(key).map(Spanned::get_ref) {
--- a/crates/foxledge-settings/src/parse.rs
+++ b/crates/foxledge-settings/src/parse.rs
@@ -199,8 +199,10 @@
         refuse_stale_lists: table.switch("refuse_stale_lists").unwrap_or(true),
         check_target_owner: table.switch("check_target_owner").unwrap_or(true),
         pass_over_homes: table.switch("pass_over_homes").unwrap_or(true),
+        remember_refusals: table.switch("remember_refusals").unwrap_or(true),
         graceful_stop: table.switch("graceful_stop").unwrap_or(true),
         fair_order: table.switch("fair_order").unwrap_or(true),
+        routes: table.address_pairs("routes"),
     };
     table.finish();
     trial
--- a/crates/foxledge-settings/src/settings.rs
+++ b/crates/foxledge-settings/src/settings.rs
@@ -1,6 +1,6 @@
 //! The settings by table.
 
-use std::{net::SocketAddr, path::PathBuf};
+use std::{collections::BTreeMap, net::SocketAddr, path::PathBuf};
 
 use foxledge_core::names::{CentreName, InstanceName};
 use log::LevelFilter;
@@ -164,10 +164,14 @@
     pub check_target_owner: bool,
     /// A home that doesn't answer is passed over.
     pub pass_over_homes: bool,
+    /// A refusal that says "not run" is repeated to every copy of its request.
+    pub remember_refusals: bool,
     /// A planned stop finishes what the instance has.
     pub graceful_stop: bool,
     /// The queue is ordered fairly by member within paid priority.
     pub fair_order: bool,
+    /// Addresses that are reached at others, so that a test can cut what goes there.
+    pub routes: BTreeMap<SocketAddr, SocketAddr>,
 }
 
 impl Default for TrialSettings {
@@ -177,8 +181,10 @@
             refuse_stale_lists: true,
             check_target_owner: true,
             pass_over_homes: true,
+            remember_refusals: true,
             graceful_stop: true,
             fair_order: true,
+            routes: BTreeMap::new(),
         }
     }
 }
@@ -191,6 +197,7 @@
             ("refuse_stale_lists", self.refuse_stale_lists),
             ("check_target_owner", self.check_target_owner),
             ("pass_over_homes", self.pass_over_homes),
+            ("remember_refusals", self.remember_refusals),
             ("graceful_stop", self.graceful_stop),
             ("fair_order", self.fair_order),
         ];
--- a/crates/foxledge-settings/tests/bad_settings.rs
+++ b/crates/foxledge-settings/tests/bad_settings.rs
@@ -218,6 +218,23 @@
     );
 }
 
+#[test]
+fn bad_routes() {
+    check_added(
+        "[trial]\nroutes = 1\n",
+        expect![[r#"
+            foxledged.toml:12: trial.routes: must be a table
+        "#]],
+    );
+    check_added(
+        "[trial.routes]\n\"nowhere\" = \"10.0.1.99:9001\"\n\"10.0.1.12:7001\" = 3\n",
+        expect![[r#"
+            foxledged.toml:12: trial.routes.nowhere: "nowhere" is not an IP number with a port
+            foxledged.toml:13: trial.routes.10.0.1.12:7001: must be a text
+        "#]],
+    );
+}
+
 #[test]
 fn long_name() {
     check(
--- a/crates/foxledge-settings/tests/good_settings.rs
+++ b/crates/foxledge-settings/tests/good_settings.rs
@@ -57,7 +57,8 @@
 fn values_are_read() {
     let text = format!(
         "{REQUIRED}wait_ms = 0x10\n[log]\nlevel = \"debug\"\n[trial]\nrun_once = false\n\
-         fair_order = false\n[flow]\npolicy = \"two-choices\"\nplacement = \"target-home\"\n"
+         fair_order = false\nroutes = {{ \"10.0.1.12:7001\" = \"10.0.1.99:9001\" }}\n\
+         [flow]\npolicy = \"two-choices\"\nplacement = \"target-home\"\n"
     );
     let settings = parse_settings("values.toml", &text).unwrap();
     assert_eq!(settings.platform.wait_ms, 16);
@@ -65,5 +66,7 @@
     assert_eq!(settings.flow.policy.as_str(), "two-choices");
     assert_eq!(settings.flow.placement.as_str(), "target-home");
     assert_eq!(settings.trial.switched_off(), ["run_once", "fair_order"]);
+    let route = settings.trial.routes.iter().next().unwrap();
+    assert_eq!((route.0.port(), route.1.port()), (7001, 9001));
     assert!(TrialSettings::default().switched_off().is_empty());
 }
