--- a/crates/foxledge-core/src/peers.rs
+++ b/crates/foxledge-core/src/peers.rs
@@ -72,6 +72,28 @@
         self.peers.iter().find(|peer| peer.name.as_str() == name)
     }
 
+    /// True when `name` is among the best `ranks` homes for `key`.
+    ///
+    /// Stops at the first `ranks` that are better, about `ranks * ln(n)` of `n`
+    /// instances on average, where a whole ranking weighs and sorts all.
+    pub fn holds_rank(&self, key: &str, name: &str, ranks: usize) -> bool {
+        let Some(me) = self.find(name).filter(|peer| peer.state.holds_homes()) else {
+            return false;
+        };
+        let mine = rendezvous_weight(key, &me.name);
+        let better = self
+            .peers
+            .iter()
+            .filter(|peer| peer.state.holds_homes())
+            .filter(|peer| {
+                let weight = rendezvous_weight(key, &peer.name);
+                weight > mine || (weight == mine && peer.name < me.name)
+            })
+            .take(ranks)
+            .count();
+        better < ranks
+    }
+
     /// Instances that can be the home for `key`, the best first.
     pub fn ranked_homes(&self, key: &str) -> Vec<&PeerInfo> {
         let mut ranked: Vec<_> = self
--- /dev/null
+++ b/crates/foxledge-engine/examples/engine_cost.rs
@@ -0,0 +1,286 @@
+//! Prints what the engine costs, as JSON lines: `cargo run --release -p
+//! foxledge-engine --example engine_cost`.
+//!
+//! Each slope is taken at three sizes or more. Processor time is wall time of
+//! one thread that does nothing else; memory is the growth of the resident set.
+
+#[path = "../tests/common/mod.rs"]
+mod common;
+
+use std::{fs, sync::Arc, time::Instant};
+
+use common::{address, caller_address, data_address, test_list, work};
+use foxledge_core::{
+    lists::{
+        FlowMatch, FlowRule, FlowTreatment, RuleList, ServeTreatment, ServiceSpec, TargetSpec,
+    },
+    names::{CentreName, InstanceName, RuleName, ServiceAddress, ServiceName},
+    peers::{PeerInfo, PeerState, PeerView},
+    time::ClockTime,
+};
+use foxledge_engine::{EngineEffect, EngineOptions, EnginePhase, FlowEngine};
+use foxledge_wire::{
+    decode_packet, encode_packet,
+    flow::{LoadReport, Packet, PacketKind, WorkKind},
+};
+
+const SEED: u64 = 20_261_202;
+const CENTRES: [&str; 8] = ["toledo", "erie", "duluth", "kenosha", "c5", "c6", "c7", "c8"];
+const PAGE_BYTES: u64 = 4096;
+
+fn main() {
+    packet_costs();
+    for flows in [1_000, 10_000, 100_000, 300_000] {
+        flow_memory(flows);
+    }
+    for targets in [100, 1_000, 10_000, 38_000] {
+        list_costs(targets);
+    }
+    for peers in [8, 64, 437] {
+        view_costs(peers);
+    }
+}
+
+/// Processor time of one packet on each way through the engine.
+fn packet_costs() {
+    const ROUNDS: u64 = 50_000;
+    let mut engine = lone_engine(&test_list(1, &[wide_target(0)], &[]));
+    let now = ClockTime::from_micros(1_000_000);
+
+    let grant = encode_packet(&ticket_request(1));
+    let started = Instant::now();
+    for _ in 0..ROUNDS {
+        engine.on_datagram(now, caller_address(1), &grant);
+    }
+    print_time("ticket issued", started, ROUNDS);
+
+    let ticket = first_packet(&engine.on_datagram(now, caller_address(1), &grant)).ticket;
+    let started = Instant::now();
+    for flow in 0..ROUNDS {
+        // Each ticket is good for 64 requests.
+        let request =
+            if flow % 64 == 0 { fresh_ticket(&mut engine, now, &grant) } else { ticket.clone() };
+        serve_once(&mut engine, now, flow, request);
+    }
+    print_time("request admitted, dispatched, acknowledged, answered, done", started, ROUNDS);
+
+    let feed = open_feed(&mut engine, now, 1_000_000);
+    let poll = encode_packet(&Packet {
+        kind: PacketKind::Poll.into(),
+        token: feed.token.clone(),
+        parts: 0,
+        payload: Vec::new(),
+        ..feed_packet(1_000_000)
+    });
+    let started = Instant::now();
+    let mut relayed = Vec::new();
+    for _ in 0..ROUNDS {
+        relayed = engine.on_datagram(now, caller_address(1), &poll);
+    }
+    print_time("packet sent on by flow token", started, ROUNDS);
+
+    let item = encode_packet(&Packet {
+        kind: PacketKind::FeedItem.into(),
+        payload: vec![0; 200],
+        ..first_packet(&relayed)
+    });
+    let started = Instant::now();
+    for _ in 0..ROUNDS {
+        engine.on_datagram(now, address(4000), &item);
+    }
+    print_time("answer relayed to its caller", started, ROUNDS);
+}
+
+/// Resident bytes of one open feed at its home.
+fn flow_memory(flows: u64) {
+    let mut engine = lone_engine(&test_list(1, &[wide_target(0)], &[]));
+    let now = ClockTime::from_micros(1_000_000);
+    let before = resident_bytes();
+    let started = Instant::now();
+    for flow in 0..flows {
+        open_feed(&mut engine, now, flow);
+    }
+    let spent = started.elapsed();
+    // The ledger forgets what its deadline allows; the feeds stay open.
+    engine.on_tick(now.after_millis(120_000));
+    let open = engine.status(now).open_works;
+    println!(
+        "{{\"what\":\"open feed at its home\",\"flows\":{flows},\"open\":{open},\"bytes_per_flow\":{},\"micros_per_open\":{:.2}}}",
+        resident_bytes().saturating_sub(before) / flows,
+        spent.as_secs_f64() * 1e6 / flows as f64,
+    );
+}
+
+/// Processor time and memory of taking a list with so many targets into force.
+fn list_costs(targets: usize) {
+    let first = Arc::new(wide_list(1, targets));
+    let second = Arc::new(wide_list(2, targets));
+    let mut engine = lone_engine(&RuleList::default());
+    engine.on_view(ClockTime::ZERO, Arc::new(wide_view(437)));
+    let before = resident_bytes();
+    engine.on_list(ClockTime::ZERO, first);
+    let grown = resident_bytes().saturating_sub(before);
+    let started = Instant::now();
+    engine.on_list(ClockTime::ZERO, second);
+    println!(
+        "{{\"what\":\"list taken into force\",\"targets\":{targets},\"peers\":437,\"millis\":{:.2},\"engine_bytes\":{grown}}}",
+        started.elapsed().as_secs_f64() * 1e3,
+    );
+}
+
+/// Processor time of taking a view into force, at the target's services.
+fn view_costs(peers: usize) {
+    let mut engine = lone_engine(&wide_list(1, 38_000));
+    engine.on_view(ClockTime::ZERO, Arc::new(wide_view(peers)));
+    let view = Arc::new(wide_view(peers - 1));
+    let started = Instant::now();
+    engine.on_view(ClockTime::ZERO, view);
+    let desks = engine.status(ClockTime::ZERO).desks.len();
+    println!(
+        "{{\"what\":\"view taken into force\",\"peers\":{peers},\"services\":5800,\"millis\":{:.2},\"desks\":{desks}}}",
+        started.elapsed().as_secs_f64() * 1e3,
+    );
+}
+
+fn print_time(what: &str, started: Instant, rounds: u64) {
+    let micros = started.elapsed().as_secs_f64() * 1e6 / rounds as f64;
+    println!("{{\"what\":\"{what}\",\"micros\":{micros:.2},\"seed\":{SEED}}}");
+}
+
+fn resident_bytes() -> u64 {
+    let statm = fs::read_to_string("/proc/self/statm").unwrap_or_default();
+    statm.split(' ').nth(1).and_then(|pages| pages.parse::<u64>().ok()).unwrap_or(0) * PAGE_BYTES
+}
+
+fn lone_engine(list: &RuleList) -> FlowEngine {
+    let me = peer(0);
+    let mut engine =
+        FlowEngine::new(EngineOptions::default().ledger_limit(1_000_000), me.clone(), SEED);
+    let view = PeerView { peers: vec![me], reachable_centres: Vec::new() };
+    engine.on_list(ClockTime::ZERO, Arc::new(list.clone()));
+    engine.on_view(ClockTime::ZERO, Arc::new(view));
+    engine.set_phase(ClockTime::ZERO, EnginePhase::Serving);
+    engine
+}
+
+fn peer(index: usize) -> PeerInfo {
+    PeerInfo {
+        name: InstanceName::new(&format!("i{index}")),
+        incarnation: 1,
+        refutation: 0,
+        state: PeerState::Alive,
+        data_centre: CentreName::new(common::CENTRE),
+        data_address: data_address(0),
+        peer_address: address(2000),
+        control_address: address(3000),
+    }
+}
+
+fn wide_view(peers: usize) -> PeerView {
+    PeerView { peers: (0..peers).map(peer).collect(), reachable_centres: Vec::new() }
+}
+
+fn wide_target(index: usize) -> TargetSpec {
+    TargetSpec { slots: 1_000_000, connections: 1_000_000, ..common::target_spec(index, 1) }
+}
+
+/// The target's shape: about 6.5 targets behind each address, over 8 data centres.
+fn wide_list(revision: u64, targets: usize) -> RuleList {
+    let mut list = test_list(revision, &[], &[]);
+    let services = (targets * 5_800).div_ceil(38_000);
+    for service in 0..services {
+        let name = ServiceName::new(&format!("service-{service}"));
+        let place = ServiceAddress::new(&format!("address-{service}"));
+        let specs = (service..targets).step_by(services).map(|index| TargetSpec {
+            name: format!("t{index}").as_str().into(),
+            address: std::net::SocketAddr::from((
+                [10, (index >> 16) as u8, (index >> 8) as u8, index as u8],
+                9000,
+            )),
+            incarnation: 1,
+            data_centre: CentreName::new(CENTRES[index % 8]),
+            slots: 2,
+            connections: 2000,
+            draining: revision == 2 && index == 0,
+        });
+        let spec = ServiceSpec {
+            name: name.clone(),
+            addresses: vec![place.clone()],
+            queue_limit: 400,
+            shards: 1,
+            targets: specs.collect(),
+        };
+        list.services.insert(name.clone(), spec);
+        list.rules.push(FlowRule {
+            name: RuleName::new(&format!("rule-{service}")),
+            when: FlowMatch { addresses: vec![place], ..FlowMatch::default() },
+            then: FlowTreatment::Serve(ServeTreatment {
+                service: name,
+                priority: foxledge_core::lists::PaidPriority(1),
+                weight: 1,
+                member_limit: 0,
+                when_full: foxledge_core::lists::FullAction::Queue,
+            }),
+        });
+    }
+    list
+}
+
+fn ticket_request(caller: u64) -> Packet {
+    Packet {
+        kind: PacketKind::TicketRequest.into(),
+        payload: vec![0; foxledge_wire::TICKET_PADDING],
+        ..work(caller, 1, 0, "auction")
+    }
+}
+
+fn fresh_ticket(engine: &mut FlowEngine, now: ClockTime, grant: &[u8]) -> Vec<u8> {
+    first_packet(&engine.on_datagram(now, caller_address(1), grant)).ticket
+}
+
+fn first_packet(effects: &[EngineEffect]) -> Packet {
+    effects
+        .iter()
+        .find_map(|effect| match effect {
+            EngineEffect::SendData { bytes, .. } => decode_packet(bytes).ok(),
+            _ => None,
+        })
+        .expect("a datagram was sent")
+}
+
+/// One whole request with its backend server's three answers.
+fn serve_once(engine: &mut FlowEngine, now: ClockTime, flow: u64, ticket: Vec<u8>) {
+    let bid = Packet { ticket, ..work(1, flow, 1, "auction") };
+    let effects = engine.on_datagram(now, caller_address(1), &encode_packet(&bid));
+    let dispatched = first_packet(&effects);
+    for kind in [PacketKind::Ack, PacketKind::Answer, PacketKind::Done] {
+        engine.on_datagram(now, address(4000), &encode_packet(&answer(&dispatched, kind)));
+    }
+}
+
+fn feed_packet(flow: u64) -> Packet {
+    Packet { work: WorkKind::Feed.into(), idempotent: true, ..work(1, flow, 1, "auction") }
+}
+
+fn open_feed(engine: &mut FlowEngine, now: ClockTime, flow: u64) -> Packet {
+    let bytes = encode_packet(&feed_packet(flow));
+    let dispatched = first_packet(&engine.on_datagram(now, caller_address(1), &bytes));
+    let ack = encode_packet(&answer(&dispatched, PacketKind::Ack));
+    first_packet(&engine.on_datagram(now, address(4000), &ack))
+}
+
+fn answer(dispatched: &Packet, kind: PacketKind) -> Packet {
+    Packet {
+        version: dispatched.version,
+        kind: kind.into(),
+        flow: dispatched.flow,
+        request: dispatched.request,
+        dispatch: dispatched.dispatch,
+        address: dispatched.address.clone(),
+        service: dispatched.service.clone(),
+        return_path: dispatched.return_path.clone(),
+        parts: 1,
+        load: Some(LoadReport { healthy: true, ..LoadReport::default() }),
+        ..Packet::default()
+    }
+}
--- a/crates/foxledge-engine/src/desks.rs
+++ b/crates/foxledge-engine/src/desks.rs
@@ -5,7 +5,7 @@
 use foxledge_core::{
     audit::{AuditChange, AuditKind},
     lists::{RuleList, ServiceSpec, TargetSpec},
-    names::InstanceName,
+    names::{InstanceName, ServiceName},
     peers::PeerView,
     time::ClockTime,
 };
@@ -74,6 +74,13 @@
         self.desks.keys().cloned().collect()
     }
 
+    /// Keys of a service's desks.
+    pub fn keys_of(&self, service: &ServiceName) -> Vec<DeskKey> {
+        let first = DeskKey { service: service.clone(), shard: 0 };
+        let last = DeskKey { service: service.clone(), shard: u32::MAX };
+        self.desks.range(first..=last).map(|(key, _)| key.clone()).collect()
+    }
+
     /// Drops desks that have no work and belong to others now.
     pub fn drop_idle(&mut self, is_kept: impl Fn(&DeskKey) -> bool) {
         self.desks.retain(|key, desk| desk.unfinished() > 0 || is_kept(key));
@@ -117,32 +124,41 @@
     placement.shards(service.shards, local_targets(service, centre).count())
 }
 
-/// Desks that this instance probes for: it is the home or the successor.
+/// Desks of a service that this instance probes for: it is the home or the successor.
 pub fn probed_desks(
-    list: &RuleList,
+    service: &ServiceSpec,
     view: &PeerView,
     me: &InstanceName,
     centre: &str,
     placement: &dyn HomePlacement,
 ) -> Vec<DeskKey> {
-    let mut keys = Vec::new();
-    for service in list.services.values() {
-        for shard in 0..shard_count(service, centre, placement) {
-            let key = DeskKey { service: service.name.clone(), shard };
-            let ranked = placement.ranked(&key, me, view);
-            if ranked.iter().take(PROBING_RANKS).any(|peer| peer.name == *me) {
-                keys.push(key);
-            }
-        }
-    }
-    keys
+    (0..shard_count(service, centre, placement))
+        .map(|shard| DeskKey { service: service.name.clone(), shard })
+        .filter(|key| placement.holds_rank(key, me, view, PROBING_RANKS))
+        .collect()
+}
+
+/// Services that differ between two lists: added, removed or changed.
+///
+/// At the target's size a list has 5,800 services and one change touches one
+/// of them. Taking the whole list into force anew at each of 16,000 changes a
+/// day would cost more processor time than control is allowed.
+pub fn changed_services(old: &RuleList, new: &RuleList) -> Vec<ServiceName> {
+    let added_or_changed = new
+        .services
+        .iter()
+        .filter(|(name, service)| old.services.get(*name) != Some(service))
+        .map(|(name, _)| name.clone());
+    let removed = old.services.keys().filter(|name| !new.services.contains_key(*name)).cloned();
+    added_or_changed.chain(removed).collect()
 }
 
 /// What the audit trail says when targets start or stop draining by publication.
-pub fn drain_changes(old: &RuleList, new: &RuleList) -> Vec<AuditChange> {
+pub fn drain_changes(old: &RuleList, new: &RuleList, changed: &[ServiceName]) -> Vec<AuditChange> {
     let mut changes = Vec::new();
-    for service in new.services.values() {
-        let Some(before) = old.services.get(&service.name) else { continue };
+    for name in changed {
+        let Some(before) = old.services.get(name) else { continue };
+        let Some(service) = new.services.get(name) else { continue };
         for target in &service.targets {
             let former = before.targets.iter().find(|t| t.name == target.name);
             let was_draining = former.is_some_and(|former| former.draining);
--- a/crates/foxledge-engine/src/engine.rs
+++ b/crates/foxledge-engine/src/engine.rs
@@ -8,7 +8,8 @@
 
 use foxledge_core::{
     audit::{AuditChange, AuditKind},
-    lists::{FlowTraits, FlowTreatment, RuleList, TargetSpec},
+    lists::{FlowTraits, FlowTreatment, RuleList, ServiceSpec, TargetSpec},
+    names::ServiceName,
     peers::{PeerInfo, PeerView},
     time::ClockTime,
 };
@@ -26,7 +27,7 @@
 
 use crate::{
     counters::EngineCounters,
-    desks::{DeskSet, drain_changes, probed_desks, shard_count, shard_targets},
+    desks::{DeskSet, changed_services, drain_changes, probed_desks, shard_count, shard_targets},
     effects::{EngineEffect, EnginePhase},
     explain::{ExplainQuery, FlowExplanation},
     forwards::{ForwardTable, SilentHomes},
@@ -171,23 +172,32 @@
         if list.version.revision <= self.list.version.revision {
             return Vec::new();
         }
-        for change in drain_changes(&self.list, &list) {
+        let changed = changed_services(&self.list, &list);
+        for change in drain_changes(&self.list, &list, &changed) {
             self.out.push(EngineEffect::Audit(change));
         }
         let ring = KeyRing::from_keys(&list.keys);
         self.audit_keys(&ring, list.version.revision);
         self.ring = ring;
         self.index = RuleIndex::new(list.clone());
-        self.list = list;
-        self.refresh_owners();
-        self.refresh_desks(now);
+        let old = std::mem::replace(&mut self.list, list);
+        for name in &changed {
+            self.refresh_owners(name, &old);
+            self.refresh_service(now, name);
+        }
+        self.drop_idle_desks();
         self.take_effects()
     }
 
     /// Takes a new view of the instances into force.
     pub fn on_view(&mut self, now: ClockTime, view: Arc<PeerView>) -> Vec<EngineEffect> {
         self.view = view;
-        self.refresh_desks(now);
+        let list = self.list.clone();
+        self.probed.clear();
+        for service in list.services.values() {
+            self.refresh_probed(now, service);
+        }
+        self.drop_idle_desks();
         self.take_effects()
     }
 
@@ -290,40 +300,37 @@
         self.out.push(EngineEffect::Audit(change));
     }
 
-    fn refresh_owners(&mut self) {
-        self.owners.clear();
-        let centre = self.me.data_centre.clone();
-        for service in self.list.services.values() {
-            let shards = shard_count(service, &centre, self.placement.as_ref());
-            for shard in 0..shards {
-                let key = DeskKey { service: service.name.clone(), shard };
-                for target in shard_targets(service, &centre, shard, self.placement.as_ref()) {
-                    self.owners.insert(target.address, (key.clone(), target));
-                }
+    /// Notes who owns the addresses of a changed service's targets.
+    fn refresh_owners(&mut self, name: &ServiceName, old: &RuleList) {
+        let former = old.services.get(name).map_or(&[][..], |service| &service.targets);
+        for target in former {
+            let is_ours =
+                self.owners.get(&target.address).is_some_and(|(key, _)| key.service == *name);
+            if is_ours {
+                self.owners.remove(&target.address);
             }
-            for target in &service.targets {
-                let key = DeskKey { service: service.name.clone(), shard: 0 };
-                self.owners
-                    .entry(target.address)
-                    .or_insert_with(|| (key, Arc::new(target.clone())));
+        }
+        let list = self.list.clone();
+        let Some(service) = list.services.get(name) else { return };
+        for target in &service.targets {
+            let key = DeskKey { service: name.clone(), shard: 0 };
+            self.owners.insert(target.address, (key, Arc::new(target.clone())));
+        }
+        for shard in 0..shard_count(service, &self.me.data_centre, self.placement.as_ref()) {
+            let key = DeskKey { service: name.clone(), shard };
+            for target in self.targets_of(&key) {
+                self.owners.insert(target.address, (key.clone(), target));
             }
         }
     }
 
-    /// Brings every desk up to date with the list and the view.
-    fn refresh_desks(&mut self, now: ClockTime) {
-        let probed = probed_desks(
-            &self.list,
-            &self.view,
-            &self.me.name,
-            &self.me.data_centre,
-            self.placement.as_ref(),
-        );
-        self.probed = probed.into_iter().collect();
-        for key in self.probed.clone() {
-            self.obtain_desk(now, &key);
+    /// Brings the desks of a changed service up to date.
+    fn refresh_service(&mut self, now: ClockTime, name: &ServiceName) {
+        self.probed.retain(|key| key.service != *name);
+        if let Some(service) = self.list.clone().services.get(name) {
+            self.refresh_probed(now, service);
         }
-        for key in self.desks.keys() {
+        for key in self.desks.keys_of(name) {
             let targets = self.targets_of(&key);
             let queue_limit = self.queue_limit_of(&key);
             let Some(desk) = self.desks.find(&key) else { continue };
@@ -331,6 +338,24 @@
             let effects = desk.set_targets(now, targets);
             self.carry_out(now, &key, effects);
         }
+    }
+
+    /// Makes the desks of a service that this instance has to keep warm.
+    fn refresh_probed(&mut self, now: ClockTime, service: &ServiceSpec) {
+        let keys = probed_desks(
+            service,
+            &self.view,
+            &self.me.name,
+            &self.me.data_centre,
+            self.placement.as_ref(),
+        );
+        for key in keys {
+            self.obtain_desk(now, &key);
+            self.probed.insert(key);
+        }
+    }
+
+    fn drop_idle_desks(&mut self) {
         let probed = &self.probed;
         self.desks.drop_idle(|key| probed.contains(key));
     }
--- a/crates/foxledge-engine/src/home.rs
+++ b/crates/foxledge-engine/src/home.rs
@@ -236,10 +236,11 @@
         let id = self.last_work;
         let deadline = now.after(wanted_span(&packet));
         let desk = self.desk_key(&packet, &treatment);
-        let item = work_item(id, &packet, &treatment, kind, deadline, start_deadline);
+        let member = self.shared_member(&packet.member);
+        let item = work_item(id, &packet, &treatment, kind, deadline, start_deadline, member);
         let key = RequestKey::of(&packet);
         let member = item.member.clone();
-        let address = ServiceAddress::new(&packet.address);
+        let address = self.shared_address(&packet.address, &treatment);
         self.ledger.record(key, RequestState::Queued(id), forget_at);
         self.works.insert(
             id,
@@ -264,6 +265,20 @@
         self.carry_out(now, &desk, effects);
     }
 
+    /// The member's name, sharing the list's text: one copy per member, not per flow.
+    fn shared_member(&self, text: &str) -> MemberName {
+        let known = self.list.members.get_key_value(text);
+        known.map_or_else(|| MemberName::new(text), |(name, _)| name.clone())
+    }
+
+    /// The service address, sharing the list's text.
+    fn shared_address(&self, text: &str, treatment: &ServeTreatment) -> ServiceAddress {
+        let service = self.list.services.get(&treatment.service);
+        service
+            .and_then(|service| service.addresses.iter().find(|known| known.as_str() == text))
+            .map_or_else(|| ServiceAddress::new(text), ServiceAddress::clone)
+    }
+
     /// Refuses a request and remembers it, so that no copy is decided otherwise.
     ///
     /// A new list could let a copy in that arrives a moment later. Its caller
@@ -473,11 +488,12 @@
     kind: TrafficKind,
     deadline: ClockTime,
     start_deadline: ClockTime,
+    member: MemberName,
 ) -> WorkItem {
     WorkItem {
         id,
         flow: packet.flow,
-        member: MemberName::new(&packet.member),
+        member,
         kind,
         priority: treatment.priority,
         weight: treatment.weight,
--- a/crates/foxledge-engine/src/options.rs
+++ b/crates/foxledge-engine/src/options.rs
@@ -66,7 +66,7 @@
             ticket_count: 64,
             forward_wait: Duration::from_millis(150),
             passed_over: Duration::from_secs(1),
-            ledger_keep: Duration::from_secs(30),
+            ledger_keep: Duration::from_secs(10),
             ledger_limit: 200_000,
             forward_limit: 20_000,
             desk: DeskOptions::default(),
@@ -104,6 +104,8 @@
     ledger_keep: Duration,
     /// Sets the most requests that the ledger holds.
     ledger_limit: usize,
+    /// Sets the most forwardings that wait for an acknowledgement.
+    forward_limit: usize,
     /// Sets the options of every home desk.
     desk: DeskOptions,
     /// Sets which mechanisms are on.
--- a/crates/foxledge-engine/src/placement.rs
+++ b/crates/foxledge-engine/src/placement.rs
@@ -56,6 +56,11 @@
     /// How many shards a service has, given what is published and its targets here.
     fn shards(&self, published: u32, targets: usize) -> u32;
 
+    /// True when `me` is among the best `ranks` homes of the desk.
+    fn holds_rank(&self, key: &DeskKey, me: &InstanceName, view: &PeerView, ranks: usize) -> bool {
+        view.holds_rank(&key.hash_text(), me, ranks)
+    }
+
     /// Instances that can be home for the desk, the best first.
     fn ranked<'a>(&self, key: &DeskKey, me: &InstanceName, view: &'a PeerView)
     -> Vec<&'a PeerInfo>;
@@ -90,6 +95,10 @@
 struct EntryLocal;
 
 impl HomePlacement for EntryLocal {
+    fn holds_rank(&self, _: &DeskKey, _: &InstanceName, _: &PeerView, _: usize) -> bool {
+        true
+    }
+
     fn shards(&self, _published: u32, _targets: usize) -> u32 {
         1
     }
