Stop a backend server under load in virtual time

Cause: planned stops were tested on one feed only, without loss; reports didn't name their kind. Ruled out: a real-process test here; the harness has those. Conclusion: no broken feed and no false refusal from the stand-ins themselves.

--- a/crates/foxledge-fakes/src/caller/flow.rs
+++ b/crates/foxledge-fakes/src/caller/flow.rs
@@ -206,11 +206,11 @@
         let Some((_, request)) = self.find(packet.request) else { return };
         request.learn_token(now, &packet.token);
         request.acknowledge(now, &packet.missing);
-        self.on_wake_parts(now, packet.request);
+        self.send_due(now, packet.request);
     }
 
-    /// The next parts of an upload go out as soon as their window opens.
-    fn on_wake_parts(&mut self, now: ClockTime, request: u64) {
+    /// Sends what the request has due, such as the next parts of an upload.
+    fn send_due(&mut self, now: ClockTime, request: u64) {
         if let Some((number, _)) = self.find(request) {
             self.wake_piece(now, number);
         }
--- a/crates/foxledge-fakes/src/caller/tally.rs
+++ b/crates/foxledge-fakes/src/caller/tally.rs
@@ -30,6 +30,7 @@
             report: LoadReport {
                 member: options.member.to_string(),
                 address: options.address.to_string(),
+                kind: options.kind.to_string(),
                 started_unix_ms: unix_ms,
                 seconds: options.seconds,
                 ..LoadReport::default()
--- a/crates/foxledge-fakes/src/report.rs
+++ b/crates/foxledge-fakes/src/report.rs
@@ -117,6 +117,8 @@
     pub member: String,
     /// Address that was asked for.
     pub address: String,
+    /// Kind of traffic.
+    pub kind: String,
     /// When the load began, in milliseconds since the Unix epoch.
     pub started_unix_ms: u64,
     /// How long work arrived, in seconds.
--- a/crates/foxledge-fakes/tests/caller_path.rs
+++ b/crates/foxledge-fakes/tests/caller_path.rs
@@ -8,7 +8,7 @@
 
 use foxledge_core::{hash::digest_of, time::ClockTime, traffic::TrafficKind};
 use foxledge_fakes::{
-    backend::{BackendEffect, BackendOptions, BackendState},
+    backend::{BackendEffect, BackendOptions, BackendOrder, BackendState},
     caller::{LoadOptions, LoadState},
     report::{LoadReport, RequestId, Verdict, judge},
 };
@@ -45,6 +45,7 @@
     generator: StdRng,
     loss: f64,
     now: ClockTime,
+    stop_at: ClockTime,
 }
 
 impl PathBench {
@@ -64,9 +65,16 @@
             hop_count: 0,
             loss,
             now: ClockTime::ZERO,
+            stop_at: ClockTime::FAR,
         }
     }
 
+    /// Stops the first target gracefully at that time.
+    fn stop_target(mut self, at: ClockTime) -> PathBench {
+        self.stop_at = at;
+        self
+    }
+
     fn run(mut self) -> (LoadReport, Verdict) {
         while !self.load.is_finished(self.now) {
             let wakes = self.targets.iter().filter_map(BackendState::next_wake);
@@ -83,6 +91,10 @@
     }
 
     fn step(&mut self) {
+        if self.stop_at.is_past(self.now) {
+            self.stop_at = ClockTime::FAR;
+            self.targets[0].on_order(self.now, BackendOrder::StopGracefully { ms: 10_000 });
+        }
         for number in 0..TARGETS {
             let effects = self.targets[number].on_wake(self.now);
             self.send_back(effects);
@@ -201,6 +213,23 @@
     }
 }
 
+// Symptom: a planned stop of a backend server breaks feeds, or refuses work that ran.
+// Sequence: the server drains, refuses new work, sends its feeds away; datagrams get lost.
+// Cause: feeds that don't reopen elsewhere at their position; "not run" said of running work.
+#[test]
+fn a_planned_stop_breaks_no_feed_and_lies_of_no_run() {
+    for seed in 1..=5 {
+        let options = options(TrafficKind::Bid).seed(seed).seconds(8.0).feeds(12);
+        let bench = PathBench::new(options, 0.1, CopyHandling::SameDispatch);
+        let stop_at = ClockTime::ZERO.after_millis(1500);
+        let (report, verdict) = bench.stop_target(stop_at).run();
+        assert!(verdict.is_clean(), "{seed}: {verdict:?}");
+        assert!(report.reopened_feeds > 0 && report.refused_not_run > 0, "{seed}: {report:?}");
+        assert_eq!(report.served, report.offered, "{seed}");
+        assert!(report.longest_silence_ms < 5000, "{seed}: {}", report.longest_silence_ms);
+    }
+}
+
 #[test]
 fn one_seed_gives_one_report() {
     let run = || {
