--- a/crates/foxledge-ctl/src/check.rs
+++ b/crates/foxledge-ctl/src/check.rs
@@ -61,8 +61,11 @@
 }
 
 fn settings_warnings(settings: &DaemonSettings) -> Vec<String> {
-    let keys = settings.trial.switched_off();
-    keys.iter().map(|key| format!("trial.{key} is off: only for proving that it matters")).collect()
+    let trial = &settings.trial;
+    let off = trial.switched_off().into_iter();
+    let off = off.map(|key| format!("trial.{key} is off: only for proving that it matters"));
+    let routes = (!trial.routes.is_empty()).then(|| "trial.routes is set: only for tests".into());
+    off.chain(routes).collect()
 }
 
 fn check_rules(files: &[PathBuf]) -> CheckVerdict {
--- a/crates/foxledge-ctl/src/report/explain.rs
+++ b/crates/foxledge-ctl/src/report/explain.rs
@@ -30,11 +30,7 @@
 }
 
 fn rule_text(rule: &Value) -> String {
-    if rule.is_null() {
-        "none matches, so the flow is refused".to_owned()
-    } else {
-        value_text(rule)
-    }
+    if rule.is_null() { "none matches".to_owned() } else { value_text(rule) }
 }
 
 fn treatment_text(treatment: &Value) -> String {
--- a/crates/foxledge-ctl/src/report/status.rs
+++ b/crates/foxledge-ctl/src/report/status.rs
@@ -1,6 +1,6 @@
 //! The status report as text.
 
-use serde_json::{Map, Value};
+use serde_json::Value;
 
 use crate::{
     report::values::{hex_text, tree_text, value_text},
@@ -17,7 +17,8 @@
     text += &parts_text(&report["parts"]);
     if let Some(engine) = report.get("engine") {
         text += "engine:\n";
-        text += &tree_text(engine, 1);
+        // These stand in the head already.
+        text += &tree_text(&without(engine, &["phase", "version"]), 1);
     }
     text += &rest_text(report);
     text
@@ -109,10 +110,11 @@
         "parts",
         "engine",
     ];
-    let Some(fields) = report.as_object() else {
-        return String::new();
-    };
-    let rest = fields.iter().filter(|(key, _)| !known.contains(&key.as_str()));
-    let rest: Map<_, _> = rest.map(|(key, value)| (key.clone(), value.clone())).collect();
-    tree_text(&Value::Object(rest), 0)
+    tree_text(&without(report, &known), 0)
+}
+
+fn without(report: &Value, left_out: &[&str]) -> Value {
+    let fields = report.as_object().into_iter().flatten();
+    let rest = fields.filter(|(key, _)| !left_out.contains(&key.as_str()));
+    Value::Object(rest.map(|(key, value)| (key.clone(), value.clone())).collect())
 }
--- a/crates/foxledge-ctl/src/report/values.rs
+++ b/crates/foxledge-ctl/src/report/values.rs
@@ -18,6 +18,7 @@
         Value::Number(number) => number.to_string(),
         Value::Array(values) if values.is_empty() => "-".to_owned(),
         Value::Array(values) => values.iter().map(value_text).collect::<Vec<_>>().join(" "),
+        Value::Object(fields) if fields.is_empty() => "-".to_owned(),
         Value::Object(fields) => {
             let texts: Vec<_> =
                 fields.iter().map(|(key, value)| format!("{key}={}", value_text(value))).collect();
--- a/crates/foxledge-ctl/tests/check_files.rs
+++ b/crates/foxledge-ctl/tests/check_files.rs
@@ -127,10 +127,14 @@
 fn trial_switches_bring_warnings() {
     let folder = FileFolder::new("warnings");
     let good = std::fs::read_to_string(example("foxledged.toml")).unwrap();
-    let settings = folder.write("trial.toml", &good.replace("run_once = true", "run_once = false"));
+    let trial = good
+        .replace("run_once = true", "run_once = false")
+        .replace("routes = {}", "routes = { \"10.0.1.12:7001\" = \"10.0.1.99:9001\" }");
+    let settings = folder.write("trial.toml", &trial);
     expect![[r#"
         good: instance toledo-1 in toledo
         warning: trial.run_once is off: only for proving that it matters
+        warning: trial.routes is set: only for tests
         exit code 0
     "#]]
     .assert_eq(&folder.run(&["check", "settings", &settings]));
