--- a/crates/foxledge-fakes/src/harness/fleet.rs
+++ b/crates/foxledge-fakes/src/harness/fleet.rs
@@ -130,8 +130,7 @@
         let reserve = self.take_reserve(data_centre)?;
         let settings_path = self.directory.join(format!("{}.toml", reserve.name));
         fs::write(&settings_path, self.settings_text(&reserve)?)?;
-        let arguments = ["--config".to_owned(), settings_path.display().to_string()];
-        let process = TestProcess::start(&reserve.name, "foxledged", &arguments, &self.directory)?;
+        let process = start_daemon(&reserve.name, &settings_path, &self.directory)?;
         self.instances.push(TestInstance {
             name: reserve.name,
             data_centre: reserve.data_centre,
@@ -206,6 +205,16 @@
     }
 }
 
+/// Starts `foxledged` with a settings file.
+pub(super) fn start_daemon(
+    name: &str,
+    settings_path: &Path,
+    directory: &Path,
+) -> anyhow::Result<TestProcess> {
+    let arguments = ["--config".to_owned(), settings_path.display().to_string()];
+    TestProcess::start(name, "foxledged", &arguments, directory)
+}
+
 fn start_fabrics(plan: &FleetPlan, directory: &Path) -> anyhow::Result<Vec<CentreFabric>> {
     let names = plan.centres.iter().map(|(name, _)| name);
     names.map(|name| CentreFabric::start(name, plan.seed, &[], directory)).collect()
