Wire trial.refuse_stale_lists to the list store and the engine

Cause: the switch was read from the settings and had no effect, so nothing could show what refusing older lists prevents. Conclusion: with the switch off a list older than the one in force is taken; on stays the default.

--- a/crates/foxledge-daemon/src/choices.rs
+++ b/crates/foxledge-daemon/src/choices.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use foxledge_engine::{EngineOptions, PlacementKind, TrialSwitches};
+use foxledge_members::{ListOptions, StaleLists};
 use foxledge_policy::DeskOptions;
 use foxledge_settings::{DaemonSettings, PlacementChoice};
 
@@ -49,9 +50,19 @@
         check_target_owner: trial.check_target_owner,
         pass_over_homes: trial.pass_over_homes,
         remember_refusals: trial.remember_refusals,
+        refuse_stale_lists: trial.refuse_stale_lists,
     }
 }
 
+/// The list store's options from the settings.
+pub fn list_options(settings: &DaemonSettings) -> ListOptions {
+    let stale = match settings.trial.refuse_stale_lists {
+        true => StaleLists::Refuse,
+        false => StaleLists::Take,
+    };
+    ListOptions::default().stale(stale)
+}
+
 /// The addresses that stand in for others.
 pub fn route_table(settings: &DaemonSettings) -> RouteTable {
     RouteTable::new(settings.trial.routes.clone())
--- a/crates/foxledge-daemon/src/list_keeper.rs
+++ b/crates/foxledge-daemon/src/list_keeper.rs
@@ -4,13 +4,14 @@
 
 use foxledge_core::lists::{ListVersion, RuleList};
 use foxledge_engine::EnginePhase;
-use foxledge_members::{ListEffect, ListOptions, ListSource, ListStore};
+use foxledge_members::{ListEffect, ListSource, ListStore};
 use foxledge_wire::control::{ListPart, Manifest};
 use log::{debug, info};
 use stakker::{CX, after, call};
 use tokio::sync::oneshot;
 
 use crate::{
+    choices::list_options,
     context::{DaemonContext, KeptList},
     side::messages::{CallError, LinkCommand, WatchOrder},
 };
@@ -27,7 +28,7 @@
 impl ListKeeper {
     /// Makes the store, with the list that an earlier keeper had accepted.
     pub fn init(cx: CX![], context: Rc<DaemonContext>) -> Option<ListKeeper> {
-        let store = ListStore::new(ListOptions::default());
+        let store = ListStore::new(list_options(&context.settings));
         let mut keeper = ListKeeper { context, store, watch: WatchOrder::Pause };
         keeper.restore();
         call!([cx], on_tick());
--- a/crates/foxledge-engine/src/engine.rs
+++ b/crates/foxledge-engine/src/engine.rs
@@ -4,6 +4,7 @@
     collections::{BTreeSet, HashMap},
     net::SocketAddr,
     sync::Arc,
+    time::Duration,
 };
 
 use foxledge_core::{
@@ -22,6 +23,7 @@
     decode_packet, encode_packet,
     flow::{Packet, PacketKind, PeerDatagram, Refusal, RunOutcome, peer_datagram::Body},
 };
+use log::debug;
 use prost::Message;
 use rand::{SeedableRng, rngs::StdRng};
 
@@ -40,6 +42,8 @@
     status::{DeskEntry, EngineStatus},
 };
 
+/// Shortest time between two audit entries about requests left unknown.
+const UNKNOWN_AUDIT_GAP: Duration = Duration::from_millis(100);
 /// Flows that the journal keeps.
 const JOURNAL_FLOWS: usize = 2_000;
 
@@ -60,6 +64,10 @@
     pub(crate) owners: HashMap<SocketAddr, (DeskKey, Arc<TargetSpec>)>,
     pub(crate) ledger: RunLedger,
     pub(crate) works: HashMap<u64, HomeWork>,
+    /// Works that are no feeds; a planned stop waits for them.
+    pub(crate) open_requests: usize,
+    /// No refusal that leaves a request unknown goes into the audit trail before.
+    pub(crate) next_unknown_audit: ClockTime,
     /// Work ids by dispatch.
     pub(crate) dispatches: HashMap<u64, u64>,
     pub(crate) last_work: u64,
@@ -88,6 +96,8 @@
             owners: HashMap::new(),
             ledger: RunLedger::new(options.ledger_limit),
             works: HashMap::new(),
+            open_requests: 0,
+            next_unknown_audit: ClockTime::ZERO,
             dispatches: HashMap::new(),
             last_work: 0,
             forwards: ForwardTable::new(options.forward_limit),
@@ -169,7 +179,8 @@
 
     /// Takes a newly accepted list into force.
     pub fn on_list(&mut self, now: ClockTime, list: Arc<RuleList>) -> Vec<EngineEffect> {
-        if list.version.revision <= self.list.version.revision {
+        let is_newer = list.version.revision > self.list.version.revision;
+        if !is_newer && self.options.trial.refuse_stale_lists {
             return Vec::new();
         }
         let changed = changed_services(&self.list, &list);
@@ -209,8 +220,7 @@
     /// Requests, tickets and forwardings that a planned stop has to wait for.
     pub fn unfinished(&self, now: ClockTime) -> usize {
         let tickets = usize::from(!self.tickets_until.is_past(now));
-        let requests = self.works.values().filter(|work| !work.is_feed()).count();
-        requests + tickets + self.forwards.len()
+        self.open_requests + tickets + self.forwards.len()
     }
 
     /// What this instance is.
@@ -394,6 +404,30 @@
         }
     }
 
+    /// Takes out a work that has ended.
+    pub(crate) fn remove_work(&mut self, id: u64) -> Option<HomeWork> {
+        let work = self.works.remove(&id)?;
+        self.dispatches.remove(&work.dispatch);
+        self.open_requests -= usize::from(!work.is_feed());
+        Some(work)
+    }
+
+    /// Puts a request into the audit trail whose caller was told that nobody knows.
+    ///
+    /// At most one each [`UNKNOWN_AUDIT_GAP`]: a flood of packets with withdrawn
+    /// tickets would otherwise push every other change out of the bounded trail.
+    fn audit_unknown(&mut self, now: ClockTime, packet: &Packet, text: &str) {
+        if !self.next_unknown_audit.is_past(now) {
+            return;
+        }
+        self.next_unknown_audit = now.after(UNKNOWN_AUDIT_GAP);
+        let subject = format!("flow {:016x} request {}", packet.flow, packet.request);
+        let change = AuditChange::new(AuditKind::FlowDecided, subject)
+            .values("", text)
+            .because("may have run", "engine");
+        self.out.push(EngineEffect::Audit(change));
+    }
+
     /// Sends the final refusal of a request to its caller.
     pub(crate) fn refuse(
         &mut self,
@@ -407,6 +441,10 @@
             _ => self.counters.refused_unknown += 1,
         }
         let text = format!("refused {:?} {:?}", refusal.outcome(), refusal.reason());
+        debug!("engine: flow {:016x} request {} {text}", packet.flow, packet.request);
+        if refusal.outcome() != RunOutcome::NotRun && !packet.ticket.is_empty() {
+            self.audit_unknown(now, packet, &text);
+        }
         self.journal.note(now, packet.flow, packet.request, text);
         let mut reply = Packet { refusal: Some(refusal), ..reply_to(packet, PacketKind::Refusal) };
         if reply.encoded_len() > packet.encoded_len() {
--- a/crates/foxledge-engine/src/options.rs
+++ b/crates/foxledge-engine/src/options.rs
@@ -44,6 +44,8 @@
     pub pass_over_homes: bool,
     /// Known refusals are repeated instead of being decided anew.
     pub remember_refusals: bool,
+    /// A list older than the one in force is refused.
+    pub refuse_stale_lists: bool,
 }
 
 impl Default for TrialSwitches {
@@ -53,6 +55,7 @@
             check_target_owner: true,
             pass_over_homes: true,
             remember_refusals: true,
+            refuse_stale_lists: true,
         }
     }
 }
--- a/crates/foxledge-members/src/lists.rs
+++ b/crates/foxledge-members/src/lists.rs
@@ -7,5 +7,5 @@
 mod store;
 
 pub use builder::{ListBuilder, RulesBuilder};
-pub use options::ListOptions;
+pub use options::{ListOptions, StaleLists};
 pub use store::ListStore;
--- a/crates/foxledge-members/src/lists/options.rs
+++ b/crates/foxledge-members/src/lists/options.rs
@@ -4,6 +4,16 @@
 
 use super::builder::{ListBuilder, RulesBuilder};
 
+/// `StaleLists` is what becomes of a list older than the one in force.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum StaleLists {
+    /// It is ignored.
+    #[default]
+    Refuse,
+    /// It comes into force; only to prove that refusing matters.
+    Take,
+}
+
 /// `ListOptions` is how lists are fetched; each setting has a default.
 pub struct ListOptions {
     pub(super) builder: Box<dyn ListBuilder>,
@@ -12,6 +22,7 @@
     pub(super) reply_bytes: usize,
     pub(super) list_bytes: usize,
     pub(super) list_parts: usize,
+    pub(super) stale: StaleLists,
 }
 
 impl Default for ListOptions {
@@ -23,6 +34,7 @@
             reply_bytes: 256 * 1024,
             list_bytes: 8 * 1024 * 1024,
             list_parts: 4096,
+            stale: StaleLists::Refuse,
         }
     }
 }
@@ -64,6 +76,12 @@
         self
     }
 
+    /// What becomes of a list older than the one in force.
+    pub fn stale(mut self, stale: StaleLists) -> ListOptions {
+        self.stale = stale;
+        self
+    }
+
     /// Most parts of one list.
     pub fn list_parts(mut self, parts: usize) -> ListOptions {
         self.list_parts = parts;
--- a/crates/foxledge-members/src/lists/store.rs
+++ b/crates/foxledge-members/src/lists/store.rs
@@ -11,7 +11,11 @@
 use foxledge_rules::list_version;
 use foxledge_wire::control::{ListPart, Manifest};
 
-use super::{options::ListOptions, parts::PartTable, sources::SourceTable};
+use super::{
+    options::{ListOptions, StaleLists},
+    parts::PartTable,
+    sources::SourceTable,
+};
 use crate::{ListEffect, ListSource};
 
 /// Most refused versions that are remembered.
@@ -191,7 +195,11 @@
     }
 
     fn is_wanted(&self, version: &ListVersion) -> bool {
-        version.revision > self.version().revision && !self.refused.contains(version)
+        let is_newer = match self.options.stale {
+            StaleLists::Refuse => version.revision > self.version().revision,
+            StaleLists::Take => *version != self.version(),
+        };
+        is_newer && !self.refused.contains(version)
     }
 
     /// True for another list under the revision in force.
