--- a/crates/foxledge-daemon/src/listener.rs
+++ b/crates/foxledge-daemon/src/listener.rs
@@ -13,7 +13,7 @@
 use crate::context::DaemonContext;
 
 /// Most datagrams read from one socket before the main loop gets its turn.
-const BATCH_LIMIT: usize = 64;
+pub const BATCH_LIMIT: usize = 64;
 /// Priority of the sockets in the poll, the same as the waker's, so that neither starves.
 pub const POLL_PRIORITY: u32 = 10;
 /// One byte more than allowed, so that a longer datagram shows as oversized instead of as cut.
