--- a/crates/foxledge-members/src/centres.rs
+++ b/crates/foxledge-members/src/centres.rs
@@ -62,11 +62,19 @@
     fresh_for: Duration,
     talk_every: Duration,
     written: u32,
+    pointers: usize,
 }
 
 impl CentreTable {
     pub(crate) fn new(own: CentreName, fresh_for: Duration, talk_every: Duration) -> CentreTable {
-        CentreTable { own, entries: BTreeMap::new(), fresh_for, talk_every, written: 0 }
+        CentreTable {
+            own,
+            entries: BTreeMap::new(),
+            fresh_for,
+            talk_every,
+            written: 0,
+            pointers: 0,
+        }
     }
 
     /// Writes the own data centre's summary; `contacts` are who may be talked to there.
@@ -158,11 +166,15 @@
         due
     }
 
-    /// A summary of one other data centre, in turn, for a third one to find it by.
-    pub(crate) fn next_pointer(&mut self, now: ClockTime) -> Option<CentreSummary> {
-        let fresh: Vec<_> =
-            self.entries.iter().filter(|(_, entry)| !entry.fresh_deadline.is_past(now)).collect();
-        let index = (self.written as usize).checked_rem(fresh.len())?;
+    /// A summary of one data centre, in turn, for the asking one to find it by.
+    pub(crate) fn next_pointer(&mut self, now: ClockTime, asking: &str) -> Option<CentreSummary> {
+        let is_other = |name: &CentreName| name.as_str() != asking;
+        let entries = self.entries.iter();
+        let fresh: Vec<_> = entries
+            .filter(|(name, entry)| is_other(name) && !entry.fresh_deadline.is_past(now))
+            .collect();
+        let index = self.pointers.checked_rem(fresh.len())?;
+        self.pointers = self.pointers.wrapping_add(1);
         fresh.get(index).map(|(name, entry)| entry.summary(name))
     }
 
--- a/crates/foxledge-members/src/membership.rs
+++ b/crates/foxledge-members/src/membership.rs
@@ -126,7 +126,7 @@
         self.compare_version(&sender, beat.version, &mut effects);
         if sender.data_centre != self.me.data_centre {
             self.take_foreign(now, &sender, &beat.centres);
-            let reply = self.foreign_reply(now);
+            let reply = self.foreign_reply(now, &sender.data_centre);
             effects.extend(self.renew_view(now));
             return (reply, effects);
         }
@@ -181,7 +181,7 @@
     pub fn on_failure(&mut self, _now: ClockTime, from: SocketAddr) -> Vec<MemberEffect> {
         // Later failures of the same silence are followed by probes in each round.
         let Some(name) = self.watch.at_first_failure(from) else { return Vec::new() };
-        self.probe_through(&name).into_iter().collect()
+        self.probe_through(&name)
     }
 
     /// Takes the end of a relayed probe.
--- a/crates/foxledge-members/src/membership/beats.rs
+++ b/crates/foxledge-members/src/membership/beats.rs
@@ -21,6 +21,8 @@
 /// One and a half: a beat without an answer leaves time for two more, which
 /// are sent in the next rounds, and for relayed probes.
 const HALF_BEATS_PER_SUSPICION: u128 = 3;
+/// Relays that are asked at once about an instance that doesn't answer.
+const RELAYS_PER_PROBE: usize = 2;
 /// Most addresses tried in one round by an instance that knows nobody.
 const HINTS_WHEN_ALONE: usize = 4;
 
@@ -92,21 +94,26 @@
         (beats * self.options.heartbeat.as_micros()).div_ceil(suspicion).max(1) as usize
     }
 
-    /// Asks one other instance, drawn, whether `name` answers it.
+    /// Asks a few other instances, drawn, whether `name` answers them.
     ///
     /// The link between here and there may be cut, in one direction even. Without
     /// the way round, an instance that everybody else reaches would be suspected.
-    pub(super) fn probe_through(&mut self, name: &InstanceName) -> Option<MemberEffect> {
-        let control_address = self.table.get(name)?.info.control_address.to_string();
+    pub(super) fn probe_through(&mut self, name: &InstanceName) -> Vec<MemberEffect> {
+        let Some(target) = self.table.get(name) else { return Vec::new() };
+        let control_address = target.info.control_address.to_string();
         let is_relay = |peer: &&PeerInfo| peer.state == PeerState::Alive && peer.name != *name;
         let relays: Vec<_> =
             self.table.living().map(|entry| &entry.info).filter(is_relay).collect();
-        if relays.is_empty() {
-            return None;
-        }
-        let through = relays[self.rng.random_range(0..relays.len())].control_address;
-        let probe = RelayProbe { name: name.to_string(), control_address };
-        Some(MemberEffect::ProbeFor { through, probe })
+        let drawn = rand::seq::index::sample(
+            &mut self.rng,
+            relays.len(),
+            RELAYS_PER_PROBE.min(relays.len()),
+        );
+        let probe_through = |index: usize| MemberEffect::ProbeFor {
+            through: relays[index].control_address,
+            probe: RelayProbe { name: name.to_string(), control_address: control_address.clone() },
+        };
+        drawn.into_iter().map(probe_through).collect()
     }
 
     /// Tries addresses that may lead to somebody, at a bounded rate.
@@ -153,19 +160,18 @@
         to: SocketAddr,
         name: Option<&InstanceName>,
     ) -> MemberEffect {
-        // Whoever is held as suspect or dead is told so first, to refute.
+        // Whoever is held as suspect or dead is told so, to refute.
         let accused = name.and_then(|name| self.accusation_of(name));
-        let mut news: Vec<_> = accused.into_iter().collect();
-        let room = self.options.news_limit - news.len();
-        news.extend(self.take_news_records(room));
-        let page = self.take_own_page(now, to);
+        let page = if accused.is_some() { None } else { self.take_own_page(now, to) };
         let join = page.is_some();
-        if let Some(mut page) = page {
-            if page.is_empty() {
-                page.push(self.me.clone());
+        let news = match page {
+            Some(page) => page.iter().map(convert::peer_record).collect(),
+            None => {
+                let mut news: Vec<_> = accused.into_iter().collect();
+                news.extend(self.take_news_records(self.options.news_limit - news.len()));
+                news
             }
-            news.extend(page.iter().map(convert::peer_record));
-        }
+        };
         let beat = Heartbeat {
             sender: Some(convert::peer_record(&self.me)),
             version: Some(convert::wire_version(self.version)),
@@ -199,18 +205,6 @@
         }
     }
 
-    /// The page after the one that the beat ended with; the own record when there is none.
-    fn page_for(&self, beat: &Heartbeat) -> Vec<PeerRecord> {
-        let sender = beat.sender.as_ref().map(|sender| sender.name.as_str());
-        let last = beat.news.last().map(|record| record.name.as_str());
-        let after = last.filter(|last| Some(*last) != sender).map(InstanceName::new);
-        let mut page = self.page_after(after);
-        if page.is_empty() {
-            page.push(self.me.clone());
-        }
-        page.iter().map(convert::peer_record).collect()
-    }
-
     /// A reply that says only who answers, and which list it holds.
     pub(super) fn bare_reply(&self) -> HeartbeatReply {
         HeartbeatReply {
@@ -221,9 +215,9 @@
     }
 
     /// Answers a beat of another data centre: a summary, and one of a third to be found by.
-    pub(super) fn foreign_reply(&mut self, now: ClockTime) -> HeartbeatReply {
+    pub(super) fn foreign_reply(&mut self, now: ClockTime, asking: &str) -> HeartbeatReply {
         let mut centres = vec![self.own_summary()];
-        centres.extend(self.centres.next_pointer(now));
+        centres.extend(self.centres.next_pointer(now, asking));
         HeartbeatReply { centres, ..self.bare_reply() }
     }
 
--- a/crates/foxledge-members/src/membership/exchange.rs
+++ b/crates/foxledge-members/src/membership/exchange.rs
@@ -1,9 +1,12 @@
 //! The whole exchange of tables, page by page, for what news has missed.
 
-use std::{net::SocketAddr, time::Duration};
+use std::{collections::HashSet, net::SocketAddr, time::Duration};
 
 use foxledge_core::{names::InstanceName, peers::PeerInfo, time::ClockTime};
-use foxledge_wire::control::PeerRecord;
+use foxledge_wire::{
+    control::{Heartbeat, PeerRecord},
+    convert,
+};
 
 use super::Membership;
 
@@ -14,9 +17,12 @@
 
 /// `TableExchange` is how far the whole exchange has come.
 ///
-/// A page is records in the order of their names. It ends a message, so that
-/// its last record tells where the next page starts; the sender's own record
-/// there says that there is nothing more, and to start from the first name.
+/// A beat with `join` carries a page in its news: first the record after which
+/// the page starts, the sender's own for the first page, then records in the
+/// order of their names. The reply ends with the answerer's records in the same
+/// range that the page lacks. A page that isn't full is the sender's last, and
+/// its range has no end; so a sender that knows nobody sends empty pages, and
+/// reads the whole table. The answerer's own record ends a reply that has none.
 #[derive(Debug)]
 pub(super) struct TableExchange {
     progress: ExchangeProgress,
@@ -73,7 +79,7 @@
         }
     }
 
-    /// The page to end the next beat with, if one is due; empty records mean the first page.
+    /// The page that is the next beat's news, if one is due.
     pub(super) fn take_own_page(
         &mut self,
         now: ClockTime,
@@ -83,36 +89,53 @@
             return None;
         }
         self.exchange.asked = Some(to);
+        let start = self.exchange.cursor.clone();
+        let marker = start.as_ref().and_then(|name| self.table.get(name));
+        let marker = marker.map_or(&self.me, |entry| &entry.info).clone();
         if self.exchange.progress == ExchangeProgress::Reading {
             self.exchange.next_page = now.after(self.options.heartbeat / 2);
-            let last = self.exchange.cursor.as_ref().and_then(|name| self.table.get(name));
-            return Some(last.map(|entry| entry.info.clone()).into_iter().collect());
+            return Some(vec![marker]);
         }
         self.exchange.next_page = now.after(PAGE_EVERY);
-        let page = self.page_after(self.exchange.cursor.clone());
-        self.exchange.cursor = page.last().map(|peer| peer.name.clone());
-        Some(page)
+        let records = self.table.page(start.as_deref(), None, self.options.page_limit);
+        let is_full = records.len() == self.options.page_limit;
+        let last = records.last().filter(|_| is_full);
+        self.exchange.cursor = last.map(|peer| peer.name.clone());
+        Some(std::iter::once(marker).chain(records).collect())
     }
 
-    /// Takes the page that ends a reply, if one was asked for.
+    /// The answer to a beat's page.
+    pub(super) fn page_for(&self, beat: &Heartbeat) -> Vec<PeerRecord> {
+        let sender = beat.sender.as_ref().map_or("", |sender| sender.name.as_str());
+        let mut names = beat.news.iter().map(|record| record.name.as_str());
+        let after = names.next().filter(|marker| *marker != sender);
+        let held: HashSet<&str> = names.collect();
+        let is_full = held.len() >= self.options.page_limit;
+        let until = beat.news.last().map(|record| record.name.as_str()).filter(|_| is_full);
+
+        let mut page = self.table.page(after, until, usize::MAX);
+        page.retain(|peer| !held.contains(peer.name.as_str()) && peer.name.as_str() != sender);
+        page.truncate(self.options.page_limit);
+        if page.is_empty() {
+            page.push(self.me.clone());
+        }
+        page.iter().map(convert::peer_record).collect()
+    }
+
+    /// Takes the page that ends a reply, if the whole table is being read from its sender.
     pub(super) fn take_page(&mut self, sender: &PeerInfo, news: &[PeerRecord]) {
-        if self.exchange.asked != Some(sender.control_address) {
+        let is_asked = self.exchange.asked.take_if(|asked| *asked == sender.control_address);
+        if is_asked.is_none() || self.exchange.progress == ExchangeProgress::Read {
             return;
         }
-        self.exchange.asked = None;
         let Some(last) = news.last() else { return };
         if last.name != sender.name.as_str() {
             self.exchange.cursor = Some(InstanceName::new(&last.name));
             return;
         }
-        // The other's last page was read: from here on, differing digests tell
-        // whether something is still missing.
+        // The whole table was read: from here on, differing digests tell whether
+        // something is still missing.
         self.exchange.cursor = None;
         self.exchange.progress = ExchangeProgress::Read;
     }
-
-    /// The records after `name`, one page of them.
-    pub(super) fn page_after(&self, name: Option<InstanceName>) -> Vec<PeerInfo> {
-        self.table.page_after(name.as_deref(), self.options.page_limit)
-    }
 }
--- a/crates/foxledge-members/src/table.rs
+++ b/crates/foxledge-members/src/table.rs
@@ -3,6 +3,7 @@
 use std::{
     collections::{BTreeMap, BTreeSet},
     net::SocketAddr,
+    ops::Bound,
 };
 
 use foxledge_core::{
@@ -227,11 +228,22 @@
         self.suspects.len()
     }
 
-    /// The instances that aren't dead and come after `name`, at most `limit`.
-    pub(crate) fn page_after(&self, name: Option<&str>, limit: usize) -> Vec<PeerInfo> {
-        let is_after =
-            |entry: &&TableEntry| name.is_none_or(|name| entry.info.name.as_str() > name);
-        self.living().filter(is_after).take(limit).map(|entry| entry.info.clone()).collect()
+    /// The instances that aren't dead, with names above `after` and up to `until`, at most `limit`.
+    pub(crate) fn page(
+        &self,
+        after: Option<&str>,
+        until: Option<&str>,
+        limit: usize,
+    ) -> Vec<PeerInfo> {
+        let start = after.map_or(Bound::Unbounded, Bound::Excluded);
+        let end = until.map_or(Bound::Unbounded, Bound::Included);
+        if let (Some(after), Some(until)) = (after, until)
+            && after >= until
+        {
+            return Vec::new();
+        }
+        let range = self.entries.range::<str, _>((start, end)).map(|(_, entry)| &entry.info);
+        range.filter(|info| info.state != PeerState::Dead).take(limit).cloned().collect()
     }
 
     /// Digest of this table together with the own record: the same at two
