--- a/crates/foxledge-rules/tests/bad_lists.rs
+++ b/crates/foxledge-rules/tests/bad_lists.rs
@@ -491,10 +491,13 @@
 when = { kind = ["upload"] }
 then = { service = "lots" }
 "#;
-    check(text, expect![[r#"
+    check(
+        text,
+        expect![[r#"
         more:3: rule[0].when.member[0]: must be a text
         more:7: rule[1].then.service: no service "shop"
         more:11: rule[2].then.priority: must be from 0 to 7
         more:15: rule[4]: never matches: rule "lots" (more:12) takes it all before
-    "#]]);
+    "#]],
+    );
 }
