--- a/crates/foxledge-engine/src/answers.rs
+++ b/crates/foxledge-engine/src/answers.rs
@@ -87,8 +87,7 @@
         let effects = home_desk.on_signal(now, packet.dispatch, signal, load);
         self.carry_out(now, desk, effects);
         if signal == TargetSignal::Ended {
-            self.works.remove(&id);
-            self.dispatches.remove(&packet.dispatch);
+            self.remove_work(id);
         }
     }
 
--- a/crates/foxledge-engine/src/home.rs
+++ b/crates/foxledge-engine/src/home.rs
@@ -15,6 +15,7 @@
     convert::{traffic_kind, work_kind},
     flow::{FlowToken, Packet, PacketKind, Refusal, RefusalReason, ReturnPath, RunOutcome, Ticket},
 };
+use log::debug;
 use rand::Rng;
 
 use crate::{
@@ -242,6 +243,7 @@
         let member = item.member.clone();
         let address = self.shared_address(&packet.address, &treatment);
         self.ledger.record(key, RequestState::Queued(id), forget_at);
+        self.open_requests += usize::from(kind != TrafficKind::Feed);
         self.works.insert(
             id,
             HomeWork {
@@ -356,12 +358,9 @@
         let state = RequestState::Dispatched { dispatch, target: target.clone() };
         self.ledger.record(key, state, forget_at);
         self.counters.dispatched += 1;
-        self.journal.note(
-            now,
-            key.flow,
-            key.request,
-            format!("dispatched {dispatch:016x} to {}@{}", target.name, target.address),
-        );
+        let text = format!("dispatched {dispatch:016x} to {}@{}", target.name, target.address);
+        debug!("engine: flow {:016x} request {} {text}", key.flow, key.request);
+        self.journal.note(now, key.flow, key.request, text);
         self.out.push(EngineEffect::Observe { kind, wait });
         self.send_to_target(now, caller, &packet, dispatch, target);
     }
@@ -433,8 +432,7 @@
 
     /// Gives a work its final refusal at once.
     pub(crate) fn refuse_work(&mut self, now: ClockTime, id: u64, refusal: &DeskRefusal) {
-        let Some(work) = self.works.remove(&id) else { return };
-        self.dispatches.remove(&work.dispatch);
+        let Some(work) = self.remove_work(id) else { return };
         let refusal = match (work.tracking, refusal.ran) {
             (RunTracking::Untracked, RunState::NotRun) => {
                 Refusal { outcome: RunOutcome::Unknown.into(), ..desk_refusal(refusal) }
--- /dev/null
+++ b/crates/foxledge-engine/tests/forward_paths.rs
@@ -0,0 +1,135 @@
+//! What an entry instance does when the way to a home fails.
+
+mod common;
+
+use common::{TestNet, address, is_answered, refusals, work};
+use foxledge_core::time::ClockTime;
+use foxledge_engine::{EngineEffect, EngineOptions, EnginePhase, TrialSwitches};
+use foxledge_wire::flow::{Packet, PacketKind};
+
+fn home_of(net: &TestNet) -> usize {
+    (0..net.engines.len())
+        .find(|&i| net.engines[i].as_ref().is_some_and(|e| e.counters().tickets_issued > 0))
+        .expect("a ticket was issued")
+}
+
+fn peer_address(instance: usize) -> std::net::SocketAddr {
+    address(2000 + instance as u16)
+}
+
+/// Milliseconds until a ticket comes through an instance, once the home was killed.
+fn admission_gap(options: EngineOptions) -> u64 {
+    let mut net = TestNet::new(3, 1, options);
+    net.obtain_ticket(1, 0, "auction").unwrap();
+    let home = home_of(&net);
+    net.kill(home);
+    let killed = net.now;
+    let entry = (home + 1) % 3;
+    for _ in 0..8 {
+        if net.obtain_ticket(2, entry, "auction").is_some() {
+            break;
+        }
+    }
+    net.now.since(killed).as_millis() as u64
+}
+
+#[test]
+fn silent_home() {
+    // Symptom: admission stops for seconds when an instance is killed.
+    // Sequence: the home is killed; membership still holds it alive; callers ask for tickets.
+    // Cause: entry instances go on forwarding to the dead home.
+    let switches = TrialSwitches { pass_over_homes: false, ..TrialSwitches::default() };
+    let without = admission_gap(EngineOptions::default().trial(switches));
+    let with = admission_gap(EngineOptions::default());
+    assert!(without > 10_000, "without passing over: {without} ms");
+    assert!(with <= 1_000, "with passing over: {with} ms");
+}
+
+#[test]
+fn cut_way() {
+    // Symptom: a bid is answered "unknown" although its home lives.
+    // Sequence: the link between the entry instance and the ticket's home is cut both ways.
+    // Cause: the entry instance knows only one way to the home.
+    let mut net = TestNet::new(3, 2, EngineOptions::default());
+    let ticket = net.obtain_ticket(1, 0, "auction").unwrap();
+    let home = home_of(&net);
+    let entry = (home + 1) % 3;
+    net.cuts.insert((peer_address(entry), peer_address(home)));
+    net.cuts.insert((peer_address(home), peer_address(entry)));
+    net.send(1, entry, &Packet { ticket, ..work(1, 1, 1, "auction") });
+    net.run(1500);
+    let answers = net.take_answers(1);
+    assert!(is_answered(&answers), "{answers:?}");
+    assert!(refusals(&answers).is_empty());
+}
+
+#[test]
+fn one_direction() {
+    // Symptom: a request is given up although its home took it.
+    // Sequence: acknowledgements from the home to the entry instance are lost, packets pass.
+    // Cause: silence of the acknowledgement is taken for silence of the home.
+    let mut net = TestNet::new(3, 3, EngineOptions::default());
+    let ticket = net.obtain_ticket(1, 0, "auction").unwrap();
+    let home = home_of(&net);
+    let entry = (home + 1) % 3;
+    net.cuts.insert((peer_address(home), peer_address(entry)));
+    net.send(1, entry, &Packet { ticket, ..work(1, 1, 1, "auction") });
+    net.run(1500);
+    let answers = net.take_answers(1);
+    assert!(is_answered(&answers));
+    let runs: u32 = net.targets.iter().flat_map(|target| target.runs.values()).sum();
+    assert_eq!(runs, 1);
+}
+
+#[test]
+fn leaving_home() {
+    // Symptom: a planned stop cuts a bid, or admits new ones until the end.
+    // Sequence: the home gets a bid and is told to leave; more callers ask for tickets there.
+    // Cause: the home goes at once, or goes on issuing tickets.
+    let mut net = TestNet::new(2, 4, EngineOptions::default());
+    let ticket = net.obtain_ticket(1, 0, "auction").unwrap();
+    let home = home_of(&net);
+    net.send(1, home, &Packet { ticket, ..work(1, 1, 1, "auction") });
+    net.run(3);
+    let now = net.now;
+    net.engines[home].as_mut().unwrap().set_phase(now, EnginePhase::Leaving);
+    let engine = net.engines[home].as_ref().unwrap();
+    assert!(engine.unfinished(now) > 0);
+    net.show_view(&[0, 1], &[1 - home]);
+    let issued = net.engines[home].as_ref().unwrap().counters().tickets_issued;
+    assert!(net.obtain_ticket(2, home, "auction").is_some(), "the other instance issues it");
+    net.run(6_000);
+    let answers = net.take_answers(1);
+    assert!(is_answered(&answers));
+    let last = answers.iter().find(|a| a.kind() == PacketKind::Answer).unwrap();
+    assert!(last.ticket.is_empty(), "a leaving home renews no ticket");
+    let engine = net.engines[home].as_ref().unwrap();
+    assert_eq!(engine.counters().tickets_issued, issued);
+    assert_eq!(engine.unfinished(net.now), 0);
+}
+
+#[test]
+fn unknown_audited() {
+    let mut net = TestNet::new(2, 5, EngineOptions::default());
+    let ticket = net.obtain_ticket(1, 0, "auction").unwrap();
+    let home = home_of(&net);
+    net.kill(home);
+    let entry = net.engines[1 - home].as_mut().unwrap();
+    let bid = Packet { ticket, ..work(1, 1, 1, "auction") };
+    let mut effects = Vec::new();
+    let mut now = net.now;
+    effects.extend(entry.on_datagram(now, address(5001), &foxledge_wire::encode_packet(&bid)));
+    for _ in 0..200 {
+        now = ClockTime::from_micros(now.as_micros() + 10_000);
+        effects.extend(entry.on_tick(now));
+    }
+    let audited = effects.iter().filter(|e| matches!(e, EngineEffect::Audit(_))).count();
+    assert_eq!(audited, 1, "one request was left unknown");
+    let explained = entry.explain(&foxledge_engine::ExplainQuery {
+        address: "auction".into(),
+        member: "bricks".into(),
+        kind: foxledge_core::traffic::TrafficKind::Bid,
+        flow: 1,
+    });
+    assert!(explained.flow_events.iter().any(|event| event.text.contains("Unknown")));
+}
