Bound names to 32 bytes

Cause: names of up to 100 bytes were good, but five of them travel in a return path beside a payload: a flow token of 100-byte names has 605 bytes, above the decoder's 400, and whole answers would be dropped as oversized. Ruled out: checking the sum of a service's longest names, which would refuse a list for reasons that are hard to explain. Before: limit 100 bytes. Tests of rules (35), settings (16) and ctl (16) pass.

--- a/crates/foxledge-document/src/lib.rs
+++ b/crates/foxledge-document/src/lib.rs
@@ -10,8 +10,13 @@
 pub use notes::{Place, SourceNotes};
 pub use reader::{PlacedText, TableReader, read_document};
 
-/// Longest name, in bytes; longer ones don't fit a datagram's fields.
-pub const MAX_NAME: usize = 100;
+/// Longest name, in bytes.
+///
+/// Tickets, flow tokens and return paths carry up to five names, and travel
+/// beside a payload in one datagram. With longer names a list would be good and
+/// yet whole answers would be dropped as oversized; one would notice requests
+/// with large answers that never end.
+pub const MAX_NAME: usize = 32;
 
 /// What is wrong with a name, or none when it is good.
 pub fn name_fault(name: &str) -> Option<&'static str> {
@@ -19,7 +24,7 @@
         return Some("must not be empty");
     }
     if name.len() > MAX_NAME {
-        return Some("must not be longer than 100 bytes");
+        return Some("must not be longer than 32 bytes");
     }
     let is_allowed = |c: char| c.is_ascii_alphanumeric() || matches!(c, '.' | '-' | '_');
     if !name.chars().all(is_allowed) {
--- a/crates/foxledge-rules/tests/bad_lists.rs
+++ b/crates/foxledge-rules/tests/bad_lists.rs
@@ -413,6 +413,27 @@
     );
 }
 
+#[test]
+fn names_that_are_too_long_or_strange() {
+    let text = r#"[[member]]
+name = "a-name-of-just-thirty-two-bytes."
+[[member]]
+name = "a-name-of-just-thirty-three-bytes"
+[[member]]
+name = "two words"
+[[member]]
+name = "größe"
+"#;
+    check(
+        text,
+        expect![[r#"
+        more:4: member[1].name: must not be longer than 32 bytes
+        more:6: member[2].name: may hold only ASCII letters, digits, '.', '-' and '_'
+        more:8: member[3].name: may hold only ASCII letters, digits, '.', '-' and '_'
+    "#]],
+    );
+}
+
 #[test]
 fn deny_stands_alone() {
     let text = "[[rule]]\nname = \"r\"\nthen = { deny = true, service = \"desk\", priority = 1 }\n";
--- a/crates/foxledge-settings/tests/bad_settings.rs
+++ b/crates/foxledge-settings/tests/bad_settings.rs
@@ -238,9 +238,9 @@
 #[test]
 fn long_name() {
     check(
-        &GOOD.replace("toledo-1", &"a".repeat(101)),
+        &GOOD.replace("toledo-1", &"a".repeat(33)),
         expect![[r#"
-        foxledged.toml:2: instance.name: must not be longer than 100 bytes
+        foxledged.toml:2: instance.name: must not be longer than 32 bytes
     "#]],
     );
     check(
