--- a/crates/foxledge-bench/src/main.rs
+++ b/crates/foxledge-bench/src/main.rs
@@ -1,2 +1,106 @@
-//! The measuring tool.
-fn main() {}
+//! `foxledge-bench`: measures the desk's policy in virtual time, and its cost.
+
+use std::{fs, path::PathBuf};
+
+use anyhow::{Context, Result};
+use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
+use foxledge_bench::{
+    cost::{cost_figures, cost_table},
+    figures::figure_line,
+    sweep::{SweepChoice, run_sweep, sweep_plans, sweep_table},
+};
+
+fn main() -> Result<()> {
+    let matches = command().get_matches();
+    match matches.subcommand() {
+        Some(("sweep", matches)) => sweep(matches),
+        Some(("cost", matches)) => cost(matches),
+        _ => Ok(()),
+    }
+}
+
+fn command() -> Command {
+    Command::new("foxledge-bench")
+        .version(clap::crate_version!())
+        .about("Measures the desk's policy in virtual time, and its cost")
+        .subcommand_required(true)
+        .arg_required_else_help(true)
+        .subcommand(sweep_command())
+        .subcommand(cost_command())
+}
+
+fn sweep_command() -> Command {
+    Command::new("sweep")
+        .about("Runs the workloads in virtual time; two runs of one seed agree to the digit")
+        .arg(choice_arg("service", "Service, such as auction-desk; all without"))
+        .arg(choice_arg("variant", "Variant, such as plain or slow-target; all without"))
+        .arg(choice_arg("place", "Where work is admitted, such as service-home; all without"))
+        .arg(
+            choice_arg("level", "Load relative to what the slots can carry; 0.5 to 2 without")
+                .value_parser(value_parser!(f64)),
+        )
+        .arg(number_arg("seconds", "0", "Virtual seconds of each run; 0 is the workload's own"))
+        .arg(number_arg("seed", "1", "Seed of arrivals and choices"))
+        .arg(number_arg("threads", "4", "Runs made at the same time"))
+        .arg(json_arg())
+}
+
+fn cost_command() -> Command {
+    Command::new("cost")
+        .about("Takes processor time and memory of one desk")
+        .arg(number_arg("rounds", "20000", "Requests per figure"))
+        .arg(number_arg("seed", "1", "Seed of the desk's choices"))
+        .arg(json_arg())
+}
+
+fn choice_arg(name: &'static str, help: &'static str) -> Arg {
+    Arg::new(name).long(name).help(help).action(ArgAction::Append).value_delimiter(',')
+}
+
+fn number_arg(name: &'static str, default: &'static str, help: &'static str) -> Arg {
+    Arg::new(name).long(name).help(help).default_value(default).value_parser(value_parser!(u64))
+}
+
+fn json_arg() -> Arg {
+    Arg::new("json")
+        .long("json")
+        .help("File that gets the results as JSON lines with the command and seed")
+        .value_parser(value_parser!(PathBuf))
+}
+
+fn sweep(matches: &ArgMatches) -> Result<()> {
+    let choice = SweepChoice {
+        services: words(matches, "service"),
+        levels: matches.get_many("level").unwrap_or_default().copied().collect(),
+        variants: words(matches, "variant"),
+        places: words(matches, "place"),
+        seconds: number(matches, "seconds"),
+        seed: number(matches, "seed"),
+    };
+    let results = run_sweep(&sweep_plans(&choice), number(matches, "threads") as usize);
+    print!("{}", sweep_table(&results));
+    write_lines(matches, results.iter().map(|result| figure_line(choice.seed, result)))
+}
+
+fn cost(matches: &ArgMatches) -> Result<()> {
+    let seed = number(matches, "seed");
+    let figures = cost_figures(number(matches, "rounds"), seed);
+    print!("{}", cost_table(&figures));
+    write_lines(matches, figures.iter().map(|figure| figure_line(seed, figure)))
+}
+
+fn write_lines(matches: &ArgMatches, lines: impl Iterator<Item = Result<String>>) -> Result<()> {
+    let Some(path) = matches.get_one::<PathBuf>("json") else {
+        return Ok(());
+    };
+    let lines = lines.collect::<Result<Vec<_>>>()?;
+    fs::write(path, lines.concat()).with_context(|| format!("can't write {}", path.display()))
+}
+
+fn words(matches: &ArgMatches, name: &str) -> Vec<String> {
+    matches.get_many::<String>(name).unwrap_or_default().cloned().collect()
+}
+
+fn number(matches: &ArgMatches, name: &str) -> u64 {
+    matches.get_one(name).copied().unwrap_or_default()
+}
