End a caller's load early at SIGTERM

Cause: proofs had to guess how long their faults take; a load that ended before met none of them. Conclusion: TestCaller::stop ends the load and reads the report.

--- a/crates/foxledge-fakes/src/caller/arrivals.rs
+++ b/crates/foxledge-fakes/src/caller/arrivals.rs
@@ -39,6 +39,11 @@
         (self.next < self.end).then(|| self.started_at.after(Duration::from_secs_f64(self.next)))
     }
 
+    /// Ends the load: nothing arrives any more.
+    pub fn end(&mut self) {
+        self.end = 0.0;
+    }
+
     /// Draws the arrival after the next one.
     ///
     /// Gaps have no memory: one that reaches past a change of the rate is drawn anew from there.
--- a/crates/foxledge-fakes/src/caller/load.rs
+++ b/crates/foxledge-fakes/src/caller/load.rs
@@ -138,6 +138,13 @@
         self.ends_at.is_past(now) && !self.flows.values().any(unfinished)
     }
 
+    /// Ends the load before its time: no more work arrives.
+    pub fn end_load(&mut self, now: ClockTime) {
+        self.ends_at = self.ends_at.min(now);
+        self.arrivals.end();
+        self.feed_openings.clear();
+    }
+
     /// Closes the feeds; returns the datagrams to send and the report.
     pub fn finish(mut self, now: ClockTime) -> (Vec<Vec<u8>>, LoadReport) {
         let mut datagrams = Vec::new();
--- a/crates/foxledge-fakes/src/caller/mod.rs
+++ b/crates/foxledge-fakes/src/caller/mod.rs
@@ -26,6 +26,7 @@
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
 use foxledge_core::{names::ServiceName, traffic::TrafficKind};
 use log::info;
+use tokio::signal::unix::{SignalKind, signal};
 
 pub use effects::{CallerEffect, FlowNote};
 pub use feed::FeedFlow;
@@ -34,14 +35,14 @@
 pub use load::LoadState;
 pub use options::{BurstSpan, LoadOptions};
 pub use raw::RawCaller;
-pub use runner::run_load;
+pub use runner::{run_load, run_load_until};
 
 use crate::report::LoadReport;
 
 /// The command line of `foxledge-fake caller`.
 pub fn command() -> Command {
     Command::new("caller")
-        .about("Stand-in for callers: open-loop load, with a report as JSON")
+        .about("Stand-in for callers: open-loop load, with a report as JSON; SIGTERM ends it early")
         .arg(
             required("fabric", "IP:PORT", "Where datagrams go")
                 .value_parser(value_parser!(SocketAddr)),
@@ -102,7 +103,11 @@
     let options = read_options(matches)?;
     let path = matches.get_one::<PathBuf>("report").context("caller: no report file")?;
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
-    let report = runtime.block_on(run_load(options))?;
+    let report = runtime.block_on(async {
+        let mut terminate = signal(SignalKind::terminate())?;
+        let stop = async { _ = terminate.recv().await };
+        run_load_until(options, stop).await
+    })?;
     log_summary(&report);
     let place = || format!("caller: {}", path.display());
     std::fs::write(path, serde_json::to_vec(&report)?).with_context(place)
--- a/crates/foxledge-fakes/src/caller/runner.rs
+++ b/crates/foxledge-fakes/src/caller/runner.rs
@@ -19,6 +19,16 @@
 
 /// Runs the load and returns its report.
 pub async fn run_load(options: LoadOptions) -> anyhow::Result<LoadReport> {
+    run_load_until(options, std::future::pending()).await
+}
+
+/// Runs the load, which ends early at `stop`: no more work arrives then, and what is open ends.
+pub async fn run_load_until(
+    options: LoadOptions,
+    stop: impl Future<Output = ()>,
+) -> anyhow::Result<LoadReport> {
+    let mut stop = std::pin::pin!(stop);
+    let mut is_stopped = false;
     let options = options.settled();
     let socket = UdpSocket::bind(unspecified(options.fabric)).await.context("caller: socket")?;
     let fabric = options.fabric;
@@ -33,6 +43,10 @@
                 ready?;
                 receive_batch(&socket, fabric, &mut state, clock).await;
             }
+            () = &mut stop, if !is_stopped => {
+                is_stopped = true;
+                state.end_load(clock());
+            }
             () = tokio::time::sleep(sleep) => (),
         }
         send_all(&socket, fabric, state.on_wake(clock())).await;
--- a/crates/foxledge-fakes/src/harness/callers.rs
+++ b/crates/foxledge-fakes/src/harness/callers.rs
@@ -129,6 +129,14 @@
         Ok(TestCaller { process, report_path })
     }
 
+    /// Ends the load early, waits for the end of what is open and reads the report.
+    ///
+    /// An error when the load has ended before: what the test did then met no load.
+    pub fn stop(mut self, limit: Duration) -> anyhow::Result<LoadReport> {
+        self.process.terminate()?;
+        self.finish(limit)
+    }
+
     /// Waits for the end of the load and reads the report.
     pub fn finish(mut self, limit: Duration) -> anyhow::Result<LoadReport> {
         let name = self.process.name().to_owned();
