--- /dev/null
+++ b/crates/foxledge-engine/src/dispatch.rs
@@ -0,0 +1,162 @@
+//! What a desk decided, on its way to backend servers.
+
+use std::{net::SocketAddr, sync::Arc};
+
+use foxledge_core::{lists::TargetSpec, names::ServiceName, time::ClockTime};
+use foxledge_policy::{DeskEffect, DeskRefusal, RunState};
+use foxledge_seal::seals::{seal_path, seal_token};
+use foxledge_wire::flow::{FlowToken, Packet, PacketKind, Refusal, ReturnPath, RunOutcome};
+use log::debug;
+
+use crate::{
+    effects::EngineEffect,
+    engine::FlowEngine,
+    home::{RunTracking, bare_packet, wanted_span},
+    ledger::{RequestKey, RequestState},
+    packets::desk_refusal,
+    placement::DeskKey,
+};
+
+impl FlowEngine {
+    /// Carries out what a desk decided.
+    pub(crate) fn carry_out(&mut self, now: ClockTime, key: &DeskKey, effects: Vec<DeskEffect>) {
+        for effect in effects {
+            match effect {
+                DeskEffect::Dispatch { work, dispatch, target } => {
+                    self.dispatch_work(now, work, dispatch, &target);
+                }
+                DeskEffect::Resend { work, dispatch, target } => {
+                    self.resend_work(now, work, dispatch, &target);
+                }
+                DeskEffect::Refuse { work, refusal } => self.refuse_work(now, work, &refusal),
+                DeskEffect::Cancel { dispatch, target } => self.send_cancel(dispatch, &target),
+                DeskEffect::Probe { target } => self.send_probe(key, &target),
+                DeskEffect::Audit(change) => self.out.push(EngineEffect::Audit(change)),
+            }
+        }
+    }
+
+    fn dispatch_work(&mut self, now: ClockTime, id: u64, dispatch: u64, target: &Arc<TargetSpec>) {
+        let Some(work) = self.works.get_mut(&id) else { return };
+        let former = std::mem::replace(&mut work.dispatch, dispatch);
+        let (key, forget_at, caller, kind) = (work.key, work.forget_at, work.caller, work.kind);
+        let wait = now.since(work.arrived);
+        let Some(packet) = work.packet.as_deref().cloned() else { return };
+        self.dispatches.remove(&former);
+        self.dispatches.insert(dispatch, id);
+        let state = RequestState::Dispatched { dispatch, target: target.clone() };
+        self.ledger.record(key, state, forget_at);
+        self.counters.dispatched += 1;
+        let text = format!("dispatched {dispatch:016x} to {}@{}", target.name, target.address);
+        debug!("engine: flow {:016x} request {} {text}", key.flow, key.request);
+        self.journal.note(now, key.flow, key.request, text);
+        self.out.push(EngineEffect::Observe { kind, wait });
+        self.send_to_target(now, caller, &packet, dispatch, target);
+    }
+
+    fn resend_work(&mut self, now: ClockTime, id: u64, dispatch: u64, target: &Arc<TargetSpec>) {
+        let Some(work) = self.works.get(&id) else { return };
+        let caller = work.caller;
+        let Some(packet) = work.packet.as_deref().cloned() else { return };
+        self.send_to_target(now, caller, &packet, dispatch, target);
+    }
+
+    /// Sends a request's packet to its backend server, with the flow token to hand back.
+    pub(crate) fn send_to_target(
+        &mut self,
+        now: ClockTime,
+        caller: SocketAddr,
+        packet: &Packet,
+        dispatch: u64,
+        target: &Arc<TargetSpec>,
+    ) {
+        let Some(service) = self.owner_of(packet, target) else { return };
+        let token = FlowToken {
+            address: packet.address.clone(),
+            service: service.to_string(),
+            member: packet.member.clone(),
+            caller: packet.caller,
+            flow: packet.flow,
+            request: packet.request,
+            target: target.name.to_string(),
+            target_address: target.address.to_string(),
+            target_incarnation: target.incarnation,
+            data_centre: target.data_centre.to_string(),
+            dispatch,
+        };
+        let Ok(token) = seal_token(&self.ring, &token) else { return };
+        let path = ReturnPath { caller_address: caller.to_string(), token };
+        let Ok(return_path) = seal_path(&self.ring, &path) else { return };
+        let deadline = self
+            .dispatches
+            .get(&dispatch)
+            .and_then(|id| self.works.get(id))
+            .map_or_else(|| now.after(wanted_span(packet)), |work| work.deadline);
+        let packet = Packet {
+            service: service.to_string(),
+            target_incarnation: target.incarnation,
+            dispatch,
+            return_path,
+            time_left_ms: deadline.left_millis(now),
+            ticket: Vec::new(),
+            token: Vec::new(),
+            credential: Vec::new(),
+            ..packet.clone()
+        };
+        self.send_data(target.address, &packet);
+    }
+
+    /// The service that a request's target serves: the one its desk belongs to.
+    fn owner_of(&self, packet: &Packet, target: &TargetSpec) -> Option<ServiceName> {
+        if let Some(RequestState::Dispatched { dispatch, .. }) =
+            self.ledger.find(&RequestKey::of(packet))
+            && let Some(work) = self.dispatches.get(dispatch).and_then(|id| self.works.get(id))
+        {
+            return Some(work.desk.service.clone());
+        }
+        let (key, owner) = self.owners.get(&target.address)?;
+        let is_same = owner.incarnation == target.incarnation;
+        is_same.then(|| key.service.clone())
+    }
+
+    /// Gives a work its final refusal at once.
+    pub(crate) fn refuse_work(&mut self, now: ClockTime, id: u64, refusal: &DeskRefusal) {
+        let Some(work) = self.remove_work(id) else { return };
+        let refusal = match (work.tracking, refusal.ran) {
+            (RunTracking::Untracked, RunState::NotRun) => {
+                Refusal { outcome: RunOutcome::Unknown.into(), ..desk_refusal(refusal) }
+            }
+            _ => desk_refusal(refusal),
+        };
+        self.remember_refusal(work.key, refusal, work.forget_at.max(now));
+        self.refuse(now, work.caller, &bare_packet(&work), refusal);
+    }
+
+    fn send_cancel(&mut self, dispatch: u64, target: &Arc<TargetSpec>) {
+        let Some((key, _)) = self.owners.get(&target.address) else { return };
+        let packet = Packet {
+            version: foxledge_wire::PROTOCOL_VERSION,
+            kind: PacketKind::Cancel.into(),
+            service: key.service.to_string(),
+            target_incarnation: target.incarnation,
+            dispatch,
+            ..Packet::default()
+        };
+        self.send_data(target.address, &packet);
+    }
+
+    fn send_probe(&mut self, key: &DeskKey, target: &Arc<TargetSpec>) {
+        if !self.probed.contains(key) {
+            return;
+        }
+        self.counters.probes_sent += 1;
+        let packet = Packet {
+            version: foxledge_wire::PROTOCOL_VERSION,
+            kind: PacketKind::Probe.into(),
+            service: key.service.to_string(),
+            target_incarnation: target.incarnation,
+            ..Packet::default()
+        };
+        self.send_data(target.address, &packet);
+    }
+}
--- a/crates/foxledge-engine/src/engine.rs
+++ b/crates/foxledge-engine/src/engine.rs
@@ -9,8 +9,7 @@
 
 use foxledge_core::{
     audit::{AuditChange, AuditKind},
-    lists::{FlowTraits, FlowTreatment, RuleList, ServiceSpec, TargetSpec},
-    names::ServiceName,
+    lists::{RuleList, TargetSpec},
     peers::{PeerInfo, PeerView},
     time::ClockTime,
 };
@@ -29,16 +28,15 @@
 
 use crate::{
     counters::EngineCounters,
-    desks::{DeskSet, changed_services, drain_changes, probed_desks, shard_count, shard_targets},
+    desks::DeskSet,
     effects::{EngineEffect, EnginePhase},
-    explain::{ExplainQuery, FlowExplanation},
     forwards::{ForwardTable, SilentHomes},
     home::HomeWork,
     journal::FlowJournal,
     ledger::RunLedger,
     options::EngineOptions,
     packets::reply_to,
-    placement::{DeskKey, HomePlacement, placement_of, shard_of},
+    placement::{DeskKey, HomePlacement, placement_of},
     status::{DeskEntry, EngineStatus},
 };
 
@@ -177,41 +175,6 @@
         self.take_effects()
     }
 
-    /// Takes a newly accepted list into force.
-    pub fn on_list(&mut self, now: ClockTime, list: Arc<RuleList>) -> Vec<EngineEffect> {
-        let is_newer = list.version.revision > self.list.version.revision;
-        if !is_newer && self.options.trial.refuse_stale_lists {
-            return Vec::new();
-        }
-        let changed = changed_services(&self.list, &list);
-        for change in drain_changes(&self.list, &list, &changed) {
-            self.out.push(EngineEffect::Audit(change));
-        }
-        let ring = KeyRing::from_keys(&list.keys);
-        self.audit_keys(&ring, list.version.revision);
-        self.ring = ring;
-        self.index = RuleIndex::new(list.clone());
-        let old = std::mem::replace(&mut self.list, list);
-        for name in &changed {
-            self.refresh_owners(name, &old);
-            self.refresh_service(now, name);
-        }
-        self.drop_idle_desks();
-        self.take_effects()
-    }
-
-    /// Takes a new view of the instances into force.
-    pub fn on_view(&mut self, now: ClockTime, view: Arc<PeerView>) -> Vec<EngineEffect> {
-        self.view = view;
-        let list = self.list.clone();
-        self.probed.clear();
-        for service in list.services.values() {
-            self.refresh_probed(now, service);
-        }
-        self.drop_idle_desks();
-        self.take_effects()
-    }
-
     /// Sets where the process stands in its life.
     pub fn set_phase(&mut self, _now: ClockTime, phase: EnginePhase) {
         self.phase = phase;
@@ -250,143 +213,6 @@
         }
     }
 
-    /// Why a flow is treated as it is.
-    pub fn explain(&self, query: &ExplainQuery) -> FlowExplanation {
-        let mut explanation = FlowExplanation {
-            revision: self.list.version.revision,
-            flow_events: self.journal.read(query.flow),
-            ..FlowExplanation::default()
-        };
-        let traits = FlowTraits {
-            address: &query.address,
-            member: &query.member,
-            data_centre: &self.me.data_centre,
-            kind: query.kind,
-        };
-        self.explain_rule(&traits, query.flow, &mut explanation);
-        explanation
-    }
-
-    fn explain_rule(&self, traits: &FlowTraits<'_>, flow: u64, explanation: &mut FlowExplanation) {
-        let reasons = &mut explanation.reasons;
-        if !self.list.members.contains_key(traits.member) {
-            reasons.push(format!("member {} is not listed, so the flow is refused", traits.member));
-            return;
-        }
-        let Some(rule) = self.index.decide(traits) else {
-            reasons.push("no rule matches, so the flow is refused".to_owned());
-            return;
-        };
-        reasons.push(format!("rule {} is the first that matches", rule.name));
-        explanation.rule = Some(rule.name.to_string());
-        explanation.treatment = Some(rule.then.clone());
-        let FlowTreatment::Serve(treatment) = &rule.then else { return };
-        let Some(service) = self.list.services.get(&treatment.service) else { return };
-
-        let shards = shard_count(service, &self.me.data_centre, self.placement.as_ref());
-        let key = DeskKey { service: service.name.clone(), shard: shard_of(flow, shards) };
-        let ranked = self.placement.ranked(&key, &self.me.name, &self.view);
-        explanation.homes = ranked.iter().map(|peer| peer.name.to_string()).collect();
-        reasons
-            .push(format!("shard {} of {shards} decides the home by rendezvous hash", key.shard));
-        explanation.shard = Some(key.shard);
-        explanation.targets = self
-            .targets_of(&key)
-            .iter()
-            .map(|target| format!("{}@{}", target.name, target.address))
-            .collect();
-        let dispatched = explanation.flow_events.iter().rev().find(|e| e.text.contains(" to "));
-        explanation.target = dispatched.and_then(|e| e.text.rsplit(' ').next().map(str::to_owned));
-    }
-
-    fn audit_keys(&mut self, ring: &KeyRing, revision: u64) {
-        let (old, new) = (self.ring.ids(), ring.ids());
-        if old == new {
-            return;
-        }
-        let change = AuditChange::new(AuditKind::KeysRotated, "token keys")
-            .values(format!("{old:?}"), format!("{new:?}"))
-            .because(format!("list {revision}"), "list");
-        self.out.push(EngineEffect::Audit(change));
-    }
-
-    /// Notes who owns the addresses of a changed service's targets.
-    fn refresh_owners(&mut self, name: &ServiceName, old: &RuleList) {
-        let former = old.services.get(name).map_or(&[][..], |service| &service.targets);
-        for target in former {
-            let is_ours =
-                self.owners.get(&target.address).is_some_and(|(key, _)| key.service == *name);
-            if is_ours {
-                self.owners.remove(&target.address);
-            }
-        }
-        let list = self.list.clone();
-        let Some(service) = list.services.get(name) else { return };
-        for target in &service.targets {
-            let key = DeskKey { service: name.clone(), shard: 0 };
-            self.owners.insert(target.address, (key, Arc::new(target.clone())));
-        }
-        for shard in 0..shard_count(service, &self.me.data_centre, self.placement.as_ref()) {
-            let key = DeskKey { service: name.clone(), shard };
-            for target in self.targets_of(&key) {
-                self.owners.insert(target.address, (key.clone(), target));
-            }
-        }
-    }
-
-    /// Brings the desks of a changed service up to date.
-    fn refresh_service(&mut self, now: ClockTime, name: &ServiceName) {
-        self.probed.retain(|key| key.service != *name);
-        if let Some(service) = self.list.clone().services.get(name) {
-            self.refresh_probed(now, service);
-        }
-        for key in self.desks.keys_of(name) {
-            let targets = self.targets_of(&key);
-            let queue_limit = self.queue_limit_of(&key);
-            let Some(desk) = self.desks.find(&key) else { continue };
-            desk.set_queue_limit(queue_limit);
-            let effects = desk.set_targets(now, targets);
-            self.carry_out(now, &key, effects);
-        }
-    }
-
-    /// Makes the desks of a service that this instance has to keep warm.
-    fn refresh_probed(&mut self, now: ClockTime, service: &ServiceSpec) {
-        let keys = probed_desks(
-            service,
-            &self.view,
-            &self.me.name,
-            &self.me.data_centre,
-            self.placement.as_ref(),
-        );
-        for key in keys {
-            self.obtain_desk(now, &key);
-            self.probed.insert(key);
-        }
-    }
-
-    fn drop_idle_desks(&mut self) {
-        let probed = &self.probed;
-        self.desks.drop_idle(|key| probed.contains(key));
-    }
-
-    /// Makes sure the desk exists.
-    pub(crate) fn obtain_desk(&mut self, now: ClockTime, key: &DeskKey) {
-        let targets = self.targets_of(key);
-        let queue_limit = self.queue_limit_of(key);
-        let (_, effects) = self.desks.obtain(now, key, || targets, queue_limit);
-        self.carry_out(now, key, effects);
-    }
-
-    pub(crate) fn targets_of(&self, key: &DeskKey) -> Vec<Arc<TargetSpec>> {
-        let Some(service) = self.list.services.get(&key.service) else { return Vec::new() };
-        shard_targets(service, &self.me.data_centre, key.shard, self.placement.as_ref())
-    }
-
-    fn queue_limit_of(&self, key: &DeskKey) -> u32 {
-        self.list.services.get(&key.service).map_or(0, |service| service.queue_limit)
-    }
-
     pub(crate) fn take_effects(&mut self) -> Vec<EngineEffect> {
         std::mem::take(&mut self.out)
     }
--- a/crates/foxledge-engine/src/entry.rs
+++ b/crates/foxledge-engine/src/entry.rs
@@ -14,31 +14,18 @@
 };
 use foxledge_wire::{
     convert::traffic_kind,
-    flow::{
-        FlowToken, Forward, Packet, PacketKind, RefusalReason, ReturnPath, Ticket,
-        peer_datagram::Body,
-    },
+    flow::{FlowToken, Packet, PacketKind, RefusalReason, ReturnPath, Ticket},
 };
 
 use crate::{
     desks::shard_count,
-    effects::EnginePhase,
     engine::FlowEngine,
     forwards::{ForwardRoute, PendingForward},
+    homes::MAX_HOPS,
     packets::{DEFAULT_RETRY, not_run, unknown},
     placement::{DeskKey, shard_of},
 };
 
-/// Forwardings after which a packet is taken where it is.
-///
-/// Two instances with different views may each think the other is the home.
-/// Without the bound a packet would circle between them; one would notice peer
-/// traffic that grows while nothing is admitted.
-const MAX_HOPS: u32 = 3;
-
-/// Sends of a ticketed packet to the ticket's home before it counts as lost.
-const TICKET_TRIES: usize = 3;
-
 impl FlowEngine {
     /// Takes a packet that the fabric handed to this instance.
     pub(crate) fn on_caller_packet(&mut self, now: ClockTime, from: SocketAddr, packet: Packet) {
@@ -257,129 +244,6 @@
         );
     }
 
-    /// Goes on to the next home that hasn't been tried; the last resort is here.
-    fn try_homes(&mut self, now: ClockTime, key: &DeskKey, mut forward: PendingForward) {
-        let ranked = self.placement.ranked(key, &self.me.name, &self.view);
-        let next = ranked.into_iter().find(|peer| {
-            !forward.tried.contains(&peer.name) && !self.silent.is_silent(&peer.name, now)
-        });
-        let is_here = next.is_none_or(|peer| peer.name == self.me.name);
-        if is_here || forward.hops >= MAX_HOPS {
-            return self.take_as_home(now, forward.caller, forward.packet);
-        }
-        let Some(peer) = next else { return };
-        let (name, address) = (peer.name.clone(), peer.peer_address);
-        forward.tried.push(name);
-        forward.deadline = now.after(self.options.forward_wait);
-        self.send_forward(address, forward);
-    }
-
-    fn send_forward(&mut self, to: SocketAddr, forward: PendingForward) {
-        self.counters.forwarded += 1;
-        let message = Forward {
-            forward_id: 0,
-            caller_address: forward.caller.to_string(),
-            packet: Some(forward.packet.clone()),
-            hops: forward.hops + 1,
-            entry_address: self.me.peer_address.to_string(),
-        };
-        let forward_id = self.forwards.add(forward);
-        self.send_peer(to, Body::Forward(Forward { forward_id, ..message }));
-    }
-
-    /// Goes on with forwardings that no home acknowledged.
-    pub(crate) fn retry_forwards(&mut self, now: ClockTime) {
-        while let Some(forward) = self.forwards.pop_past(now) {
-            self.counters.forward_silent += 1;
-            match forward.route.clone() {
-                ForwardRoute::ByRank => self.retry_by_rank(now, forward),
-                ForwardRoute::ByTicket { home_address } => {
-                    self.retry_by_ticket(now, forward, home_address);
-                }
-            }
-        }
-    }
-
-    fn retry_by_rank(&mut self, now: ClockTime, forward: PendingForward) {
-        if !self.options.trial.pass_over_homes {
-            let again = PendingForward { tried: Vec::new(), ..forward };
-            return self.route_by_rank(now, again.caller, again.packet, again.hops);
-        }
-        if let Some(silent) = forward.tried.last() {
-            self.silent.note(silent.clone(), now.after(self.options.passed_over));
-        }
-        match self.decide(&forward.packet) {
-            Ok(treatment) => {
-                let key = self.desk_key(&forward.packet, &treatment);
-                self.try_homes(now, &key, forward);
-            }
-            Err(reason) => {
-                // A silent home may still have taken an earlier forwarding.
-                let refusal = unknown(reason, DEFAULT_RETRY);
-                self.refuse(now, forward.caller, &forward.packet, refusal);
-            }
-        }
-    }
-
-    /// Tries the ticket's home again, by way of another instance if there is one.
-    ///
-    /// The way to the home may be cut in one place only. When it stays silent
-    /// the request is given up: it may have been started, so its caller is told
-    /// at once that nobody knows.
-    fn retry_by_ticket(
-        &mut self,
-        now: ClockTime,
-        mut forward: PendingForward,
-        home_address: SocketAddr,
-    ) {
-        if forward.tried.len() >= TICKET_TRIES || forward.hops > 0 {
-            let refusal = unknown(RefusalReason::HomeLost, DEFAULT_RETRY);
-            return self.refuse(now, forward.caller, &forward.packet, refusal);
-        }
-        let relay = self
-            .view
-            .peers
-            .iter()
-            .find(|peer| {
-                peer.state.holds_homes()
-                    && peer.name != self.me.name
-                    && !forward.tried.contains(&peer.name)
-                    && !self.silent.is_silent(&peer.name, now)
-            })
-            .map(|peer| (peer.name.clone(), peer.peer_address));
-        let home = forward.tried[0].clone();
-        let (name, address) = relay.unwrap_or((home, home_address));
-        forward.tried.push(name);
-        forward.deadline = now.after(self.options.forward_wait);
-        self.send_forward(address, forward);
-    }
-
-    /// A home has the packet.
-    pub(crate) fn on_forward_ack(&mut self, forward_id: u64) {
-        let Some(forward) = self.forwards.acknowledge(forward_id) else { return };
-        if let Some(home) = forward.tried.last() {
-            self.silent.heard(home);
-        }
-    }
-
-    /// Takes a packet that another instance forwarded.
-    pub(crate) fn on_forward(&mut self, now: ClockTime, from: SocketAddr, forward: Forward) {
-        let Ok(caller) = forward.caller_address.parse::<SocketAddr>() else { return };
-        let Some(packet) = forward.packet else { return };
-        let ack = foxledge_wire::flow::ForwardAck { forward_id: forward.forward_id };
-        let entry = forward.entry_address.parse().unwrap_or(from);
-        self.send_peer(entry, Body::Ack(ack));
-        if !packet.ticket.is_empty() {
-            return self.route_by_ticket(now, caller, packet, forward.hops);
-        }
-        // The forwarder took this instance for the home. Unless it is leaving,
-        // it admits, so that a packet never circles.
-        if self.phase == EnginePhase::Leaving {
-            return self.route_by_rank(now, caller, packet, forward.hops);
-        }
-        self.take_as_home(now, caller, packet);
-    }
-
     /// What the rules decide for a packet that opens something.
     pub(crate) fn decide(&self, packet: &Packet) -> Result<ServeTreatment, RefusalReason> {
         let member =
--- a/crates/foxledge-engine/src/home.rs
+++ b/crates/foxledge-engine/src/home.rs
@@ -1,29 +1,28 @@
 //! The home role: tickets, admission and dispatch.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{net::SocketAddr, time::Duration};
 
 use foxledge_core::{
-    lists::{ServeTreatment, TargetSpec},
+    lists::ServeTreatment,
     names::{MemberName, ServiceAddress, ServiceName},
     time::ClockTime,
     traffic::TrafficKind,
 };
-use foxledge_policy::{DeskEffect, DeskRefusal, RunState, WorkItem};
-use foxledge_seal::seals::{open_ticket, seal_path, seal_ticket, seal_token};
+use foxledge_policy::WorkItem;
+use foxledge_seal::seals::{open_ticket, seal_ticket};
 use foxledge_wire::{
     TICKET_PADDING,
     convert::{traffic_kind, work_kind},
-    flow::{FlowToken, Packet, PacketKind, Refusal, RefusalReason, ReturnPath, RunOutcome, Ticket},
+    flow::{Packet, PacketKind, Refusal, RefusalReason, Ticket},
 };
-use log::debug;
 use rand::Rng;
 
 use crate::{
-    effects::{EngineEffect, EnginePhase},
+    effects::EnginePhase,
     engine::FlowEngine,
     ledger::{RequestKey, RequestState},
-    packets::{DEFAULT_RETRY, desk_refusal, not_run, reply_to, unknown},
-    placement::{DeskKey, shard_of},
+    packets::{DEFAULT_RETRY, not_run, reply_to, unknown},
+    placement::DeskKey,
 };
 
 /// Longest deadline that a caller's packet may ask for.
@@ -306,7 +305,12 @@
         self.refuse(now, caller, packet, refusal);
     }
 
-    fn remember_refusal(&mut self, key: RequestKey, refusal: Refusal, forget_at: ClockTime) {
+    pub(crate) fn remember_refusal(
+        &mut self,
+        key: RequestKey,
+        refusal: Refusal,
+        forget_at: ClockTime,
+    ) {
         if self.options.trial.remember_refusals {
             self.ledger.record(key, RequestState::Refused(refusal), forget_at);
         }
@@ -328,151 +332,9 @@
         let effects = home_desk.cancel(now, id);
         self.carry_out(now, &desk, effects);
     }
-
-    /// Carries out what a desk decided.
-    pub(crate) fn carry_out(&mut self, now: ClockTime, key: &DeskKey, effects: Vec<DeskEffect>) {
-        for effect in effects {
-            match effect {
-                DeskEffect::Dispatch { work, dispatch, target } => {
-                    self.dispatch_work(now, work, dispatch, &target);
-                }
-                DeskEffect::Resend { work, dispatch, target } => {
-                    self.resend_work(now, work, dispatch, &target);
-                }
-                DeskEffect::Refuse { work, refusal } => self.refuse_work(now, work, &refusal),
-                DeskEffect::Cancel { dispatch, target } => self.send_cancel(dispatch, &target),
-                DeskEffect::Probe { target } => self.send_probe(key, &target),
-                DeskEffect::Audit(change) => self.out.push(EngineEffect::Audit(change)),
-            }
-        }
-    }
-
-    fn dispatch_work(&mut self, now: ClockTime, id: u64, dispatch: u64, target: &Arc<TargetSpec>) {
-        let Some(work) = self.works.get_mut(&id) else { return };
-        let former = std::mem::replace(&mut work.dispatch, dispatch);
-        let (key, forget_at, caller, kind) = (work.key, work.forget_at, work.caller, work.kind);
-        let wait = now.since(work.arrived);
-        let Some(packet) = work.packet.as_deref().cloned() else { return };
-        self.dispatches.remove(&former);
-        self.dispatches.insert(dispatch, id);
-        let state = RequestState::Dispatched { dispatch, target: target.clone() };
-        self.ledger.record(key, state, forget_at);
-        self.counters.dispatched += 1;
-        let text = format!("dispatched {dispatch:016x} to {}@{}", target.name, target.address);
-        debug!("engine: flow {:016x} request {} {text}", key.flow, key.request);
-        self.journal.note(now, key.flow, key.request, text);
-        self.out.push(EngineEffect::Observe { kind, wait });
-        self.send_to_target(now, caller, &packet, dispatch, target);
-    }
-
-    fn resend_work(&mut self, now: ClockTime, id: u64, dispatch: u64, target: &Arc<TargetSpec>) {
-        let Some(work) = self.works.get(&id) else { return };
-        let caller = work.caller;
-        let Some(packet) = work.packet.as_deref().cloned() else { return };
-        self.send_to_target(now, caller, &packet, dispatch, target);
-    }
-
-    /// Sends a request's packet to its backend server, with the flow token to hand back.
-    fn send_to_target(
-        &mut self,
-        now: ClockTime,
-        caller: SocketAddr,
-        packet: &Packet,
-        dispatch: u64,
-        target: &Arc<TargetSpec>,
-    ) {
-        let Some((service, _)) = self.owner_of(packet, target) else { return };
-        let token = FlowToken {
-            address: packet.address.clone(),
-            service: service.to_string(),
-            member: packet.member.clone(),
-            caller: packet.caller,
-            flow: packet.flow,
-            request: packet.request,
-            target: target.name.to_string(),
-            target_address: target.address.to_string(),
-            target_incarnation: target.incarnation,
-            data_centre: target.data_centre.to_string(),
-            dispatch,
-        };
-        let Ok(token) = seal_token(&self.ring, &token) else { return };
-        let path = ReturnPath { caller_address: caller.to_string(), token };
-        let Ok(return_path) = seal_path(&self.ring, &path) else { return };
-        let deadline = self
-            .dispatches
-            .get(&dispatch)
-            .and_then(|id| self.works.get(id))
-            .map_or_else(|| now.after(wanted_span(packet)), |work| work.deadline);
-        let packet = Packet {
-            service: service.to_string(),
-            target_incarnation: target.incarnation,
-            dispatch,
-            return_path,
-            time_left_ms: deadline.left_millis(now),
-            ticket: Vec::new(),
-            token: Vec::new(),
-            credential: Vec::new(),
-            ..packet.clone()
-        };
-        self.send_data(target.address, &packet);
-    }
-
-    /// The service that a request's target serves: the one its desk belongs to.
-    fn owner_of(&self, packet: &Packet, target: &TargetSpec) -> Option<(ServiceName, u32)> {
-        if let Some(RequestState::Dispatched { dispatch, .. }) =
-            self.ledger.find(&RequestKey::of(packet))
-            && let Some(work) = self.dispatches.get(dispatch).and_then(|id| self.works.get(id))
-        {
-            return Some((work.desk.service.clone(), work.desk.shard));
-        }
-        let (key, owner) = self.owners.get(&target.address)?;
-        let is_same = owner.incarnation == target.incarnation;
-        is_same.then(|| (key.service.clone(), shard_of(packet.flow, 1)))
-    }
-
-    /// Gives a work its final refusal at once.
-    pub(crate) fn refuse_work(&mut self, now: ClockTime, id: u64, refusal: &DeskRefusal) {
-        let Some(work) = self.remove_work(id) else { return };
-        let refusal = match (work.tracking, refusal.ran) {
-            (RunTracking::Untracked, RunState::NotRun) => {
-                Refusal { outcome: RunOutcome::Unknown.into(), ..desk_refusal(refusal) }
-            }
-            _ => desk_refusal(refusal),
-        };
-        self.remember_refusal(work.key, refusal, work.forget_at.max(now));
-        self.refuse(now, work.caller, &bare_packet(&work), refusal);
-    }
-
-    fn send_cancel(&mut self, dispatch: u64, target: &Arc<TargetSpec>) {
-        let Some((key, _)) = self.owners.get(&target.address) else { return };
-        let packet = Packet {
-            version: foxledge_wire::PROTOCOL_VERSION,
-            kind: PacketKind::Cancel.into(),
-            service: key.service.to_string(),
-            target_incarnation: target.incarnation,
-            dispatch,
-            ..Packet::default()
-        };
-        self.send_data(target.address, &packet);
-    }
-
-    fn send_probe(&mut self, key: &DeskKey, target: &Arc<TargetSpec>) {
-        if !self.probed.contains(key) {
-            return;
-        }
-        self.counters.probes_sent += 1;
-        let packet = Packet {
-            version: foxledge_wire::PROTOCOL_VERSION,
-            kind: PacketKind::Probe.into(),
-            service: key.service.to_string(),
-            target_incarnation: target.incarnation,
-            ..Packet::default()
-        };
-        self.send_data(target.address, &packet);
-    }
 }
 
-fn wanted_span(packet: &Packet) -> Duration {
+pub(crate) fn wanted_span(packet: &Packet) -> Duration {
     match packet.time_left_ms {
         0 => DEFAULT_DEADLINE,
         millis => Duration::from_millis(u64::from(millis)).min(LONGEST_DEADLINE),
--- a/crates/foxledge-engine/src/lib.rs
+++ b/crates/foxledge-engine/src/lib.rs
@@ -10,17 +10,20 @@
 pub mod answers;
 pub mod counters;
 pub mod desks;
+pub mod dispatch;
 pub mod effects;
 pub mod engine;
 pub mod entry;
 pub mod explain;
 pub mod forwards;
 pub mod home;
+pub mod homes;
 pub mod journal;
 pub mod ledger;
 pub mod options;
 pub mod packets;
 pub mod placement;
+pub mod refresh;
 pub mod status;
 
 pub use counters::EngineCounters;
--- /dev/null
+++ b/crates/foxledge-engine/src/refresh.rs
@@ -0,0 +1,145 @@
+//! Taking a new list or a new view into force.
+
+use std::sync::Arc;
+
+use foxledge_core::{
+    audit::{AuditChange, AuditKind},
+    lists::{RuleList, ServiceSpec, TargetSpec},
+    names::ServiceName,
+    peers::PeerView,
+    time::ClockTime,
+};
+use foxledge_rules::RuleIndex;
+use foxledge_seal::KeyRing;
+
+use crate::{
+    desks::{changed_services, drain_changes, probed_desks, shard_count, shard_targets},
+    effects::EngineEffect,
+    engine::FlowEngine,
+    placement::DeskKey,
+};
+
+impl FlowEngine {
+    /// Takes a newly accepted list into force.
+    pub fn on_list(&mut self, now: ClockTime, list: Arc<RuleList>) -> Vec<EngineEffect> {
+        let is_newer = list.version.revision > self.list.version.revision;
+        if !is_newer && self.options.trial.refuse_stale_lists {
+            return Vec::new();
+        }
+        let changed = changed_services(&self.list, &list);
+        for change in drain_changes(&self.list, &list, &changed) {
+            self.out.push(EngineEffect::Audit(change));
+        }
+        let ring = KeyRing::from_keys(&list.keys);
+        self.audit_keys(&ring, list.version.revision);
+        self.ring = ring;
+        self.index = RuleIndex::new(list.clone());
+        let old = std::mem::replace(&mut self.list, list);
+        for name in &changed {
+            self.refresh_owners(name, &old);
+            self.refresh_service(now, name);
+        }
+        self.drop_idle_desks();
+        self.take_effects()
+    }
+
+    /// Takes a new view of the instances into force.
+    pub fn on_view(&mut self, now: ClockTime, view: Arc<PeerView>) -> Vec<EngineEffect> {
+        self.view = view;
+        let list = self.list.clone();
+        self.probed.clear();
+        for service in list.services.values() {
+            self.refresh_probed(now, service);
+        }
+        self.drop_idle_desks();
+        self.take_effects()
+    }
+
+    fn audit_keys(&mut self, ring: &KeyRing, revision: u64) {
+        let (old, new) = (self.ring.ids(), ring.ids());
+        if old == new {
+            return;
+        }
+        let change = AuditChange::new(AuditKind::KeysRotated, "token keys")
+            .values(format!("{old:?}"), format!("{new:?}"))
+            .because(format!("list {revision}"), "list");
+        self.out.push(EngineEffect::Audit(change));
+    }
+
+    /// Notes who owns the addresses of a changed service's targets.
+    fn refresh_owners(&mut self, name: &ServiceName, old: &RuleList) {
+        let former = old.services.get(name).map_or(&[][..], |service| &service.targets);
+        for target in former {
+            let is_ours =
+                self.owners.get(&target.address).is_some_and(|(key, _)| key.service == *name);
+            if is_ours {
+                self.owners.remove(&target.address);
+            }
+        }
+        let list = self.list.clone();
+        let Some(service) = list.services.get(name) else { return };
+        for target in &service.targets {
+            let key = DeskKey { service: name.clone(), shard: 0 };
+            self.owners.insert(target.address, (key, Arc::new(target.clone())));
+        }
+        for shard in 0..shard_count(service, &self.me.data_centre, self.placement.as_ref()) {
+            let key = DeskKey { service: name.clone(), shard };
+            for target in self.targets_of(&key) {
+                self.owners.insert(target.address, (key.clone(), target));
+            }
+        }
+    }
+
+    /// Brings the desks of a changed service up to date.
+    fn refresh_service(&mut self, now: ClockTime, name: &ServiceName) {
+        self.probed.retain(|key| key.service != *name);
+        if let Some(service) = self.list.clone().services.get(name) {
+            self.refresh_probed(now, service);
+        }
+        for key in self.desks.keys_of(name) {
+            let targets = self.targets_of(&key);
+            let queue_limit = self.queue_limit_of(&key);
+            let Some(desk) = self.desks.find(&key) else { continue };
+            desk.set_queue_limit(queue_limit);
+            let effects = desk.set_targets(now, targets);
+            self.carry_out(now, &key, effects);
+        }
+    }
+
+    /// Makes the desks of a service that this instance has to keep warm.
+    fn refresh_probed(&mut self, now: ClockTime, service: &ServiceSpec) {
+        let keys = probed_desks(
+            service,
+            &self.view,
+            &self.me.name,
+            &self.me.data_centre,
+            self.placement.as_ref(),
+        );
+        for key in keys {
+            self.obtain_desk(now, &key);
+            self.probed.insert(key);
+        }
+    }
+
+    fn drop_idle_desks(&mut self) {
+        let probed = &self.probed;
+        self.desks.drop_idle(|key| probed.contains(key));
+    }
+
+    /// Makes sure the desk exists.
+    pub(crate) fn obtain_desk(&mut self, now: ClockTime, key: &DeskKey) {
+        let targets = self.targets_of(key);
+        let queue_limit = self.queue_limit_of(key);
+        let (_, effects) = self.desks.obtain(now, key, || targets, queue_limit);
+        self.carry_out(now, key, effects);
+    }
+
+    pub(crate) fn targets_of(&self, key: &DeskKey) -> Vec<Arc<TargetSpec>> {
+        let Some(service) = self.list.services.get(&key.service) else { return Vec::new() };
+        shard_targets(service, &self.me.data_centre, key.shard, self.placement.as_ref())
+    }
+
+    fn queue_limit_of(&self, key: &DeskKey) -> u32 {
+        self.list.services.get(&key.service).map_or(0, |service| service.queue_limit)
+    }
+}
