Leave room for a flow token beside a full payload

Cause: with names of 32 bytes a dispatch with a payload of 1,000 bytes has 1,425 bytes and is dropped by the next decoder as oversized. Ruled out: larger datagrams (they would fragment); refusing lists whose names add up. Before: full_payload red with MAX_PAYLOAD = 1,000 (Oversized(1425)). After: green with 800. Conclusion: payloads are at most 800 bytes; a renewed ticket that doesn't fit is left out.

--- a/crates/foxledge-engine/src/answers.rs
+++ b/crates/foxledge-engine/src/answers.rs
@@ -10,6 +10,8 @@
     flow::{Packet, PacketKind, Refusal, RefusalReason, RunOutcome},
 };
 
+use prost::Message;
+
 use crate::{
     effects::EnginePhase,
     engine::FlowEngine,
@@ -106,9 +108,7 @@
         if packet.kind() == PacketKind::Done {
             return;
         }
-        let Some(ticket) = ticket else { return self.relay_answer(packet) };
-        let fits = packet.payload.len() + ticket.len() + packet.return_path.len() < MAX_DATAGRAM;
-        let ticket = if fits { ticket } else { Vec::new() };
+        let ticket = ticket.unwrap_or_default();
         self.relay_answer(Packet { ticket, ..packet });
     }
 
@@ -123,7 +123,7 @@
         };
         let Ok(caller) = path.caller_address.parse::<SocketAddr>() else { return };
         self.counters.answers_relayed += 1;
-        let packet = Packet {
+        let mut packet = Packet {
             token: path.token,
             return_path: Vec::new(),
             load: None,
@@ -131,6 +131,10 @@
             target_incarnation: 0,
             ..packet
         };
+        if packet.encoded_len() > MAX_DATAGRAM {
+            // The answer matters more than the next ticket, which can be asked for.
+            packet.ticket.clear();
+        }
         self.send_data(caller, &packet);
     }
 }
--- a/crates/foxledge-engine/tests/common/targets.rs
+++ b/crates/foxledge-engine/tests/common/targets.rs
@@ -35,6 +35,8 @@
     pub runs: BTreeMap<RunKey, u32>,
     pub strangers: u32,
     pub draining: bool,
+    /// Answers carry the request's payload.
+    pub echoes: bool,
     busy: u32,
     known: HashMap<u64, KnownDispatch>,
 }
@@ -47,6 +49,7 @@
             runs: BTreeMap::new(),
             strangers: 0,
             draining: false,
+            echoes: false,
             busy: 0,
             known: HashMap::new(),
         }
@@ -138,6 +141,7 @@
             service: packet.service.clone(),
             return_path: packet.return_path.clone(),
             parts: u32::from(is_answer),
+            payload: if self.echoes && is_answer { packet.payload.clone() } else { Vec::new() },
             load: Some(load),
             ..Packet::default()
         };
--- a/crates/foxledge-wire/src/datagram.rs
+++ b/crates/foxledge-wire/src/datagram.rs
@@ -12,7 +12,10 @@
 /// Longest datagram, in bytes; fits an Ethernet frame with room for headers.
 pub const MAX_DATAGRAM: usize = 1400;
 /// Longest payload of one part, in bytes.
-pub const MAX_PAYLOAD: usize = 1000;
+///
+/// The rest of a datagram holds the header and a return path with a flow token
+/// in it, whose names are up to 32 bytes each.
+pub const MAX_PAYLOAD: usize = 800;
 /// Least payload of a ticket request, in bytes of padding.
 ///
 /// A ticket is larger than the request for it. Without padding, whoever forges
