Let the bench's entry instances learn of a lost home after their wait

Ruled out: a fault of the desk; the second arrival at an entry instance already knew of the loss. Conclusion: every service has its own arrivals, and runs go on until the last lease.

--- a/crates/foxledge-bench/src/callers.rs
+++ b/crates/foxledge-bench/src/callers.rs
@@ -15,10 +15,10 @@
     places::INSTANCES,
     tally::{WorkOutcome, WorkRecord},
     workloads::MEMBER_PRIORITIES,
-    world::{CALLER_RESEND, CALLER_WAY, CENTRE_WAY, FORWARD_WAIT, SimWorld},
+    world::{CALLER_RESEND, CALLER_WAY, CENTRE_WAY, FORWARD_WAIT, PassedOver, SimWorld},
 };
 
-/// How long a home that said nothing is passed over.
+/// How long a home that said nothing is then passed over.
 const PASSED_OVER: Duration = Duration::from_secs(1);
 /// How long after its death every instance's view names a home dead.
 const SEEN_DEAD: Duration = Duration::from_secs(3);
@@ -80,10 +80,14 @@
             return (first, Duration::ZERO);
         }
         let seen_dead = self.killed_at.is_some_and(|at| at.after(SEEN_DEAD).is_past(self.now));
-        if seen_dead || !self.passed_over[entry].is_past(self.now) {
+        if seen_dead || self.passed_over[entry].holds_at(self.now) {
             return (second, Duration::ZERO);
         }
-        self.passed_over[entry] = self.now.after(PASSED_OVER);
+        // The entry instance only knows after its wait; what comes before then waits too.
+        if self.passed_over[entry].until.is_past(self.now) {
+            let from = self.now.after(FORWARD_WAIT);
+            self.passed_over[entry] = PassedOver { from, until: from.after(PASSED_OVER) };
+        }
         (second, FORWARD_WAIT)
     }
 
--- a/crates/foxledge-bench/src/workloads.rs
+++ b/crates/foxledge-bench/src/workloads.rs
@@ -105,6 +105,13 @@
     factor: 2.0,
 };
 
+/// Farms upload their contracts in bundles.
+const EVENING_BUNDLES: ArrivalShape = ArrivalShape::Bursts {
+    period: Duration::from_secs(60),
+    burst: Duration::from_secs(5),
+    factor: 1.5,
+};
+
 /// The services of both users.
 pub fn service_loads() -> Vec<ServiceLoad> {
     let desk = ServiceLoad {
@@ -123,7 +130,7 @@
         service: "lot-intake",
         targets: 4,
         kind: TrafficKind::Upload,
-        mean_run: Duration::from_millis(400),
+        mean_run: Duration::from_millis(600),
         patience: Duration::from_secs(30),
         shape: ArrivalShape::Poisson,
         length: Duration::from_secs(600),
@@ -132,7 +139,13 @@
     // The dawn rush lasts longer than a run, so the level is that of the rush.
     let shape = ArrivalShape::Poisson;
     let roster = ServiceLoad { workload: "berovo", service: "roster", shape, ..desk };
-    let paperwork = ServiceLoad { workload: "berovo", service: "paperwork", ..uploads };
+    let paperwork = ServiceLoad {
+        workload: "berovo",
+        service: "paperwork",
+        mean_run: Duration::from_millis(400),
+        shape: EVENING_BUNDLES,
+        ..uploads
+    };
     vec![desk, uploads, roster, paperwork]
 }
 
--- a/crates/foxledge-bench/src/world.rs
+++ b/crates/foxledge-bench/src/world.rs
@@ -3,6 +3,7 @@
 use std::{collections::HashMap, time::Duration};
 
 use foxledge_core::{
+    hash::digest_of,
     lists::TargetSpec,
     names::{MemberName, TargetName},
     time::ClockTime,
@@ -31,6 +32,8 @@
 pub(crate) const CALLER_RESEND: Duration = Duration::from_millis(200);
 /// Period of a daemon's tick.
 const TICK: Duration = Duration::from_millis(10);
+/// How long after the last deadline a run goes on.
+const SETTLE_TIME: Duration = Duration::from_secs(2);
 /// Window over which imbalance is taken.
 const WINDOW: Duration = Duration::from_millis(100);
 /// What comes before isn't measured.
@@ -63,7 +66,7 @@
     pub(crate) successors: HashMap<usize, usize>,
     pub(crate) split: bool,
     pub(crate) killed_at: Option<ClockTime>,
-    pub(crate) passed_over: [ClockTime; INSTANCES],
+    pub(crate) passed_over: [PassedOver; INSTANCES],
     pub(crate) specs: Vec<TargetSpec>,
     // Every process that ever was; `current` holds the one of each target.
     pub(crate) processes: Vec<SimTarget>,
@@ -82,6 +85,19 @@
     pub(crate) is_alive: bool,
 }
 
+/// `PassedOver` is when an entry instance passes a silent home over.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct PassedOver {
+    pub(crate) from: ClockTime,
+    pub(crate) until: ClockTime,
+}
+
+impl PassedOver {
+    pub(crate) fn holds_at(&self, now: ClockTime) -> bool {
+        self.from.is_past(now) && !self.until.is_past(now)
+    }
+}
+
 /// Makes the run.
 pub fn run_plan(plan: RunPlan) -> RunResult {
     let mut world = SimWorld::new(plan);
@@ -92,6 +108,8 @@
 impl SimWorld {
     pub(crate) fn new(plan: RunPlan) -> SimWorld {
         let load = plan.load;
+        // Services differ in their arrivals also where their loads are alike.
+        let seed = plan.seed ^ digest_of(load.service.as_bytes());
         let specs: Vec<_> = (0..load.targets).map(|number| target_spec(&load, number)).collect();
         let queue_limit = plan.place.target_queue(load.targets);
         let new_target = |_| SimTarget::new(1, load.slots, queue_limit, ClockTime::ZERO);
@@ -104,13 +122,13 @@
         SimWorld {
             now: ClockTime::ZERO,
             events: EventQueue::new(),
-            arrivals: ArrivalSource::new(load, plan.level, plan.variant, plan.seed),
-            random: StdRng::seed_from_u64(plan.seed ^ 0x5eed),
+            arrivals: ArrivalSource::new(load, plan.level, plan.variant, seed),
+            random: StdRng::seed_from_u64(!seed),
             desks: desks.collect(),
             successors: HashMap::new(),
             split: false,
             killed_at: None,
-            passed_over: [ClockTime::ZERO; INSTANCES],
+            passed_over: [PassedOver::default(); INSTANCES],
             processes: (0..load.targets).map(new_target).collect(),
             current: (0..load.targets).collect(),
             specs,
@@ -130,7 +148,7 @@
         }
         self.next_arrival();
         // Callers that still wait get their patience after the last arrival.
-        let last = end.after(self.plan.load.patience).after(Duration::from_secs(2));
+        let last = end.after(self.plan.load.patience).after(SETTLE_TIME);
         while let Some((at, event)) = self.events.pop() {
             if at > last {
                 break;
@@ -218,7 +236,7 @@
         for desk in 0..self.desks.len() {
             self.on_desk(desk, |home| home.on_tick(now));
         }
-        if now < end.after(self.plan.load.patience) {
+        if now < end.after(self.plan.load.patience).after(SETTLE_TIME) {
             self.events.push(now.after(TICK), SimEvent::Tick);
         }
     }
