Prove that feeds survive planned changes of instances, servers, rules and keys

Before: keys_rotated's first part, a key replaced at once: feeds are refused and reopened. Ruled out: that a new backend server gets no feeds by a fault: while it warms up, feeds rather go to warm ones.

--- a/crates/foxledge-proofs/src/lasting.rs
+++ b/crates/foxledge-proofs/src/lasting.rs
@@ -1,1 +1,263 @@
 //! Helpers for proofs about feeds, rule lists and planned stops.
+
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    thread::{self, JoinHandle},
+    time::{Duration, Instant},
+};
+
+use anyhow::{Context, ensure};
+use foxledge_core::traffic::TrafficKind;
+use foxledge_fakes::{
+    harness::{
+        FleetPlan, ServiceSize, TestCaller, TestFleet, TestInstance, actions::sum_metric, http,
+        wait_until, wait_until_ok,
+    },
+    publish::MemberPlan,
+    report::{LoadReport, Verdict},
+};
+use foxledge_wire::control::{AuditRequest, StatusRequest, admin_client::AdminClient};
+use serde_json::Value;
+
+use crate::once::{CENTRE, DESK, INTAKE, MEMBER, WIDE_LIMIT};
+
+/// The other data centre of fleets that have two.
+pub const OTHER_CENTRE: &str = "erie";
+/// Load that lasts until its test ends it, in seconds.
+const LONG_LOAD: f64 = 120.0;
+/// Time between two looks at revisions.
+const LOOK_PERIOD: Duration = Duration::from_millis(20);
+/// Entries of an audit trail that are read.
+const AUDIT_LIMIT: u32 = 1000;
+
+/// A fleet of two data centres with both services, whose links can be cut.
+pub fn plan_two_centres(instances: usize, targets: usize) -> FleetPlan {
+    FleetPlan::new()
+        .centre(CENTRE, instances)
+        .centre(OTHER_CENTRE, instances)
+        .service(DESK.0, DESK.1, ServiceSize::targets(targets))
+        .service(INTAKE.0, INTAKE.1, ServiceSize::targets(1))
+        .member(MemberPlan::open(MEMBER))
+        .link_mode(foxledge_fakes::harness::LinkMode::Routed)
+}
+
+/// Starts feeds that last until they are stopped, and waits until all are open.
+pub fn start_feeds(fleet: &mut TestFleet, centre: &str, feeds: u32) -> anyhow::Result<TestCaller> {
+    let before = open_connections(fleet, DESK.0)?;
+    let plan = fleet.plan_caller(DESK.0, MEMBER, TrafficKind::Feed)?;
+    let plan = plan.name(&format!("feeds-{centre}")).rate(0.0).feeds(feeds).seconds(LONG_LOAD);
+    let caller = fleet.start_caller(centre, &plan)?;
+    wait_until_ok("feeds are open", WIDE_LIMIT, || {
+        let open = open_connections(fleet, DESK.0)? - before;
+        ensure!(open >= feeds, "{open} of {feeds}");
+        Ok(())
+    })?;
+    Ok(caller)
+}
+
+/// Starts bids that arrive until they are stopped.
+pub fn start_bids(fleet: &TestFleet, centre: &str, rate: f64) -> anyhow::Result<TestCaller> {
+    let plan = fleet.plan_caller(DESK.0, MEMBER, TrafficKind::Bid)?;
+    let plan = plan.name(&format!("bids-{centre}")).rate(rate).seconds(LONG_LOAD);
+    fleet.start_caller(centre, &plan)
+}
+
+/// Starts uploads that arrive until they are stopped.
+pub fn start_uploads(fleet: &TestFleet, centre: &str, rate: f64) -> anyhow::Result<TestCaller> {
+    let plan = fleet.plan_caller(INTAKE.0, MEMBER, TrafficKind::Upload)?;
+    let plan = plan.name(&format!("uploads-{centre}")).rate(rate).seconds(LONG_LOAD);
+    fleet.start_caller(centre, &plan)
+}
+
+/// Stops a load and reads its report.
+pub fn stop_load(caller: TestCaller) -> anyhow::Result<LoadReport> {
+    caller.stop(WIDE_LIMIT)
+}
+
+/// Connections that are open at the backend servers of a service.
+pub fn open_connections(fleet: &mut TestFleet, service: &str) -> anyhow::Result<u32> {
+    let stats = fleet.backend_stats()?;
+    Ok(stats.iter().filter(|stat| stat.service == service).map(|stat| stat.connections).sum())
+}
+
+/// Runs that all backend servers have started.
+pub fn total_runs(fleet: &mut TestFleet) -> anyhow::Result<u64> {
+    Ok(fleet.backend_stats()?.iter().map(|stat| stat.total_runs).sum())
+}
+
+/// Waits until so many runs more have been started.
+pub fn wait_more_runs(fleet: &mut TestFleet, more: u64) -> anyhow::Result<()> {
+    let goal = total_runs(fleet)? + more;
+    wait_until_ok("more requests run", WIDE_LIMIT, || {
+        let runs = total_runs(fleet)?;
+        ensure!(runs >= goal, "{runs} of {goal}");
+        Ok(())
+    })
+}
+
+/// Fails unless nothing happened that must never happen.
+pub fn ensure_clean(verdict: &Verdict) -> anyhow::Result<()> {
+    ensure!(verdict.is_clean(), "{verdict:?}");
+    Ok(())
+}
+
+/// Revision of the list in force at an instance; 0 without one.
+pub fn revision_of(admin: SocketAddr) -> anyhow::Result<u64> {
+    let text = http::get(admin, "/metrics")?.body;
+    Ok(sum_metric(&text, "foxledge_list_revision", "") as u64)
+}
+
+/// Waits until a revision is in force at every instance that is listed.
+pub fn wait_revision(
+    fleet: &TestFleet,
+    revision: u64,
+    limit: Duration,
+) -> anyhow::Result<Duration> {
+    let started = Instant::now();
+    for instance in fleet.instances.iter().filter(|instance| instance.listed.is_some()) {
+        wait_instance_revision(instance, revision, limit)?;
+    }
+    Ok(started.elapsed())
+}
+
+/// Waits until a revision is in force at one instance.
+pub fn wait_instance_revision(
+    instance: &TestInstance,
+    revision: u64,
+    limit: Duration,
+) -> anyhow::Result<()> {
+    wait_until_ok(&format!("revision {revision} at {}", instance.name), limit, || {
+        let held = revision_of(instance.listen.admin)?;
+        ensure!(held == revision, "revision {held}");
+        Ok(())
+    })
+}
+
+/// Waits until an event was counted at an instance.
+pub fn wait_event(instance: &TestInstance, event: &str) -> anyhow::Result<()> {
+    let label = format!("event=\"{event}\"");
+    wait_until(&format!("{event} at {}", instance.name), WIDE_LIMIT, || {
+        instance.metric("foxledge_engine_events_total", &label).is_ok_and(|count| count > 0.0)
+    })
+}
+
+/// Sum of an event's counts over all instances that run.
+pub fn sum_event(fleet: &mut TestFleet, event: &str) -> f64 {
+    let label = format!("event=\"{event}\"");
+    let running = fleet.instances.iter_mut().filter(|instance| instance.listed.is_some());
+    running
+        .filter_map(|instance| instance.metric("foxledge_engine_events_total", &label).ok())
+        .sum()
+}
+
+/// `RevisionWatch` looks at the revisions in force, and notes each that goes back.
+pub struct RevisionWatch {
+    ended: Arc<AtomicBool>,
+    thread: JoinHandle<Vec<String>>,
+}
+
+impl RevisionWatch {
+    /// Begins to watch every instance there is now.
+    pub fn start(fleet: &TestFleet) -> RevisionWatch {
+        let watched: Vec<_> = fleet
+            .instances
+            .iter()
+            .map(|instance| (instance.name.clone(), instance.listen.admin))
+            .collect();
+        let ended = Arc::new(AtomicBool::new(false));
+        let is_ended = ended.clone();
+        let thread = thread::spawn(move || watch_revisions(&watched, &is_ended));
+        RevisionWatch { ended, thread }
+    }
+
+    /// Ends the watch; returns the steps back that were seen.
+    pub fn finish(self) -> anyhow::Result<Vec<String>> {
+        self.ended.store(true, Ordering::Relaxed);
+        self.thread.join().map_err(|_| anyhow::anyhow!("the watch panicked"))
+    }
+}
+
+fn watch_revisions(watched: &[(String, SocketAddr)], ended: &AtomicBool) -> Vec<String> {
+    let mut newest = vec![0; watched.len()];
+    let mut steps_back = Vec::new();
+    while !ended.load(Ordering::Relaxed) {
+        for (index, (name, admin)) in watched.iter().enumerate() {
+            // An instance that has ended or is frozen says nothing.
+            let Ok(revision) = revision_of(*admin) else { continue };
+            if revision < newest[index] {
+                steps_back.push(format!("{name}: {} to {revision}", newest[index]));
+            }
+            newest[index] = revision;
+        }
+        thread::sleep(LOOK_PERIOD);
+    }
+    steps_back
+}
+
+/// The audit trail of an instance.
+pub fn audit_of(instance: &TestInstance) -> anyhow::Result<Vec<Value>> {
+    let address = instance.listen.control;
+    let text = ask_admin(async move {
+        let mut client = AdminClient::connect(format!("http://{address}")).await?;
+        let request = AuditRequest { after: 0, limit: AUDIT_LIMIT };
+        anyhow::Ok(client.audit(request).await?.into_inner().json)
+    })?;
+    serde_json::from_str(&text).context("audit trail")
+}
+
+/// The entries of one kind in the audit trail of an instance.
+pub fn audit_entries(instance: &TestInstance, kind: &str) -> anyhow::Result<Vec<Value>> {
+    let entries = audit_of(instance)?;
+    Ok(entries.into_iter().filter(|entry| entry["kind"] == kind).collect())
+}
+
+/// Waits until an entry of a kind tells `text` in its cause or new value.
+pub fn wait_audit(instance: &TestInstance, kind: &str, text: &str) -> anyhow::Result<Value> {
+    let what = format!("{kind} with \"{text}\" in the audit trail of {}", instance.name);
+    wait_until_ok(&what, WIDE_LIMIT, || {
+        let entries = audit_entries(instance, kind)?;
+        let tells = |entry: &&Value| {
+            ["cause", "new", "subject"]
+                .iter()
+                .any(|key| entry[*key].as_str().is_some_and(|value| value.contains(text)))
+        };
+        let entry = entries.iter().find(tells).cloned();
+        entry.with_context(|| format!("{entries:?}"))
+    })
+}
+
+/// The status report of an instance.
+pub fn status_of(instance: &TestInstance) -> anyhow::Result<Value> {
+    let address = instance.listen.control;
+    let text = ask_admin(async move {
+        let mut client = AdminClient::connect(format!("http://{address}")).await?;
+        anyhow::Ok(client.status(StatusRequest {}).await?.into_inner().json)
+    })?;
+    serde_json::from_str(&text).context("status")
+}
+
+/// Names of the peers that an instance sees in one of `states`.
+pub fn peers_seen(instance: &TestInstance, states: &[&str]) -> anyhow::Result<Vec<String>> {
+    let status = status_of(instance)?;
+    let peers = status["view"]["peers"].as_array().cloned().unwrap_or_default();
+    let is_wanted =
+        |peer: &&Value| peer["state"].as_str().is_some_and(|state| states.contains(&state));
+    let names = peers.iter().filter(is_wanted).filter_map(|peer| peer["name"].as_str());
+    Ok(names.map(str::to_owned).collect())
+}
+
+/// The data centres that an instance holds for reachable.
+pub fn centres_seen(instance: &TestInstance) -> anyhow::Result<Vec<String>> {
+    let status = status_of(instance)?;
+    let centres = status["view"]["reachable_centres"].as_array().cloned().unwrap_or_default();
+    Ok(centres.iter().filter_map(|centre| centre.as_str().map(str::to_owned)).collect())
+}
+
+fn ask_admin<T>(question: impl Future<Output = anyhow::Result<T>>) -> anyhow::Result<T> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    runtime.block_on(async { tokio::time::timeout(Duration::from_secs(5), question).await? })
+}
