Keep time for the run when work is started late

Cause: under overload the lowest priority waits until its deadline; work started just before it takes a slot and ends for nobody, and its caller is told UNKNOWN. Conclusion: four usual runs are kept, at most a quarter of the time left.

--- a/crates/foxledge-bench/src/report.rs
+++ b/crates/foxledge-bench/src/report.rs
@@ -107,6 +107,7 @@
     /// Works the figures out.
     pub fn finish(self, works: &[WorkRecord]) -> RunResult {
         let plan = self.plan;
+        let goodput = self.goodput(works);
         let measured = |work: &&WorkRecord| work.asked_at > ClockTime::ZERO.after(WARM_UP);
         let works: Vec<_> = works.iter().filter(measured).collect();
         let count =
@@ -127,7 +128,7 @@
             broken: count(&|work| work.outcome == WorkOutcome::Open),
             doubled: count(&|work| work.runs > 1),
             false_not_run: count(&|work| work.outcome == WorkOutcome::NotRun && work.runs > 0),
-            goodput: self.goodput(&works),
+            goodput,
             peak_to_mean: self.peak / windows,
             variation: self.variation / windows,
             wait: wait_spread(&works, &|_| true),
@@ -144,11 +145,13 @@
     }
 
     // Run time, as on a warm target, of the requests answered in time.
-    fn goodput(&self, works: &[&WorkRecord]) -> f64 {
-        let end = ClockTime::ZERO.after(self.plan.load.length);
-        let in_time =
-            |work: &&&WorkRecord| work.is_served() && work.ended_at.is_some_and(|at| at <= end);
-        let useful: Duration = works.iter().filter(in_time).map(|work| work.arrival.run).sum();
+    fn goodput(&self, works: &[WorkRecord]) -> f64 {
+        let from = ClockTime::ZERO.after(WARM_UP);
+        let until = ClockTime::ZERO.after(self.plan.load.length);
+        let is_useful = |work: &&WorkRecord| {
+            work.is_served() && work.ended_at.is_some_and(|at| from < at && at <= until)
+        };
+        let useful: Duration = works.iter().filter(is_useful).map(|work| work.arrival.run).sum();
         useful.as_secs_f64() / self.capacity.max(f64::EPSILON)
     }
 }
--- a/crates/foxledge-policy/src/admission.rs
+++ b/crates/foxledge-policy/src/admission.rs
@@ -21,6 +21,9 @@
 // Work is refused at the door when this part of its expected wait is longer
 // than its time left; the estimate is rough, so only clear cases count.
 const SURE_PART: f64 = 0.5;
+// Usual run times that must be left at the start: of exponential ones, 98 in
+// 100 then end in time.
+const RESERVE_RUNS: u32 = 4;
 
 impl HomeDesk {
     /// Takes work; it is dispatched, queued or refused at once.
@@ -30,16 +33,18 @@
             return effects;
         }
         self.counters.offered += 1;
-        if let Some(reason) = self.reason_against(now, &item) {
-            // Refusing counts one less for the member, so it is counted first.
-            self.hold_member(&item);
-            let pending = PendingWork::new(item);
+        let start_by = item.start_by(now, self.times.usual(item.kind) * RESERVE_RUNS);
+        let pending = PendingWork::new(item, start_by);
+        let refused = self.reason_against(now, &pending);
+        // Refusing counts one less for the member, so it is counted first.
+        self.hold_member(&pending.item);
+        if let Some(reason) = refused {
             self.refuse(&pending, RunState::NotRun, reason, &mut effects);
             return effects;
         }
-        self.hold_member(&item);
+        let item = &pending.item;
         let (work, kind, when_full) = (item.id, item.kind, item.when_full);
-        self.enqueue(PendingWork::new(item), &mut effects);
+        self.enqueue(pending, &mut effects);
         self.pump(now, &mut effects);
         if when_full == FullAction::Refuse
             && let Some(pending) = self.queue_of(kind).remove(work)
@@ -129,8 +134,9 @@
             || self.feeds.contains(item.id)
     }
 
-    fn reason_against(&self, now: ClockTime, item: &WorkItem) -> Option<RefuseReason> {
-        if item.latest_start().is_past(now) {
+    fn reason_against(&self, now: ClockTime, pending: &PendingWork) -> Option<RefuseReason> {
+        let item = &pending.item;
+        if pending.start_by.is_past(now) {
             return Some(RefuseReason::DeadlinePassed);
         }
         if !self.table.takes_work() {
@@ -140,7 +146,9 @@
         if item.member_limit > 0 && held >= item.member_limit {
             return Some(RefuseReason::Limit);
         }
-        if !item.is_feed() && self.expected_wait(item).mul_f64(SURE_PART) > left(now, item) {
+        if !item.is_feed()
+            && self.expected_wait(item).mul_f64(SURE_PART) > pending.start_by.left(now)
+        {
             return Some(RefuseReason::DeadlinePassed);
         }
         None
@@ -260,7 +268,3 @@
     let class = if item.is_feed() { WorkClass::Feed } else { WorkClass::Request };
     (item.member.clone(), class)
 }
-
-fn left(now: ClockTime, item: &WorkItem) -> Duration {
-    item.latest_start().left(now)
-}
--- a/crates/foxledge-policy/src/queue.rs
+++ b/crates/foxledge-policy/src/queue.rs
@@ -174,13 +174,13 @@
             class.start = class.finish.max(self.virtual_time);
         }
         class.push(&item.member, item.weight, work, end);
-        self.expiries.insert((item.latest_start(), work));
+        self.expiries.insert((pending.start_by, work));
         self.entries.insert(work, pending);
     }
 
     fn forget(&mut self, work: u64) -> Option<PendingWork> {
         let pending = self.entries.remove(&work)?;
-        self.expiries.remove(&(pending.item.latest_start(), work));
+        self.expiries.remove(&(pending.start_by, work));
         Some(pending)
     }
 
--- a/crates/foxledge-policy/src/running.rs
+++ b/crates/foxledge-policy/src/running.rs
@@ -185,7 +185,7 @@
         let tries = running.pending.tried.len() as u32 + 1;
         // The opening packet of accepted work is only kept where it is asked about.
         let is_kept = running.phase == DispatchPhase::Sent || self.options.checks_runs();
-        let in_time = !running.pending.item.latest_start().is_past(now);
+        let in_time = !running.pending.start_by.is_past(now);
         tries < self.options.tries
             && is_kept
             && in_time
--- a/crates/foxledge-policy/src/work.rs
+++ b/crates/foxledge-policy/src/work.rs
@@ -1,5 +1,7 @@
 //! What a home is offered.
 
+use std::time::Duration;
+
 use foxledge_core::{
     lists::{FullAction, PaidPriority},
     names::MemberName,
@@ -9,6 +11,9 @@
 
 use crate::effects::RunState;
 
+// A reserve is at most one of this many parts of the time left.
+const LARGEST_RESERVE: u32 = 4;
+
 /// `WorkItem` is one request or feed that asks for a backend server.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct WorkItem {
@@ -37,9 +42,16 @@
 }
 
 impl WorkItem {
-    /// The work can't be started at or after this point.
-    pub fn latest_start(&self) -> ClockTime {
-        self.deadline.min(self.start_deadline)
+    /// The latest start that leaves `reserve` until the caller's deadline, though
+    /// never more than a part of the time that is left now.
+    ///
+    /// Under overload the lowest priority waits until its deadline. Work that
+    /// is started just before it takes a slot and ends for nobody, and its
+    /// caller is told "unknown" instead of "not run".
+    pub fn start_by(&self, now: ClockTime, reserve: Duration) -> ClockTime {
+        let reserve = reserve.min(self.deadline.left(now) / LARGEST_RESERVE);
+        let micros = self.deadline.as_micros() - reserve.as_micros() as u64;
+        self.start_deadline.min(ClockTime::from_micros(micros))
     }
 
     /// True for work that holds a connection instead of a slot.
@@ -58,11 +70,13 @@
     /// Unknown once an earlier dispatch may have run: a later refusal must not
     /// say "not run" then, whatever the last target said.
     pub ran: RunState,
+    /// It isn't started at or after this point.
+    pub start_by: ClockTime,
 }
 
 impl PendingWork {
     /// Makes work that no target had yet.
-    pub fn new(item: WorkItem) -> PendingWork {
-        PendingWork { item, tried: Vec::new(), ran: RunState::NotRun }
+    pub fn new(item: WorkItem, start_by: ClockTime) -> PendingWork {
+        PendingWork { item, tried: Vec::new(), ran: RunState::NotRun, start_by }
     }
 }
