Ask targets about acknowledged dispatches; drop refusals that were overtaken

Cause: (1) an end that was lost on the way kept a slot and a work at the home for good; the desk asks again, but the engine had dropped the opening packet. (2) a late copy of a first target's refusal, for work placed elsewhere since, was relayed to the caller as final. (3) an open feed that the desk placed anew had no packet to send and hung. Ruled out: resending the opening packet to ask (a target that has forgotten the dispatch would run it as new work). Before: lost_end red (the work stayed open), late_refusal red (UNKNOWN sent to the caller). Conclusion: CHECK asks about a dispatch and starts nothing; return paths say whether a packet went past the home; an open feed whose target is lost is given back to its caller at once.

--- a/crates/foxledge-engine/src/answers.rs
+++ b/crates/foxledge-engine/src/answers.rs
@@ -40,13 +40,26 @@
         }
         match packet.kind() {
             PacketKind::Done => {}
-            // The home that dispatched may still place the work elsewhere, so
-            // another instance can't vouch for "not run".
-            PacketKind::Refusal => self.relay_answer(without_promise(packet)),
+            PacketKind::Refusal => self.relay_foreign_refusal(packet),
             _ => self.relay_answer(packet),
         }
     }
 
+    /// Relays a refusal that isn't about a present dispatch of this home.
+    ///
+    /// One that answers a packet sent by flow token goes to the caller, but
+    /// without "not run": the home that dispatched may place the work
+    /// elsewhere, so another instance can't vouch for it. One that answers a
+    /// home's dispatch is late: the home has placed the work elsewhere since, or
+    /// answered. Relayed, it would end the caller's wait for the real answer.
+    fn relay_foreign_refusal(&mut self, packet: Packet) {
+        match open_path(&self.ring, &packet.return_path) {
+            Ok(path) if path.by_token => self.relay_answer(without_promise(packet)),
+            Ok(_) => self.counters.superseded += 1,
+            Err(_) => self.counters.path_unsealed += 1,
+        }
+    }
+
     /// Takes an answer to a dispatch of this home.
     fn on_own_dispatch(
         &mut self,
@@ -72,7 +85,10 @@
         match signal {
             TargetSignal::Accepted => {
                 if let Some(work) = self.works.get_mut(&id) {
-                    work.packet = None;
+                    work.is_accepted = true;
+                    if work.is_feed() {
+                        work.packet = None;
+                    }
                 }
             }
             TargetSignal::Ended => {
@@ -117,6 +133,10 @@
     /// The path is sealed: without that, anybody could have this instance send
     /// datagrams to an address of their choice.
     fn relay_answer(&mut self, packet: Packet) {
+        if packet.return_path.is_empty() && packet.kind() == PacketKind::Ack {
+            // The answer to a check of this home; no caller asked.
+            return;
+        }
         let Ok(path) = open_path(&self.ring, &packet.return_path) else {
             self.counters.path_unsealed += 1;
             return;
--- a/crates/foxledge-engine/src/counters.rs
+++ b/crates/foxledge-engine/src/counters.rs
@@ -56,6 +56,10 @@
     answers_relayed,
     /// Probes sent.
     probes_sent,
+    /// Questions to targets about dispatches that they had acknowledged.
+    checks_sent,
+    /// Refusals of targets dropped because the home had placed the work elsewhere.
+    superseded,
     /// Flow tokens sealed anew under a newer key.
     tokens_resealed,
 }
--- a/crates/foxledge-engine/src/dispatch.rs
+++ b/crates/foxledge-engine/src/dispatch.rs
@@ -1,9 +1,9 @@
 //! What a desk decided, on its way to backend servers.
 
-use std::{net::SocketAddr, sync::Arc};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use foxledge_core::{lists::TargetSpec, names::ServiceName, time::ClockTime};
-use foxledge_policy::{DeskEffect, DeskRefusal, RunState};
+use foxledge_policy::{DeskEffect, DeskRefusal, RefuseReason, RunState};
 use foxledge_seal::seals::{seal_path, seal_token};
 use foxledge_wire::flow::{FlowToken, Packet, PacketKind, Refusal, ReturnPath, RunOutcome};
 use log::debug;
@@ -39,9 +39,12 @@
     fn dispatch_work(&mut self, now: ClockTime, id: u64, dispatch: u64, target: &Arc<TargetSpec>) {
         let Some(work) = self.works.get_mut(&id) else { return };
         let former = std::mem::replace(&mut work.dispatch, dispatch);
+        work.is_accepted = false;
         let (key, forget_at, caller, kind) = (work.key, work.forget_at, work.caller, work.kind);
         let wait = now.since(work.arrived);
-        let Some(packet) = work.packet.as_deref().cloned() else { return };
+        let Some(packet) = work.packet.as_deref().cloned() else {
+            return self.give_up_feed(now, id);
+        };
         self.dispatches.remove(&former);
         self.dispatches.insert(dispatch, id);
         let state = RequestState::Dispatched { dispatch, target: target.clone() };
@@ -57,10 +60,49 @@
     fn resend_work(&mut self, now: ClockTime, id: u64, dispatch: u64, target: &Arc<TargetSpec>) {
         let Some(work) = self.works.get(&id) else { return };
         let caller = work.caller;
+        if work.is_accepted {
+            let (service, flow) = (work.desk.service.clone(), work.key.flow);
+            return self.send_check(&service, flow, dispatch, target);
+        }
         let Some(packet) = work.packet.as_deref().cloned() else { return };
         self.send_to_target(now, caller, &packet, dispatch, target);
     }
 
+    /// Ends an open feed whose target is lost.
+    ///
+    /// The home keeps no opening packet of an open feed, and only the caller
+    /// knows the last item it saw: it opens the feed anew from there.
+    fn give_up_feed(&mut self, now: ClockTime, id: u64) {
+        let Some(desk) = self.works.get(&id).map(|work| work.desk.clone()) else { return };
+        let lost = DeskRefusal {
+            ran: RunState::Unknown,
+            reason: RefuseReason::TargetLost,
+            retry_after: Duration::ZERO,
+        };
+        self.refuse_work(now, id, &lost);
+        let Some(home_desk) = self.desks.find(&desk) else { return };
+        let effects = home_desk.cancel(now, id);
+        self.carry_out(now, &desk, effects);
+    }
+
+    /// Asks a target what became of a dispatch that it has acknowledged.
+    ///
+    /// Its end may have been lost on the way. The slot or connection would stay
+    /// taken for good; one would notice a target that gets ever less work.
+    /// The opening packet isn't sent again: a target that has forgotten the
+    /// dispatch would run it as new work.
+    fn send_check(
+        &mut self,
+        service: &ServiceName,
+        flow: u64,
+        dispatch: u64,
+        target: &Arc<TargetSpec>,
+    ) {
+        self.counters.checks_sent += 1;
+        let check = notice(PacketKind::Check, service, dispatch, target);
+        self.send_data(target.address, &Packet { flow, ..check });
+    }
+
     /// Sends a request's packet to its backend server, with the flow token to hand back.
     pub(crate) fn send_to_target(
         &mut self,
@@ -85,7 +127,7 @@
             dispatch,
         };
         let Ok(token) = seal_token(&self.ring, &token) else { return };
-        let path = ReturnPath { caller_address: caller.to_string(), token };
+        let path = ReturnPath { caller_address: caller.to_string(), token, by_token: false };
         let Ok(return_path) = seal_path(&self.ring, &path) else { return };
         let deadline = self
             .dispatches
@@ -134,15 +176,8 @@
 
     fn send_cancel(&mut self, dispatch: u64, target: &Arc<TargetSpec>) {
         let Some((key, _)) = self.owners.get(&target.address) else { return };
-        let packet = Packet {
-            version: foxledge_wire::PROTOCOL_VERSION,
-            kind: PacketKind::Cancel.into(),
-            service: key.service.to_string(),
-            target_incarnation: target.incarnation,
-            dispatch,
-            ..Packet::default()
-        };
-        self.send_data(target.address, &packet);
+        let cancel = notice(PacketKind::Cancel, &key.service, dispatch, target);
+        self.send_data(target.address, &cancel);
     }
 
     fn send_probe(&mut self, key: &DeskKey, target: &Arc<TargetSpec>) {
@@ -150,13 +185,19 @@
             return;
         }
         self.counters.probes_sent += 1;
-        let packet = Packet {
-            version: foxledge_wire::PROTOCOL_VERSION,
-            kind: PacketKind::Probe.into(),
-            service: key.service.to_string(),
-            target_incarnation: target.incarnation,
-            ..Packet::default()
-        };
-        self.send_data(target.address, &packet);
+        let probe = notice(PacketKind::Probe, &key.service, 0, target);
+        self.send_data(target.address, &probe);
+    }
+}
+
+/// A packet of the home's own to a target.
+fn notice(kind: PacketKind, service: &ServiceName, dispatch: u64, target: &TargetSpec) -> Packet {
+    Packet {
+        version: foxledge_wire::PROTOCOL_VERSION,
+        kind: kind.into(),
+        service: service.to_string(),
+        target_incarnation: target.incarnation,
+        dispatch,
+        ..Packet::default()
     }
 }
--- a/crates/foxledge-engine/src/engine.rs
+++ b/crates/foxledge-engine/src/engine.rs
@@ -134,7 +134,10 @@
             | PacketKind::FeedItem
             | PacketKind::Done
             | PacketKind::GoAway => self.on_target_packet(now, from, packet),
-            PacketKind::Unspecified | PacketKind::TicketGrant | PacketKind::Probe => {
+            PacketKind::Unspecified
+            | PacketKind::TicketGrant
+            | PacketKind::Probe
+            | PacketKind::Check => {
                 self.counters.malformed += 1;
             }
         }
--- a/crates/foxledge-engine/src/entry.rs
+++ b/crates/foxledge-engine/src/entry.rs
@@ -114,8 +114,11 @@
         let Ok(address) = token.target_address.parse::<SocketAddr>() else { return };
         let resealed = reseal_token(&self.ring, &packet.token).ok().flatten();
         self.counters.tokens_resealed += u64::from(resealed.is_some());
-        let path =
-            ReturnPath { caller_address: from.to_string(), token: resealed.unwrap_or_default() };
+        let path = ReturnPath {
+            caller_address: from.to_string(),
+            token: resealed.unwrap_or_default(),
+            by_token: true,
+        };
         let Ok(return_path) = seal_path(&self.ring, &path) else { return };
         let packet = Packet {
             service: token.service.clone(),
--- a/crates/foxledge-engine/src/home.rs
+++ b/crates/foxledge-engine/src/home.rs
@@ -50,8 +50,10 @@
     pub member: MemberName,
     /// Its desk.
     pub desk: DeskKey,
-    /// The opening packet; dropped once the backend server has it.
+    /// The opening packet; an open feed keeps none.
     pub packet: Option<Box<Packet>>,
+    /// True once the backend server of the present dispatch has acknowledged it.
+    pub is_accepted: bool,
     /// Where its caller was last seen.
     pub caller: SocketAddr,
     /// Kind of traffic.
@@ -251,6 +253,7 @@
                 member,
                 desk: desk.clone(),
                 packet: Some(Box::new(packet)),
+                is_accepted: false,
                 caller,
                 kind,
                 tracking,
--- a/crates/foxledge-engine/tests/common/targets.rs
+++ b/crates/foxledge-engine/tests/common/targets.rs
@@ -66,6 +66,12 @@
                 self.refuse(from, &packet, RefusalReason::WrongTarget)
             }
             PacketKind::Work => self.take_work(from, packet),
+            PacketKind::Check => {
+                let known = self.known.get(&packet.dispatch);
+                let is_open = known.is_some_and(|known| !known.is_ended);
+                let kind = if is_open { PacketKind::Ack } else { PacketKind::Done };
+                self.reply(from, &packet, kind)
+            }
             PacketKind::Poll => self.reply(from, &packet, PacketKind::FeedItem),
             _ => TargetSends::default(),
         }
--- /dev/null
+++ b/crates/foxledge-engine/tests/late_notices.rs
@@ -0,0 +1,78 @@
+//! Notices of backend servers that are lost or come late.
+
+mod common;
+
+use common::{TestNet, address, is_answered, refusals, target_address, work};
+use foxledge_engine::EngineOptions;
+use foxledge_wire::{
+    decode_packet, encode_packet,
+    flow::{Packet, PacketKind, Refusal, RefusalReason, RunOutcome},
+};
+
+#[test]
+fn lost_end() {
+    // Symptom: a target gets ever less work, though it is idle.
+    // Sequence: a bid runs; both its answer and the notice of its end are lost on the way to the home.
+    // Cause: the home counts the slot as taken for good.
+    let mut net = TestNet::new(1, 1, EngineOptions::default());
+    let ticket = net.obtain_ticket(1, 0, "auction").unwrap();
+    net.send(1, 0, &Packet { ticket, time_left_ms: 60_000, ..work(1, 1, 1, "auction") });
+    net.run(4);
+    for target in 0..2 {
+        net.cuts.insert((target_address(target), address(1000)));
+    }
+    net.run(500);
+    assert_eq!(net.engines[0].as_ref().unwrap().status(net.now).open_works, 1);
+    net.cuts.clear();
+    net.run(5_000);
+    assert_eq!(net.engines[0].as_ref().unwrap().status(net.now).open_works, 0);
+    let runs: u32 = net.targets.iter().flat_map(|target| target.runs.values()).sum();
+    assert_eq!(runs, 1);
+}
+
+#[test]
+fn late_refusal() {
+    // Symptom: a bid that is running well is answered "unknown".
+    // Sequence: the first target sheds it, the home places it at the second; a copy of the first
+    //   target's refusal arrives late.
+    // Cause: the copy is taken for an answer to a packet sent past the home, and relayed as final.
+    let mut net = TestNet::new(1, 2, EngineOptions::default());
+    let ticket = net.obtain_ticket(1, 0, "auction").unwrap();
+    let now = net.now;
+    let bid = Packet { ticket, ..work(1, 1, 1, "auction") };
+    let engine = net.engines[0].as_mut().unwrap();
+    let effects = engine.on_datagram(now, address(5001), &encode_packet(&bid));
+    let (first, dispatched) = sent_work(&effects).expect("dispatched at once");
+    let shed = Refusal {
+        outcome: RunOutcome::NotRun.into(),
+        reason: RefusalReason::TargetShed.into(),
+        retry_after_ms: 0,
+    };
+    let refusal = encode_packet(&Packet {
+        kind: PacketKind::Refusal.into(),
+        refusal: Some(shed),
+        ..dispatched
+    });
+    let effects = engine.on_datagram(now, first, &refusal);
+    let (second, again) = sent_work(&effects).expect("placed elsewhere");
+    assert_ne!(first, second);
+    let effects = engine.on_datagram(now, first, &refusal);
+    assert!(effects.is_empty(), "the late copy ends nothing: {effects:?}");
+    let answer = Packet { kind: PacketKind::Answer.into(), parts: 1, ..again };
+    let effects = engine.on_datagram(now, second, &encode_packet(&answer));
+    let sent: Vec<_> = effects.iter().filter_map(sent_packet).map(|(_, packet)| packet).collect();
+    assert!(is_answered(&sent) && refusals(&sent).is_empty());
+}
+
+fn sent_packet(effect: &foxledge_engine::EngineEffect) -> Option<(std::net::SocketAddr, Packet)> {
+    match effect {
+        foxledge_engine::EngineEffect::SendData { to, bytes } => {
+            Some((*to, decode_packet(bytes).unwrap()))
+        }
+        _ => None,
+    }
+}
+
+fn sent_work(effects: &[foxledge_engine::EngineEffect]) -> Option<(std::net::SocketAddr, Packet)> {
+    effects.iter().filter_map(sent_packet).find(|(_, packet)| packet.kind() == PacketKind::Work)
+}
--- a/crates/foxledge-fakes/src/backend/requests.rs
+++ b/crates/foxledge-fakes/src/backend/requests.rs
@@ -33,6 +33,7 @@
         let known = self.entries.get(&packet.dispatch).map(|entry| entry.opened_at);
         match (known, packet.kind()) {
             (Some(opened_at), _) if self.is_mute_for(opened_at) => (),
+            (_, PacketKind::Check) => self.on_check(now, from, packet),
             (Some(_), PacketKind::Cancel) => self.on_cancel(now, from, packet),
             (Some(_), _) => self.on_known(now, from, packet),
             (None, _) => self.on_new(now, from, packet),
@@ -136,6 +137,16 @@
         }
     }
 
+    /// Says what became of a dispatch; nothing starts, and no answer changes its way.
+    fn on_check(&mut self, now: ClockTime, from: SocketAddr, packet: &Packet) {
+        let state = self.entries.get(&packet.dispatch).map(|entry| &entry.state);
+        let kind = match state {
+            Some(DispatchState::Answered(_) | DispatchState::Refused(_)) | None => PacketKind::Done,
+            Some(_) => PacketKind::Ack,
+        };
+        self.send(now, packet, &ReturnRoute::of(from, packet), kind, |_| ());
+    }
+
     /// A cancel may overtake the work. Without the entry the work would run after its sender had
     /// been told that it is cancelled; one would see a run of a request refused as not run.
     fn cancel_ahead(&mut self, now: ClockTime, from: SocketAddr, packet: &Packet) {
--- a/crates/foxledge-fakes/src/backend/state.rs
+++ b/crates/foxledge-fakes/src/backend/state.rs
@@ -129,7 +129,7 @@
         };
         match packet.kind() {
             PacketKind::Probe => self.on_probe(now, from, &packet),
-            PacketKind::Work | PacketKind::Poll | PacketKind::Cancel => {
+            PacketKind::Work | PacketKind::Poll | PacketKind::Cancel | PacketKind::Check => {
                 self.on_request(now, from, &packet);
             }
             _ => self.counts.malformed += 1,
