Tell targets of passed deadlines, and distrust idle reports of slow ones

Cause: work in a target's own queue was refused when the target came to it, up to 476 ms after the deadline; it was there because the desk gave slots back on the word of a slow target that calls itself idle. Ruled out: refusing at the deadline without the target's word (it may have run). Conclusion: the deadline is passed on as a cancellation within a tick; slots are presumed ended only after eight usual runs and only on trusted reports.

--- a/crates/foxledge-policy/src/admission.rs
+++ b/crates/foxledge-policy/src/admission.rs
@@ -67,15 +67,7 @@
         let Some(&dispatch) = self.out.get(&work) else {
             return effects;
         };
-        let check_at = now.after(self.options.ack_wait);
-        self.dispatches.update(dispatch, |running| {
-            running.caller = CallerState::Cancelled;
-            running.unanswered = 0;
-            running.sendings += 1;
-            running.check_at = check_at;
-            let target = Arc::clone(&running.spec);
-            effects.push(DeskEffect::Cancel { dispatch, target });
-        });
+        self.tell_target(now, dispatch, CallerState::Cancelled, &mut effects);
         effects
     }
 
--- a/crates/foxledge-policy/src/dispatches.rs
+++ b/crates/foxledge-policy/src/dispatches.rs
@@ -63,6 +63,8 @@
     Waiting,
     /// Gave up; the target was told so.
     Cancelled,
+    /// Its deadline has passed; the target was told so.
+    Overdue,
     /// Has its final answer; only the slot is still held.
     Answered,
 }
@@ -87,8 +89,23 @@
         now.since(self.sent_at)
     }
 
+    /// True when the caller's deadline has passed and the target wasn't told yet.
+    pub fn is_overdue(&self, now: ClockTime) -> bool {
+        self.caller == CallerState::Waiting && self.give_up_at().is_past(now)
+    }
+
+    // Until when the caller waits; the deadline of a feed is for its opening.
+    fn give_up_at(&self) -> ClockTime {
+        let is_open = self.pending.item.is_feed() && self.phase == DispatchPhase::Accepted;
+        if is_open { ClockTime::FAR } else { self.pending.item.deadline }
+    }
+
     fn next_deadline(&self) -> ClockTime {
-        self.check_at.min(self.lease_deadline)
+        let deadline = self.check_at.min(self.lease_deadline);
+        match self.caller {
+            CallerState::Waiting => deadline.min(self.give_up_at()),
+            _ => deadline,
+        }
     }
 }
 
--- a/crates/foxledge-policy/src/running.rs
+++ b/crates/foxledge-policy/src/running.rs
@@ -11,6 +11,10 @@
     health::HealthVerdict,
 };
 
+// Work that took this many usual runs has most likely ended: of exponential
+// ones one in 3,000 is longer.
+const PRESUMED_RUNS: u32 = 8;
+
 impl HomeDesk {
     /// Takes what a target said of a dispatch; a dispatch that the desk
     /// doesn't hold any more is ignored.
@@ -49,6 +53,8 @@
             };
             if running.lease_deadline.is_past(now) {
                 self.end_lease(dispatch, effects);
+            } else if running.is_overdue(now) {
+                self.tell_target(now, dispatch, CallerState::Overdue, effects);
             } else if running.unanswered >= self.options.resends {
                 self.blame(now, running.target, effects);
                 self.on_lost(now, dispatch, effects);
@@ -126,6 +132,10 @@
                 let reason = RefuseReason::Cancelled;
                 self.refuse(&running.pending, RunState::NotRun, reason, effects);
             }
+            CallerState::Overdue => {
+                let reason = RefuseReason::DeadlinePassed;
+                self.refuse(&running.pending, RunState::NotRun, reason, effects);
+            }
             CallerState::Waiting => self.retry_or_refuse(now, running, reason, effects),
         }
     }
@@ -160,6 +170,10 @@
                 let reason = RefuseReason::Cancelled;
                 self.refuse(pending, RunState::Unknown, reason, effects);
             }
+            CallerState::Overdue => {
+                let reason = RefuseReason::DeadlinePassed;
+                self.refuse(pending, RunState::Unknown, reason, effects);
+            }
             CallerState::Waiting if pending.item.idempotent && self.may_retry(now, &running) => {
                 self.try_elsewhere(running, RunState::Unknown);
             }
@@ -200,6 +214,28 @@
         self.queue_of(pending.item.kind).push_again(pending);
     }
 
+    /// Tells a target that nobody waits for a dispatch any more.
+    ///
+    /// Work that waits in the target's own queue is then known not to run at
+    /// once, instead of when the target comes to it.
+    pub(crate) fn tell_target(
+        &mut self,
+        now: ClockTime,
+        dispatch: u64,
+        caller: CallerState,
+        effects: &mut Vec<DeskEffect>,
+    ) {
+        let check_at = now.after(self.options.ack_wait);
+        self.dispatches.update(dispatch, |running| {
+            running.caller = caller;
+            running.unanswered = 0;
+            running.sendings += 1;
+            running.check_at = check_at;
+            let target = Arc::clone(&running.spec);
+            effects.push(DeskEffect::Cancel { dispatch, target });
+        });
+    }
+
     // Sends the same dispatch to the same target again; a copy starts nothing
     // there, so this is safe for non-idempotent work.
     fn ask_again(&mut self, now: ClockTime, dispatch: u64, effects: &mut Vec<DeskEffect>) {
@@ -212,7 +248,7 @@
             let work = running.pending.item.id;
             effects.push(match running.caller {
                 CallerState::Waiting => DeskEffect::Resend { work, dispatch, target },
-                CallerState::Cancelled | CallerState::Answered => {
+                CallerState::Cancelled | CallerState::Overdue | CallerState::Answered => {
                     DeskEffect::Cancel { dispatch, target }
                 }
             });
@@ -277,11 +313,14 @@
         };
         let busy = load.busy_slots + load.queued;
         let excess = entry.ledger.busy().saturating_sub(busy);
-        if excess == 0 || !entry.health.review_due(now) {
+        // What was seen speaks against the report of a target that is slow or sheds.
+        let is_trusted = entry.health.trusted_report(now, &self.options).is_some();
+        if excess == 0 || !is_trusted || !entry.health.review_due(now) {
             return;
         }
-        let age = self.options.presume_after.as_micros() as u64;
-        let sent_before = ClockTime::from_micros(now.as_micros().saturating_sub(age));
+        let usual_run = self.times.usual_slot().mul_f64(entry.health.pace().max(1.0));
+        let age = self.options.presume_after.max(usual_run * PRESUMED_RUNS).as_micros();
+        let sent_before = ClockTime::from_micros(now.as_micros().saturating_sub(age as u64));
         let old = self.dispatches.old_requests(target, sent_before);
         for dispatch in old.into_iter().take(excess as usize) {
             self.dispatches.update(dispatch, |running| running.hold = SlotHold::Presumed);
--- a/crates/foxledge-policy/tests/slot_leases.rs
+++ b/crates/foxledge-policy/tests/slot_leases.rs
@@ -60,12 +60,13 @@
     trial.offer(item);
     let dispatch = trial.dispatch_of(1);
     trial.signal(dispatch, TargetSignal::Accepted);
-    trial.pass(1400);
+    trial.pass(1000);
+    assert_eq!(trial.cancelled, [dispatch], "the target is told at the deadline");
+    trial.pass(400);
     assert_eq!(busy(&trial), 1);
     trial.pass(110);
     assert_eq!(busy(&trial), 0);
     assert_eq!(trial.refused[&1].ran, RunState::Unknown);
-    assert_eq!(trial.cancelled, [dispatch]);
     assert_eq!(trial.desk.unfinished(), 0);
 }
 
@@ -164,6 +165,24 @@
     assert_eq!(trial.sent.len(), 1, "cancelled work isn't retried");
 }
 
+// Symptom: a caller learns long after its deadline that its bid didn't run.
+// Sequence: the bid waits in a slow target's own queue.
+// Cause: nobody told the target that the deadline had passed.
+#[test]
+fn overdue_work_in_a_targets_queue_is_refused_at_once() {
+    let mut trial = DeskTrial::new(DeskOptions::new(), 1);
+    let mut item = bid(&trial, 1, "m");
+    item.deadline = trial.now.after_millis(1000);
+    trial.offer(item);
+    let dispatch = trial.dispatch_of(1);
+    trial.signal(dispatch, TargetSignal::Accepted);
+    trial.pass(1000);
+    trial.signal(dispatch, TargetSignal::NotRun(RefuseReason::Cancelled));
+    let refusal = trial.refused[&1];
+    assert_eq!((refusal.ran, refusal.reason), (RunState::NotRun, RefuseReason::DeadlinePassed));
+    assert_eq!((busy(&trial), trial.times_sent(1)), (0, 1));
+}
+
 #[test]
 fn a_feed_holds_a_connection_and_outlives_its_opening_deadline() {
     let mut trial = DeskTrial::new(DeskOptions::new(), 2);
