Let trial.refuse_stale_lists reach membership too

Cause: with the switch off, instances still never heard of a peer's older list, so nothing went back and the proof couldn't fail.

--- a/crates/foxledge-daemon/src/choices.rs
+++ b/crates/foxledge-daemon/src/choices.rs
@@ -56,11 +56,15 @@
 
 /// The list store's options from the settings.
 pub fn list_options(settings: &DaemonSettings) -> ListOptions {
-    let stale = match settings.trial.refuse_stale_lists {
+    ListOptions::default().stale(stale_lists(settings))
+}
+
+/// What becomes of older lists, from the settings.
+pub fn stale_lists(settings: &DaemonSettings) -> StaleLists {
+    match settings.trial.refuse_stale_lists {
         true => StaleLists::Refuse,
         false => StaleLists::Take,
-    };
-    ListOptions::default().stale(stale)
+    }
 }
 
 /// The addresses that stand in for others.
--- a/crates/foxledge-daemon/src/member_keeper.rs
+++ b/crates/foxledge-daemon/src/member_keeper.rs
@@ -14,6 +14,7 @@
 use tokio::sync::oneshot;
 
 use crate::{
+    choices::stale_lists,
     context::DaemonContext,
     side::messages::{CallError, LinkCommand},
 };
@@ -176,6 +177,7 @@
         .dead_after(Duration::from_millis(peers.dead_after_ms))
         .readers_per_centre(context.settings.platform.readers_per_centre as usize)
         .seeds(seeds)
+        .stale(stale_lists(&context.settings))
 }
 
 fn state_word(state: PeerState) -> &'static str {
--- a/crates/foxledge-members/src/membership/claims.rs
+++ b/crates/foxledge-members/src/membership/claims.rs
@@ -13,7 +13,7 @@
 
 use super::Membership;
 use crate::{
-    MemberEffect,
+    MemberEffect, StaleLists,
     table::{ClaimSource, ClaimTerms, MergeOutcome},
 };
 
@@ -29,8 +29,12 @@
         effects: &mut Vec<MemberEffect>,
     ) {
         let version = version.as_ref().map(convert::list_version).unwrap_or_default();
-        let contradicts = version.revision == self.version.revision && version != self.version;
-        if version.revision > self.version.revision || contradicts {
+        let is_older = version.revision < self.version.revision;
+        let counts = match self.options.stale {
+            StaleLists::Refuse => !is_older,
+            StaleLists::Take => true,
+        };
+        if version != self.version && counts {
             effects.push(MemberEffect::PeerVersion { from: sender.control_address, version });
         }
     }
--- a/crates/foxledge-members/src/options.rs
+++ b/crates/foxledge-members/src/options.rs
@@ -2,6 +2,8 @@
 
 use std::{net::SocketAddr, time::Duration};
 
+use crate::StaleLists;
+
 /// `MemberOptions` is how membership is kept; each setting has a default.
 #[derive(Clone, Debug)]
 pub struct MemberOptions {
@@ -19,6 +21,7 @@
     pub(crate) retry_every: Duration,
     pub(crate) tombstone: Duration,
     pub(crate) seeds: Vec<SocketAddr>,
+    pub(crate) stale: StaleLists,
 }
 
 impl Default for MemberOptions {
@@ -38,6 +41,7 @@
             retry_every: Duration::from_millis(1000),
             tombstone: Duration::from_secs(600),
             seeds: Vec::new(),
+            stale: StaleLists::Refuse,
         }
     }
 }
@@ -121,6 +125,12 @@
         self
     }
 
+    /// Whether a peer's list is reported that is older than the own.
+    pub fn stale(mut self, stale: StaleLists) -> MemberOptions {
+        self.stale = stale;
+        self
+    }
+
     /// Control addresses to try first.
     pub fn seeds(mut self, seeds: Vec<SocketAddr>) -> MemberOptions {
         self.seeds = seeds;
