--- a/crates/foxledge-daemon/src/side/watch.rs
+++ b/crates/foxledge-daemon/src/side/watch.rs
@@ -111,12 +111,21 @@
     }
 
     /// Reads parts one by one; a part that isn't there is left out.
+    ///
+    /// What was read before a failure counts. A platform that rations its reads
+    /// refuses one of them sooner or later; if the others were thrown away, a list
+    /// of many parts would be read from the start again and again and never be
+    /// whole. One would notice an instance that stays joining.
     pub async fn fetch_parts(&self, digests: &[u64]) -> Result<Vec<ListPart>, CallError> {
         let mut parts = Vec::new();
         for digest in digests {
-            let reply = self.read(&format!("part/{digest:016x}"), 0, Duration::ZERO).await?;
-            if reply.found {
-                parts.push(ListPart { digest: *digest, text: reply.value });
+            match self.read(&format!("part/{digest:016x}"), 0, Duration::ZERO).await {
+                Ok(reply) if reply.found => {
+                    parts.push(ListPart { digest: *digest, text: reply.value });
+                }
+                Ok(_) => {}
+                Err(error) if parts.is_empty() => return Err(error),
+                Err(_) => break,
             }
         }
         Ok(parts)
