Read only the parts of a list that changed

Cause: build_list read the whole text at each change and refused lists above 1 MB; at the target's size (38,000 targets, 6,000 rules) a list has some 7 MB and changes each 5.4 s. Ruled out: keeping toml spans or counted key paths for findings (not Send, and larger than the targets they belong to); keeping parts of refused lists (unbounded findings). After: ListAssembler keeps what the last good list's parts read to, by digest; build_list is one used once.

--- a/crates/foxledge-document/src/paths.rs
+++ b/crates/foxledge-document/src/paths.rs
@@ -25,6 +25,14 @@
     pub fn item(&self, index: usize) -> KeyPath {
         KeyPath(Some(Rc::new(PathStep::Item(self.clone(), index))))
     }
+
+    /// The index of the item that the path ends at, or none when it ends at a key.
+    pub fn index(&self) -> Option<usize> {
+        match self.0.as_deref() {
+            Some(PathStep::Item(_, index)) => Some(*index),
+            _ => None,
+        }
+    }
 }
 
 impl fmt::Display for KeyPath {
--- a/crates/foxledge-rules/src/draft.rs
+++ b/crates/foxledge-rules/src/draft.rs
@@ -1,33 +1,95 @@
 //! A list as read from its parts, before it is checked as a whole.
 
+use std::sync::Arc;
+
 use foxledge_core::{
     lists::{FlowMatch, FullAction, KeySpec, MemberSpec, PaidPriority, TargetSpec},
     names::{RuleName, ServiceAddress, ServiceName},
 };
 
-use crate::sources::ListSpot;
+use crate::spots::PartSpot;
 
-/// `ListDraft` is everything that could be read.
+/// `PartDraft` is everything that could be read of one part.
+///
+/// It doesn't know its part's name or place in the list, so that it can be kept
+/// under the digest of the part's text alone.
 ///
 /// Invariant: what couldn't be read is left out or none, and a finding says why.
 #[derive(Debug, Default)]
-pub(crate) struct ListDraft {
+pub(crate) struct PartDraft {
     pub(crate) rules: Vec<RuleDraft>,
     pub(crate) services: Vec<ServiceDraft>,
     pub(crate) targets: Vec<TargetDraft>,
     pub(crate) members: Vec<MemberDraft>,
     pub(crate) keys: Vec<KeyDraft>,
+    pub(crate) findings: Vec<PartFinding>,
+}
+
+impl PartDraft {
+    /// Gives back the memory that growing left over.
+    pub(crate) fn shrink(&mut self) {
+        self.rules.shrink_to_fit();
+        self.services.shrink_to_fit();
+        self.targets.shrink_to_fit();
+        self.members.shrink_to_fit();
+        self.keys.shrink_to_fit();
+    }
+}
+
+/// `PartFinding` is one thing that is wrong in a part.
+#[derive(Clone, Debug)]
+pub(crate) struct PartFinding {
+    pub(crate) line: usize,
+    pub(crate) key: String,
+    pub(crate) text: String,
+}
+
+/// `ListDraft` is the drafts of all parts in order.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct ListDraft<'a> {
+    pub(crate) parts: &'a [Arc<PartDraft>],
+}
+
+impl<'a> ListDraft<'a> {
+    pub(crate) fn rules(self) -> impl Iterator<Item = (usize, &'a RuleDraft)> {
+        self.rows(|part| &part.rules)
+    }
+
+    pub(crate) fn services(self) -> impl Iterator<Item = (usize, &'a ServiceDraft)> {
+        self.rows(|part| &part.services)
+    }
+
+    pub(crate) fn targets(self) -> impl Iterator<Item = (usize, &'a TargetDraft)> {
+        self.rows(|part| &part.targets)
+    }
+
+    pub(crate) fn members(self) -> impl Iterator<Item = (usize, &'a MemberDraft)> {
+        self.rows(|part| &part.members)
+    }
+
+    pub(crate) fn keys(self) -> impl Iterator<Item = (usize, &'a KeyDraft)> {
+        self.rows(|part| &part.keys)
+    }
+
+    /// The rows of one kind, each with the index of its part.
+    fn rows<T: 'a>(
+        self,
+        rows: impl Fn(&'a PartDraft) -> &'a Vec<T>,
+    ) -> impl Iterator<Item = (usize, &'a T)> {
+        let parts = self.parts.iter().enumerate();
+        parts.flat_map(move |(number, part)| rows(part).iter().map(move |row| (number, row)))
+    }
 }
 
 /// `RuleDraft` is one rule.
 #[derive(Debug)]
 pub(crate) struct RuleDraft {
-    pub(crate) spot: ListSpot,
-    pub(crate) name_spot: ListSpot,
+    pub(crate) spot: PartSpot,
+    pub(crate) name_spot: PartSpot,
     pub(crate) name: Option<RuleName>,
     pub(crate) when: FlowMatch,
-    pub(crate) address_spots: Vec<ListSpot>,
-    pub(crate) member_spots: Vec<ListSpot>,
+    pub(crate) address_spots: Vec<PartSpot>,
+    pub(crate) member_spots: Vec<PartSpot>,
     pub(crate) then: Option<ThenDraft>,
     /// True while no finding says that what it matches was read wrong.
     pub(crate) is_sound: bool,
@@ -44,7 +106,7 @@
 #[derive(Debug)]
 pub(crate) struct ServeDraft {
     pub(crate) service: ServiceName,
-    pub(crate) service_spot: ListSpot,
+    pub(crate) service_spot: PartSpot,
     pub(crate) priority: PaidPriority,
     pub(crate) weight: u32,
     pub(crate) member_limit: u32,
@@ -54,35 +116,35 @@
 /// `ServiceDraft` is one service without its targets.
 #[derive(Debug)]
 pub(crate) struct ServiceDraft {
-    pub(crate) spot: ListSpot,
-    pub(crate) name_spot: ListSpot,
+    pub(crate) spot: PartSpot,
+    pub(crate) name_spot: PartSpot,
     pub(crate) name: Option<ServiceName>,
-    pub(crate) addresses: Vec<(ServiceAddress, ListSpot)>,
+    pub(crate) addresses: Vec<(ServiceAddress, PartSpot)>,
     pub(crate) queue_limit: u32,
     pub(crate) shards: u32,
-    pub(crate) shards_spot: ListSpot,
+    pub(crate) shards_spot: PartSpot,
 }
 
 /// `TargetDraft` is one target and the service that it belongs to.
 #[derive(Debug)]
 pub(crate) struct TargetDraft {
-    pub(crate) name_spot: ListSpot,
+    pub(crate) name_spot: PartSpot,
     pub(crate) service: ServiceName,
-    pub(crate) service_spot: ListSpot,
+    pub(crate) service_spot: PartSpot,
     pub(crate) target: TargetSpec,
-    pub(crate) address_spot: ListSpot,
+    pub(crate) address_spot: PartSpot,
 }
 
 /// `MemberDraft` is one member.
 #[derive(Debug)]
 pub(crate) struct MemberDraft {
-    pub(crate) spot: ListSpot,
+    pub(crate) spot: PartSpot,
     pub(crate) member: MemberSpec,
 }
 
 /// `KeyDraft` is one key.
 #[derive(Debug)]
 pub(crate) struct KeyDraft {
-    pub(crate) spot: ListSpot,
+    pub(crate) spot: PartSpot,
     pub(crate) key: KeySpec,
 }
--- a/crates/foxledge-rules/src/lib.rs
+++ b/crates/foxledge-rules/src/lib.rs
@@ -2,8 +2,10 @@
 //!
 //! [`build_list`] is a pure function of the parts' contents: every instance
 //! gives the same verdict on the same list, and a refused list is refused with
-//! all its findings.
+//! all its findings. [`ListAssembler`] gives the same verdicts and reads only
+//! the parts that it hasn't read before.
 
+mod assembler;
 mod build;
 pub mod changes;
 mod checks;
@@ -13,9 +15,13 @@
 mod secrets;
 mod shadows;
 mod sources;
+mod spots;
 mod version;
 
-pub use build::{ListText, MAX_LIST_BYTES, MAX_RULE_ADDRESSES, MAX_RULES, build_list};
+pub use assembler::{
+    ListAssembler, MAX_LIST_BYTES, MAX_PART_BYTES, MAX_PARTS, MAX_RULE_ADDRESSES, MAX_RULES,
+};
+pub use build::{ListText, PartText, build_list};
 pub use changes::{ChangeSubject, ListChange, diff_lists};
 pub use index::RuleIndex;
 pub use version::list_version;
--- a/crates/foxledge-rules/src/parts.rs
+++ b/crates/foxledge-rules/src/parts.rs
@@ -1,21 +1,22 @@
 //! Reading the tables of one part.
 
-use std::str::FromStr;
+use std::{borrow::Borrow, collections::HashSet, hash::Hash, str::FromStr};
 
 use foxledge_core::{
+    findings::Finding,
     lists::{FlowMatch, FullAction, KeySpec, MemberSpec, PaidPriority, TargetSpec},
     names::{CentreName, MemberName, RuleName, ServiceAddress, ServiceName, TargetName},
     traffic::TrafficKind,
 };
-use foxledge_document::{Place, PlacedText, TableReader, read_document};
+use foxledge_document::{Place, PlacedText, SourceNotes, TableReader, read_document};
 
 use crate::{
     draft::{
-        KeyDraft, ListDraft, MemberDraft, RuleDraft, ServeDraft, ServiceDraft, TargetDraft,
-        ThenDraft,
+        KeyDraft, MemberDraft, PartDraft, PartFinding, RuleDraft, ServeDraft, ServiceDraft,
+        TargetDraft, ThenDraft,
     },
     secrets::parse_secret,
-    sources::{ListSources, ListSpot},
+    spots::{FieldPath, PartSpot, RowPath},
 };
 
 const U32_MAX: u64 = u32::MAX as u64;
@@ -25,18 +26,36 @@
 const MAX_SLOTS: u64 = 100_000;
 const MAX_CONNECTIONS: u64 = 10_000_000;
 
-/// Reads one part into the draft.
-pub(crate) fn read_part(sources: &ListSources, part: usize, text: &str, draft: &mut ListDraft) {
-    read_document(sources.notes(part), text, |root| {
-        let mut reader = PartReader { sources, part, draft };
+/// Reads one part, with the findings in it.
+pub(crate) fn read_part(text: &str) -> PartDraft {
+    let notes = SourceNotes::new("", text);
+    let draft = read_document(&notes, text, |root| {
+        let mut reader = PartReader {
+            notes: &notes,
+            draft: PartDraft::default(),
+            services: NamePool::new(),
+            centres: NamePool::new(),
+        };
         reader.read(root);
+        reader.draft
     });
+    let mut draft = draft.unwrap_or_default();
+    draft.findings = findings_of(notes);
+    draft.shrink();
+    draft
+}
+
+fn findings_of(notes: SourceNotes) -> Vec<PartFinding> {
+    let findings = notes.into_findings();
+    let findings = findings.iter().cloned();
+    findings.map(|Finding { line, key, text, .. }| PartFinding { line, key, text }).collect()
 }
 
 struct PartReader<'a> {
-    sources: &'a ListSources,
-    part: usize,
-    draft: &'a mut ListDraft,
+    notes: &'a SourceNotes,
+    draft: PartDraft,
+    services: NamePool<ServiceName>,
+    centres: NamePool<CentreName>,
 }
 
 impl PartReader<'_> {
@@ -61,9 +80,9 @@
         }
     }
 
-    fn read_rule(&self, table: &TableReader<'_>) -> RuleDraft {
-        let notes = self.sources.notes(self.part);
-        let findings_before = notes.count();
+    fn read_rule(&mut self, table: &TableReader<'_>) -> RuleDraft {
+        let findings_before = self.notes.count();
+        let row = RowPath::Rule(index_of(table.place()));
         let name = table.require("name", table.name("name"));
         let when = table.table("when");
         let addresses = when.names("address");
@@ -72,32 +91,31 @@
         let flow_match = FlowMatch {
             addresses: addresses.iter().map(|name| ServiceAddress::new(name.text)).collect(),
             members: members.iter().map(|name| MemberName::new(name.text)).collect(),
-            data_centres: centres.iter().map(|name| CentreName::new(name.text)).collect(),
+            data_centres: centres.iter().map(|name| self.centres.share(name.text)).collect(),
             kinds: self.read_kinds(&when),
         };
         when.finish();
-        let then = self.read_then(table);
+        let then = self.read_then(table, row);
         table.finish();
         RuleDraft {
-            spot: self.spot_of(table),
-            name_spot: self.spot(table.place_of("name")),
+            spot: spot_of(table, row),
+            name_spot: PartSpot::new(&table.place_of("name"), row, FieldPath::Name),
             name: name.map(RuleName::new),
             when: flow_match,
-            address_spots: self.spots(addresses),
-            member_spots: self.spots(members),
+            address_spots: item_spots(&addresses, row, FieldPath::WhenAddress),
+            member_spots: item_spots(&members, row, FieldPath::WhenMember),
             then,
-            is_sound: notes.count() == findings_before,
+            is_sound: self.notes.count() == findings_before,
         }
     }
 
     fn read_kinds(&self, when: &TableReader<'_>) -> Vec<TrafficKind> {
         let mut kinds = Vec::new();
         for word in when.texts("kind") {
-            let spot = ListSpot { part: self.part, place: word.place };
             match TrafficKind::from_str(word.text) {
-                Err(error) => self.sources.add(&spot, error.to_string()),
+                Err(error) => self.notes.add(&word.place, error.to_string()),
                 Ok(kind) if kinds.contains(&kind) => {
-                    self.sources.add(&spot, format!("\"{kind}\" stands twice"));
+                    self.notes.add(&word.place, format!("\"{kind}\" stands twice"));
                 }
                 Ok(kind) => kinds.push(kind),
             }
@@ -105,7 +123,7 @@
         kinds
     }
 
-    fn read_then(&self, table: &TableReader<'_>) -> Option<ThenDraft> {
+    fn read_then(&mut self, table: &TableReader<'_>, row: RowPath) -> Option<ThenDraft> {
         let then = table.require("then", table.optional_table("then"))?;
         if then.switch("deny") == Some(true) {
             self.check_deny(&then);
@@ -118,8 +136,8 @@
         let when_full = self.read_when_full(&then);
         then.finish();
         Some(ThenDraft::Serve(ServeDraft {
-            service: ServiceName::new(service?),
-            service_spot: self.spot(then.place_of("service")),
+            service: self.services.share(service?),
+            service_spot: PartSpot::new(&then.place_of("service"), row, FieldPath::ThenService),
             priority: PaidPriority(priority as u8),
             weight: weight as u32,
             member_limit: member_limit as u32,
@@ -149,42 +167,48 @@
     }
 
     fn read_service(&mut self, table: &TableReader<'_>) {
-        let name = table.require("name", table.name("name")).map(ServiceName::new);
+        let index = index_of(table.place());
+        let row = RowPath::Service(index);
+        let name = table.require("name", table.name("name"));
+        let name = name.map(|name| self.services.share(name));
         let addresses = table.names("addresses");
         table.require_items("addresses");
         let queue_limit = table.number_or("queue_limit", 0..=MAX_QUEUE, 400) as u32;
         let shards = table.number_or("shards", 1..=MAX_SHARDS, 1) as u32;
         for inner in table.tables("target") {
-            let target = self.read_target_of(&inner, name.clone(), inner.place().clone());
+            let row = RowPath::Inner(index, index_of(inner.place()));
+            let target = self.read_target_of(&inner, name.clone(), spot_of(&inner, row));
             self.draft.targets.extend(target);
         }
         table.finish();
-        let addresses = addresses.into_iter();
-        let addresses =
-            addresses.map(|name| (ServiceAddress::new(name.text), self.spot(name.place)));
+        let spots = item_spots(&addresses, row, FieldPath::Addresses);
+        let addresses = addresses.iter().map(|name| ServiceAddress::new(name.text));
         let service = ServiceDraft {
-            spot: self.spot_of(table),
-            name_spot: self.spot(table.place_of("name")),
+            spot: spot_of(table, row),
+            name_spot: PartSpot::new(&table.place_of("name"), row, FieldPath::Name),
             name,
-            addresses: addresses.collect(),
+            addresses: addresses.zip(spots).collect(),
             queue_limit,
             shards,
-            shards_spot: self.spot(table.place_of("shards")),
+            shards_spot: PartSpot::new(&table.place_of("shards"), row, FieldPath::Shards),
         };
         self.draft.services.push(service);
     }
 
     fn read_target(&mut self, table: &TableReader<'_>) {
-        let service = table.require("service", table.name("service")).map(ServiceName::new);
-        let target = self.read_target_of(table, service, table.place_of("service"));
+        let row = RowPath::Target(index_of(table.place()));
+        let service = table.require("service", table.name("service"));
+        let service = service.map(|name| self.services.share(name));
+        let spot = PartSpot::new(&table.place_of("service"), row, FieldPath::Service);
+        let target = self.read_target_of(table, service, spot);
         self.draft.targets.extend(target);
     }
 
     fn read_target_of(
-        &self,
+        &mut self,
         table: &TableReader<'_>,
         service: Option<ServiceName>,
-        service_place: Place,
+        service_spot: PartSpot,
     ) -> Option<TargetDraft> {
         let name = table.require("name", table.name("name"));
         let address = table.require("address", table.address("address"));
@@ -201,21 +225,23 @@
             name: TargetName::new(name?),
             address: address?,
             incarnation: incarnation?,
-            data_centre: CentreName::new(data_centre?),
+            data_centre: self.centres.share(data_centre?),
             slots,
             connections,
             draining,
         };
+        let row = service_spot.row;
         Some(TargetDraft {
-            name_spot: self.spot(table.place_of("name")),
+            name_spot: PartSpot::new(&table.place_of("name"), row, FieldPath::Name),
             service: service?,
-            service_spot: self.spot(service_place),
+            service_spot,
             target,
-            address_spot: self.spot(table.place_of("address")),
+            address_spot: PartSpot::new(&table.place_of("address"), row, FieldPath::Address),
         })
     }
 
     fn read_member(&self, table: &TableReader<'_>) -> Option<MemberDraft> {
+        let row = RowPath::Member(index_of(table.place()));
         let name = table.require("name", table.name("name"));
         let secret = match table.text("secret") {
             Some(text) => self.read_secret(table, text).unwrap_or_default(),
@@ -223,16 +249,19 @@
         };
         table.finish();
         let member = MemberSpec { name: MemberName::new(name?), secret };
-        Some(MemberDraft { spot: self.spot(table.place_of("name")), member })
+        let spot = PartSpot::new(&table.place_of("name"), row, FieldPath::Name);
+        Some(MemberDraft { spot, member })
     }
 
     fn read_key(&self, table: &TableReader<'_>) -> Option<KeyDraft> {
+        let row = RowPath::Key(index_of(table.place()));
         let id = table.require("id", table.number("id", 1..=U32_MAX));
         let secret = table.require("secret", table.text("secret"));
         let secret = secret.and_then(|text| self.read_secret(table, text));
         table.finish();
         let key = KeySpec { id: id? as u32, secret: secret? };
-        Some(KeyDraft { spot: self.spot(table.place_of("id")), key })
+        let spot = PartSpot::new(&table.place_of("id"), row, FieldPath::Id);
+        Some(KeyDraft { spot, key })
     }
 
     fn read_secret(&self, table: &TableReader<'_>, text: &str) -> Option<Vec<u8>> {
@@ -244,16 +273,43 @@
             }
         }
     }
+}
 
-    fn spots(&self, names: Vec<PlacedText<'_>>) -> Vec<ListSpot> {
-        names.into_iter().map(|name| self.spot(name.place)).collect()
-    }
+/// `NamePool` lets equal names of a part share their text.
+struct NamePool<N> {
+    names: HashSet<N>,
+}
 
-    fn spot(&self, place: Place) -> ListSpot {
-        ListSpot { part: self.part, place }
+impl<N: Clone + Eq + Hash + Borrow<str> + for<'t> From<&'t str>> NamePool<N> {
+    fn new() -> NamePool<N> {
+        NamePool { names: HashSet::new() }
     }
 
-    fn spot_of(&self, table: &TableReader<'_>) -> ListSpot {
-        self.spot(table.place().clone())
+    fn share(&mut self, text: &str) -> N {
+        if let Some(name) = self.names.get(text) {
+            return name.clone();
+        }
+        let name = N::from(text);
+        self.names.insert(name.clone());
+        name
     }
 }
+
+fn spot_of(table: &TableReader<'_>, row: RowPath) -> PartSpot {
+    PartSpot::new(table.place(), row, FieldPath::Row)
+}
+
+fn item_spots(
+    names: &[PlacedText<'_>],
+    row: RowPath,
+    field: impl Fn(u32) -> FieldPath,
+) -> Vec<PartSpot> {
+    let spots =
+        names.iter().map(|name| PartSpot::new(&name.place, row, field(index_of(&name.place))));
+    spots.collect()
+}
+
+/// The index of the array's item at a place.
+fn index_of(place: &Place) -> u32 {
+    place.path.index().unwrap_or_default() as u32
+}
--- a/crates/foxledge-rules/src/shadows.rs
+++ b/crates/foxledge-rules/src/shadows.rs
@@ -4,16 +4,13 @@
 
 use foxledge_core::traffic::TrafficKind;
 
-use crate::{
-    draft::RuleDraft,
-    sources::{ListSources, ListSpot},
-};
+use crate::{checks::BoundRule, sources::ListSources, spots::ListSpot};
 
 /// Notes each rule whose matches are all taken by one earlier rule.
 ///
 /// Rules that aren't sound are left out: what was read of them may match more
 /// than what was meant.
-pub(crate) fn check_shadows(sources: &ListSources, rules: &[RuleDraft]) {
+pub(crate) fn check_shadows(sources: &ListSources<'_>, rules: &[BoundRule<'_>]) {
     let mut numbers = NameNumbers::default();
     let sets: Vec<_> = rules.iter().map(|rule| RuleSets::new(&mut numbers, rule)).collect();
     let mut earlier = EarlierRules::default();
@@ -24,16 +21,17 @@
         let mut candidates = earlier.candidates(set).into_iter();
         let taker = candidates.find(|taker| sets[*taker].covers(set));
         if let Some(taker) = taker {
-            note_shadow(sources, &rules[taker], &rule.spot);
+            note_shadow(sources, &rules[taker], rule.spot());
         }
         earlier.enter(number, set);
     }
 }
 
-fn note_shadow(sources: &ListSources, taker: &RuleDraft, spot: &ListSpot) {
-    let name = taker.name.as_deref().unwrap_or_default();
-    let place = sources.describe(&taker.spot);
-    sources.add(spot, format!("never matches: rule \"{name}\" ({place}) takes it all before"));
+fn note_shadow(sources: &ListSources<'_>, taker: &BoundRule<'_>, spot: ListSpot) {
+    let name = taker.draft.name.as_deref().unwrap_or_default();
+    let place = sources.describe(taker.spot());
+    let text = format!("never matches: rule \"{name}\" ({place}) takes it all before");
+    sources.add(spot.part, &spot.spot, text);
 }
 
 /// `NameNumbers` gives each name of a rule's conditions a number.
@@ -84,10 +82,10 @@
 }
 
 impl RuleSets {
-    fn new<'a>(numbers: &mut NameNumbers<'a>, rule: &'a RuleDraft) -> RuleSets {
-        let when = &rule.when;
+    fn new<'a>(numbers: &mut NameNumbers<'a>, rule: &'a BoundRule<'_>) -> RuleSets {
+        let when = &rule.draft.when;
         RuleSets {
-            addresses: numbers.set(when.addresses.iter().map(|name| name.as_str())),
+            addresses: numbers.set(rule.addresses.iter().map(|name| name.as_str())),
             members: numbers.set(when.members.iter().map(|name| name.as_str())),
             centres: numbers.set(when.data_centres.iter().map(|name| name.as_str())),
             kinds: kind_mask(&when.kinds),
--- a/crates/foxledge-rules/src/sources.rs
+++ b/crates/foxledge-rules/src/sources.rs
@@ -1,78 +1,75 @@
 //! The findings of all parts of a list.
 
+use std::cell::RefCell;
+
 use foxledge_core::findings::FindingList;
-use foxledge_document::{Place, SourceNotes};
 
-use crate::build::ListText;
+use crate::{
+    draft::PartFinding,
+    spots::{ListSpot, PartSpot},
+};
 
 /// Source of the findings that have no place in a part.
 pub(crate) const WHOLE_LIST: &str = "list";
 
-/// `ListSpot` is where in a list something stands.
-#[derive(Clone, Debug)]
-pub(crate) struct ListSpot {
-    /// Index of the part.
-    pub(crate) part: usize,
-    /// Where in the part.
-    pub(crate) place: Place,
-}
-
 /// `ListSources` collects the findings of a list by part.
 #[derive(Debug)]
-pub(crate) struct ListSources {
-    notes: Vec<SourceNotes>,
-    whole: SourceNotes,
+pub(crate) struct ListSources<'a> {
+    names: Vec<&'a str>,
+    findings: RefCell<Vec<Vec<PartFinding>>>,
+    whole: RefCell<FindingList>,
 }
 
-impl ListSources {
-    /// Makes an empty collection for the parts.
-    pub(crate) fn new(parts: &[ListText]) -> ListSources {
-        let notes = parts.iter().map(|part| SourceNotes::new(&part.name, &part.text)).collect();
-        ListSources { notes, whole: SourceNotes::new(WHOLE_LIST, "") }
-    }
-
-    /// The notes of one part.
-    pub(crate) fn notes(&self, part: usize) -> &SourceNotes {
-        &self.notes[part]
+impl<'a> ListSources<'a> {
+    /// Makes a collection for the parts of these names and what was found on reading each.
+    pub(crate) fn new(parts: impl Iterator<Item = (&'a str, Vec<PartFinding>)>) -> ListSources<'a> {
+        let (names, findings): (Vec<_>, Vec<_>) = parts.unzip();
+        ListSources { names, findings: RefCell::new(findings), whole: RefCell::default() }
     }
 
     /// Notes a finding.
-    pub(crate) fn add(&self, spot: &ListSpot, text: impl Into<String>) {
-        self.notes[spot.part].add(&spot.place, text);
+    pub(crate) fn add(&self, part: usize, spot: &PartSpot, text: impl Into<String>) {
+        let finding =
+            PartFinding { line: spot.line as usize, key: spot.to_string(), text: text.into() };
+        self.findings.borrow_mut()[part].push(finding);
     }
 
     /// Notes a finding that has no place in a part.
     pub(crate) fn add_whole(&self, text: impl Into<String>) {
-        self.whole.add(&Place::default(), text);
+        self.whole.borrow_mut().add(WHOLE_LIST, 0, "", text);
     }
 
     /// Notes that the name at `spot` was given before, at `earlier`.
     pub(crate) fn add_repeat(
         &self,
-        spot: &ListSpot,
+        spot: ListSpot,
         name: impl std::fmt::Display,
-        earlier: &ListSpot,
+        earlier: ListSpot,
     ) {
         let place = self.describe(earlier);
-        self.add(spot, format!("\"{name}\" stands already in {place}"));
+        self.add(spot.part, &spot.spot, format!("\"{name}\" stands already in {place}"));
     }
 
     /// The spot as `part:line`.
-    pub(crate) fn describe(&self, spot: &ListSpot) -> String {
-        format!("{}:{}", self.notes[spot.part].name(), spot.place.line)
+    pub(crate) fn describe(&self, spot: ListSpot) -> String {
+        format!("{}:{}", self.names[spot.part], spot.spot.line)
     }
 
     /// True when nothing was found wrong.
     pub(crate) fn are_clean(&self) -> bool {
-        self.whole.is_clean() && self.notes.iter().all(SourceNotes::is_clean)
+        self.whole.borrow().is_empty() && self.findings.borrow().iter().all(Vec::is_empty)
     }
 
-    /// The findings by part and line, those without a part first.
+    /// The findings by part and line, those without a part first; those of one
+    /// line stay in the order found.
     pub(crate) fn into_findings(self) -> FindingList {
-        let mut findings = self.whole.into_findings();
-        for notes in self.notes {
-            findings.append(notes.into_findings());
+        let mut list = self.whole.into_inner();
+        for (name, mut findings) in self.names.into_iter().zip(self.findings.into_inner()) {
+            findings.sort_by_key(|finding| finding.line);
+            for finding in findings {
+                list.add(name, finding.line, &finding.key, finding.text);
+            }
         }
-        findings
+        list
     }
 }
--- /dev/null
+++ b/crates/foxledge-rules/src/spots.rs
@@ -0,0 +1,98 @@
+//! Where in a list something stands, small enough to be kept for each target.
+
+use std::fmt;
+
+use foxledge_document::Place;
+
+/// `PartSpot` is where in a part something stands.
+///
+/// A [`Place`] shares its path by counted pointers, which take more memory than
+/// the target they belong to. Parts are kept from list to list, so the path is
+/// kept as numbers here.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct PartSpot {
+    pub(crate) line: u32,
+    pub(crate) row: RowPath,
+    pub(crate) field: FieldPath,
+}
+
+impl PartSpot {
+    /// The spot of a field of a row at a place that the document gave.
+    pub(crate) fn new(place: &Place, row: RowPath, field: FieldPath) -> PartSpot {
+        PartSpot { line: place.line as u32, row, field }
+    }
+}
+
+impl fmt::Display for PartSpot {
+    /// Writes the path of the key.
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}{}", self.row, self.field)
+    }
+}
+
+/// `ListSpot` is where in a list something stands.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct ListSpot {
+    /// Index of the part.
+    pub(crate) part: usize,
+    /// Where in the part.
+    pub(crate) spot: PartSpot,
+}
+
+/// `RowPath` is the path of one row of an array of tables.
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum RowPath {
+    Rule(u32),
+    Service(u32),
+    /// A target inside of a service.
+    Inner(u32, u32),
+    Target(u32),
+    Member(u32),
+    Key(u32),
+}
+
+impl fmt::Display for RowPath {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            RowPath::Rule(row) => write!(f, "rule[{row}]"),
+            RowPath::Service(row) => write!(f, "service[{row}]"),
+            RowPath::Inner(row, target) => write!(f, "service[{row}].target[{target}]"),
+            RowPath::Target(row) => write!(f, "target[{row}]"),
+            RowPath::Member(row) => write!(f, "member[{row}]"),
+            RowPath::Key(row) => write!(f, "key[{row}]"),
+        }
+    }
+}
+
+/// `FieldPath` is the path of a field in its row.
+#[derive(Clone, Copy, Debug)]
+pub(crate) enum FieldPath {
+    /// The row itself.
+    Row,
+    Name,
+    Id,
+    Service,
+    Shards,
+    Address,
+    Addresses(u32),
+    WhenAddress(u32),
+    WhenMember(u32),
+    ThenService,
+}
+
+impl fmt::Display for FieldPath {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            FieldPath::Row => Ok(()),
+            FieldPath::Name => f.write_str(".name"),
+            FieldPath::Id => f.write_str(".id"),
+            FieldPath::Service => f.write_str(".service"),
+            FieldPath::Shards => f.write_str(".shards"),
+            FieldPath::Address => f.write_str(".address"),
+            FieldPath::Addresses(item) => write!(f, ".addresses[{item}]"),
+            FieldPath::WhenAddress(item) => write!(f, ".when.address[{item}]"),
+            FieldPath::WhenMember(item) => write!(f, ".when.member[{item}]"),
+            FieldPath::ThenService => f.write_str(".then.service"),
+        }
+    }
+}
