Test that a mute server keeps silent when it wakes

Cause: a mutation that lets a mute server send from its timers went unseen. Ruled out: nothing else; the code was right. Before: green with the mutation. After: red with it. Conclusion: muting is tested both ways.

--- a/crates/foxledge-fakes/tests/backend_controls.rs
+++ b/crates/foxledge-fakes/tests/backend_controls.rs
@@ -101,6 +101,9 @@
     bench.order(BackendOrder::Mute { on: true });
     assert_eq!(bench.probe(), None);
     assert_eq!(bench.take(&bid(4)), []);
+    // The deadline of the queued request passes without a word.
+    bench.now = bench.now.after_millis(60_000);
+    assert_eq!(bench.state.on_wake(bench.now), []);
     bench.order(BackendOrder::Mute { on: false });
     assert!(bench.probe().is_some());
 }
