Let lists share the services that stay the same

Cause: each list held its own copy of each service, so the engine compared 38,000 targets at each change to find the one that differs. Ruled out: a digest per service (to be computed and trusted at each place that makes a list). After: RuleList.services holds Arc<ServiceSpec>; equal addresses end a comparison at once. Tests of core, engine and rules green. Whoever builds lists by hand wraps the service; readers stay as are.

--- a/crates/foxledge-core/src/lists.rs
+++ b/crates/foxledge-core/src/lists.rs
@@ -3,6 +3,7 @@
 use std::{
     collections::{BTreeMap, HashMap},
     net::SocketAddr,
+    sync::Arc,
 };
 
 use serde::Serialize;
@@ -193,8 +194,8 @@
     pub version: ListVersion,
     /// The rules in order; the first that matches decides.
     pub rules: Vec<FlowRule>,
-    /// Services by name.
-    pub services: BTreeMap<ServiceName, ServiceSpec>,
+    /// Services by name; lists that follow each other share those that stay the same.
+    pub services: BTreeMap<ServiceName, Arc<ServiceSpec>>,
     /// Members by name; a flow of a member that isn't listed is refused.
     pub members: HashMap<MemberName, MemberSpec>,
     /// Keys, the newest last.
@@ -211,7 +212,7 @@
     pub fn target_at(&self, address: SocketAddr) -> Option<(&ServiceSpec, &TargetSpec)> {
         self.services.values().find_map(|service| {
             let target = service.targets.iter().find(|target| target.address == address)?;
-            Some((service, target))
+            Some((service.as_ref(), target))
         })
     }
 }
--- a/crates/foxledge-engine/examples/engine_cost.rs
+++ b/crates/foxledge-engine/examples/engine_cost.rs
@@ -210,7 +210,7 @@
             shards: 1,
             targets: specs.collect(),
         };
-        list.services.insert(name.clone(), spec);
+        list.services.insert(name.clone(), Arc::new(spec));
         list.rules.push(FlowRule {
             name: RuleName::new(&format!("rule-{service}")),
             when: FlowMatch { addresses: vec![place], ..FlowMatch::default() },
--- a/crates/foxledge-engine/tests/common/mod.rs
+++ b/crates/foxledge-engine/tests/common/mod.rs
@@ -95,7 +95,7 @@
             shards: 1,
             targets: specs.to_vec(),
         };
-        list.services.insert(service.name.clone(), service);
+        list.services.insert(service.name.clone(), Arc::new(service));
         list.rules.push(FlowRule {
             name: RuleName::new(name),
             when: FlowMatch { addresses: vec![ServiceAddress::new(place)], ..FlowMatch::default() },
--- a/crates/foxledge-engine/tests/flow_tokens.rs
+++ b/crates/foxledge-engine/tests/flow_tokens.rs
@@ -2,6 +2,8 @@
 
 mod common;
 
+use std::sync::Arc;
+
 use common::{TestNet, target_spec, work};
 use foxledge_core::lists::KeySpec;
 use foxledge_engine::{EngineOptions, TrialSwitches};
@@ -54,9 +56,10 @@
         let served = net.targets.iter().position(|t| !t.runs.is_empty()).unwrap();
         let mut list = net.list(2);
         let taken = target_spec(served, 2);
-        let desk = list.services.get_mut("auction-desk").unwrap();
+        let desk = Arc::make_mut(list.services.get_mut("auction-desk").unwrap());
         desk.targets.retain(|target| target.address != taken.address);
-        list.services.get_mut("lot-intake").unwrap().targets.push(taken.clone());
+        let intake = Arc::make_mut(list.services.get_mut("lot-intake").unwrap());
+        intake.targets.push(taken.clone());
         net.targets[served].service = "lot-intake".to_owned();
         net.targets[served].spec = taken;
         net.publish(0, list);
--- a/crates/foxledge-engine/tests/longest_names.rs
+++ b/crates/foxledge-engine/tests/longest_names.rs
@@ -22,11 +22,11 @@
     net.targets[0].service = long("s");
     net.targets[0].spec.name = TargetName::new(&long("t"));
     let mut list = test_list(2, &[], &[]);
-    let mut desk = list.services.remove("auction-desk").unwrap();
+    let mut desk = Arc::unwrap_or_clone(list.services.remove("auction-desk").unwrap());
     desk.name = ServiceName::new(&long("s"));
     desk.addresses = vec![ServiceAddress::new(&long("a"))];
     desk.targets = vec![net.targets[0].spec.clone()];
-    list.services.insert(desk.name.clone(), desk);
+    list.services.insert(desk.name.clone(), Arc::new(desk));
     let member = foxledge_core::names::MemberName::new(&long("m"));
     let spec = foxledge_core::lists::MemberSpec { name: member.clone(), secret: Vec::new() };
     list.members.insert(member, spec);
--- a/crates/foxledge-rules/examples/list_growth.rs
+++ b/crates/foxledge-rules/examples/list_growth.rs
@@ -192,7 +192,7 @@
     first_target: usize,
     targets: usize,
 ) -> std::fmt::Result {
-    if service % SECOND_RULE_EACH == 0 {
+    if service.is_multiple_of(SECOND_RULE_EACH) {
         writeln!(text, "[[rule]]\nname = \"bids-{service}\"")?;
         writeln!(text, "when = {{ address = [\"s{service}.lakeshore\"], kind = [\"bid\"] }}")?;
         writeln!(text, "then = {{ service = \"service-{service}\", priority = 5 }}")?;
--- a/crates/foxledge-rules/src/assembler.rs
+++ b/crates/foxledge-rules/src/assembler.rs
@@ -161,7 +161,7 @@
     Some(FlowRule { name: rule.draft.name.clone()?, when, then })
 }
 
-fn assemble_services(draft: ListDraft<'_>) -> Option<BTreeMap<ServiceName, ServiceSpec>> {
+fn assemble_services(draft: ListDraft<'_>) -> Option<BTreeMap<ServiceName, Arc<ServiceSpec>>> {
     let mut assembled = HashMap::new();
     for (_, service) in draft.services() {
         let name = service.name.clone()?;
@@ -177,7 +177,7 @@
     for (_, target) in draft.targets() {
         assembled.get_mut(&target.service)?.targets.push(target.target.clone());
     }
-    Some(assembled.into_iter().collect())
+    Some(assembled.into_iter().map(|(name, spec)| (name, Arc::new(spec))).collect())
 }
 
 fn assemble_members(draft: ListDraft<'_>) -> HashMap<MemberName, MemberSpec> {
