--- a/crates/foxledge-proofs/src/lasting.rs
+++ b/crates/foxledge-proofs/src/lasting.rs
@@ -18,7 +18,7 @@
         wait_until, wait_until_ok,
     },
     publish::MemberPlan,
-    report::{LoadReport, Verdict},
+    report::{LoadReport, RequestId, Verdict},
 };
 use foxledge_wire::control::{AuditRequest, StatusRequest, admin_client::AdminClient};
 use serde_json::Value;
@@ -50,6 +50,7 @@
     let before = open_connections(fleet, DESK.0)?;
     let plan = fleet.plan_caller(DESK.0, MEMBER, TrafficKind::Feed)?;
     let plan = plan.name(&format!("feeds-{centre}")).rate(0.0).feeds(feeds).seconds(LONG_LOAD);
+    let plan = plan.seed(seed_of(centre));
     let caller = fleet.start_caller(centre, &plan)?;
     wait_until_ok("feeds are open", WIDE_LIMIT, || {
         let open = open_connections(fleet, DESK.0)? - before;
@@ -63,6 +64,7 @@
 pub fn start_bids(fleet: &TestFleet, centre: &str, rate: f64) -> anyhow::Result<TestCaller> {
     let plan = fleet.plan_caller(DESK.0, MEMBER, TrafficKind::Bid)?;
     let plan = plan.name(&format!("bids-{centre}")).rate(rate).seconds(LONG_LOAD);
+    let plan = plan.seed(seed_of(centre));
     fleet.start_caller(centre, &plan)
 }
 
@@ -70,9 +72,15 @@
 pub fn start_uploads(fleet: &TestFleet, centre: &str, rate: f64) -> anyhow::Result<TestCaller> {
     let plan = fleet.plan_caller(INTAKE.0, MEMBER, TrafficKind::Upload)?;
     let plan = plan.name(&format!("uploads-{centre}")).rate(rate).seconds(LONG_LOAD);
+    let plan = plan.seed(seed_of(centre));
     fleet.start_caller(centre, &plan)
 }
 
+/// Loads in two data centres must not draw the same flow ids.
+fn seed_of(centre: &str) -> u64 {
+    if centre == CENTRE { 1 } else { 2 }
+}
+
 /// Stops a load and reads its report.
 pub fn stop_load(caller: TestCaller) -> anyhow::Result<LoadReport> {
     caller.stop(WIDE_LIMIT)
@@ -101,7 +109,19 @@
 
 /// Fails unless nothing happened that must never happen.
 pub fn ensure_clean(verdict: &Verdict) -> anyhow::Result<()> {
-    ensure!(verdict.is_clean(), "{verdict:?}");
+    let some = |ids: &[RequestId]| format!("{}, such as {:?}", ids.len(), ids.first());
+    ensure!(
+        verdict.is_clean(),
+        "doubled {}; false not run {}; lost {}; broken {}, wrong service {}, crossed {}, \
+         unrecorded {}",
+        some(&verdict.doubled),
+        some(&verdict.false_not_run),
+        some(&verdict.lost),
+        verdict.broken,
+        verdict.wrong_service,
+        verdict.crossed,
+        verdict.unrecorded_runs
+    );
     Ok(())
 }
 
@@ -154,6 +174,16 @@
         .sum()
 }
 
+/// Waits until so many feeds have polled about twice each since now.
+pub fn wait_heartbeats(fleet: &mut TestFleet, feeds: u32) -> anyhow::Result<()> {
+    let goal = sum_event(fleet, "by_token") + 2.0 * f64::from(feeds);
+    wait_until_ok("heartbeats of the feeds", WIDE_LIMIT, || {
+        let polls = sum_event(fleet, "by_token");
+        ensure!(polls >= goal, "{polls} of {goal}");
+        Ok(())
+    })
+}
+
 /// `RevisionWatch` looks at the revisions in force, and notes each that goes back.
 pub struct RevisionWatch {
     ended: Arc<AtomicBool>,
--- /dev/null
+++ b/crates/foxledge-proofs/tests/cut_centres.rs
@@ -0,0 +1,319 @@
+//! Each part of a cut network goes on serving, and all is well again after the cut.
+
+use std::{
+    net::UdpSocket,
+    time::{Duration, Instant},
+};
+
+use anyhow::{Result, ensure};
+use foxledge_core::traffic::TrafficKind;
+use foxledge_fakes::{
+    backend::BackendOrder,
+    fabric::faults::{FaultWays, SilenceKey, SilenceSpec},
+    harness::{LinkBook, LinkMode, TestFleet, wait_until_ok},
+};
+use foxledge_proofs::{
+    gate::GatedFleet,
+    lasting::{
+        OTHER_CENTRE, centres_seen, ensure_clean, open_connections, peers_seen, plan_two_centres,
+        start_bids, start_feeds, stop_load, wait_heartbeats, wait_more_runs,
+    },
+    once::{CENTRE, DESK, HandCaller, MEMBER, WIDE_LIMIT, plan_fleet},
+};
+use foxledge_wire::{
+    decode_packet, encode_packet,
+    flow::{Packet, PacketKind, RefusalReason, RunOutcome},
+};
+
+/// Feeds of one caller process.
+const FEEDS: u32 = 20;
+/// Wide limit for "at once".
+const AT_ONCE: Duration = Duration::from_secs(2);
+
+fn links(fleet: &TestFleet) -> &LinkBook {
+    fleet.links.as_ref().expect("the fleet is routed")
+}
+
+/// The pairs of ends between which the two data centres reach each other.
+const CENTRE_PAIRS: [(&str, &str); 5] = [
+    ("toledo*", "erie*"),
+    ("toledo*", "auction-desk-erie*"),
+    ("toledo*", "lot-intake-erie*"),
+    ("erie*", "auction-desk-toledo*"),
+    ("erie*", "lot-intake-toledo*"),
+];
+
+/// Cuts the network between the two data centres.
+fn cut_centres(fleet: &TestFleet) -> Result<()> {
+    CENTRE_PAIRS.iter().try_for_each(|(left, right)| links(fleet).cut(left, right))
+}
+
+/// Heals the network between the two data centres.
+fn heal_centres(fleet: &TestFleet) -> Result<()> {
+    CENTRE_PAIRS.iter().try_for_each(|(left, right)| links(fleet).heal(left, right))
+}
+
+/// Waits until every instance holds so many data centres for reachable, its own included.
+fn wait_centres(fleet: &TestFleet, count: usize) -> Result<()> {
+    for instance in &fleet.instances {
+        wait_until_ok("reachable data centres", WIDE_LIMIT, || {
+            let seen = centres_seen(instance)?;
+            ensure!(seen.len() == count, "{} sees {seen:?}", instance.name);
+            Ok(())
+        })?;
+    }
+    Ok(())
+}
+
+/// Waits until an instance sees just these peers alive, itself included.
+fn wait_alive(fleet: &TestFleet, index: usize, expected: &[&str]) -> Result<()> {
+    let instance = &fleet.instances[index];
+    wait_until_ok(&format!("peers of {}", instance.name), WIDE_LIMIT, || {
+        let seen = peers_seen(instance, &["alive"])?;
+        ensure!(seen == expected, "{seen:?}");
+        Ok(())
+    })
+}
+
+/// Waits until the backend servers of a data centre have started so many runs more.
+fn wait_runs_in(fleet: &mut TestFleet, centre: &str, more: u64) -> Result<()> {
+    let runs = |fleet: &mut TestFleet| -> Result<u64> {
+        let stats = fleet.backend_stats()?;
+        let own = stats.iter().filter(|stat| stat.data_centre == centre);
+        Ok(own.map(|stat| stat.total_runs).sum())
+    };
+    let goal = runs(fleet)? + more;
+    wait_until_ok(&format!("runs in {centre}"), WIDE_LIMIT, || {
+        let now = runs(fleet)?;
+        ensure!(now >= goal, "{now} of {goal}");
+        Ok(())
+    })
+}
+
+/// Symptom: bids and feeds fail in both data centres while the network between them is cut.
+/// Sequence: feeds and bids in both; the network between them is cut until every instance has
+/// noticed, and healed until every instance has noticed; and the same again.
+/// Cause: a decision that needs the other data centre.
+#[test]
+fn centres_cut_twice() -> Result<()> {
+    let mut fleet = GatedFleet::start(plan_two_centres(2, 2))?;
+    wait_centres(&fleet, 2)?;
+    let mut loads = Vec::new();
+    for centre in [CENTRE, OTHER_CENTRE] {
+        loads.push(start_feeds(&mut fleet, centre, FEEDS)?);
+        loads.push(start_bids(&fleet, centre, 30.0)?);
+    }
+    for _ in 0..2 {
+        cut_centres(&fleet)?;
+        wait_centres(&fleet, 1)?;
+        for centre in [CENTRE, OTHER_CENTRE] {
+            wait_runs_in(&mut fleet, centre, 20)?;
+        }
+        heal_centres(&fleet)?;
+        wait_centres(&fleet, 2)?;
+    }
+    let reports = loads.into_iter().map(stop_load).collect::<Result<Vec<_>>>()?;
+    for report in &reports {
+        ensure!(report.served == report.offered, "{:?}", report.refused);
+        ensure!(report.reopened_feeds == 0, "{:?}", report.refused);
+    }
+    ensure_clean(&fleet.judge(&reports)?)
+}
+
+/// `RoamingCaller` polls for a request through another data centre than it was opened in.
+struct RoamingCaller<'a> {
+    fleet: &'a TestFleet,
+    poll: Packet,
+    socket: UdpSocket,
+}
+
+impl RoamingCaller<'_> {
+    /// Polls once; the answer, if one comes at once, and how long it took.
+    fn poll(&self) -> Result<Option<(Packet, Duration)>> {
+        let fabric = self.fleet.fabric(OTHER_CENTRE)?.address;
+        let started = Instant::now();
+        self.socket.send_to(&encode_packet(&self.poll), fabric)?;
+        self.socket.set_read_timeout(Some(AT_ONCE))?;
+        let mut buffer = [0; 2048];
+        let Ok((size, _)) = self.socket.recv_from(&mut buffer) else { return Ok(None) };
+        Ok(Some((decode_packet(&buffer[..size])?, started.elapsed())))
+    }
+
+    /// Polls until an answer of this kind comes.
+    fn wait_kind(&self, kind: PacketKind) -> Result<(Packet, Duration)> {
+        wait_until_ok(&format!("{kind:?} by way of erie"), WIDE_LIMIT, || {
+            let reply = self.poll()?;
+            let (packet, took) = reply.ok_or_else(|| anyhow::anyhow!("silence"))?;
+            ensure!(packet.kind() == kind, "{:?} {:?}", packet.kind(), packet.refusal);
+            Ok((packet, took))
+        })
+    }
+}
+
+/// Symptom: a caller whose request runs in a data centre that is cut off waits until it gives up.
+/// Sequence: a bid runs in Toledo; its caller's packets reach Erie from now on; the network between
+/// the two is cut; it heals.
+/// Cause: packets for what can't be reached are dropped without a word. That is what is seen
+/// between the cut and its detection.
+#[test]
+fn unreachable_centre_told() -> Result<()> {
+    let fleet = GatedFleet::start(plan_two_centres(1, 1))?;
+    wait_centres(&fleet, 2)?;
+    for backend in &fleet.backends {
+        backend.order(&BackendOrder::Slow { factor: 10_000.0 })?;
+    }
+    let mut caller = HandCaller::new(&fleet, DESK, 1)?;
+    let ticket = caller.obtain_ticket()?;
+    let mut bid = caller.next_request(&ticket);
+    bid.time_left_ms = 120_000;
+    let token = caller.ask(&bid, |reply| reply.kind() == PacketKind::Ack)?.token;
+    let poll = caller.poll(bid.request, &token);
+    let roaming = RoamingCaller { fleet: &fleet, poll, socket: UdpSocket::bind("127.0.0.1:0")? };
+    roaming.wait_kind(PacketKind::Ack)?;
+
+    cut_centres(&fleet)?;
+    // The mechanism doesn't know of the cut yet.
+    ensure!(roaming.poll()?.is_none(), "the cut is none");
+    wait_centres(&fleet, 1)?;
+    let (reply, took) = roaming.wait_kind(PacketKind::Refusal)?;
+    let refusal = reply.refusal.unwrap_or_default();
+    ensure!(refusal.outcome() == RunOutcome::Unknown, "{refusal:?}");
+    ensure!(refusal.reason() == RefusalReason::CentreUnreachable, "{refusal:?}");
+    println!("told after {took:?}");
+    ensure!(took < AT_ONCE, "told after {took:?}");
+
+    heal_centres(&fleet)?;
+    roaming.wait_kind(PacketKind::Ack).map(drop)
+}
+
+/// Symptom: a request runs twice, or one that ran is told "not run", while each half of the
+/// instances takes the other for dead.
+/// Sequence: under load, two of four instances are cut off from the other two, while the fabric
+/// sprays over all; the cut heals.
+/// Cause: a request admitted by both halves.
+#[test]
+fn halves_cut() -> Result<()> {
+    let plan = plan_fleet(4, 2).link_mode(LinkMode::Routed);
+    let mut fleet = GatedFleet::start(plan)?;
+    let all = ["toledo-1", "toledo-2", "toledo-3", "toledo-4"];
+    for index in 0..4 {
+        wait_alive(&fleet, index, &all)?;
+    }
+    let bids = start_bids(&fleet, CENTRE, 40.0)?;
+    wait_more_runs(&mut fleet, 20)?;
+    for left in &all[..2] {
+        for right in &all[2..] {
+            links(&fleet).cut(left, right)?;
+        }
+    }
+    for index in 0..4 {
+        let half = if index < 2 { &all[..2] } else { &all[2..] };
+        wait_alive(&fleet, index, half)?;
+    }
+    wait_more_runs(&mut fleet, 40)?;
+    for left in &all[..2] {
+        for right in &all[2..] {
+            links(&fleet).heal(left, right)?;
+        }
+    }
+    for index in 0..4 {
+        wait_alive(&fleet, index, &all)?;
+    }
+    wait_more_runs(&mut fleet, 40)?;
+    let report = stop_load(bids)?;
+    println!(
+        "{} offered, {} served, {} unknown, {} timed out, {:?}",
+        report.offered, report.served, report.unknown, report.timed_out, report.refused
+    );
+    ensure_clean(&fleet.judge(&[report])?)?;
+
+    let plan = fleet.plan_caller(DESK.0, MEMBER, TrafficKind::Bid)?;
+    let plan = plan.name("bids-after").seed(2).rate(40.0).seconds(2.0);
+    let report = fleet.run_caller(CENTRE, &plan, WIDE_LIMIT)?;
+    ensure!(report.served == report.offered, "after the heal: {:?}", report.refused);
+    ensure_clean(&fleet.judge(&[report])?)
+}
+
+/// Symptom: an instance that all but one reach is taken for dead, and bids end unknown.
+/// Sequence: what one instance sends to another is lost; the way back and every other way work.
+/// Cause: one silent link counted as a dead instance.
+#[test]
+fn one_way_cut() -> Result<()> {
+    let plan = plan_fleet(3, 2).link_mode(LinkMode::Routed);
+    let mut fleet = GatedFleet::start(plan)?;
+    let all = ["toledo-1", "toledo-2", "toledo-3"];
+    for index in 0..3 {
+        wait_alive(&fleet, index, &all)?;
+    }
+    links(&fleet).client().cut_links("toledo-1", "toledo-2")?;
+    // Twice as long as a silent instance lives.
+    let plan = fleet.plan_caller(DESK.0, MEMBER, TrafficKind::Bid)?.rate(30.0).seconds(6.0);
+    let report = fleet.run_caller(CENTRE, &plan, WIDE_LIMIT)?;
+    println!("{} offered, {} served, {:?}", report.offered, report.served, report.refused);
+    ensure!(report.unknown + report.timed_out == 0, "{:?}", report.refused);
+    ensure!(report.served * 100 >= report.offered * 99, "{:?}", report.refused);
+    ensure_clean(&fleet.judge(&[report])?)?;
+    for index in 0..3 {
+        let dead = peers_seen(&fleet.instances[index], &["alive", "suspect"])?;
+        ensure!(dead == all, "{} sees {dead:?}", all[index]);
+    }
+    links(&fleet).client().heal_links("toledo-1", "toledo-2")?;
+    for index in 0..3 {
+        wait_alive(&fleet, index, &all)?;
+    }
+    Ok(())
+}
+
+/// Symptom: feeds stay open and get no more items, for good.
+/// Sequence: a backend server goes silent for the feeds that it has, while new ones work.
+/// Cause: something between the two ends, or an end itself, has lost track of open connections.
+#[test]
+fn open_feeds_silent() -> Result<()> {
+    let mut fleet = GatedFleet::start(plan_fleet(2, 2))?;
+    let feeds = start_feeds(&mut fleet, CENTRE, FEEDS)?;
+    let held = fleet.backends[0].stats()?.connections;
+    ensure!(held > 0, "no feed is on the backend server");
+    fleet.backends[0].order(&BackendOrder::MuteOld)?;
+    wait_until_ok("silent feeds are open elsewhere", WIDE_LIMIT, || {
+        let open = open_connections(&mut fleet, DESK.0)?;
+        // The silent ones still count at their backend server until it drops them.
+        let new = open - fleet.backends[0].stats()?.connections.min(held);
+        ensure!(new >= FEEDS, "{new} of {FEEDS}");
+        Ok(())
+    })?;
+    let report = stop_load(feeds)?;
+    println!(
+        "{held} silenced, {} reopened, longest silence {} ms",
+        report.reopened_feeds, report.longest_silence_ms
+    );
+    ensure!(report.reopened_feeds >= u64::from(held), "{} reopened", report.reopened_feeds);
+    ensure_clean(&fleet.judge(&[report])?)
+}
+
+/// Symptom: feeds that were silent for some seconds lack items afterwards, or end.
+/// Sequence: the fabric swallows all packets of about half the flows until their callers have
+/// polled into the silence, and then none any more.
+/// Cause: items sent into the silence are gone, and nobody asks for them.
+#[test]
+fn flows_silent() -> Result<()> {
+    let mut fleet = GatedFleet::start(plan_fleet(2, 2))?;
+    let feeds = start_feeds(&mut fleet, CENTRE, FEEDS)?;
+    let fabric = fleet.fabric(CENTRE)?.client.clone();
+    let share = 0.5;
+    let silence = SilenceSpec { share, ways: FaultWays::Both, key: SilenceKey::Flow };
+    fabric.set_silence(silence)?;
+    wait_until_ok("polls into the silence", WIDE_LIMIT, || {
+        let silenced = fabric.report()?.packets.forward.silenced;
+        ensure!(silenced >= u64::from(FEEDS), "{silenced}");
+        Ok(())
+    })?;
+    fabric.clear()?;
+    wait_heartbeats(&mut fleet, FEEDS)?;
+    let report = stop_load(feeds)?;
+    println!(
+        "{} reopened, longest silence {} ms",
+        report.reopened_feeds, report.longest_silence_ms
+    );
+    ensure!(report.longest_silence_ms > 1000, "nothing was silent");
+    ensure_clean(&fleet.judge(&[report])?)
+}
--- a/crates/foxledge-proofs/tests/lasting_feeds.rs
+++ b/crates/foxledge-proofs/tests/lasting_feeds.rs
@@ -11,7 +11,7 @@
     gate::GatedFleet,
     lasting::{
         ensure_clean, open_connections, start_feeds, status_of, stop_load, sum_event, wait_audit,
-        wait_revision,
+        wait_heartbeats, wait_revision,
     },
     once::{CENTRE, DESK, WIDE_LIMIT, plan_fleet},
 };
@@ -137,7 +137,7 @@
     wait_revision(&fleet, revision, WIDE_LIMIT)?;
     let held = fleet.backends[0].stats()?.connections;
     ensure!(held > 0, "no feed is on the backend server");
-    wait_heartbeats(&mut fleet)?;
+    wait_heartbeats(&mut fleet, FEEDS)?;
     ensure!(fleet.backends[0].stats()?.connections == held, "feeds have left");
     let report = end_feeds(&mut fleet, feeds)?;
     ensure_unmoved(&report)
@@ -154,7 +154,7 @@
     fleet.list.rules.insert(0, deny);
     let revision = fleet.publish()?;
     wait_revision(&fleet, revision, WIDE_LIMIT)?;
-    wait_heartbeats(&mut fleet)?;
+    wait_heartbeats(&mut fleet, FEEDS)?;
     ensure!(open_connections(&mut fleet, DESK.0)? == FEEDS, "feeds have closed");
     let report = end_feeds(&mut fleet, feeds)?;
     ensure_unmoved(&report)
@@ -172,8 +172,8 @@
     fleet.list.keys = vec![KeyPlan::numbered(2)];
     let revision = fleet.publish()?;
     wait_revision(&fleet, revision, WIDE_LIMIT)?;
-    wait_heartbeats(&mut fleet)?;
-    wait_heartbeats(&mut fleet)?;
+    wait_heartbeats(&mut fleet, FEEDS)?;
+    wait_heartbeats(&mut fleet, FEEDS)?;
     let report = stop_load(feeds)?;
     ensure!(report.reopened_feeds > 0, "a key that went at once was not noticed");
     drop(fleet);
@@ -190,28 +190,18 @@
         fleet.list.keys = vec![KeyPlan::numbered(new)];
         let revision = fleet.publish()?;
         wait_revision(&fleet, revision, WIDE_LIMIT)?;
-        wait_heartbeats(&mut fleet)?;
+        wait_heartbeats(&mut fleet, FEEDS)?;
     }
     let report = end_feeds(&mut fleet, feeds)?;
     ensure_unmoved(&report)
 }
 
-/// Waits until each feed has polled about twice since now.
-fn wait_heartbeats(fleet: &mut TestFleet) -> Result<()> {
-    let goal = sum_event(fleet, "by_token") + 2.0 * f64::from(FEEDS);
-    wait_until_ok("heartbeats of the feeds", WIDE_LIMIT, || {
-        let polls = sum_event(fleet, "by_token");
-        ensure!(polls >= goal, "{polls} of {goal}");
-        Ok(())
-    })
-}
-
 /// Waits until the feeds' tokens have been sealed anew and no heartbeat carries an old one.
 fn wait_resealed(fleet: &mut TestFleet) -> Result<()> {
     wait_until_ok("tokens sealed anew", WIDE_LIMIT, || {
         let before = sum_event(fleet, "tokens_resealed");
         ensure!(before >= f64::from(FEEDS), "{before} of {FEEDS}");
-        wait_heartbeats(fleet)?;
+        wait_heartbeats(fleet, FEEDS)?;
         let after = sum_event(fleet, "tokens_resealed");
         ensure!(after == before, "{} heartbeats with old tokens", after - before);
         Ok(())
