Check across parts by sorted digests; share services that stay

Cause: with reading out of the way a change still entered 38,000 targets in maps by text, and copied each into a new list. Services stand ready in the kept parts.

--- a/crates/foxledge-rules/src/assembler.rs
+++ b/crates/foxledge-rules/src/assembler.rs
@@ -10,7 +10,7 @@
     hash::digest_of,
     lists::{
         FlowMatch, FlowRule, FlowTreatment, KeySpec, MemberSpec, RuleList, ServeTreatment,
-        ServiceSpec,
+        ServiceSpec, TargetSpec,
     },
     names::{MemberName, ServiceName},
 };
@@ -162,22 +162,34 @@
 }
 
 fn assemble_services(draft: ListDraft<'_>) -> Option<BTreeMap<ServiceName, Arc<ServiceSpec>>> {
-    let mut assembled = HashMap::new();
+    let mut scattered = scattered_targets(draft);
+    let mut services = BTreeMap::new();
     for (_, service) in draft.services() {
-        let name = service.name.clone()?;
-        let spec = ServiceSpec {
-            name: name.clone(),
-            addresses: service.addresses.iter().map(|(address, _)| address.clone()).collect(),
-            queue_limit: service.queue_limit,
-            shards: service.shards,
-            targets: Vec::new(),
+        let name = service.name.as_ref()?;
+        let spec = match scattered.remove(name) {
+            Some(targets) => Arc::new(service.to_spec(name, targets)),
+            None => service.spec.clone()?,
         };
-        assembled.insert(name, spec);
+        services.insert(name.clone(), spec);
+    }
+    Some(services)
+}
+
+/// The targets, in order, of services that have some outside of their own part.
+fn scattered_targets<'a>(draft: ListDraft<'a>) -> HashMap<&'a ServiceName, Vec<TargetSpec>> {
+    let mut scattered: HashMap<_, _> = HashMap::new();
+    for part in draft.parts {
+        scattered.extend(part.foreign_services().map(|name| (name, Vec::new())));
+    }
+    if scattered.is_empty() {
+        return scattered;
     }
     for (_, target) in draft.targets() {
-        assembled.get_mut(&target.service)?.targets.push(target.target.clone());
+        if let Some(targets) = scattered.get_mut(&target.service) {
+            targets.push(target.target.clone());
+        }
     }
-    Some(assembled.into_iter().map(|(name, spec)| (name, Arc::new(spec))).collect())
+    scattered
 }
 
 fn assemble_members(draft: ListDraft<'_>) -> HashMap<MemberName, MemberSpec> {
--- a/crates/foxledge-rules/src/checks.rs
+++ b/crates/foxledge-rules/src/checks.rs
@@ -5,9 +5,13 @@
     collections::{HashMap, HashSet, hash_map::Entry},
     fmt,
     hash::Hash,
+    net::{IpAddr, SocketAddr},
 };
 
-use foxledge_core::names::{ServiceAddress, ServiceName, TargetName};
+use foxledge_core::{
+    hash::digest_of,
+    names::{ServiceAddress, ServiceName, TargetName},
+};
 
 use crate::{
     assembler::{MAX_RULE_ADDRESSES, MAX_RULES},
@@ -38,11 +42,11 @@
 
 fn check_rule_names(sources: &ListSources<'_>, draft: ListDraft<'_>) {
     let members: HashSet<_> = draft.members().map(|(_, member)| &member.member.name).collect();
-    let mut names = NameBook::new();
+    let names = draft.rules().filter_map(|(_, rule)| rule.name.as_deref());
+    if !all_differ(names.map(name_digest)) {
+        note_rule_repeats(sources, draft);
+    }
     for (part, rule) in draft.rules() {
-        if let Some(name) = &rule.name {
-            names.enter(sources, name, part, &rule.name_spot);
-        }
         for (member, spot) in rule.when.members.iter().zip(&rule.member_spots) {
             if !members.contains(member) {
                 sources.add(part, spot, format!("no member \"{member}\""));
@@ -51,6 +55,15 @@
     }
 }
 
+fn note_rule_repeats(sources: &ListSources<'_>, draft: ListDraft<'_>) {
+    let mut names = NameBook::new();
+    for (part, rule) in draft.rules() {
+        if let Some(name) = &rule.name {
+            names.enter(sources, name, part, &rule.name_spot);
+        }
+    }
+}
+
 /// `BoundRule` is a rule with the addresses that it matches in this list.
 #[derive(Debug)]
 pub(crate) struct BoundRule<'a> {
@@ -180,6 +193,15 @@
 /// A target address that two services share would take one service's packets
 /// to the other; callers would see answers of the wrong service.
 fn check_targets(sources: &ListSources<'_>, draft: ListDraft<'_>) {
+    let names = draft.targets().map(|(_, target)| target.name_digest);
+    let addresses = draft.targets().map(|(_, target)| address_digest(target.target.address));
+    if !all_differ(names) || !all_differ(addresses) {
+        note_target_repeats(sources, draft);
+    }
+    check_target_counts(sources, draft);
+}
+
+fn note_target_repeats(sources: &ListSources<'_>, draft: ListDraft<'_>) {
     let mut names = NameBook::new();
     let mut addresses = NameBook::new();
     for (part, target) in draft.targets() {
@@ -187,12 +209,22 @@
         names.enter(sources, name, part, &target.name_spot);
         addresses.enter(sources, target.target.address, part, &target.address_spot);
     }
+}
+
+/// Checks that each target has a service, and each service enough targets.
+fn check_target_counts(sources: &ListSources<'_>, draft: ListDraft<'_>) {
     let services = draft.services().filter_map(|(_, service)| service.name.as_ref());
     let mut counts: HashMap<&ServiceName, usize> = services.map(|name| (name, 0)).collect();
-    for (part, target) in draft.targets() {
-        match counts.get_mut(&target.service) {
-            Some(count) => *count += 1,
-            None => {
+    let mut has_strays = false;
+    for count in draft.parts.iter().flat_map(|part| &part.counts) {
+        match counts.get_mut(&count.service) {
+            Some(sum) => *sum += count.targets,
+            None => has_strays = true,
+        }
+    }
+    if has_strays {
+        for (part, target) in draft.targets() {
+            if !counts.contains_key(&target.service) {
                 let text = format!("no service \"{}\"", target.service);
                 sources.add(part, &target.service_spot, text);
             }
@@ -204,6 +236,29 @@
     }
 }
 
+/// True when all digests differ, and so all names that they were made of.
+///
+/// Sorting numbers costs a tenth of entering names in a map. Names whose digests
+/// happen to be equal are compared by their text after that.
+fn all_differ(digests: impl Iterator<Item = u64>) -> bool {
+    let mut digests: Vec<_> = digests.collect();
+    digests.sort_unstable();
+    digests.windows(2).all(|pair| pair[0] != pair[1])
+}
+
+fn name_digest(name: &str) -> u64 {
+    digest_of(name.as_bytes())
+}
+
+/// A number that is equal for equal addresses.
+fn address_digest(address: SocketAddr) -> u64 {
+    let ip = match address.ip() {
+        IpAddr::V4(ip) => u64::from(u32::from(ip)),
+        IpAddr::V6(ip) => digest_of(&ip.octets()),
+    };
+    ip.rotate_left(u16::BITS) ^ u64::from(address.port())
+}
+
 /// `TargetKey` is the name of a target in its service.
 #[derive(Clone, Copy, PartialEq, Eq, Hash)]
 struct TargetKey<'a> {
@@ -226,6 +281,19 @@
     }
 }
 
+fn note_service_repeats(sources: &ListSources<'_>, draft: ListDraft<'_>) {
+    let mut names = NameBook::new();
+    let mut addresses = NameBook::new();
+    for (part, service) in draft.services() {
+        for (address, spot) in &service.addresses {
+            addresses.enter(sources, address, part, spot);
+        }
+        if let Some(name) = &service.name {
+            names.enter(sources, name, part, &service.name_spot);
+        }
+    }
+}
+
 /// `ServiceBook` knows which service each address leads to.
 struct ServiceBook<'a> {
     services: HashMap<&'a ServiceName, &'a ServiceDraft>,
@@ -235,17 +303,17 @@
 impl<'a> ServiceBook<'a> {
     /// Reads the services; names and addresses given twice are findings.
     fn read(sources: &ListSources<'_>, draft: ListDraft<'a>) -> ServiceBook<'a> {
-        let mut names = NameBook::new();
-        let mut addresses = NameBook::new();
+        let names = draft.services().filter_map(|(_, service)| service.name.as_deref());
+        let addresses = draft.services().flat_map(|(_, service)| &service.addresses);
+        let addresses = addresses.map(|(address, _)| address.as_str());
+        if !all_differ(names.map(name_digest)) || !all_differ(addresses.map(name_digest)) {
+            note_service_repeats(sources, draft);
+        }
         let mut book = ServiceBook { services: HashMap::new(), owners: HashMap::new() };
-        for (part, service) in draft.services() {
-            for (address, spot) in &service.addresses {
-                addresses.enter(sources, address, part, spot);
-            }
+        for (_, service) in draft.services() {
             let Some(name) = &service.name else {
                 continue;
             };
-            names.enter(sources, name, part, &service.name_spot);
             book.services.entry(name).or_insert(service);
             for (address, _) in &service.addresses {
                 book.owners.entry(address).or_insert(name);
--- a/crates/foxledge-rules/src/draft.rs
+++ b/crates/foxledge-rules/src/draft.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use foxledge_core::{
-    lists::{FlowMatch, FullAction, KeySpec, MemberSpec, PaidPriority, TargetSpec},
+    lists::{FlowMatch, FullAction, KeySpec, MemberSpec, PaidPriority, ServiceSpec, TargetSpec},
     names::{RuleName, ServiceAddress, ServiceName},
 };
 
@@ -23,6 +23,8 @@
     pub(crate) members: Vec<MemberDraft>,
     pub(crate) keys: Vec<KeyDraft>,
     pub(crate) findings: Vec<PartFinding>,
+    /// The services that the part has targets of.
+    pub(crate) counts: Vec<TargetCount>,
 }
 
 impl PartDraft {
@@ -34,6 +36,29 @@
         self.members.shrink_to_fit();
         self.keys.shrink_to_fit();
     }
+
+    /// Services of other parts that this part has targets of.
+    pub(crate) fn foreign_services(&self) -> impl Iterator<Item = &ServiceName> {
+        let foreign = self.counts.iter().filter(|count| count.home == CountHome::OtherPart);
+        foreign.map(|count| &count.service)
+    }
+}
+
+/// `TargetCount` is how many targets of a service a part has.
+#[derive(Debug)]
+pub(crate) struct TargetCount {
+    pub(crate) service: ServiceName,
+    pub(crate) targets: usize,
+    pub(crate) home: CountHome,
+}
+
+/// `CountHome` is whether the counted targets stand beside their service.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum CountHome {
+    /// The service stands in the same part.
+    SamePart,
+    /// The service stands in another part, or nowhere.
+    OtherPart,
 }
 
 /// `PartFinding` is one thing that is wrong in a part.
@@ -123,6 +148,24 @@
     pub(crate) queue_limit: u32,
     pub(crate) shards: u32,
     pub(crate) shards_spot: PartSpot,
+    /// The service with the targets of its own part; none without a name.
+    ///
+    /// Lists that keep the part share it, so that whoever compares two lists
+    /// knows by the address alone that nothing changed.
+    pub(crate) spec: Option<Arc<ServiceSpec>>,
+}
+
+impl ServiceDraft {
+    /// The service with these targets.
+    pub(crate) fn to_spec(&self, name: &ServiceName, targets: Vec<TargetSpec>) -> ServiceSpec {
+        ServiceSpec {
+            name: name.clone(),
+            addresses: self.addresses.iter().map(|(address, _)| address.clone()).collect(),
+            queue_limit: self.queue_limit,
+            shards: self.shards,
+            targets,
+        }
+    }
 }
 
 /// `TargetDraft` is one target and the service that it belongs to.
@@ -133,6 +176,8 @@
     pub(crate) service_spot: PartSpot,
     pub(crate) target: TargetSpec,
     pub(crate) address_spot: PartSpot,
+    /// Equal for equal names of a service and its target.
+    pub(crate) name_digest: u64,
 }
 
 /// `MemberDraft` is one member.
--- a/crates/foxledge-rules/src/parts.rs
+++ b/crates/foxledge-rules/src/parts.rs
@@ -1,9 +1,16 @@
 //! Reading the tables of one part.
 
-use std::{borrow::Borrow, collections::HashSet, hash::Hash, str::FromStr};
+use std::{
+    borrow::Borrow,
+    collections::{HashMap, HashSet},
+    hash::Hash,
+    str::FromStr,
+    sync::Arc,
+};
 
 use foxledge_core::{
     findings::Finding,
+    hash::rendezvous_weight,
     lists::{FlowMatch, FullAction, KeySpec, MemberSpec, PaidPriority, TargetSpec},
     names::{CentreName, MemberName, RuleName, ServiceAddress, ServiceName, TargetName},
     traffic::TrafficKind,
@@ -12,8 +19,8 @@
 
 use crate::{
     draft::{
-        KeyDraft, MemberDraft, PartDraft, PartFinding, RuleDraft, ServeDraft, ServiceDraft,
-        TargetDraft, ThenDraft,
+        CountHome, KeyDraft, MemberDraft, PartDraft, PartFinding, RuleDraft, ServeDraft,
+        ServiceDraft, TargetCount, TargetDraft, ThenDraft,
     },
     secrets::parse_secret,
     spots::{FieldPath, PartSpot, RowPath},
@@ -41,10 +48,36 @@
     });
     let mut draft = draft.unwrap_or_default();
     draft.findings = findings_of(notes);
+    add_specs(&mut draft);
     draft.shrink();
     draft
 }
 
+/// Makes each service with the targets that its part has of it, and counts targets.
+fn add_specs(draft: &mut PartDraft) {
+    let mut targets: HashMap<&ServiceName, Vec<TargetSpec>> = HashMap::new();
+    for target in &draft.targets {
+        targets.entry(&target.service).or_default().push(target.target.clone());
+    }
+    for service in &mut draft.services {
+        let Some(name) = &service.name else { continue };
+        // A name given twice is a finding of the whole list, so that what a second
+        // service of the name gets here is never used.
+        let targets = targets.remove(name).unwrap_or_default();
+        if !targets.is_empty() {
+            let home = CountHome::SamePart;
+            let count = TargetCount { service: name.clone(), targets: targets.len(), home };
+            draft.counts.push(count);
+        }
+        service.spec = Some(Arc::new(service.to_spec(name, targets)));
+    }
+    for (name, targets) in targets {
+        let home = CountHome::OtherPart;
+        let count = TargetCount { service: name.clone(), targets: targets.len(), home };
+        draft.counts.push(count);
+    }
+}
+
 fn findings_of(notes: SourceNotes) -> Vec<PartFinding> {
     let findings = notes.into_findings();
     let findings = findings.iter().cloned();
@@ -191,6 +224,7 @@
             queue_limit,
             shards,
             shards_spot: PartSpot::new(&table.place_of("shards"), row, FieldPath::Shards),
+            spec: None,
         };
         self.draft.services.push(service);
     }
@@ -231,9 +265,11 @@
             draining,
         };
         let row = service_spot.row;
+        let service = service?;
         Some(TargetDraft {
+            name_digest: rendezvous_weight(&service, &target.name),
             name_spot: PartSpot::new(&table.place_of("name"), row, FieldPath::Name),
-            service: service?,
+            service,
             service_spot,
             target,
             address_spot: PartSpot::new(&table.place_of("address"), row, FieldPath::Address),
