Serve fair parts of all members before any member's excess

Ruled out: queue places (the light members were let in), weights by member and priority in one level (the heavy member's share still counts four times theirs).

--- a/crates/foxledge-policy/src/admission.rs
+++ b/crates/foxledge-policy/src/admission.rs
@@ -5,6 +5,7 @@
 use foxledge_core::{lists::FullAction, names::MemberName, time::ClockTime, traffic::TrafficKind};
 
 use crate::{
+    demand::WorkTier,
     desk::{HomeDesk, WorkClass},
     dispatches::{CallerState, DispatchPhase, RunningDispatch, SlotHold},
     effects::{DeskEffect, DeskRefusal, RefuseReason, RunState},
@@ -25,6 +26,9 @@
 // 100 then end in time.
 const RESERVE_RUNS: u32 = 4;
 
+// Part of the slots that is kept free of excess work.
+const RESERVED_PART: f64 = 0.04;
+
 impl HomeDesk {
     /// Takes work; it is dispatched, queued or refused at once.
     pub fn offer(&mut self, now: ClockTime, item: WorkItem) -> Vec<DeskEffect> {
@@ -34,7 +38,8 @@
         }
         self.counters.offered += 1;
         let start_by = item.start_by(now, self.times.usual(item.kind) * RESERVE_RUNS);
-        let pending = PendingWork::new(item, start_by);
+        let tier = self.tier_of(now, &item);
+        let pending = PendingWork::new(item, start_by, tier);
         let refused = self.reason_against(now, &pending);
         // Refusing counts one less for the member, so it is counted first.
         self.hold_member(&pending.item);
@@ -99,7 +104,7 @@
         self.release_member(item);
         let ran = ran.max(pending.ran);
         *self.counters.refused.entry(reason).or_default() += 1;
-        let retry_after = self.retry_after(item, ran, reason);
+        let retry_after = self.retry_after(pending, ran, reason);
         let refusal = DeskRefusal { ran, reason, retry_after };
         effects.push(DeskEffect::Refuse { work: item.id, refusal });
     }
@@ -139,7 +144,7 @@
             return Some(RefuseReason::Limit);
         }
         if !item.is_feed()
-            && self.expected_wait(item).mul_f64(SURE_PART) > pending.start_by.left(now)
+            && self.expected_wait(pending).mul_f64(SURE_PART) > pending.start_by.left(now)
         {
             return Some(RefuseReason::DeadlinePassed);
         }
@@ -173,10 +178,14 @@
         effects: &mut Vec<DeskEffect>,
     ) -> bool {
         let wait = self.slow_wait(kind);
-        let Some(pending) = self.queue_of(kind).peek().cloned() else {
+        if self.queue_of(kind).is_empty() {
+            return false;
+        }
+        let mut states = self.table.candidates(now, kind, wait, &self.options);
+        let last = self.last_tier(&states, kind);
+        let Some(pending) = self.queue_of(kind).peek(last).cloned() else {
             return false;
         };
-        let mut states = self.table.candidates(now, pending.item.kind, wait, &self.options);
         leave_out_tried(&mut states, &pending);
         let Some(picked) = self.policy.pick(now, &states, &pending.item) else {
             return false;
@@ -185,7 +194,7 @@
             return false;
         };
         let cost = self.times.cost(pending.item.kind);
-        let Some(pending) = self.queue_of(kind).pop(cost) else {
+        let Some(pending) = self.queue_of(kind).pop(last, cost) else {
             return false;
         };
         self.dispatch(now, pending, state, effects);
@@ -231,6 +240,22 @@
         effects.push(DeskEffect::Dispatch { work, dispatch, target });
     }
 
+    // The last free slots are kept for fair parts.
+    //
+    // With excess in every slot each fair request has to wait for one to become
+    // free, and those of the lowest priority for several. A few slots kept free
+    // make up for that (trunk reservation, Key, "Optimal control and trunk
+    // reservation in loss networks", Probability in the Engineering and
+    // Informational Sciences 4(2), 1990).
+    fn last_tier(&self, states: &[TargetState], kind: TrafficKind) -> WorkTier {
+        if kind == TrafficKind::Feed {
+            return WorkTier::Excess;
+        }
+        let free: u32 = states.iter().map(TargetState::free_slots).sum();
+        let reserved = ((f64::from(self.table.open_slots()) * RESERVED_PART) as u32).max(1);
+        if free > reserved { WorkTier::Excess } else { WorkTier::Fair }
+    }
+
     fn slow_wait(&self, kind: TrafficKind) -> SlowWait {
         let usual_run = match kind {
             TrafficKind::Feed => Duration::ZERO,
@@ -239,20 +264,29 @@
         SlowWait { queue: self.queue_wait(), usual_run }
     }
 
-    // Expected wait of a new work of that member, in fair order.
-    fn expected_wait(&self, item: &WorkItem) -> Duration {
-        let ahead = self.requests.ahead_of(item.priority, &item.member, item.weight);
-        self.drain_interval().mul_f64(ahead)
+    // Expected wait of that work if it came now, in fair order.
+    fn expected_wait(&self, pending: &PendingWork) -> Duration {
+        self.drain_interval().mul_f64(self.requests.ahead_of(pending))
+    }
+
+    fn tier_of(&mut self, now: ClockTime, item: &WorkItem) -> WorkTier {
+        if item.is_feed() {
+            return WorkTier::Fair;
+        }
+        let usual_run = self.times.usual_slot();
+        let own_run = self.times.usual(item.kind).as_secs_f64();
+        let cost = own_run / usual_run.as_secs_f64().max(f64::EPSILON);
+        self.demand.classify(now, &item.member, item.weight, cost, usual_run)
     }
 
-    fn retry_after(&self, item: &WorkItem, ran: RunState, reason: RefuseReason) -> Duration {
+    fn retry_after(&self, pending: &PendingWork, ran: RunState, reason: RefuseReason) -> Duration {
         if ran == RunState::Unknown || reason == RefuseReason::Cancelled {
             return Duration::ZERO;
         }
         if reason == RefuseReason::NoTarget {
             return NO_TARGET_RETRY_AFTER;
         }
-        self.expected_wait(item).clamp(LEAST_RETRY_AFTER, MOST_RETRY_AFTER)
+        self.expected_wait(pending).clamp(LEAST_RETRY_AFTER, MOST_RETRY_AFTER)
     }
 }
 
--- a/crates/foxledge-policy/src/desk.rs
+++ b/crates/foxledge-policy/src/desk.rs
@@ -12,6 +12,7 @@
 use rand::{Rng, SeedableRng, rngs::StdRng};
 
 use crate::{
+    demand::DemandMeter,
     dispatches::{CallerState, DispatchTable},
     effects::{DeskEffect, RefuseReason, RunState, TargetLoad},
     options::DeskOptions,
@@ -41,6 +42,7 @@
     // The dispatch of each work that is out and whose caller waits.
     pub(crate) out: HashMap<u64, u64>,
     pub(crate) held: HashMap<(MemberName, WorkClass), u32>,
+    pub(crate) demand: DemandMeter,
     pub(crate) budget: RetryBudget,
     pub(crate) times: RunTimes,
     pub(crate) counters: DeskCounters,
@@ -67,6 +69,7 @@
             dispatches: DispatchTable::default(),
             out: HashMap::new(),
             held: HashMap::new(),
+            demand: DemandMeter::new(),
             budget,
             times: RunTimes::new(),
             counters: DeskCounters::default(),
@@ -137,6 +140,7 @@
         let shares = self.requests.shares().into_iter().chain(self.feeds.shares());
         let waiting = shares.map(|share| WaitingStatus {
             priority: share.priority,
+            tier: share.tier,
             member: share.member,
             queued: share.queued,
         });
--- a/crates/foxledge-policy/src/lib.rs
+++ b/crates/foxledge-policy/src/lib.rs
@@ -3,6 +3,7 @@
 //! [`HomeDesk`] is pure: time and seeds come in, [`DeskEffect`]s go out.
 
 mod admission;
+pub mod demand;
 pub mod desk;
 pub mod dispatches;
 pub mod effects;
--- a/crates/foxledge-policy/src/policies.rs
+++ b/crates/foxledge-policy/src/policies.rs
@@ -49,6 +49,11 @@
 }
 
 impl TargetState {
+    /// Slots that are free as far as this desk knows.
+    pub fn free_slots(&self) -> u32 {
+        self.slots.saturating_sub(self.busy)
+    }
+
     fn room_used(&self, kind: TrafficKind) -> f64 {
         match kind {
             TrafficKind::Feed => {
--- a/crates/foxledge-policy/src/queue.rs
+++ b/crates/foxledge-policy/src/queue.rs
@@ -1,15 +1,15 @@
 //! The bounded queue in fair order.
 //!
-//! Start-time fair queueing on two levels: paid priorities share by
-//! [`PRIORITY_SHARES`], members of one priority by their weights. Goyal, Vin
-//! and Cheng, "Start-time fair queueing: a scheduling algorithm for integrated
+//! Start-time fair queueing on two levels: classes share by tier and paid
+//! priority ([`FAIR_SHARE`], [`PRIORITY_SHARES`]), members of one class by
+//! their weights. Goyal, Vin and Cheng, "Start-time fair queueing: a scheduling algorithm for integrated
 //! services packet switching networks", ACM SIGCOMM 1996.
 
 use std::collections::{BTreeSet, HashMap, VecDeque};
 
 use foxledge_core::{lists::PaidPriority, names::MemberName, time::ClockTime};
 
-use crate::work::PendingWork;
+use crate::{demand::WorkTier, work::PendingWork};
 
 /// Shares of paid priorities 0 to 7 while all of them wait.
 ///
@@ -18,6 +18,16 @@
 /// service, which strict order would not do.
 pub const PRIORITY_SHARES: [u64; 8] = [1, 2, 4, 8, 16, 32, 64, 128];
 
+/// Share of the fair tier beside the excess tier of the same priority.
+///
+/// The lowest priority's fair part so goes before the highest's excess, and
+/// the excess still has a floor.
+pub const FAIR_SHARE: u64 = 256;
+
+// The fair tier's classes come after the excess tier's.
+const PRIORITIES: usize = PRIORITY_SHARES.len();
+const CLASSES: usize = 2 * PRIORITIES;
+
 // Virtual time of one unit of cost at share 1.
 const TAG_SCALE: u64 = 1 << 16;
 
@@ -29,7 +39,7 @@
 pub struct FairQueue {
     entries: HashMap<u64, PendingWork>,
     expiries: BTreeSet<(ClockTime, u64)>,
-    classes: [PriorityClass; 8],
+    classes: [PriorityClass; CLASSES],
     virtual_time: u64,
 }
 
@@ -38,6 +48,8 @@
 pub struct QueueShare {
     /// Paid priority.
     pub priority: u8,
+    /// Whether it is within the member's fair part.
+    pub tier: WorkTier,
     /// The member.
     pub member: MemberName,
     /// How many works wait.
@@ -75,21 +87,22 @@
         self.insert(pending, QueueEnd::Front);
     }
 
-    /// The work whose turn it is.
-    pub fn peek(&self) -> Option<&PendingWork> {
-        let class = &self.classes[self.next_class()?];
+    /// The work whose turn it is among the tiers up to `last`.
+    pub fn peek(&self, last: WorkTier) -> Option<&PendingWork> {
+        let class = &self.classes[self.next_class(last)?];
         self.entries.get(&class.next_work()?)
     }
 
-    /// Takes the work whose turn it is and charges its member `cost`.
-    pub fn pop(&mut self, cost: u64) -> Option<PendingWork> {
-        let number = self.next_class()?;
+    /// Takes the work whose turn it is among the tiers up to `last`, and charges
+    /// its member `cost`.
+    pub fn pop(&mut self, last: WorkTier, cost: u64) -> Option<PendingWork> {
+        let number = self.next_class(last)?;
         let class = &mut self.classes[number];
         let work = class.pop(cost)?;
         // The class's virtual time moves to the start tag of what is served,
         // its own tag by the cost over its share.
         self.virtual_time = class.start;
-        class.finish = class.start + cost * TAG_SCALE / PRIORITY_SHARES[number];
+        class.finish = class.start + cost * TAG_SCALE / share_of(number);
         class.start = class.finish;
         let pending = self.forget(work);
         self.settle();
@@ -99,7 +112,7 @@
     /// Takes work out of its place.
     pub fn remove(&mut self, work: u64) -> Option<PendingWork> {
         let pending = self.forget(work)?;
-        let class = &mut self.classes[class_of(pending.item.priority)];
+        let class = &mut self.classes[class_of(pending.item.priority, pending.tier)];
         class.remove(&pending.item.member, work);
         self.settle();
         Some(pending)
@@ -128,7 +141,7 @@
     /// Without it a member that sends ten times its share fills the queue, and
     /// the others' work is refused at the door, however fair the order inside.
     pub fn displace_for(&mut self, pending: &PendingWork) -> Option<PendingWork> {
-        let own = class_of(pending.item.priority);
+        let own = class_of(pending.item.priority, pending.tier);
         let own_load = (self.classes[own].queued as u64 + 1) * shares_product(own);
         let heaviest = (0..self.classes.len())
             .filter(|&number| self.classes[number].queued > 0)
@@ -142,13 +155,14 @@
         self.remove(work)
     }
 
-    /// How many works would go before a new one of that member, in fair order.
-    pub fn ahead_of(&self, priority: PaidPriority, member: &MemberName, weight: u32) -> f64 {
-        let own = class_of(priority);
+    /// How many works would go before that one if it came now, in fair order.
+    pub fn ahead_of(&self, pending: &PendingWork) -> f64 {
+        let item = &pending.item;
+        let own = class_of(item.priority, pending.tier);
         let waiting = |number: &usize| *number == own || self.classes[*number].queued > 0;
-        let shares: u64 = (0..8).filter(waiting).map(|number| PRIORITY_SHARES[number]).sum();
-        let class_part = PRIORITY_SHARES[own] as f64 / shares as f64;
-        let (queued, member_part) = self.classes[own].part_of(member, weight);
+        let shares: u64 = (0..CLASSES).filter(waiting).map(share_of).sum();
+        let class_part = share_of(own) as f64 / shares as f64;
+        let (queued, member_part) = self.classes[own].part_of(&item.member, item.weight);
         let in_turn = (queued as f64 + 1.0) / (class_part * member_part) - 1.0;
         in_turn.min(self.len() as f64)
     }
@@ -160,7 +174,9 @@
             for line in class.lines.iter().filter(|line| !line.works.is_empty()) {
                 let member = line.member.clone();
                 let queued = line.works.len();
-                shares.push(QueueShare { priority: number as u8, member, queued });
+                let priority = (number % PRIORITIES) as u8;
+                let tier = if number < PRIORITIES { WorkTier::Excess } else { WorkTier::Fair };
+                shares.push(QueueShare { priority, tier, member, queued });
             }
         }
         shares
@@ -168,7 +184,7 @@
 
     fn insert(&mut self, pending: PendingWork, end: QueueEnd) {
         let item = &pending.item;
-        let (work, number) = (item.id, class_of(item.priority));
+        let (work, number) = (item.id, class_of(item.priority, pending.tier));
         let class = &mut self.classes[number];
         if class.queued == 0 {
             class.start = class.finish.max(self.virtual_time);
@@ -184,9 +200,13 @@
         Some(pending)
     }
 
-    fn next_class(&self) -> Option<usize> {
+    fn next_class(&self, last: WorkTier) -> Option<usize> {
+        let first = match last {
+            WorkTier::Fair => PRIORITIES,
+            WorkTier::Excess => 0,
+        };
         // Of equal tags the higher priority goes first.
-        (0..self.classes.len())
+        (first..CLASSES)
             .rev()
             .filter(|&number| self.classes[number].queued > 0)
             .min_by_key(|&number| self.classes[number].start)
@@ -211,13 +231,22 @@
     Back,
 }
 
-fn class_of(priority: PaidPriority) -> usize {
-    usize::from(priority.0.min(PaidPriority::HIGHEST.0))
+fn class_of(priority: PaidPriority, tier: WorkTier) -> usize {
+    let level = usize::from(priority.0.min(PaidPriority::HIGHEST.0));
+    match tier {
+        WorkTier::Excess => level,
+        WorkTier::Fair => PRIORITIES + level,
+    }
+}
+
+fn share_of(class: usize) -> u64 {
+    let share = PRIORITY_SHARES[class % PRIORITIES];
+    if class < PRIORITIES { share } else { share * FAIR_SHARE }
 }
 
 // Loads of classes are compared as queued / share, in whole numbers.
 fn shares_product(number: usize) -> u64 {
-    PRIORITY_SHARES[7] / PRIORITY_SHARES[number]
+    share_of(CLASSES - 1) / share_of(number)
 }
 
 /// `PriorityClass` is the waiting work of one paid priority.
--- a/crates/foxledge-policy/src/status.rs
+++ b/crates/foxledge-policy/src/status.rs
@@ -5,7 +5,7 @@
 use foxledge_core::names::{MemberName, TargetName};
 use serde::Serialize;
 
-use crate::effects::RefuseReason;
+use crate::{demand::WorkTier, effects::RefuseReason};
 
 /// `DeskStatus` is a desk at one moment.
 #[derive(Clone, Debug, PartialEq, Serialize)]
@@ -35,6 +35,8 @@
 pub struct WaitingStatus {
     /// Paid priority.
     pub priority: u8,
+    /// Whether it is within the member's fair part.
+    pub tier: WorkTier,
     /// The member.
     pub member: MemberName,
     /// How many works wait.
--- a/crates/foxledge-policy/src/work.rs
+++ b/crates/foxledge-policy/src/work.rs
@@ -9,7 +9,7 @@
     traffic::TrafficKind,
 };
 
-use crate::effects::RunState;
+use crate::{demand::WorkTier, effects::RunState};
 
 // A reserve is at most one of this many parts of the time left.
 const LARGEST_RESERVE: u32 = 4;
@@ -72,11 +72,13 @@
     pub ran: RunState,
     /// It isn't started at or after this point.
     pub start_by: ClockTime,
+    /// Whether it is within its member's fair part.
+    pub tier: WorkTier,
 }
 
 impl PendingWork {
     /// Makes work that no target had yet.
-    pub fn new(item: WorkItem, start_by: ClockTime) -> PendingWork {
-        PendingWork { item, tried: Vec::new(), ran: RunState::NotRun, start_by }
+    pub fn new(item: WorkItem, start_by: ClockTime, tier: WorkTier) -> PendingWork {
+        PendingWork { item, tried: Vec::new(), ran: RunState::NotRun, start_by, tier }
     }
 }
