Summarize the changes of a list in bounded size

Cause: diff_lists wrote out all fields of each changed service on both sides, and mapped all rules even when none changed; a list that replaces another wholly would cost more than both. Ruled out: counting by kind only (the first changes are what an operator asks for). After: summarize_changes writes only the first differences and counts the others; diff_lists is the same without a bound.

--- a/crates/foxledge-rules/examples/list_growth.rs
+++ b/crates/foxledge-rules/examples/list_growth.rs
@@ -15,7 +15,7 @@
 };
 
 use foxledge_core::{hash::digest_of, lists::RuleList};
-use foxledge_rules::{ListAssembler, PartText, RuleIndex, diff_lists};
+use foxledge_rules::{ListAssembler, PartText, RuleIndex, summarize_changes};
 use foxledge_wire::control::{Manifest, ManifestPart};
 use prost::Message;
 use serde_json::json;
@@ -63,7 +63,7 @@
             timed(&mut costs.build, || Arc::new(build(&mut assembler, 2 + change as u64, &texts)));
         let differ = timed(&mut costs.compare, || differing_services(&list, &next));
         assert_eq!(differ, 1);
-        let changes = timed(&mut costs.diff, || diff_lists(&list, &next).len());
+        let changes = timed(&mut costs.diff, || summarize_changes(&list, &next, 5).changes.len());
         assert_eq!(changes, 1);
         index = timed(&mut costs.index, || RuleIndex::new(next.clone()));
         list = next;
--- a/crates/foxledge-rules/src/changes.rs
+++ b/crates/foxledge-rules/src/changes.rs
@@ -58,26 +58,63 @@
     }
 }
 
+/// `ChangeSummary` is the first differences between two lists and the number of others.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct ChangeSummary {
+    /// The first differences, sorted by subject.
+    pub changes: Vec<ListChange>,
+    /// Subjects that differ besides.
+    pub more: usize,
+}
+
 /// Every difference between two lists, sorted by subject; secrets aren't shown.
 pub fn diff_lists(old: &RuleList, new: &RuleList) -> Vec<ListChange> {
-    let mut old_fields = differing_fields(old, new);
-    let mut new_fields = differing_fields(new, old);
-    mark_moved((old, &mut old_fields), (new, &mut new_fields));
-    let subjects: BTreeSet<_> = old_fields.keys().chain(new_fields.keys()).collect();
-    let none = FieldList::new();
-    let changes = subjects.into_iter().filter_map(|subject| {
-        let old = old_fields.get(subject).unwrap_or(&none);
-        let new = new_fields.get(subject).unwrap_or(&none);
-        diff_fields(subject, old, new)
+    summarize_changes(old, new, usize::MAX).changes
+}
+
+/// The first `limit` differences between two lists; only these are written out.
+///
+/// A list that replaces another wholly differs in each of 38,000 targets; their
+/// texts would take more memory than both lists.
+pub fn summarize_changes(old: &RuleList, new: &RuleList, limit: usize) -> ChangeSummary {
+    let same_rules = old.rules == new.rules;
+    let moved = if same_rules { MovedRules::new() } else { moved_rules(old, new) };
+    let rules_of = |list| if same_rules { RuleBook::new() } else { rule_book(list) };
+    let (old_rules, new_rules) = (rules_of(old), rules_of(new));
+    let mut subjects = BTreeSet::new();
+    add_differing_rules(&mut subjects, &old_rules, &new_rules);
+    add_differing_rules(&mut subjects, &new_rules, &old_rules);
+    add_differing(&mut subjects, old, new);
+    add_differing(&mut subjects, new, old);
+    subjects.extend(moved.keys().map(|name| ChangeSubject::Rule((*name).clone())));
+    let more = subjects.len().saturating_sub(limit);
+    let told = subjects.into_iter().take(limit);
+    let changes = told.filter_map(|subject| {
+        let mut old_fields = fields_of(old, &old_rules, &subject);
+        let mut new_fields = fields_of(new, &new_rules, &subject);
+        if let ChangeSubject::Rule(name) = &subject
+            && let Some((old_before, new_before)) = moved.get(name)
+        {
+            old_fields.insert("after", shown(old_before));
+            new_fields.insert("after", shown(new_before));
+        }
+        diff_fields(subject, &old_fields, &new_fields)
     });
-    changes.collect()
+    ChangeSummary { changes: changes.collect(), more }
 }
 
 /// The fields of a subject by name, as texts.
 type FieldList = BTreeMap<&'static str, FieldValue>;
 
-/// The fields of every subject of a list.
-type ListFields = BTreeMap<ChangeSubject, FieldList>;
+/// The rules of a list by name.
+type RuleBook<'l> = HashMap<&'l RuleName, &'l FlowRule>;
+
+fn rule_book(list: &RuleList) -> RuleBook<'_> {
+    list.rules.iter().map(|rule| (&rule.name, rule)).collect()
+}
+
+/// For each rule that moved, the names of the rules before it, then and now.
+type MovedRules<'l> = BTreeMap<&'l RuleName, (&'l str, &'l str)>;
 
 /// `FieldValue` is what a field shows and what it is compared by.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -101,7 +138,7 @@
     shown(if names.is_empty() { "any".to_owned() } else { names.join(" ") })
 }
 
-fn diff_fields(subject: &ChangeSubject, old: &FieldList, new: &FieldList) -> Option<ListChange> {
+fn diff_fields(subject: ChangeSubject, old: &FieldList, new: &FieldList) -> Option<ListChange> {
     if old == new {
         return None;
     }
@@ -111,43 +148,74 @@
             fields.map(|(field, value)| format!("{field}={}", value.shown)).collect();
         texts.join(", ")
     };
-    let subject = subject.clone();
     Some(ListChange { subject, old: differing(old, new), new: differing(new, old) })
 }
 
-/// The fields of the subjects that aren't the same in the other list.
-fn differing_fields(list: &RuleList, other: &RuleList) -> ListFields {
-    let mut fields = ListFields::new();
-    let other_rules: HashMap<_, _> = other.rules.iter().map(|rule| (&rule.name, rule)).collect();
-    for rule in &list.rules {
-        if other_rules.get(&rule.name) != Some(&rule) {
-            fields.insert(ChangeSubject::Rule(rule.name.clone()), rule_fields(rule));
-        }
-    }
+fn add_differing_rules(
+    subjects: &mut BTreeSet<ChangeSubject>,
+    rules: &RuleBook<'_>,
+    others: &RuleBook<'_>,
+) {
+    let differing = rules.iter().filter(|(name, rule)| others.get(*name) != Some(*rule));
+    subjects.extend(differing.map(|(name, _)| ChangeSubject::Rule((*name).clone())));
+}
+
+/// Adds the subjects of a list, but for its rules, that aren't the same in the other list.
+fn add_differing(subjects: &mut BTreeSet<ChangeSubject>, list: &RuleList, other: &RuleList) {
     for service in list.services.values() {
-        if other.services.get(&service.name) != Some(service) {
-            add_service_fields(&mut fields, service);
+        let former = other.services.get(&service.name);
+        if former != Some(service) {
+            add_differing_service(subjects, service, former.map(AsRef::as_ref));
         }
     }
     for member in list.members.values() {
         if other.members.get(&member.name) != Some(member) {
-            let values = FieldList::from([("secret", secret(&member.secret))]);
-            fields.insert(ChangeSubject::Member(member.name.clone()), values);
+            subjects.insert(ChangeSubject::Member(member.name.clone()));
         }
     }
-    for key in list.keys.iter().filter(|key| !other.keys.contains(key)) {
-        let values = FieldList::from([("secret", secret(&key.secret))]);
-        fields.insert(ChangeSubject::Key(key.id), values);
-    }
-    fields
+    let keys = list.keys.iter().filter(|key| !other.keys.contains(key));
+    subjects.extend(keys.map(|key| ChangeSubject::Key(key.id)));
 }
 
-fn add_service_fields(fields: &mut ListFields, service: &ServiceSpec) {
-    fields.insert(ChangeSubject::Service(service.name.clone()), service_fields(service));
-    for target in &service.targets {
-        let subject = ChangeSubject::Target(service.name.clone(), target.name.clone());
-        fields.insert(subject, target_fields(target));
+fn add_differing_service(
+    subjects: &mut BTreeSet<ChangeSubject>,
+    service: &ServiceSpec,
+    other: Option<&ServiceSpec>,
+) {
+    if other.is_none_or(|other| service_fields(other) != service_fields(service)) {
+        subjects.insert(ChangeSubject::Service(service.name.clone()));
     }
+    let others = other.into_iter().flat_map(|other| &other.targets);
+    let others: HashMap<_, _> = others.map(|target| (&target.name, target)).collect();
+    let differing =
+        service.targets.iter().filter(|target| others.get(&target.name) != Some(target));
+    subjects.extend(
+        differing.map(|target| ChangeSubject::Target(service.name.clone(), target.name.clone())),
+    );
+}
+
+/// The fields of a subject; none when the list doesn't have it.
+fn fields_of(list: &RuleList, rules: &RuleBook<'_>, subject: &ChangeSubject) -> FieldList {
+    let fields = match subject {
+        ChangeSubject::Rule(name) => rules.get(name).map(|rule| rule_fields(rule)),
+        ChangeSubject::Service(name) => {
+            list.services.get(name).map(|service| service_fields(service))
+        }
+        ChangeSubject::Target(service, name) => list.services.get(service).and_then(|service| {
+            service.targets.iter().find(|target| target.name == *name).map(target_fields)
+        }),
+        ChangeSubject::Member(name) => {
+            list.members.get(name).map(|member| secret_fields(&member.secret))
+        }
+        ChangeSubject::Key(id) => {
+            list.keys.iter().find(|key| key.id == *id).map(|key| secret_fields(&key.secret))
+        }
+    };
+    fields.unwrap_or_default()
+}
+
+fn secret_fields(value: &[u8]) -> FieldList {
+    FieldList::from([("secret", secret(value))])
 }
 
 fn rule_fields(rule: &FlowRule) -> FieldList {
@@ -191,23 +259,22 @@
     ])
 }
 
-/// Adds to each rule that moved a field with the rule that it stands after.
+/// The rules that moved, each with the rule that it stands after.
 ///
 /// The rules that keep their order are a longest increasing subsequence of the
 /// old positions; all others moved. Fredman, "On computing the length of
 /// longest increasing subsequences", Discrete Mathematics 11(1), 1975.
-fn mark_moved(old: (&RuleList, &mut ListFields), new: (&RuleList, &mut ListFields)) {
-    let old_names = common_rules(old.0, new.0);
-    let new_names = common_rules(new.0, old.0);
+fn moved_rules<'l>(old: &'l RuleList, new: &'l RuleList) -> MovedRules<'l> {
+    let old_names = common_rules(old, new);
+    let new_names = common_rules(new, old);
     let old_places: HashMap<_, _> = old_names.iter().copied().zip(0..).collect();
     let places: Vec<usize> = new_names.iter().map(|name| old_places[name]).collect();
     let kept = longest_increasing(&places);
-    for (at, place) in places.iter().enumerate() {
-        if kept.binary_search(&at).is_err() {
-            mark_place(old.1, &old_names, *place);
-            mark_place(new.1, &new_names, at);
-        }
-    }
+    let moved = places.iter().enumerate().filter(|(at, _)| kept.binary_search(at).is_err());
+    let before = moved.map(|(at, place)| {
+        (new_names[at], (name_before(&old_names, *place), name_before(&new_names, at)))
+    });
+    before.collect()
 }
 
 fn common_rules<'l>(list: &'l RuleList, other: &RuleList) -> Vec<&'l RuleName> {
@@ -215,10 +282,8 @@
     list.rules.iter().map(|rule| &rule.name).filter(|name| known.contains(name)).collect()
 }
 
-fn mark_place(fields: &mut ListFields, names: &[&RuleName], at: usize) {
-    let before = at.checked_sub(1).map_or("none", |before| names[before].as_str());
-    let subject = ChangeSubject::Rule(names[at].clone());
-    fields.entry(subject).or_default().insert("after", shown(before));
+fn name_before<'l>(names: &[&'l RuleName], at: usize) -> &'l str {
+    at.checked_sub(1).map_or("none", |before| names[before].as_str())
 }
 
 /// Indices of a longest increasing subsequence.
--- a/crates/foxledge-rules/tests/list_changes.rs
+++ b/crates/foxledge-rules/tests/list_changes.rs
@@ -2,7 +2,7 @@
 
 use expect_test::{Expect, expect};
 use foxledge_core::lists::RuleList;
-use foxledge_rules::{ListText, build_list, diff_lists};
+use foxledge_rules::{ChangeSummary, ListText, build_list, diff_lists, summarize_changes};
 
 const EXAMPLE: &str = include_str!("../../../docs/examples/lakeshore-rules.toml");
 
@@ -105,3 +105,13 @@
     "#]],
     );
 }
+
+#[test]
+fn a_summary_is_bounded() {
+    let (old, new) = (build(EXAMPLE), RuleList::default());
+    let all = diff_lists(&old, &new);
+    let summary = summarize_changes(&old, &new, 2);
+    assert_eq!(summary.changes, all[..2]);
+    assert_eq!(summary.more, all.len() - 2);
+    assert_eq!(summarize_changes(&old, &old, 2), ChangeSummary::default());
+}
