--- a/crates/foxledge-engine/tests/core_sweep.rs
+++ b/crates/foxledge-engine/tests/core_sweep.rs
@@ -289,29 +289,28 @@
     sweep.violations()
 }
 
-/// Violations over some generated runs with a mechanism switched off.
-fn violations_without(runs: u64, switches: TrialSwitches) -> usize {
+/// The first violation in some generated runs with a mechanism switched off.
+fn violation_without(runs: u64, switches: TrialSwitches) -> Option<String> {
     let mut runner = TestRunner::new_with_rng(
         ProptestConfig::default(),
         TestRng::from_seed(RngAlgorithm::ChaCha, &[7; 32]),
     );
     let steps = proptest::collection::vec(step(), 20..40);
-    (0..runs)
-        .map(|seed| {
-            let steps = steps.new_tree(&mut runner).unwrap().current();
-            sweep(seed, &steps, EngineOptions::default().trial(switches)).len()
-        })
-        .sum()
+    (0..runs).find_map(|seed| {
+        let steps = steps.new_tree(&mut runner).unwrap().current();
+        sweep(seed, &steps, EngineOptions::default().trial(switches)).pop()
+    })
 }
 
 #[test]
 fn mechanisms_matter() {
     // The sweep must be able to fail: each mechanism, switched off, shows its fault.
     let on = TrialSwitches::default();
-    assert_eq!(violations_without(60, on), 0);
-    assert!(violations_without(60, TrialSwitches { run_once: false, ..on }) > 0);
+    assert_eq!(violation_without(60, on), None);
+    assert!(violation_without(60, TrialSwitches { run_once: false, ..on }).is_some());
     // A refusal, a new list and a late copy have to meet, which is rarer.
-    assert!(violations_without(1_000, TrialSwitches { remember_refusals: false, ..on }) > 0);
+    let forgetful = TrialSwitches { remember_refusals: false, ..on };
+    assert!(violation_without(1_000, forgetful).is_some());
 }
 
 proptest! {
