--- a/crates/foxledge-members/tests/list_spread.rs
+++ b/crates/foxledge-members/tests/list_spread.rs
@@ -104,7 +104,7 @@
     let done = store.on_parts(at(30), peer(1), vec![part("B")]);
     expect![[r#"
         accepted 2
-        ListAccepted: 3 parts, 1 of them fetched (peer 10.3.0.1:4000)"#]]
+        ListAccepted: 3 parts, 1 of them fetched; no changes (peer 10.3.0.1:4000)"#]]
     .assert_eq(&lines(&done));
     assert_eq!(store.part_bytes(), 3, "the part that was replaced is dropped");
 }
