Keep chosen ports free until the started process binds them

Cause: a process being started by another test's thread inherits the trial socket between fork and exec; besides, any connection on 127.0.0.1 may be given the port. Seen as "address in use" in platform_watches.

--- a/crates/foxledge-fakes/src/harness/ports.rs
+++ b/crates/foxledge-fakes/src/harness/ports.rs
@@ -1,9 +1,12 @@
-//! Loopback ports, chosen by the system.
+//! Loopback addresses whose ports are chosen by the system.
 
 use std::{
-    collections::HashSet,
     net::{Ipv4Addr, SocketAddr, TcpListener, UdpSocket},
-    sync::{LazyLock, Mutex, PoisonError},
+    process,
+    sync::{
+        Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicU32, Ordering},
+    },
 };
 
 use anyhow::bail;
@@ -11,24 +14,47 @@
 /// Tries before giving up.
 const TRIES: usize = 100;
 
-/// Ports given out by this process.
+/// Addresses given out by this process.
+static GIVEN: AtomicU32 = AtomicU32::new(0);
+
+/// Held while a port is tried and while a process is started.
 ///
-/// A port is free again as soon as its trial socket closes. Without this record two calls could get
-/// the same port, and one would notice a process that can't bind it.
-static GIVEN_PORTS: LazyLock<Mutex<HashSet<u16>>> = LazyLock::new(Mutex::default);
+/// A process that another thread starts inherits the trial socket until it runs its own program.
+/// Without the lock the port is still taken when the process it was chosen for binds it, which then
+/// ends with "address in use".
+static TRIAL: Mutex<()> = Mutex::new(());
+
+/// Keeps trial sockets out of processes that are being started.
+pub(super) fn lock_trials() -> MutexGuard<'static, ()> {
+    TRIAL.lock().unwrap_or_else(PoisonError::into_inner)
+}
 
 /// An address on loopback whose port is free for both UDP and TCP.
 pub fn free_address() -> anyhow::Result<SocketAddr> {
+    let _trial = lock_trials();
     for _ in 0..TRIES {
-        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?;
+        let listener = TcpListener::bind((next_loopback(), 0))?;
         let address = listener.local_addr()?;
-        if UdpSocket::bind(address).is_err() {
-            continue;
-        }
-        let mut given = GIVEN_PORTS.lock().unwrap_or_else(PoisonError::into_inner);
-        if given.insert(address.port()) {
+        if UdpSocket::bind(address).is_ok() {
             return Ok(address);
         }
     }
     bail!("no free port in {TRIES} tries")
 }
+
+/// A loopback IP number that follows from the process id and a count.
+///
+/// Between the choice of a port and its use by a started process, any other socket may be given the
+/// same port, that of a connection too. One would notice now and then a process that ends with
+/// "address in use". On an IP number of its own nothing else chooses ports.
+fn next_loopback() -> Ipv4Addr {
+    let [_, _, middle, low] = process::id().to_be_bytes();
+    let count = GIVEN.fetch_add(1, Ordering::Relaxed);
+    // The second byte is from 1 to 254: neither 127.0.0.1 nor the broadcast address can come out.
+    let own = Ipv4Addr::new(127, 1 + (count % 254) as u8, middle, low);
+    match TcpListener::bind((own, 0)) {
+        Ok(_) => own,
+        // A system with 127.0.0.1 alone.
+        Err(_) => Ipv4Addr::LOCALHOST,
+    }
+}
--- a/crates/foxledge-fakes/src/harness/processes.rs
+++ b/crates/foxledge-fakes/src/harness/processes.rs
@@ -12,7 +12,7 @@
 use anyhow::{Context, ensure};
 use rustix::process::{Pid, Signal, kill_process};
 
-use super::waits::wait_until;
+use super::{ports::lock_trials, waits::wait_until};
 
 /// Time between two looks at a process that should end.
 const EXIT_LIMIT_STEP: Duration = Duration::from_millis(10);
@@ -50,13 +50,12 @@
         let path = binary_path(program)?;
         let log_path = directory.join(format!("{name}.log"));
         let log = File::options().create(true).append(true).open(&log_path)?;
-        let child = Command::new(&path)
-            .args(arguments)
-            .stdin(Stdio::null())
-            .stdout(log.try_clone()?)
-            .stderr(log)
-            .spawn()
-            .with_context(|| format!("start {}", path.display()))?;
+        let mut command = Command::new(&path);
+        command.args(arguments).stdin(Stdio::null()).stdout(log.try_clone()?).stderr(log);
+        let child = {
+            let _trials = lock_trials();
+            command.spawn().with_context(|| format!("start {}", path.display()))?
+        };
         Ok(TestProcess { name: name.to_owned(), child, log_path, status: None })
     }
 
