Try a target that sheds on ever more rarely

Cause: with half of the targets shedding and calling themselves idle, each slot that seemed free there was tried again every 320 ms at most; that used the retry budget up, and work of the highest priority was refused for want of a retry. Ruled out: the budget itself (a larger one adds load to an overloaded service). Conclusion: the hold starts at half a usual run and doubles five times; after two sheds in a row a target gets one work at a time. The bench gains the variants one-priority and half-shedding, and takes memory.

--- a/crates/foxledge-bench/src/callers.rs
+++ b/crates/foxledge-bench/src/callers.rs
@@ -14,7 +14,7 @@
     events::SimEvent,
     places::INSTANCES,
     tally::{WorkOutcome, WorkRecord},
-    workloads::MEMBER_PRIORITIES,
+    workloads::{LoadVariant, MEMBER_PRIORITIES},
     world::{CALLER_RESEND, CALLER_WAY, CENTRE_WAY, FORWARD_WAIT, PassedOver, SimWorld},
 };
 
@@ -43,7 +43,10 @@
         asks: u32,
     ) -> u64 {
         let work = self.works.len() as u64;
-        let priority = MEMBER_PRIORITIES[arrival.member % MEMBER_PRIORITIES.len()];
+        let priority = match self.plan.variant {
+            LoadVariant::OnePriority => 0,
+            _ => MEMBER_PRIORITIES[arrival.member % MEMBER_PRIORITIES.len()],
+        };
         let deadline = asked_at.after(self.plan.load.patience);
         self.works.push(WorkRecord::new(arrival, priority, asked_at, deadline, asks));
         work
--- a/crates/foxledge-bench/src/cost.rs
+++ b/crates/foxledge-bench/src/cost.rs
@@ -2,8 +2,9 @@
 //!
 //! This is the one part that reads a clock; its figures differ between runs.
 
-use std::{collections::VecDeque, fmt::Write, sync::Arc, time::Instant};
+use std::{collections::VecDeque, fmt::Write, fs, sync::Arc, time::Instant};
 
+use anyhow::{Context, Result};
 use foxledge_core::{
     lists::{FullAction, PaidPriority, TargetSpec},
     names::MemberName,
@@ -13,6 +14,7 @@
 use foxledge_policy::{DeskEffect, DeskOptions, HomeDesk, TargetSignal, WorkItem, policy_by_name};
 use serde::Serialize;
 
+const PAGE_BYTES: u64 = 4096;
 const TARGETS: [usize; 4] = [10, 14, 100, 1000];
 const MEMBERS: [usize; 3] = [8, 64, 512];
 const QUEUES: [usize; 3] = [0, 400, 10_000];
@@ -32,6 +34,52 @@
     pub tick_ns: f64,
 }
 
+/// `MemoryFigure` is the memory that a desk takes for what it holds.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct MemoryFigure {
+    /// What is held.
+    pub held: &'static str,
+    /// How many.
+    pub count: u64,
+    /// Bytes of each, from the growth of the process's resident memory.
+    pub bytes_each: f64,
+}
+
+/// Takes the memory of waiting requests and of open feeds.
+pub fn memory_figures(seed: u64) -> Result<Vec<MemoryFigure>> {
+    let count = 100_000;
+    let mut figures = Vec::new();
+    for (held, kind) in [("waiting requests", TrafficKind::Bid), ("open feeds", TrafficKind::Feed)]
+    {
+        let mut trial = CostTrial::new(100, 64, count as usize, seed);
+        trial.kind = kind;
+        let before = resident_bytes()?;
+        for _ in 0..count {
+            trial.offer();
+        }
+        let grown = resident_bytes()?.saturating_sub(before);
+        figures.push(MemoryFigure { held, count, bytes_each: grown as f64 / count as f64 });
+    }
+    Ok(figures)
+}
+
+/// The memory figures as a table.
+pub fn memory_table(figures: &[MemoryFigure]) -> String {
+    let mut table = String::from("held              count  bytes each\n");
+    for figure in figures {
+        let _ =
+            writeln!(table, "{:<16} {:>6} {:>11.0}", figure.held, figure.count, figure.bytes_each);
+    }
+    table
+}
+
+// The second number of this file is resident pages (proc(5)).
+fn resident_bytes() -> Result<u64> {
+    let text = fs::read_to_string("/proc/self/statm").context("no memory figures here")?;
+    let pages = text.split_whitespace().nth(1).context("no resident pages")?;
+    Ok(pages.parse::<u64>()? * PAGE_BYTES)
+}
+
 /// Takes the figures of every size.
 pub fn cost_figures(rounds: u64, seed: u64) -> Vec<CostFigure> {
     let mut figures = Vec::new();
@@ -65,6 +113,7 @@
     members: Vec<MemberName>,
     running: VecDeque<u64>,
     next_work: u64,
+    kind: TrafficKind,
 }
 
 fn cost_figure(
@@ -109,6 +158,7 @@
             members: members.collect(),
             running: VecDeque::new(),
             next_work: 0,
+            kind: TrafficKind::Bid,
         }
     }
 
@@ -131,7 +181,7 @@
             id: self.next_work,
             flow: self.next_work,
             member,
-            kind: TrafficKind::Bid,
+            kind: self.kind,
             priority: PaidPriority((self.next_work % 3) as u8),
             weight: 1,
             member_limit: 0,
--- a/crates/foxledge-bench/src/faults.rs
+++ b/crates/foxledge-bench/src/faults.rs
@@ -28,6 +28,10 @@
     DrainThird,
     /// The drained targets are open again.
     OpenThird,
+    /// Half of the targets shed everything and report to be idle.
+    ShedHalf,
+    /// They take work again.
+    TakeHalf,
     /// The first instance is killed.
     KillInstance,
     /// Half of the instances hold another view.
@@ -41,7 +45,7 @@
     let third = ClockTime::ZERO.after(load.length / 3);
     let two_thirds = ClockTime::ZERO.after(load.length * 2 / 3);
     match variant {
-        LoadVariant::Plain | LoadVariant::GreedyMember => Vec::new(),
+        LoadVariant::Plain | LoadVariant::GreedyMember | LoadVariant::OnePriority => Vec::new(),
         LoadVariant::SlowTarget => vec![(ClockTime::ZERO, FaultStep::SlowTarget)],
         LoadVariant::ColdStart => vec![(third, FaultStep::ReplaceCold)],
         LoadVariant::ThirdDraining => {
@@ -51,6 +55,9 @@
             // In the middle of a burst, where the workload has bursts.
             vec![(third.after(Duration::from_millis(100)), FaultStep::KillInstance)]
         }
+        LoadVariant::HalfShedding => {
+            vec![(third, FaultStep::ShedHalf), (two_thirds, FaultStep::TakeHalf)]
+        }
         LoadVariant::SplitViews => {
             vec![(third, FaultStep::SplitViews), (two_thirds, FaultStep::JoinViews)]
         }
@@ -69,6 +76,8 @@
             }
             FaultStep::DrainThird => self.set_draining(true),
             FaultStep::OpenThird => self.set_draining(false),
+            FaultStep::ShedHalf => self.set_shedding(true),
+            FaultStep::TakeHalf => self.set_shedding(false),
             FaultStep::KillInstance => self.kill_instance(),
             FaultStep::SplitViews => {
                 self.split = true;
@@ -91,6 +100,12 @@
         self.processes.push(process);
     }
 
+    pub(crate) fn set_shedding(&mut self, sheds: bool) {
+        for target in 0..self.specs.len() / 2 {
+            self.processes[self.current[target]].sheds = sheds;
+        }
+    }
+
     pub(crate) fn set_draining(&mut self, draining: bool) {
         for target in 0..self.specs.len() / 3 {
             self.specs[target].draining = draining;
--- a/crates/foxledge-bench/src/main.rs
+++ b/crates/foxledge-bench/src/main.rs
@@ -5,7 +5,7 @@
 use anyhow::{Context, Result};
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
 use foxledge_bench::{
-    cost::{cost_figures, cost_table},
+    cost::{cost_figures, cost_table, memory_figures, memory_table},
     figures::figure_line,
     sweep::{SweepChoice, run_sweep, sweep_plans, sweep_table},
 };
@@ -64,7 +64,7 @@
 fn json_arg() -> Arg {
     Arg::new("json")
         .long("json")
-        .help("File that gets the results as JSON lines with the command and seed")
+        .help("File, or - for the terminal, that gets the figures as JSON lines with command and seed")
         .value_parser(value_parser!(PathBuf))
 }
 
@@ -86,7 +86,10 @@
     let seed = number(matches, "seed");
     let figures = cost_figures(number(matches, "rounds"), seed);
     print!("{}", cost_table(&figures));
-    write_lines(matches, figures.iter().map(|figure| figure_line(seed, figure)))
+    let memory = memory_figures(seed)?;
+    print!("\n{}", memory_table(&memory));
+    let costs = figures.iter().map(|figure| figure_line(seed, figure));
+    write_lines(matches, costs.chain(memory.iter().map(|figure| figure_line(seed, figure))))
 }
 
 fn write_lines(matches: &ArgMatches, lines: impl Iterator<Item = Result<String>>) -> Result<()> {
@@ -94,6 +97,10 @@
         return Ok(());
     };
     let lines = lines.collect::<Result<Vec<_>>>()?;
+    if path.as_os_str() == "-" {
+        print!("{}", lines.concat());
+        return Ok(());
+    }
     fs::write(path, lines.concat()).with_context(|| format!("can't write {}", path.display()))
 }
 
--- a/crates/foxledge-bench/src/targets.rs
+++ b/crates/foxledge-bench/src/targets.rs
@@ -20,6 +20,8 @@
     pub incarnation: u64,
     /// Leaves: takes nothing new.
     pub draining: bool,
+    /// Sheds all that comes and reports to be idle.
+    pub sheds: bool,
     /// Runs slowly and reports to be idle.
     pub lies_idle: bool,
     /// Cold until then.
@@ -80,6 +82,7 @@
         SimTarget {
             incarnation,
             draining: false,
+            sheds: false,
             lies_idle: false,
             cold_until: ClockTime::ZERO,
             slots,
@@ -98,7 +101,7 @@
         if let Some(&state) = self.known.get(&job.dispatch) {
             return JobStart::Known(state);
         }
-        if self.draining {
+        if self.draining || self.sheds {
             self.known.insert(job.dispatch, JobState::NotRun);
             return JobStart::Shed;
         }
@@ -149,8 +152,9 @@
 
     /// Its load at this moment, as it says.
     pub fn load(&self, now: ClockTime) -> TargetLoad {
-        let busy_slots = if self.lies_idle { 0 } else { self.busy };
-        let queued = if self.lies_idle { 0 } else { self.waiting.len() as u32 };
+        let lies = self.lies_idle || self.sheds;
+        let busy_slots = if lies { 0 } else { self.busy };
+        let queued = if lies { 0 } else { self.waiting.len() as u32 };
         TargetLoad {
             busy_slots,
             connections: 0,
--- a/crates/foxledge-bench/src/workloads.rs
+++ b/crates/foxledge-bench/src/workloads.rs
@@ -62,13 +62,17 @@
     ThirdDraining,
     /// An instance that holds homes is killed.
     InstanceKilled,
+    /// All members have the same paid priority, which shows the place alone.
+    OnePriority,
+    /// Half of the targets shed all that comes for a while, and call themselves idle.
+    HalfShedding,
     /// Half of the instances take another one for the home for a while.
     SplitViews,
 }
 
 impl LoadVariant {
     /// Every variant.
-    pub const ALL: [LoadVariant; 7] = [
+    pub const ALL: [LoadVariant; 9] = [
         LoadVariant::Plain,
         LoadVariant::GreedyMember,
         LoadVariant::SlowTarget,
@@ -76,6 +80,8 @@
         LoadVariant::ThirdDraining,
         LoadVariant::InstanceKilled,
         LoadVariant::SplitViews,
+        LoadVariant::OnePriority,
+        LoadVariant::HalfShedding,
     ];
 
     /// The word used on the command line.
@@ -88,6 +94,8 @@
             LoadVariant::ThirdDraining => "third-draining",
             LoadVariant::InstanceKilled => "instance-killed",
             LoadVariant::SplitViews => "split-views",
+            LoadVariant::OnePriority => "one-priority",
+            LoadVariant::HalfShedding => "half-shedding",
         }
     }
 }
--- a/crates/foxledge-bench/src/world.rs
+++ b/crates/foxledge-bench/src/world.rs
@@ -258,13 +258,15 @@
         }
         let measured = now > ClockTime::ZERO.after(WARM_UP) && now <= end;
         if measured {
-            let open = |target: &usize| !self.specs[*target].draining;
+            let open = |target: &usize| {
+                !self.specs[*target].draining && !self.processes[self.current[*target]].sheds
+            };
             let busy: Vec<_> = (0..busy.len()).filter(open).map(|target| busy[target]).collect();
             self.report.add_window(&busy);
             let mut slots = 0.0;
             for &process in &self.current {
                 let target = &self.processes[process];
-                if !target.draining {
+                if !target.draining && !target.sheds {
                     slots += f64::from(self.plan.load.slots) / target.slowness(now);
                 }
             }
--- a/crates/foxledge-policy/src/health.rs
+++ b/crates/foxledge-policy/src/health.rs
@@ -20,9 +20,11 @@
 // What was seen of a target outweighs what it says of its health this long.
 const SEEN_LIFE: Duration = Duration::from_secs(1);
 // Doublings of ejection times and of shed holds.
-const MOST_DOUBLINGS: u32 = 4;
+const MOST_DOUBLINGS: u32 = 5;
 // How often the slots counted are compared with those reported.
 const REVIEW_PERIOD: Duration = Duration::from_millis(500);
+// Sheds in a row after which a target gets one work at a time.
+const SHEDS_ON: u32 = 2;
 // Probes without any answer after which a target counts as silent.
 const MISSED_PROBES: u32 = 3;
 
@@ -117,9 +119,15 @@
 
     /// The target had no room: it is left alone for a while, and a report that
     /// it is idle isn't believed.
-    pub fn on_shed(&mut self, now: ClockTime, options: &DeskOptions) {
+    ///
+    /// While it sheds on, the hold doubles, from the time in which a slot may
+    /// have become free. Else each new try at it would use up the retry budget,
+    /// and work of the highest priority would be refused for want of a retry.
+    pub fn on_shed(&mut self, now: ClockTime, usual_run: Duration, options: &DeskOptions) {
         let doublings = self.sheds.min(MOST_DOUBLINGS);
-        self.shed_until = now.after(options.shed_hold * 2u32.pow(doublings));
+        let hold = options.shed_hold.max(usual_run / 2);
+        let hold = if options.shed_hold.is_zero() { Duration::ZERO } else { hold };
+        self.shed_until = now.after(hold * 2u32.pow(doublings));
         self.sheds = self.sheds.saturating_add(1);
         self.distrust_until = now.after(options.report_life);
     }
@@ -186,6 +194,11 @@
         !self.shed_until.is_past(now)
     }
 
+    /// True when the target has shed all that it got lately.
+    pub fn sheds_on(&self) -> bool {
+        self.sheds >= SHEDS_ON
+    }
+
     /// True when the target calls itself unhealthy and nothing seen lately
     /// speaks against that.
     pub fn is_doubtful(&self, now: ClockTime) -> bool {
--- a/crates/foxledge-policy/src/running.rs
+++ b/crates/foxledge-policy/src/running.rs
@@ -117,7 +117,7 @@
         if reason == RefuseReason::TargetShed
             && let Some(entry) = self.table.get_mut(running.target)
         {
-            entry.health.on_shed(now, &self.options);
+            entry.health.on_shed(now, self.times.usual_slot(), &self.options);
         }
         if reason == RefuseReason::WrongTarget {
             self.blame(now, running.target, effects);
--- a/crates/foxledge-policy/src/targets.rs
+++ b/crates/foxledge-policy/src/targets.rs
@@ -320,10 +320,12 @@
         }
     }
 
-    // A cold or new target gets half its slots, a slow one on trial a single one.
+    // A cold or new target gets half its slots, a slow one on trial or one that
+    // sheds a single one.
     fn allowed_slots(&self, now: ClockTime, options: &DeskOptions) -> u32 {
         let slots = self.spec.slots;
-        if self.health.wants_trial(now, options) {
+        let on_trial = self.health.wants_trial(now, options) || self.health.sheds_on();
+        if on_trial && !options.shed_hold.is_zero() {
             return slots.min(1);
         }
         if self.health.warmth(now, options) < 0.5 {
--- a/crates/foxledge-policy/tests/target_health.rs
+++ b/crates/foxledge-policy/tests/target_health.rs
@@ -145,10 +145,36 @@
     }
     let to_shedding = trial.sent.iter().filter(|sent| sent.2 == shedding).count();
     assert_eq!(to_shedding, 1);
+    // Half of the run time assumed at first, 50 ms.
     trial.pass(20);
+    assert_eq!(trial.sent.iter().filter(|sent| sent.2 == shedding).count(), 1);
+    trial.pass(10);
     assert!(trial.sent.iter().filter(|sent| sent.2 == shedding).count() > 1);
 }
 
+// Symptom: work of the highest priority is refused for want of a retry.
+// Sequence: one of two targets sheds all that comes, for seconds.
+// Cause: each slot that seemed free there was tried again and again.
+#[test]
+fn a_target_that_sheds_on_gets_one_try_now_and_then() {
+    let mut trial = DeskTrial::new(DeskOptions::new(), 2);
+    let mut tries = 0;
+    for id in 0..600 {
+        trial.offer(bid(&trial, id, "m"));
+        let mut sent = trial.sent.last().cloned().expect("the work was dispatched");
+        if sent.2 == "t0" {
+            tries += 1;
+            trial.signal(sent.1, TargetSignal::NotRun(RefuseReason::TargetShed));
+            sent = trial.sent.last().cloned().expect("the work was dispatched again");
+        }
+        assert_eq!((sent.0, sent.2.as_str()), (id, "t1"));
+        trial.pass(10);
+        trial.signal(sent.1, TargetSignal::Ended);
+    }
+    assert!(trial.refused.is_empty());
+    assert!((6..=25).contains(&tries), "{tries} tries in six seconds");
+}
+
 #[test]
 fn a_target_that_calls_itself_unhealthy_but_works_is_used() {
     let mut trial = DeskTrial::new(DeskOptions::new(), 3);
