--- /dev/null
+++ b/crates/foxledge-proofs/src/gate.rs
@@ -0,0 +1,70 @@
+//! Fleets that don't all run at once.
+
+use std::{
+    ops::{Deref, DerefMut},
+    sync::{Condvar, Mutex, MutexGuard, PoisonError},
+};
+
+use foxledge_fakes::harness::{FleetPlan, TestFleet};
+
+/// Fleets of one test binary that run at once.
+const MOST_FLEETS: usize = 3;
+
+static RUNNING: Mutex<usize> = Mutex::new(0);
+static ENDED: Condvar = Condvar::new();
+
+/// `GatedFleet` is a fleet that counts among those running at once.
+///
+/// A dozen fleets on one machine would starve each other; one would notice tests that fail only
+/// when they run together.
+pub struct GatedFleet {
+    fleet: TestFleet,
+    // Dropped after the fleet, whose processes have then ended.
+    _permit: FleetPermit,
+}
+
+impl GatedFleet {
+    /// Waits for its turn, then starts a fleet whose instances are all ready.
+    pub fn start(plan: FleetPlan) -> anyhow::Result<GatedFleet> {
+        let permit = FleetPermit::take();
+        Ok(GatedFleet { fleet: TestFleet::start(plan)?, _permit: permit })
+    }
+}
+
+impl Deref for GatedFleet {
+    type Target = TestFleet;
+
+    fn deref(&self) -> &TestFleet {
+        &self.fleet
+    }
+}
+
+impl DerefMut for GatedFleet {
+    fn deref_mut(&mut self) -> &mut TestFleet {
+        &mut self.fleet
+    }
+}
+
+struct FleetPermit;
+
+impl FleetPermit {
+    fn take() -> FleetPermit {
+        let mut running = lock();
+        while *running >= MOST_FLEETS {
+            running = ENDED.wait(running).unwrap_or_else(PoisonError::into_inner);
+        }
+        *running += 1;
+        FleetPermit
+    }
+}
+
+impl Drop for FleetPermit {
+    fn drop(&mut self) {
+        *lock() -= 1;
+        ENDED.notify_one();
+    }
+}
+
+fn lock() -> MutexGuard<'static, usize> {
+    RUNNING.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- a/crates/foxledge-proofs/src/lib.rs
+++ b/crates/foxledge-proofs/src/lib.rs
@@ -3,5 +3,6 @@
 //! [`once`] serves the promises that a request runs once, that "not run" is true and that answers
 //! come from the right service; [`lasting`] those that feeds, rule lists and planned stops last.
 
+pub mod gate;
 pub mod lasting;
 pub mod once;
