Say in the desk's options what switches a check or a hold off

Cause: a check every Duration::MAX came out right only because its microseconds wrapped to the largest number. Ruled out: none needed. Before and after: the same behaviour; all tests of the crate pass. Conclusion: the next check is far when checks are off, in so many words.

--- a/crates/foxledge-policy/src/admission.rs
+++ b/crates/foxledge-policy/src/admission.rs
@@ -3,7 +3,6 @@
 use std::{sync::Arc, time::Duration};
 
 use foxledge_core::{lists::FullAction, names::MemberName, time::ClockTime, traffic::TrafficKind};
-
 use rand::Rng;
 
 use crate::{
@@ -27,7 +26,6 @@
 // Usual run times that must be left at the start: of exponential ones, 98 in
 // 100 then end in time.
 const RESERVE_RUNS: u32 = 4;
-
 // Part of the slots that is kept free of excess work.
 const RESERVED_PART: f64 = 0.04;
 
--- a/crates/foxledge-policy/src/health.rs
+++ b/crates/foxledge-policy/src/health.rs
@@ -124,9 +124,11 @@
     /// have become free. Else each new try at it would use up the retry budget,
     /// and work of the highest priority would be refused for want of a retry.
     pub fn on_shed(&mut self, now: ClockTime, usual_run: Duration, options: &DeskOptions) {
+        if options.shed_hold.is_zero() {
+            return;
+        }
         let doublings = self.sheds.min(MOST_DOUBLINGS);
         let hold = options.shed_hold.max(usual_run / 2);
-        let hold = if options.shed_hold.is_zero() { Duration::ZERO } else { hold };
         self.shed_until = now.after(hold * 2u32.pow(doublings));
         self.sheds = self.sheds.saturating_add(1);
         self.distrust_until = now.after(options.report_life);
--- a/crates/foxledge-policy/src/options.rs
+++ b/crates/foxledge-policy/src/options.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use foxledge_core::time::ClockTime;
+
 /// `DeskOptions` are the settings of a desk, with defaults for targets of two slots.
 #[derive(Clone, Debug, PartialEq)]
 pub struct DeskOptions {
@@ -70,6 +72,12 @@
         DeskOptions::default()
     }
 
+    /// When accepted work is asked about next.
+    pub(crate) fn next_check(&self, now: ClockTime, is_feed: bool) -> ClockTime {
+        let period = if is_feed { self.feed_check } else { self.run_check };
+        if period == Duration::MAX { ClockTime::FAR } else { now.after(period) }
+    }
+
     /// True when accepted work is asked about.
     pub(crate) fn checks_runs(&self) -> bool {
         self.run_check != Duration::MAX
@@ -115,7 +123,8 @@
         eject_time: Duration,
         /// How long a new target gets less.
         slow_start: Duration,
-        /// How long a target that shed is left alone; it doubles while it sheds.
+        /// How long a target that shed is left alone at least; it doubles while it
+        /// sheds. With zero it isn't left alone at all.
         shed_hold: Duration,
         /// A target this many times slower than the median gets less.
         slow_pace: f64,
--- a/crates/foxledge-policy/src/running.rs
+++ b/crates/foxledge-policy/src/running.rs
@@ -75,16 +75,15 @@
             if running.caller == CallerState::Answered {
                 return;
             }
-            let mut period = options.run_check;
-            if running.pending.item.is_feed() {
-                period = options.feed_check;
+            let is_feed = running.pending.item.is_feed();
+            if is_feed {
                 // A feed's deadline is for its opening; it then stays open.
                 running.lease_deadline = ClockTime::FAR;
             }
             running.resend_deadline = now.after(options.resend_window);
             running.phase = DispatchPhase::Accepted;
             running.unanswered = 0;
-            running.check_at = now.after(period);
+            running.check_at = options.next_check(now, is_feed);
         });
     }
 
--- a/crates/foxledge-policy/src/targets.rs
+++ b/crates/foxledge-policy/src/targets.rs
@@ -325,7 +325,7 @@
     fn allowed_slots(&self, now: ClockTime, options: &DeskOptions) -> u32 {
         let slots = self.spec.slots;
         let on_trial = self.health.wants_trial(now, options) || self.health.sheds_on();
-        if on_trial && !options.shed_hold.is_zero() {
+        if on_trial {
             return slots.min(1);
         }
         if self.health.warmth(now, options) < 0.5 {
