Show that a woken process's news brings no dead back

Cause: that the tombstone holds against stale news was said, but not tested apart from the listing. Before: no test; outlines were compared through copies of whole records. After: test news_of_a_woken_process_brings_no_dead_back; outlines compared by the table's own order.

--- a/crates/foxledge-members/src/membership/deaths.rs
+++ b/crates/foxledge-members/src/membership/deaths.rs
@@ -5,7 +5,7 @@
 use foxledge_core::time::ClockTime;
 
 use super::Membership;
-use crate::{MemberEffect, rings::successors};
+use crate::{MemberEffect, rings::successors, table::MergeOutcome};
 
 /// Longer wait before a death, for each instance under suspicion.
 ///
@@ -50,7 +50,7 @@
             let Some(entry) = self.table.get(&name) else { continue };
             let refutation = entry.info.refutation;
             let outcome = self.table.suspect(&name, refutation, dead_deadline);
-            if let crate::table::MergeOutcome::Changed(old) = outcome {
+            if let MergeOutcome::Changed(old) = outcome {
                 self.note_change(now, &name, old, "no answer", "observation", effects);
             }
         }
--- a/crates/foxledge-members/src/membership/exchange.rs
+++ b/crates/foxledge-members/src/membership/exchange.rs
@@ -13,6 +13,7 @@
 };
 
 use super::Membership;
+use crate::table::claim_order;
 
 /// Time for which tables may differ before they are exchanged: news is faster.
 const SETTLE_TIME: Duration = Duration::from_secs(2);
@@ -175,9 +176,8 @@
 }
 
 fn is_newer(peer: &PeerInfo, outline: &PeerRecord) -> bool {
-    let held = convert::peer_record(peer);
-    // The states' numbers on the wire rise as the order of claims does, but for
-    // a suspect that leaves; a record too many does no harm.
-    let order = |record: &PeerRecord| (record.incarnation, record.refutation, record.state);
-    order(&held) > order(outline)
+    let (incarnation, refutation, rank) = claim_order(peer);
+    // The states' numbers on the wire are their ranks among claims, counted from 1.
+    let held = (incarnation, refutation, i32::from(rank) + 1);
+    held > (outline.incarnation, outline.refutation, outline.state)
 }
--- a/crates/foxledge-members/tests/member_faults.rs
+++ b/crates/foxledge-members/tests/member_faults.rs
@@ -107,6 +107,25 @@
     assert!(fleet.agrees());
 }
 
+#[test]
+fn news_of_a_woken_process_brings_no_dead_back() {
+    // Symptom: homes go to an instance that died half a minute ago.
+    // Sequence: one process freezes, another dies and is given up, the first one wakes.
+    // Cause: what the woken one still believes is taken for news.
+    let mut fleet = settled(21, 9);
+    fleet.freeze(3, seconds(30));
+    fleet.run(seconds(1));
+    fleet.kill(5);
+    fleet.run(seconds(28));
+    let is_back =
+        |fleet: &Fleet| [0, 1, 2, 4, 6, 7, 8].iter().any(|by| fleet.seen(*by, 5).is_some());
+    for _ in 0..200 {
+        assert!(!is_back(&fleet));
+        fleet.run(Duration::from_millis(50));
+    }
+    assert!(fleet.agrees(), "the woken one has given it up too");
+}
+
 #[test]
 fn a_stale_listing_brings_nobody_back_and_an_empty_one_kills_nobody() {
     // Symptom: an instance long gone gets homes, or all instances are dropped.
