Keep each target once in a kept part

Cause: a kept part had each target twice, in its draft and in its service, beside three spots of 24 bytes; each check walked over 184 bytes a target. Ruled out: dropping lines (findings across parts need them), reading again for findings (a refused list would cost a reading of all of it). After: drafts of targets have 72 bytes and point into their service.

--- a/crates/foxledge-rules/src/assembler.rs
+++ b/crates/foxledge-rules/src/assembler.rs
@@ -206,9 +206,9 @@
     if scattered.is_empty() {
         return scattered;
     }
-    for (_, target) in draft.targets() {
+    for (part, target) in draft.targets() {
         if let Some(targets) = scattered.get_mut(&target.service) {
-            targets.push(target.target.clone());
+            targets.extend(draft.parts[part].target(target).cloned());
         }
     }
     scattered
--- a/crates/foxledge-rules/src/checks.rs
+++ b/crates/foxledge-rules/src/checks.rs
@@ -5,7 +5,6 @@
     collections::{HashMap, HashSet, hash_map::Entry},
     fmt,
     hash::Hash,
-    net::{IpAddr, SocketAddr},
 };
 
 use foxledge_core::{
@@ -59,7 +58,7 @@
     let mut names = NameBook::new();
     for (part, rule) in draft.rules() {
         if let Some(name) = &rule.name {
-            names.enter(sources, name, part, &rule.name_spot);
+            names.enter(sources, name, part, rule.name_spot);
         }
     }
 }
@@ -151,22 +150,22 @@
 }
 
 /// `NameBook` knows what names were given, and where first.
-struct NameBook<'a, N> {
-    first: HashMap<N, (usize, &'a PartSpot)>,
+struct NameBook<N> {
+    first: HashMap<N, (usize, PartSpot)>,
 }
 
-impl<'a, N: Eq + Hash + Clone + std::fmt::Display> NameBook<'a, N> {
-    fn new() -> NameBook<'a, N> {
+impl<N: Eq + Hash + fmt::Display> NameBook<N> {
+    fn new() -> NameBook<N> {
         NameBook { first: HashMap::new() }
     }
 
     /// Enters a name; one that was entered before is a finding.
-    fn enter(&mut self, sources: &ListSources<'_>, name: N, part: usize, spot: &'a PartSpot) {
+    fn enter(&mut self, sources: &ListSources<'_>, name: N, part: usize, spot: PartSpot) {
         match self.first.entry(name) {
             Entry::Occupied(entry) => {
                 let (earlier_part, earlier) = *entry.get();
-                let spot = ListSpot { part, spot: *spot };
-                let earlier = ListSpot { part: earlier_part, spot: *earlier };
+                let spot = ListSpot { part, spot };
+                let earlier = ListSpot { part: earlier_part, spot: earlier };
                 sources.add_repeat(spot, entry.key(), earlier);
             }
             Entry::Vacant(entry) => {
@@ -179,11 +178,11 @@
 fn check_members_and_keys(sources: &ListSources<'_>, draft: ListDraft<'_>) {
     let mut members = NameBook::new();
     for (part, member) in draft.members() {
-        members.enter(sources, &member.member.name, part, &member.spot);
+        members.enter(sources, &member.member.name, part, member.spot);
     }
     let mut keys = NameBook::new();
     for (part, key) in draft.keys() {
-        keys.enter(sources, key.key.id, part, &key.spot);
+        keys.enter(sources, key.key.id, part, key.spot);
     }
     if draft.keys().next().is_none() {
         sources.add_whole("has no [[key]], so no ticket could be sealed");
@@ -194,7 +193,7 @@
 /// to the other; callers would see answers of the wrong service.
 fn check_targets(sources: &ListSources<'_>, draft: ListDraft<'_>) {
     let names = draft.targets().map(|(_, target)| target.name_digest);
-    let addresses = draft.targets().map(|(_, target)| address_digest(target.target.address));
+    let addresses = draft.targets().map(|(_, target)| target.address_digest);
     if !all_differ(names) || !all_differ(addresses) {
         note_target_repeats(sources, draft);
     }
@@ -205,9 +204,10 @@
     let mut names = NameBook::new();
     let mut addresses = NameBook::new();
     for (part, target) in draft.targets() {
-        let name = TargetKey { service: &target.service, target: &target.target.name };
-        names.enter(sources, name, part, &target.name_spot);
-        addresses.enter(sources, target.target.address, part, &target.address_spot);
+        let Some(spec) = draft.parts[part].target(target) else { continue };
+        let name = TargetKey { service: &target.service, target: &spec.name };
+        names.enter(sources, name, part, target.name_spot());
+        addresses.enter(sources, spec.address, part, target.address_spot());
     }
 }
 
@@ -226,7 +226,7 @@
         for (part, target) in draft.targets() {
             if !counts.contains_key(&target.service) {
                 let text = format!("no service \"{}\"", target.service);
-                sources.add(part, &target.service_spot, text);
+                sources.add(part, &target.service_spot(), text);
             }
         }
     }
@@ -250,15 +250,6 @@
     digest_of(name.as_bytes())
 }
 
-/// A number that is equal for equal addresses.
-fn address_digest(address: SocketAddr) -> u64 {
-    let ip = match address.ip() {
-        IpAddr::V4(ip) => u64::from(u32::from(ip)),
-        IpAddr::V6(ip) => digest_of(&ip.octets()),
-    };
-    ip.rotate_left(u16::BITS) ^ u64::from(address.port())
-}
-
 /// `TargetKey` is the name of a target in its service.
 #[derive(Clone, Copy, PartialEq, Eq, Hash)]
 struct TargetKey<'a> {
@@ -286,10 +277,10 @@
     let mut addresses = NameBook::new();
     for (part, service) in draft.services() {
         for (address, spot) in &service.addresses {
-            addresses.enter(sources, address, part, spot);
+            addresses.enter(sources, address, part, *spot);
         }
         if let Some(name) = &service.name {
-            names.enter(sources, name, part, &service.name_spot);
+            names.enter(sources, name, part, service.name_spot);
         }
     }
 }
--- a/crates/foxledge-rules/src/draft.rs
+++ b/crates/foxledge-rules/src/draft.rs
@@ -7,7 +7,7 @@
     names::{RuleName, ServiceAddress, ServiceName},
 };
 
-use crate::spots::PartSpot;
+use crate::spots::{FieldPath, PartSpot, RowPath};
 
 /// `PartDraft` is everything that could be read of one part.
 ///
@@ -37,6 +37,17 @@
         self.keys.shrink_to_fit();
     }
 
+    /// The target of one of the part's drafts.
+    pub(crate) fn target<'a>(&'a self, draft: &'a TargetDraft) -> Option<&'a TargetSpec> {
+        match &draft.place {
+            TargetPlace::Here(target) => Some(target),
+            TargetPlace::Service { service, target } => {
+                let spec = self.services.get(*service as usize)?.spec.as_ref()?;
+                spec.targets.get(*target as usize)
+            }
+        }
+    }
+
     /// Services of other parts that this part has targets of.
     pub(crate) fn foreign_services(&self) -> impl Iterator<Item = &ServiceName> {
         let foreign = self.counts.iter().filter(|count| count.home == CountHome::OtherPart);
@@ -169,15 +180,48 @@
 }
 
 /// `TargetDraft` is one target and the service that it belongs to.
+///
+/// Small, as there are tens of thousands of them and each check walks over all.
 #[derive(Debug)]
 pub(crate) struct TargetDraft {
-    pub(crate) name_spot: PartSpot,
+    pub(crate) row: RowPath,
+    pub(crate) name_line: u32,
+    pub(crate) address_line: u32,
+    pub(crate) service_line: u32,
     pub(crate) service: ServiceName,
-    pub(crate) service_spot: PartSpot,
-    pub(crate) target: TargetSpec,
-    pub(crate) address_spot: PartSpot,
     /// Equal for equal names of a service and its target.
     pub(crate) name_digest: u64,
+    /// Equal for equal addresses.
+    pub(crate) address_digest: u64,
+    pub(crate) place: TargetPlace,
+}
+
+/// `TargetPlace` is where in a part's draft a target is.
+#[derive(Debug)]
+pub(crate) enum TargetPlace {
+    /// In the `spec` of a service of the part, by their indices.
+    Service { service: u32, target: u32 },
+    /// Here; the service stands in another part.
+    Here(Box<TargetSpec>),
+}
+
+impl TargetDraft {
+    pub(crate) fn name_spot(&self) -> PartSpot {
+        PartSpot { line: self.name_line, row: self.row, field: FieldPath::Name }
+    }
+
+    pub(crate) fn address_spot(&self) -> PartSpot {
+        PartSpot { line: self.address_line, row: self.row, field: FieldPath::Address }
+    }
+
+    /// Where the service is named: by the target, or by the service around it.
+    pub(crate) fn service_spot(&self) -> PartSpot {
+        let field = match self.row {
+            RowPath::Inner(..) => FieldPath::Row,
+            _ => FieldPath::Service,
+        };
+        PartSpot { line: self.service_line, row: self.row, field }
+    }
 }
 
 /// `MemberDraft` is one member.
--- a/crates/foxledge-rules/src/parts.rs
+++ b/crates/foxledge-rules/src/parts.rs
@@ -4,13 +4,14 @@
     borrow::Borrow,
     collections::{HashMap, HashSet},
     hash::Hash,
+    net::{IpAddr, SocketAddr},
     str::FromStr,
     sync::Arc,
 };
 
 use foxledge_core::{
     findings::Finding,
-    hash::rendezvous_weight,
+    hash::{digest_of, rendezvous_weight},
     lists::{FlowMatch, FullAction, KeySpec, MemberSpec, PaidPriority, TargetSpec},
     names::{CentreName, MemberName, RuleName, ServiceAddress, ServiceName, TargetName},
     traffic::TrafficKind,
@@ -20,7 +21,7 @@
 use crate::{
     draft::{
         CountHome, KeyDraft, MemberDraft, PartDraft, PartFinding, RuleDraft, ServeDraft,
-        ServiceDraft, TargetCount, TargetDraft, ThenDraft,
+        ServiceDraft, TargetCount, TargetDraft, TargetPlace, ThenDraft,
     },
     secrets::parse_secret,
     spots::{FieldPath, PartSpot, RowPath},
@@ -55,27 +56,44 @@
 
 /// Makes each service with the targets that its part has of it, and counts targets.
 fn add_specs(draft: &mut PartDraft) {
-    let mut targets: HashMap<&ServiceName, Vec<TargetSpec>> = HashMap::new();
-    for target in &draft.targets {
-        targets.entry(&target.service).or_default().push(target.target.clone());
+    let mut numbers: HashMap<&ServiceName, u32> = HashMap::new();
+    for (number, service) in (0..).zip(&draft.services) {
+        // A name given twice is a finding of the whole list, so that it doesn't
+        // matter that a second service of the name gets no targets here.
+        if let Some(name) = &service.name {
+            numbers.entry(name).or_insert(number);
+        }
     }
-    for service in &mut draft.services {
-        let Some(name) = &service.name else { continue };
-        // A name given twice is a finding of the whole list, so that what a second
-        // service of the name gets here is never used.
-        let targets = targets.remove(name).unwrap_or_default();
-        if !targets.is_empty() {
-            let home = CountHome::SamePart;
-            let count = TargetCount { service: name.clone(), targets: targets.len(), home };
-            draft.counts.push(count);
+    let mut targets: Vec<Vec<TargetSpec>> = Vec::new();
+    targets.resize_with(draft.services.len(), Vec::new);
+    let mut foreign: HashMap<&ServiceName, usize> = HashMap::new();
+    for target in &mut draft.targets {
+        let Some(service) = numbers.get(&target.service).copied() else {
+            *foreign.entry(&target.service).or_default() += 1;
+            continue;
+        };
+        let own = &mut targets[service as usize];
+        let place = TargetPlace::Service { service, target: own.len() as u32 };
+        if let TargetPlace::Here(spec) = std::mem::replace(&mut target.place, place) {
+            own.push(*spec);
         }
-        service.spec = Some(Arc::new(service.to_spec(name, targets)));
     }
-    for (name, targets) in targets {
-        let home = CountHome::OtherPart;
-        let count = TargetCount { service: name.clone(), targets: targets.len(), home };
-        draft.counts.push(count);
+    let foreign = foreign.into_iter().map(|(service, targets)| TargetCount {
+        service: service.clone(),
+        targets,
+        home: CountHome::OtherPart,
+    });
+    let mut counts: Vec<_> = foreign.collect();
+    for (service, mut targets) in draft.services.iter_mut().zip(targets) {
+        let Some(name) = service.name.clone() else { continue };
+        targets.shrink_to_fit();
+        if !targets.is_empty() {
+            let (service, targets) = (name.clone(), targets.len());
+            counts.push(TargetCount { service, targets, home: CountHome::SamePart });
+        }
+        service.spec = Some(Arc::new(service.to_spec(&name, targets)));
     }
+    draft.counts = counts;
 }
 
 fn findings_of(notes: SourceNotes) -> Vec<PartFinding> {
@@ -210,7 +228,7 @@
         let shards = table.number_or("shards", 1..=MAX_SHARDS, 1) as u32;
         for inner in table.tables("target") {
             let row = RowPath::Inner(index, index_of(inner.place()));
-            let target = self.read_target_of(&inner, name.clone(), spot_of(&inner, row));
+            let target = self.read_target_of(&inner, row, name.clone(), inner.place().line);
             self.draft.targets.extend(target);
         }
         table.finish();
@@ -233,16 +251,16 @@
         let row = RowPath::Target(index_of(table.place()));
         let service = table.require("service", table.name("service"));
         let service = service.map(|name| self.services.share(name));
-        let spot = PartSpot::new(&table.place_of("service"), row, FieldPath::Service);
-        let target = self.read_target_of(table, service, spot);
+        let target = self.read_target_of(table, row, service, table.place_of("service").line);
         self.draft.targets.extend(target);
     }
 
     fn read_target_of(
         &mut self,
         table: &TableReader<'_>,
+        row: RowPath,
         service: Option<ServiceName>,
-        service_spot: PartSpot,
+        service_line: usize,
     ) -> Option<TargetDraft> {
         let name = table.require("name", table.name("name"));
         let address = table.require("address", table.address("address"));
@@ -264,15 +282,16 @@
             connections,
             draining,
         };
-        let row = service_spot.row;
         let service = service?;
         Some(TargetDraft {
+            row,
+            name_line: table.place_of("name").line as u32,
+            address_line: table.place_of("address").line as u32,
+            service_line: service_line as u32,
             name_digest: rendezvous_weight(&service, &target.name),
-            name_spot: PartSpot::new(&table.place_of("name"), row, FieldPath::Name),
+            address_digest: address_digest(target.address),
             service,
-            service_spot,
-            target,
-            address_spot: PartSpot::new(&table.place_of("address"), row, FieldPath::Address),
+            place: TargetPlace::Here(Box::new(target)),
         })
     }
 
@@ -349,3 +368,12 @@
 fn index_of(place: &Place) -> u32 {
     place.path.index().unwrap_or_default() as u32
 }
+
+/// A number that is equal for equal addresses.
+fn address_digest(address: SocketAddr) -> u64 {
+    let ip = match address.ip() {
+        IpAddr::V4(ip) => u64::from(u32::from(ip)),
+        IpAddr::V6(ip) => digest_of(&ip.octets()),
+    };
+    ip.rotate_left(u16::BITS) ^ u64::from(address.port())
+}
