Measure workloads over real processes

Ruled out: the daemon's process_cpu_seconds_total for short runs (it counts whole seconds); /proc of the process is read instead. Before: only the demo.

--- a/crates/foxledge-bench/src/lib.rs
+++ b/crates/foxledge-bench/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod events;
 pub mod faults;
 pub mod figures;
+pub mod fleet;
 pub mod places;
 pub mod report;
 pub mod sweep;
--- a/crates/foxledge-bench/src/main.rs
+++ b/crates/foxledge-bench/src/main.rs
@@ -7,6 +7,7 @@
 use foxledge_bench::{
     cost::{cost_figures, cost_table, memory_figures, memory_table},
     figures::figure_line,
+    fleet::{FleetChoice, fleet_table, load_by_name, mishap_by_name, run_fleet},
     sweep::{SweepChoice, run_sweep, sweep_plans, sweep_table},
 };
 
@@ -15,6 +16,7 @@
     match matches.subcommand() {
         Some(("sweep", matches)) => sweep(matches),
         Some(("cost", matches)) => cost(matches),
+        Some(("fleet", matches)) => fleet(matches),
         _ => Ok(()),
     }
 }
@@ -27,6 +29,7 @@
         .arg_required_else_help(true)
         .subcommand(sweep_command())
         .subcommand(cost_command())
+        .subcommand(fleet_command())
 }
 
 fn sweep_command() -> Command {
@@ -53,6 +56,30 @@
         .arg(json_arg())
 }
 
+fn fleet_command() -> Command {
+    Command::new("fleet")
+        .about("Runs a workload over real processes on loopback")
+        .arg(text_arg("workload", "lakeshore", "lakeshore or berovo"))
+        .arg(
+            text_arg("level", "0.5", "Load relative to what the desk's slots can carry")
+                .value_parser(value_parser!(f64)),
+        )
+        .arg(text_arg(
+            "mishap",
+            "none",
+            "What happens halfway: none, kill, freeze, replace-all, platform-down, cut-halves, flood",
+        ))
+        .arg(number_arg("instances", "3", "Instances in each data centre"))
+        .arg(number_arg("seconds", "10", "How long callers send"))
+        .arg(number_arg("seed", "1", "Seed of callers, fabrics and backend servers"))
+        .arg(text_arg("settings", "", "TOML laid over the settings of every instance"))
+        .arg(json_arg())
+}
+
+fn text_arg(name: &'static str, default: &'static str, help: &'static str) -> Arg {
+    Arg::new(name).long(name).help(help).default_value(default)
+}
+
 fn choice_arg(name: &'static str, help: &'static str) -> Arg {
     Arg::new(name).long(name).help(help).action(ArgAction::Append).value_delimiter(',')
 }
@@ -92,6 +119,25 @@
     write_lines(matches, costs.chain(memory.iter().map(|figure| figure_line(seed, figure))))
 }
 
+fn fleet(matches: &ArgMatches) -> Result<()> {
+    let choice = FleetChoice {
+        load: load_by_name(&text(matches, "workload"))?,
+        level: matches.get_one("level").copied().unwrap_or_default(),
+        mishap: mishap_by_name(&text(matches, "mishap"))?,
+        instances: number(matches, "instances") as usize,
+        seconds: number(matches, "seconds"),
+        seed: number(matches, "seed"),
+        settings: text(matches, "settings"),
+    };
+    let figure = run_fleet(&choice)?;
+    print!("{}", fleet_table(&figure));
+    write_lines(matches, std::iter::once(figure_line(choice.seed, &figure)))
+}
+
+fn text(matches: &ArgMatches, name: &str) -> String {
+    matches.get_one::<String>(name).cloned().unwrap_or_default()
+}
+
 fn write_lines(matches: &ArgMatches, lines: impl Iterator<Item = Result<String>>) -> Result<()> {
     let Some(path) = matches.get_one::<PathBuf>("json") else {
         return Ok(());
--- a/crates/foxledge-daemon/src/metrics.rs
+++ b/crates/foxledge-daemon/src/metrics.rs
@@ -4,7 +4,7 @@
 
 use prometheus::{
     Encoder, Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge,
-    IntGaugeVec, Opts, Registry, TextEncoder, core::Collector,
+    IntGaugeVec, Opts, Registry, TextEncoder, core::Collector, process_collector::ProcessCollector,
 };
 
 const ADMISSION_BUCKETS: [f64; 12] =
@@ -151,6 +151,7 @@
             Box::new(self.unfinished.clone()),
             Box::new(self.part_restarts.clone()),
             Box::new(self.call_failures.clone()),
+            Box::new(ProcessCollector::for_self()),
         ];
         for collector in collectors {
             self.registry.register(collector).expect("metric names differ");
--- a/crates/foxledge-fakes/src/harness/processes.rs
+++ b/crates/foxledge-fakes/src/harness/processes.rs
@@ -64,6 +64,11 @@
         &self.name
     }
 
+    /// Its process id.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// What it has printed so far.
     pub fn log_text(&self) -> String {
         fs::read_to_string(&self.log_path).unwrap_or_default()
