Try a target again that calls itself unhealthy

Cause: a target whose reports mislead was doubted until an answer showed it well, and got no work that could be answered. Ruled out: the floor of half the targets, which holds when all are doubted at once, not when one of two is. The proof now waits until each server has its share again, twice over; it looked at one second of it before, shorter than the doubt lasts.

--- a/crates/foxledge-policy/src/health.rs
+++ b/crates/foxledge-policy/src/health.rs
@@ -19,6 +19,10 @@
 const PACE_MOST: f64 = 20.0;
 // What was seen of a target outweighs what it says of its health this long.
 const SEEN_LIFE: Duration = Duration::from_secs(1);
+// A target's word that it is unhealthy is believed this long, then it gets a
+// trial. Only work can show that the word was wrong; without trials a target
+// that misleads would stay out for good, and one would notice idle slots.
+const DOUBT_LIFE: Duration = Duration::from_secs(3);
 // Doublings of ejection times and of shed holds.
 const MOST_DOUBLINGS: u32 = 5;
 // How often the slots counted are compared with those reported.
@@ -35,6 +39,7 @@
     report_deadline: ClockTime,
     distrust_until: ClockTime,
     seen_until: ClockTime,
+    doubt_until: ClockTime,
     losses: u32,
     ejection: Option<TargetEjection>,
     ejections: u32,
@@ -73,6 +78,7 @@
             report_deadline: ClockTime::ZERO,
             distrust_until: ClockTime::ZERO,
             seen_until: ClockTime::ZERO,
+            doubt_until: ClockTime::ZERO,
             losses: 0,
             ejection: None,
             ejections: 0,
@@ -93,11 +99,16 @@
         self.losses = 0;
         self.missed_probes = 0;
         self.seen_until = now.after(SEEN_LIFE);
+        self.doubt_until = self.seen_until.after(DOUBT_LIFE);
     }
 
     /// The target reported its load.
     pub fn on_report(&mut self, now: ClockTime, load: TargetLoad, options: &DeskOptions) {
         self.missed_probes = 0;
+        let was_healthy = self.fresh_report(now).is_none_or(|former| former.healthy);
+        if was_healthy && !load.healthy {
+            self.doubt_until = self.doubt_until.max(now.after(DOUBT_LIFE));
+        }
         self.report = Some(load);
         self.report_deadline = now.after(options.report_life);
         if let Some(ejection) = &mut self.ejection {
@@ -201,11 +212,11 @@
         self.sheds >= SHEDS_ON
     }
 
-    /// True when the target calls itself unhealthy and nothing seen lately
-    /// speaks against that.
+    /// True when the target calls itself unhealthy, nothing seen lately speaks
+    /// against that, and it isn't time to try it.
     pub fn is_doubtful(&self, now: ClockTime) -> bool {
         let unhealthy = self.fresh_report(now).is_some_and(|load| !load.healthy);
-        unhealthy && self.seen_until.is_past(now)
+        unhealthy && self.seen_until.is_past(now) && !self.doubt_until.is_past(now)
     }
 
     /// True when the target reported that it is leaving, however long ago.
--- a/crates/foxledge-policy/tests/target_health.rs
+++ b/crates/foxledge-policy/tests/target_health.rs
@@ -189,6 +189,25 @@
     assert_eq!(serve(&mut trial, 300, 30, |_| 5)[0], 0);
 }
 
+// Symptom: half of the slots idle for good, though every target works.
+// Sequence: a target calls itself unhealthy for ever while it works; the other one gets all work.
+// Cause: only work shows that a target is well, and this one never got any again.
+#[test]
+fn a_target_that_calls_itself_unhealthy_for_ever_is_tried() {
+    let mut trial = DeskTrial::new(DeskOptions::new(), 2);
+    let mut got = [0, 0];
+    for round in 0..20 {
+        trial.load("t0", TargetLoad { healthy: false, ..FIT });
+        // Its own answers show that the other one is well.
+        trial.load("t1", FIT);
+        let served = serve(&mut trial, round * 1000, 50, |_| 5);
+        got = [got[0] + served[0], got[1] + served[1]];
+        trial.pass(500);
+    }
+    assert!(got[0] > 50, "of 1000 bids it got {got:?}");
+    assert!(got[0] < got[1], "its word counts for nothing: {got:?}");
+}
+
 #[test]
 fn doubts_about_more_than_half_are_no_news() {
     let mut trial = DeskTrial::new(DeskOptions::new(), 3);
--- a/crates/foxledge-proofs/tests/draining_target.rs
+++ b/crates/foxledge-proofs/tests/draining_target.rs
@@ -127,8 +127,10 @@
     ensure_clean(&fleet.judge(&[report])?)
 }
 
-/// Symptom: nobody is served because every backend server says that it is unwell.
-/// Sequence: all backend servers say that they are unhealthy, and serve as ever.
+/// Symptom: nobody is served, or some backend servers idle for good, because they say that they
+/// are unwell.
+/// Sequence: all backend servers say that they are unhealthy, and serve as ever. One that got no
+/// work for a while is tried again within seconds.
 /// Cause: reports believed against what the answers themselves say.
 #[test]
 fn lies_unhealthy() -> Result<()> {
@@ -137,8 +139,11 @@
         backend.order(&BackendOrder::Lie { say: LoadSaying::Unhealthy })?;
     }
     let bids = start_bids(&fleet, CENTRE, RATE)?;
-    ensure_working(&mut fleet, 0)?;
-    ensure_working(&mut fleet, 1)?;
+    for _ in 0..2 {
+        for index in [0, 1] {
+            wait_until_ok("it gets its share", WIDE_LIMIT, || ensure_working(&mut fleet, index))?;
+        }
+    }
     let report = stop_load(bids)?;
     ensure!(report.served == report.offered, "{:?}", report.refused);
     ensure_clean(&fleet.judge(&[report])?)
