--- a/crates/foxledge-ctl/src/report/explain.rs
+++ b/crates/foxledge-ctl/src/report/explain.rs
@@ -18,7 +18,7 @@
         ("home", "home"),
         ("homes", "homes, the best first"),
         ("targets", "backend servers here"),
-        ("target", "next request goes to"),
+        ("target", "last dispatched to"),
     ] {
         if report.get(key).is_some_and(|value| !value.is_null()) {
             text += &format!("{name}: {}\n", value_text(&report[key]));
--- a/crates/foxledge-ctl/src/report/values.rs
+++ b/crates/foxledge-ctl/src/report/values.rs
@@ -1,6 +1,6 @@
 //! Values of a report as text.
 
-use serde_json::{Map, Value};
+use serde_json::{Map, Number, Value};
 
 use crate::tables::write_table;
 
@@ -15,7 +15,7 @@
         Value::String(text) if text.is_empty() => "-".to_owned(),
         Value::String(text) => text.clone(),
         Value::Bool(on) => if *on { "yes" } else { "no" }.to_owned(),
-        Value::Number(number) => number.to_string(),
+        Value::Number(number) => number_text(number),
         Value::Array(values) if values.is_empty() => "-".to_owned(),
         Value::Array(values) => values.iter().map(value_text).collect::<Vec<_>>().join(" "),
         Value::Object(fields) if fields.is_empty() => "-".to_owned(),
@@ -27,6 +27,14 @@
     }
 }
 
+/// A number; a fraction with two digits, as more of them only hide the others.
+fn number_text(number: &Number) -> String {
+    match number.as_f64().filter(|_| number.is_f64()) {
+        Some(fraction) => format!("{fraction:.2}"),
+        None => number.to_string(),
+    }
+}
+
 /// A number as 16 hex digits, as ids and digests are written.
 pub fn hex_text(value: &Value) -> String {
     value.as_u64().map_or_else(|| value_text(value), |number| format!("{number:016x}"))
--- /dev/null
+++ b/crates/foxledge-ctl/tests/live_daemon.rs
@@ -0,0 +1,212 @@
+//! The commands that ask a daemon, against real instances.
+
+mod common;
+
+use std::time::Duration;
+
+use anyhow::{Context, Result, ensure};
+use common::run_to_text;
+use foxledge_core::traffic::TrafficKind;
+use foxledge_fakes::{
+    harness::{FleetPlan, ServiceSize, TestFleet, TestInstance, wait_until_ok},
+    platform::orders::PartText,
+    publish::{KeyPlan, MemberPlan},
+    report::LoadReport,
+};
+use serde_json::Value;
+
+/// Wide limit for what takes seconds at most.
+const WIDE_LIMIT: Duration = Duration::from_secs(30);
+const CENTRE: &str = "toledo";
+const SERVICE: &str = "auction-desk";
+const ADDRESS: &str = "auction.lakeshore";
+const MEMBER: &str = "bricks-and-co";
+
+fn start_fleet() -> Result<TestFleet> {
+    let plan = FleetPlan::new()
+        .centre(CENTRE, 2)
+        .service(SERVICE, ADDRESS, ServiceSize::targets(2))
+        .member(MemberPlan::open(MEMBER));
+    let fleet = TestFleet::start(plan)?;
+    for instance in &fleet.instances {
+        wait_until_ok("both instances are known", WIDE_LIMIT, || {
+            let homes = names(&ask_json(instance, &explain("bid", MEMBER))?["homes"]);
+            ensure!(homes.len() == 2, "{homes:?}");
+            Ok(())
+        })?;
+    }
+    Ok(fleet)
+}
+
+fn run_bids(fleet: &TestFleet) -> Result<LoadReport> {
+    let plan = fleet.plan_caller(SERVICE, MEMBER, TrafficKind::Bid)?.rate(20.0).seconds(1.0);
+    let report = fleet.run_caller(CENTRE, &plan, WIDE_LIMIT)?;
+    ensure!(!report.served_ids.is_empty(), "no bid was served");
+    Ok(report)
+}
+
+/// What a command prints, errors included, and a last line with its exit code.
+fn ask(instance: &TestInstance, arguments: &[&str]) -> String {
+    let daemon = instance.listen.control.to_string();
+    run_to_text(&[arguments, &["--daemon", &daemon]].concat())
+}
+
+fn ask_text(instance: &TestInstance, arguments: &[&str]) -> Result<String> {
+    let text = ask(instance, arguments);
+    let report = text.strip_suffix("exit code 0\n").context("not done");
+    report.map(str::to_owned).with_context(|| text.clone())
+}
+
+fn ask_json(instance: &TestInstance, arguments: &[&str]) -> Result<Value> {
+    let text = ask_text(instance, &[arguments, &["--format", "json"]].concat())?;
+    serde_json::from_str(&text).with_context(|| text.clone())
+}
+
+/// Waits until a line of the audit trail has all of `wanted`, and returns it.
+fn wait_line(instance: &TestInstance, wanted: &[&str]) -> Result<String> {
+    wait_until_ok(&format!("{wanted:?}"), WIDE_LIMIT, || {
+        let text = ask_text(instance, &["audit", "--limit", "1000"])?;
+        let found = text.lines().find(|line| wanted.iter().all(|part| line.contains(part)));
+        found.map(str::to_owned).with_context(|| text.clone())
+    })
+}
+
+fn explain<'a>(kind: &'a str, member: &'a str) -> [&'a str; 7] {
+    ["explain", "--address", ADDRESS, "--member", member, "--kind", kind]
+}
+
+fn names(list: &Value) -> Vec<String> {
+    let values = list.as_array().into_iter().flatten();
+    values.filter_map(Value::as_str).map(str::to_owned).collect()
+}
+
+#[test]
+fn state_of_an_instance() -> Result<()> {
+    let fleet = start_fleet()?;
+    let instance = &fleet.instances[0];
+    let text = wait_until_ok("both instances are alive", WIDE_LIMIT, || {
+        let text = ask_text(instance, &["status"])?;
+        let alive = text.lines().filter(|line| line.contains("  alive  ")).count();
+        ensure!(alive == 2, "{text}");
+        Ok(text)
+    })?;
+    for wanted in [
+        "toledo-1 in toledo: serving\n",
+        "reads the platform: yes\n",
+        "rule list: revision 1, digest ",
+        "  toledo-2  alive",
+        "reachable data centres: toledo\n",
+        "  engine    yes      0\n",
+        "  keys: 1\n",
+        "service=auction-desk shard=0\n",
+    ] {
+        ensure!(text.contains(wanted), "no {wanted:?} in\n{text}");
+    }
+    let target = text.lines().find(|line| line.contains("  auction-desk-toledo-1  "));
+    ensure!(target.is_some_and(|line| line.contains("  open ")), "{text}");
+
+    let report = ask_json(instance, &["status"])?;
+    ensure!(report["phase"] == "serving" && report["list"]["revision"] == 1, "{report}");
+    ensure!(report["view"]["peers"].as_array().map(Vec::len) == Some(2), "{report}");
+    Ok(())
+}
+
+#[test]
+fn decision_for_a_flow() -> Result<()> {
+    let fleet = start_fleet()?;
+    let report = run_bids(&fleet)?;
+    let instance = &fleet.instances[0];
+    let text = ask_text(instance, &explain("bid", MEMBER))?;
+    for wanted in [
+        "rule list: revision 1\n",
+        "rule: all-auction-desk\n",
+        "treatment: serve, ",
+        "service: auction-desk\n",
+        "homes, the best first: toledo-",
+        "backend servers here: auction-desk-toledo-1@",
+        "  1. rule all-auction-desk is the first that matches\n",
+    ] {
+        ensure!(text.contains(wanted), "no {wanted:?} in\n{text}");
+    }
+    let text = ask_text(instance, &explain("bid", "nobody"))?;
+    ensure!(text.contains("member nobody is not listed, so the flow is refused"), "{text}");
+
+    // The home has the flow's decision; it is the first that `explain` names anywhere.
+    let homes = names(&ask_json(instance, &explain("bid", MEMBER))?["homes"]);
+    let home = fleet.instances.iter().find(|instance| Some(&instance.name) == homes.first());
+    let home = home.with_context(|| format!("{homes:?}"))?;
+    let flow = format!("{:016x}", report.served_ids[0].flow);
+    let followed = [&explain("bid", MEMBER)[..], &["--flow", &flow]].concat();
+    let text = ask_text(home, &followed)?;
+    for wanted in ["lately decided for the flow:\n", "dispatched ", " to auction-desk-toledo-"] {
+        ensure!(text.contains(wanted), "no {wanted:?} in\n{text}");
+    }
+    let report = ask_json(home, &followed)?;
+    let events = report["flow_events"].as_array().context("no events")?;
+    ensure!(!events.is_empty() && report["target"].is_string(), "{report}");
+    Ok(())
+}
+
+#[test]
+fn published_changes() -> Result<()> {
+    let mut fleet = start_fleet()?;
+    run_bids(&fleet)?;
+    wait_line(&fleet.instances[0], &["list accepted", "revision 1 (", "said by "])?;
+
+    // A list with a fault is refused by name of its finding; the former stays in force.
+    let broken = "[[rule]]\nname = \"broken\"\nthen = { service = \"nowhere\" }\n".to_owned();
+    fleet.list.more.push(PartText { name: "late".to_owned(), text: broken });
+    let refused = fleet.publish()?;
+    let wanted = format!("revision {refused} (");
+    let finding = "late:3: rule[0].then.service: no service \"nowhere\"";
+    let line = wait_line(&fleet.instances[0], &["list refused", &wanted, finding])?;
+    ensure!(line.contains(", list 1: "), "{line}");
+    let report = ask_json(&fleet.instances[0], &["status"])?;
+    ensure!(report["list"]["revision"] == 1, "{report}");
+    fleet.list.more.clear();
+
+    let target = fleet.list.target_mut("auction-desk-toledo-1").context("no target")?;
+    target.draining = true;
+    fleet.list.keys.push(KeyPlan::numbered(2));
+    let accepted = fleet.publish()?;
+    let new = format!("-> revision {accepted} (");
+    let instance = &fleet.instances[0];
+    wait_line(instance, &["list accepted rule list: revision 1 (", &new, "said by "])?;
+    wait_line(instance, &["target draining auction-desk", "toledo-1: ", "-> draining"])?;
+    wait_line(instance, &["keys rotated token keys: [1] -> [1, 2]"])?;
+
+    let lines = ask_text(instance, &["audit", "--limit", "1000", "--format", "json"])?;
+    let entries = lines.lines().map(serde_json::from_str).collect::<Result<Vec<Value>, _>>()?;
+    let numbers: Vec<_> = entries.iter().map(|entry| entry["number"].as_u64()).collect();
+    ensure!(numbers.is_sorted() && numbers.first() == Some(&Some(1)), "{numbers:?}");
+    let wanted = ["old", "new", "cause", "source", "revision", "at_us", "kind", "subject"];
+    let is_whole = |entry: &Value| wanted.iter().all(|key| !entry[*key].is_null());
+    ensure!(entries.iter().all(is_whole), "{lines}");
+    Ok(())
+}
+
+#[test]
+fn leaving_instance() -> Result<()> {
+    let mut fleet = start_fleet()?;
+    let new = fleet.add_instance(CENTRE)?;
+    wait_line(&fleet.instances[0], &["member changed toledo-3: ", "-> alive"])?;
+
+    let text = ask_text(&fleet.instances[new], &["drain"])?;
+    ensure!(text == "The daemon leaves.\n", "{text}");
+    let text = ask(&fleet.instances[new], &["drain", "--format", "json"]);
+    // The stop may be over before the second call comes.
+    let is_declined = text == "{\n  \"accepted\": false\n}\nexit code 1\n";
+    ensure!(is_declined || text.ends_with("exit code 3\n"), "{text}");
+    let status = fleet.instances[new].process.wait_exit(WIDE_LIMIT)?;
+    ensure!(status.success(), "{status}");
+    wait_line(&fleet.instances[0], &["member changed toledo-3: alive -> leaving"])?;
+    let log = fleet.instances[new].process.log_text();
+    for wanted in ["planned stop (operator)", "life: stops with 0 unfinished", "daemon: stopped"] {
+        ensure!(log.contains(wanted), "no {wanted:?} in\n{log}");
+    }
+
+    let text = ask(&fleet.instances[new], &["status"]);
+    ensure!(text.starts_with("foxledgectl: can't connect to "), "{text}");
+    ensure!(text.ends_with("exit code 3\n"), "{text}");
+    Ok(())
+}
--- a/crates/foxledge-proofs/src/once.rs
+++ b/crates/foxledge-proofs/src/once.rs
@@ -23,6 +23,8 @@
     flow::{Packet, PacketKind, RefusalReason, RunOutcome, Ticket},
 };
 
+use crate::gate::GatedFleet;
+
 /// The data centre of fleets that have one.
 pub const CENTRE: &str = "toledo";
 /// The service that bids go to, and its address.
@@ -47,6 +49,22 @@
         .member(MemberPlan::open("harbor-sets"))
 }
 
+/// Starts a fleet whose instances all hold each other for alive.
+///
+/// Before that two instances may both be the home of a service, and a test that kills "the" home
+/// kills the wrong one.
+pub fn start_fleet(plan: FleetPlan) -> anyhow::Result<GatedFleet> {
+    let fleet = GatedFleet::start(plan)?;
+    let count = fleet.instances.len() as f64;
+    for instance in &fleet.instances {
+        wait_until(&format!("{} sees all alive", instance.name), WIDE_LIMIT, || {
+            let alive = instance.metric("foxledge_peers", "state=\"alive\"");
+            alive.is_ok_and(|alive| alive == count)
+        })?;
+    }
+    Ok(fleet)
+}
+
 /// `FinalWord` is what a caller was told last of a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum FinalWord {
@@ -301,11 +319,22 @@
         words.extend(caller.overhear(packet.request, RESEND));
         words.dedup();
         let count = count_runs(fleet, caller.id(packet.request))?;
-        ensure!(count >= runs, "{count} runs of {runs}, told {words:?}");
+        ensure!(count >= runs, "{count} runs of {runs}, told {words:?}, {}", loads_of(fleet)?);
         Ok(())
     })
 }
 
+/// What every backend server has at hand, for messages.
+fn loads_of(fleet: &mut TestFleet) -> anyhow::Result<String> {
+    let stats = fleet.backend_stats()?;
+    let loads = stats.iter().map(|stat| {
+        let (busy, queued, copies) = (stat.busy_slots, stat.queued, stat.copies);
+        let refused = &stat.refused;
+        format!("{}: busy {busy}, queued {queued}, copies {copies}, refused {refused:?}", stat.name)
+    });
+    Ok(loads.collect::<Vec<_>>().join("; "))
+}
+
 /// Kills an instance and starts it anew under the same name, addresses and settings.
 pub fn restart_instance(fleet: &mut TestFleet, index: usize) -> anyhow::Result<()> {
     let directory = fleet.directory().to_owned();
