Keep the list by sharing it; take a platform's parts in bounded fetches

Cause: the list keeper copied all parts (7 MB at the target's size) at each list for a keeper that starts anew, and such a keeper read all of them again. A fetch from the platform brought every part at once: the main loop read them all in one call, and several hundred reads in a row don't fit the store's wait of 2 s for a fetch. Ruled out: a thread for building: with bounded fetches the longest call is the check of the whole. Before: one call of some 250 ms for a first list of 38,000 targets (list_stall's whole_ms).

--- a/crates/foxledge-daemon/src/context.rs
+++ b/crates/foxledge-daemon/src/context.rs
@@ -8,11 +8,11 @@
 
 use foxledge_core::{
     audit::AuditChange,
-    lists::{ListVersion, RuleList},
+    lists::ListVersion,
     peers::{PeerInfo, PeerView},
 };
+use foxledge_members::ListSnapshot;
 use foxledge_settings::DaemonSettings;
-use foxledge_wire::control::{ListPart, Manifest};
 use rand::{RngCore, rngs::StdRng};
 use stakker::{Actor, Fwd};
 
@@ -39,8 +39,12 @@
     pub directory: PartDirectory,
     /// This instance; the state in it is that of the start.
     pub me: RefCell<PeerInfo>,
-    /// The newest accepted list.
-    pub kept_list: RefCell<Option<KeptList>>,
+    /// The newest accepted list, kept for a list keeper that starts anew.
+    ///
+    /// Without it a list keeper that failed would begin with no list, take an
+    /// older one from a peer that lags, and spread that; one would notice a
+    /// revision that goes back.
+    pub kept_list: RefCell<Option<ListSnapshot>>,
     /// The newest view of membership.
     pub view: RefCell<Arc<PeerView>>,
     /// True while this instance reads the platform for its data centre.
@@ -53,21 +57,6 @@
     audit: OnceCell<Fwd<AuditChange>>,
 }
 
-/// `KeptList` is the newest accepted list, kept for a list keeper that starts anew.
-///
-/// Without it a list keeper that failed would begin with no list, take an
-/// older one from a peer that lags, and spread that; one would notice a
-/// revision that goes back.
-#[derive(Clone)]
-pub struct KeptList {
-    /// The list.
-    pub list: Arc<RuleList>,
-    /// Its manifest.
-    pub manifest: Manifest,
-    /// Its parts.
-    pub parts: Vec<ListPart>,
-}
-
 /// `PartDirectory` is the present actor of each part.
 #[derive(Default)]
 pub struct PartDirectory {
@@ -160,6 +149,6 @@
 
     /// Version of the list in force; revision 0 without one.
     pub fn list_version(&self) -> ListVersion {
-        self.kept_list.borrow().as_ref().map(|kept| kept.list.version).unwrap_or_default()
+        self.kept_list.borrow().as_ref().map(|kept| kept.list().version).unwrap_or_default()
     }
 }
--- a/crates/foxledge-daemon/src/engine_part.rs
+++ b/crates/foxledge-daemon/src/engine_part.rs
@@ -39,7 +39,7 @@
         engine.set_phase(now, context.phase.get());
         call!([cx], tick());
         let part = EnginePart { context, engine };
-        let kept = part.context.kept_list.borrow().as_ref().map(|kept| kept.list.clone());
+        let kept = part.context.kept_list.borrow().as_ref().map(|kept| kept.list().clone());
         if let Some(list) = kept {
             call!([cx], take_list(list));
         }
--- a/crates/foxledge-daemon/src/list_keeper.rs
+++ b/crates/foxledge-daemon/src/list_keeper.rs
@@ -12,7 +12,7 @@
 
 use crate::{
     choices::list_options,
-    context::{DaemonContext, KeptList},
+    context::DaemonContext,
     side::messages::{CallError, LinkCommand, WatchOrder},
 };
 
@@ -28,9 +28,16 @@
 impl ListKeeper {
     /// Makes the store, with the list that an earlier keeper had accepted.
     pub fn init(cx: CX![], context: Rc<DaemonContext>) -> Option<ListKeeper> {
-        let store = ListStore::new(list_options(&context.settings));
+        let options = list_options(&context.settings);
+        let kept = context.kept_list.borrow().clone();
+        let store = match kept {
+            Some(kept) => ListStore::restore(options, kept),
+            None => ListStore::new(options),
+        };
         let mut keeper = ListKeeper { context, store, watch: WatchOrder::Pause };
-        keeper.restore();
+        if let Some(list) = keeper.store.current() {
+            keeper.accepted(list);
+        }
         call!([cx], on_tick());
         Some(keeper)
     }
@@ -146,7 +153,7 @@
     fn accepted(&mut self, list: Arc<RuleList>) {
         let version = list.version;
         info!("lists: revision {} is in force", version.revision);
-        self.keep(&list);
+        *self.context.kept_list.borrow_mut() = self.store.snapshot();
         self.context.metrics.list_revision.set(version.revision as i64);
         let directory = &self.context.directory;
         if let Some(root) = directory.root.get() {
@@ -161,45 +168,9 @@
         self.order_watch();
     }
 
-    fn keep(&self, list: &Arc<RuleList>) {
-        let Some(manifest) = self.store.manifest() else { return };
-        let digests: Vec<u64> = manifest.parts.iter().map(|part| part.digest).collect();
-        let parts = all_parts(&self.store, &digests);
-        *self.context.kept_list.borrow_mut() =
-            Some(KeptList { list: list.clone(), manifest, parts });
-    }
-
-    fn restore(&mut self) {
-        let kept = self.context.kept_list.borrow().clone();
-        let Some(kept) = kept else { return };
-        let now = self.context.clock.now();
-        let mut effects = self.store.on_manifest(now, ListSource::Platform, kept.manifest);
-        effects.extend(self.store.on_parts(now, ListSource::Platform, kept.parts));
-        // Everything wanted is at hand, so a fetch isn't needed.
-        effects.retain(|effect| !matches!(effect, ListEffect::FetchParts { .. }));
-        self.carry_out(effects);
-    }
-
     fn send(&self, command: LinkCommand) {
         if let Some(link) = self.context.directory.link.get() {
             call!([link], command(command));
         }
     }
 }
-
-/// All parts of the digests; the store bounds each of its answers.
-fn all_parts(store: &ListStore, digests: &[u64]) -> Vec<ListPart> {
-    let mut found: Vec<ListPart> = Vec::new();
-    loop {
-        let missing: Vec<u64> = digests
-            .iter()
-            .copied()
-            .filter(|digest| !found.iter().any(|part| part.digest == *digest))
-            .collect();
-        let more = store.parts(&missing);
-        if more.is_empty() {
-            return found;
-        }
-        found.extend(more);
-    }
-}
--- a/crates/foxledge-daemon/src/side/watch.rs
+++ b/crates/foxledge-daemon/src/side/watch.rs
@@ -39,6 +39,11 @@
 /// Pause when the platform has no list at all.
 const EMPTY_PAUSE: Duration = Duration::from_millis(300);
 const LONGEST_BACKOFF: Duration = Duration::from_secs(5);
+/// Bytes after which a fetch of parts ends; the list keeper asks for the others.
+///
+/// The main loop reads what a fetch brings at once, and carries no datagram
+/// meanwhile: some 10 ms for this much, some 250 ms for a list of 38,000 targets.
+const FETCH_BYTES: usize = 256 * 1024;
 /// Longest value that the platform holds, with room for the message around it.
 const MESSAGE_LIMIT: usize = 2 << 20;
 
@@ -118,9 +123,14 @@
     /// whole. One would notice an instance that stays joining.
     pub async fn fetch_parts(&self, digests: &[u64]) -> Result<Vec<ListPart>, CallError> {
         let mut parts = Vec::new();
+        let mut bytes = 0;
         for digest in digests {
+            if bytes >= FETCH_BYTES {
+                break;
+            }
             match self.read(&format!("part/{digest:016x}"), 0, Duration::ZERO).await {
                 Ok(reply) if reply.found => {
+                    bytes += reply.value.len();
                     parts.push(ListPart { digest: *digest, text: reply.value });
                 }
                 Ok(_) => {}
