--- a/crates/foxledge-members/src/membership/claims.rs
+++ b/crates/foxledge-members/src/membership/claims.rs
@@ -110,6 +110,7 @@
     ) {
         let Some(entry) = self.table.get(name) else { return };
         let info = entry.info.clone();
+        self.exchange.note_change();
         // Whoever left as planned won't answer again; others may be beyond a cut.
         if info.state == PeerState::Dead && old != Some(PeerState::Leaving) {
             self.hints.add(now, info.control_address, entry.forget_deadline);
--- a/crates/foxledge-members/src/membership/exchange.rs
+++ b/crates/foxledge-members/src/membership/exchange.rs
@@ -12,6 +12,8 @@
     convert,
 };
 
+use rand::Rng;
+
 use super::Membership;
 use crate::table::claim_order;
 
@@ -35,7 +37,7 @@
     progress: ExchangeProgress,
     /// When a difference has lasted; far while there is none.
     mismatch_deadline: ClockTime,
-    /// Equal digests since the last one that differed.
+    /// Equal digests since the last that differed, or the last change of the own table.
     equal_run: usize,
     next_page: ClockTime,
     /// Where the next page starts.
@@ -44,6 +46,8 @@
     end: Option<InstanceName>,
     /// Who was asked for what the page lacks.
     asked: Option<SocketAddr>,
+    /// Who was asked last, answered or not.
+    last_asked: Option<SocketAddr>,
 }
 
 /// `ExchangeProgress` is whether a whole table was read since the start.
@@ -63,6 +67,7 @@
             start: None,
             end: None,
             asked: None,
+            last_asked: None,
         }
     }
 
@@ -71,6 +76,11 @@
         *self = TableExchange::new(now);
     }
 
+    /// Notes that the own table has changed: what was equal before says nothing any more.
+    pub(super) fn note_change(&mut self) {
+        self.equal_run = 0;
+    }
+
     fn is_due(&self, now: ClockTime) -> bool {
         let is_reading = self.progress == ExchangeProgress::Reading;
         (is_reading || self.mismatch_deadline.is_past(now)) && self.next_page.is_past(now)
@@ -88,18 +98,16 @@
             return;
         }
         self.exchange.equal_run += 1;
-        // Two that tell each other the same news are equal before the rest has
-        // heard it; only several in a row say that it has gone round.
-        if self.exchange.equal_run >= self.options.rings {
-            self.news.count_known();
-        }
-        // One neighbour may lack the same record as this instance. All of them
-        // hardly do, as the rings make an expander.
-        if self.exchange.equal_run >= 2 * self.options.rings {
-            self.exchange.progress = ExchangeProgress::Read;
-            self.exchange.mismatch_deadline = ClockTime::FAR;
-            self.exchange.start = None;
+        if self.exchange.equal_run < 2 * self.options.rings {
+            return;
         }
+        // One neighbour may lack the same record as this instance, or have just
+        // told it the same news. All of them hardly do, as the rings make an
+        // expander: news has gone round, and nothing is missing.
+        self.news.count_known();
+        self.exchange.progress = ExchangeProgress::Read;
+        self.exchange.mismatch_deadline = ClockTime::FAR;
+        self.exchange.start = None;
     }
 
     /// The page that goes with the next beat, if one is due.
@@ -108,11 +116,16 @@
         now: ClockTime,
         to: SocketAddr,
     ) -> Option<Vec<PeerRecord>> {
-        if !self.exchange.is_due(now) {
+        // Beats go round the observed instances about as often as pages are due.
+        // Without another peer and some jitter each time, the page could always
+        // go to the one peer that lacks the same record.
+        let is_repeated = self.exchange.last_asked == Some(to) && self.watch.len() > 1;
+        if is_repeated || !self.exchange.is_due(now) {
             return None;
         }
-        self.exchange.next_page = now.after(PAGE_EVERY);
+        self.exchange.next_page = now.after(PAGE_EVERY.mul_f64(self.rng.random_range(0.7..1.3)));
         self.exchange.asked = Some(to);
+        self.exchange.last_asked = Some(to);
         let start = self.exchange.start.clone();
         let marker = start.as_ref().and_then(|name| self.table.get(name));
         let marker = outline_of(marker.map_or(&self.me, |entry| &entry.info));
--- a/crates/foxledge-members/tests/member_life.rs
+++ b/crates/foxledge-members/tests/member_life.rs
@@ -24,6 +24,14 @@
     }
 }
 
+#[test]
+fn two_that_lack_the_same_instance_ask_somebody_else() {
+    // Symptom: two of nine instances never learn of a third, though nothing fails.
+    // Sequence: both observe each other and start at once (found by seed).
+    // Cause: each page went to the same peer, as beats and pages took turns alike.
+    settled(4366574898399643058, 9);
+}
+
 #[test]
 fn a_late_instance_is_known_by_all_and_knows_all() {
     let mut fleet = settled(1, 60);
@@ -46,11 +54,15 @@
     // Symptom: a living instance loses its homes for a moment.
     // Sequence: every tenth message is lost for two minutes.
     // Cause: one lost beat taken for a death; resends, relays and refutation prevent it.
-    let mut fleet = settled(3, 20);
-    fleet.loss = 0.1;
-    fleet.run(seconds(120));
-    let died = |node: &common::FleetNode| node.audits.iter().any(|change| change.new == "dead");
-    assert!(!fleet.nodes.iter().any(died));
+    // In the last two a refutation passed one instance by: those that held equal tables
+    // stopped sending it at once.
+    for seed in [3, 100, 137] {
+        let mut fleet = settled(seed, 20);
+        fleet.loss = 0.1;
+        fleet.run(seconds(120));
+        let died = |node: &common::FleetNode| node.audits.iter().any(|change| change.new == "dead");
+        assert!(!fleet.nodes.iter().any(died), "seed {seed}");
+    }
 }
 
 #[test]
