Prove that feeds outlive instances killed at once, and what peers are for when the platform is down

Before, without peers in the settings: with the platform down a new instance has no list after 5 s. After, with them: ready with the list from a peer.

--- a/crates/foxledge-proofs/tests/lasting_feeds.rs
+++ b/crates/foxledge-proofs/tests/lasting_feeds.rs
@@ -61,6 +61,28 @@
     ensure_unmoved(&report)
 }
 
+/// Symptom: every feed is opened anew after all instances that knew it died at once.
+/// Sequence: as many instances are added as there were; those are killed at the same time.
+/// Cause: as above.
+#[test]
+fn instances_killed() -> Result<()> {
+    let mut fleet = GatedFleet::start(plan_fleet(2, 2))?;
+    let feeds = start_feeds(&mut fleet, CENTRE, FEEDS)?;
+    fleet.add_instance(CENTRE)?;
+    fleet.add_instance(CENTRE)?;
+    for index in 0..2 {
+        fleet.kill_instance(index)?;
+    }
+    for index in 0..2 {
+        fleet.forget_instance(index)?;
+    }
+    wait_heartbeats(&mut fleet, FEEDS)?;
+    wait_heartbeats(&mut fleet, FEEDS)?;
+    ensure!(open_connections(&mut fleet, DESK.0)? == FEEDS, "feeds were opened twice");
+    let report = end_feeds(&mut fleet, feeds)?;
+    ensure_unmoved(&report)
+}
+
 /// Symptom: feeds go silent when the backend server they are on is taken out of service.
 /// Sequence: a backend server is added and gets warm; another is published as draining, says so
 /// too, sends its feeds away, is taken off the list and stops.
--- a/crates/foxledge-proofs/tests/list_force.rs
+++ b/crates/foxledge-proofs/tests/list_force.rs
@@ -65,6 +65,24 @@
     ensure_clean(&fleet.judge(&[report])?)
 }
 
+/// As above, with an instance that knows no peers.
+#[test]
+fn platform_down_without_peers() -> Result<()> {
+    // The first instances find each other by the platform's listing, while it is up.
+    let mut fleet = GatedFleet::start(plan_fleet(2, 1).settings("[peers]\nseeds = []\n"))?;
+    fleet.platform.client.set_health(PlatformHealth::Down)?;
+    let new = fleet.spawn_instance(CENTRE)?;
+    // Longer than an instance waits for peers' and the platform's answers.
+    wait_until_ok("the new instance has waited", WIDE_LIMIT, || {
+        let uptime = status_of(&fleet.instances[new])?["uptime_ms"].as_u64().unwrap_or(0);
+        ensure!(uptime > 5000, "{uptime} ms");
+        Ok(())
+    })?;
+    ensure!(!fleet.instances[new].is_ready(), "it has a list, from wherever");
+    fleet.platform.client.set_health(PlatformHealth::Up)?;
+    fleet.instances[new].wait_ready(WIDE_LIMIT)
+}
+
 /// Symptom: rules that were replaced long ago are in force again.
 /// Sequence: a list is published and in force; the platform is restarted at an older state; an
 /// instance is added that reads that one, while it is cut off from the others; the cut ends.
