Check that the operators' page explains metrics, refusals and audit entries

Cause: nothing noticed a word that the page lacks. Ruled out: a list of words in the test; they come from a running instance and from the protocol. Before: no check. Help texts called datagrams by socket "packets by kind", and requests what a planned stop waits for. Conclusion: metrics with a label that never counted (send errors, part restarts, call failures) aren't shown by a running instance, so not checked.

--- a/crates/foxledge-ctl/tests/live_daemon.rs
+++ b/crates/foxledge-ctl/tests/live_daemon.rs
@@ -13,6 +13,7 @@
     publish::{KeyPlan, MemberPlan},
     report::LoadReport,
 };
+use foxledge_wire::flow::RefusalReason;
 use serde_json::Value;
 
 /// Wide limit for what takes seconds at most.
@@ -185,6 +186,38 @@
     Ok(())
 }
 
+/// Symptom: an operator looks up a metric, a refusal or an audit entry and finds nothing.
+/// Sequence: the code gets a new one.
+/// Cause: the page was not changed with it.
+#[test]
+fn words_are_explained() -> Result<()> {
+    let page = concat!(env!("CARGO_MANIFEST_DIR"), "/../../docs/OPERATIONS.md");
+    let page = std::fs::read_to_string(page)?;
+    let fleet = start_fleet()?;
+    run_bids(&fleet)?;
+    let metrics = fleet.instances[0].metrics()?;
+    let mut words = Vec::new();
+    for line in metrics.lines() {
+        words.extend(line.strip_prefix("# TYPE ").and_then(|rest| rest.split(' ').next()));
+        words.extend(line.split("event=\"").nth(1).and_then(|rest| rest.split('"').next()));
+    }
+    ensure!(words.len() > 20, "{words:?}");
+    let words = words.into_iter().map(str::to_owned);
+    let reasons = (1..).map_while(|number| RefusalReason::try_from(number).ok());
+    let reasons = reasons.filter_map(|reason| {
+        reason.as_str_name().strip_prefix("REFUSAL_REASON_").map(str::to_owned)
+    });
+    let entries = ask_text(&fleet.instances[0], &["audit", "--format", "json"])?;
+    let kinds = entries.lines().filter_map(|line| {
+        let entry: Value = serde_json::from_str(line).ok()?;
+        entry["kind"].as_str().map(str::to_owned)
+    });
+    for word in words.chain(reasons).chain(kinds) {
+        ensure!(page.contains(&format!("`{word}`")), "OPERATIONS.md lacks {word}");
+    }
+    Ok(())
+}
+
 #[test]
 fn leaving_instance() -> Result<()> {
     let mut fleet = start_fleet()?;
--- a/crates/foxledge-daemon/src/metrics.rs
+++ b/crates/foxledge-daemon/src/metrics.rs
@@ -36,7 +36,7 @@
     pub control_bytes: IntCounterVec,
     /// Reads of the platform, a waiting watch as one.
     pub platform_reads: IntCounter,
-    /// Requests that this instance has taken on and not finished.
+    /// What a planned stop waits for.
     pub unfinished: IntGauge,
     /// Restarts of parts.
     pub part_restarts: IntCounterVec,
@@ -68,11 +68,15 @@
             ),
             packets_received: counters(
                 "packets_received_total",
-                "Packets received by kind",
+                "Datagrams that reached the engine, by socket",
                 &["kind"],
             ),
             refusals: counters("refusals_total", "Refusals by outcome", &["outcome"]),
-            engine_events: counters("engine_events_total", "Events at the engine", &["event"]),
+            engine_events: counters(
+                "engine_events_total",
+                "Other events at the engine, see docs/OPERATIONS.md",
+                &["event"],
+            ),
             admission: histograms(
                 "admission_seconds",
                 "Time from the arrival of a request to its dispatch",
@@ -91,8 +95,14 @@
                 "Bytes on control connections",
                 &["direction"],
             ),
-            platform_reads: counter("platform_reads_total", "Reads of the platform"),
-            unfinished: gauge("unfinished_requests", "Requests taken on and not finished"),
+            platform_reads: counter(
+                "platform_reads_total",
+                "Reads of the platform, a waiting watch as one",
+            ),
+            unfinished: gauge(
+                "unfinished_requests",
+                "What a planned stop waits for: requests, forwardings, and 1 while tickets are good",
+            ),
             part_restarts: counters("part_restarts_total", "Restarts of parts", &["part"]),
             call_failures: counters(
                 "call_failures_total",
