--- a/crates/foxledge-proofs/src/lasting.rs
+++ b/crates/foxledge-proofs/src/lasting.rs
@@ -42,6 +42,7 @@
         .service(DESK.0, DESK.1, ServiceSize::targets(targets))
         .service(INTAKE.0, INTAKE.1, ServiceSize::targets(1))
         .member(MemberPlan::open(MEMBER))
+        .member(MemberPlan::open("harbor-sets"))
         .link_mode(foxledge_fakes::harness::LinkMode::Routed)
 }
 
--- a/crates/foxledge-proofs/tests/list_force.rs
+++ b/crates/foxledge-proofs/tests/list_force.rs
@@ -12,8 +12,9 @@
 use foxledge_proofs::{
     gate::GatedFleet,
     lasting::{
-        RevisionWatch, audit_entries, ensure_clean, peers_seen, revision_of, start_bids, status_of,
-        stop_load, wait_audit, wait_instance_revision, wait_more_runs, wait_revision,
+        RevisionWatch, audit_entries, ensure_clean, peers_seen, plan_two_centres, revision_of,
+        start_bids, status_of, stop_load, wait_audit, wait_instance_revision, wait_more_runs,
+        wait_revision,
     },
     once::{CENTRE, DESK, MEMBER, WIDE_LIMIT, plan_fleet},
 };
@@ -281,7 +282,7 @@
     let mended = publish_change(&mut fleet, "mended")?;
     wait_revision(&fleet, mended, FORCE_LIMIT)?;
     let report = stop_load(bids)?;
-    ensure!(report.refused.get("DENIED").is_none(), "{:?}", report.refused);
+    ensure!(!report.refused.contains_key("DENIED"), "{:?}", report.refused);
     ensure!(report.served > 0 && report.unknown == 0, "{report:?}");
     ensure_clean(&fleet.judge(&[report])?)
 }
@@ -317,6 +318,36 @@
     Ok(())
 }
 
+/// Symptom: one data centre obeys an old list long after a cut has healed.
+/// Sequence: the network between two data centres is cut, and the platform shows one of them an
+/// older state; a list is published; the cut heals, while the platform goes on as it does.
+/// Cause: lists that spread inside a data centre only.
+#[test]
+fn centres_cut_and_stale() -> Result<()> {
+    let mut fleet = GatedFleet::start(plan_two_centres(2, 1))?;
+    let old = revision_of(fleet.instances[0].listen.admin)?;
+    for instance in &fleet.instances[2..] {
+        fleet.platform.client.hold(&instance.name, Some(old))?;
+    }
+    fleet.links.as_ref().expect("the fleet is routed").cut("toledo*", "erie*")?;
+    let watch = RevisionWatch::start(&fleet);
+    let revision = publish_change(&mut fleet, "while-cut")?;
+    for instance in &fleet.instances[..2] {
+        wait_instance_revision(instance, revision, FORCE_LIMIT)?;
+    }
+    for instance in &fleet.instances[2..] {
+        let held = revision_of(instance.listen.admin)?;
+        ensure!(held == old, "{} has revision {held} across the cut", instance.name);
+    }
+    fleet.links.as_ref().expect("the fleet is routed").heal("toledo*", "erie*")?;
+    let took = wait_revision(&fleet, revision, WIDE_LIMIT)?;
+    println!("in force in both data centres {took:?} after the heal");
+    ensure!(took < FORCE_LIMIT, "{took:?}");
+    let steps_back = watch.finish()?;
+    ensure!(steps_back.is_empty(), "{steps_back:?}");
+    Ok(())
+}
+
 /// Symptom: an instance that is cut off from all others and the platform refuses everybody.
 /// Sequence: one of three instances is cut off while the platform is silent; callers reach only
 /// it. Then a list is published, and only after that the cut ends.
--- a/crates/foxledge-proofs/tests/planned_stop.rs
+++ b/crates/foxledge-proofs/tests/planned_stop.rs
@@ -94,6 +94,33 @@
     ensure_clean(&fleet.judge(&reports)?)
 }
 
+/// Symptom: bids end unknown when an instance and a backend server leave at the same time.
+/// Sequence: under load a backend server is published as draining and stops as planned, while both
+/// instances are replaced.
+/// Cause: what one leaver knew of the other went with it.
+#[test]
+fn both_leave() -> Result<()> {
+    let mut fleet = GatedFleet::start(plan_fleet(2, 3))?;
+    let loads = [start_bids(&fleet, CENTRE, 40.0)?, start_uploads(&fleet, CENTRE, 4.0)?];
+    wait_more_runs(&mut fleet, 20)?;
+    let leaving = fleet.backends[0].name.clone();
+    fleet.list.target_mut(&leaving).unwrap().draining = true;
+    fleet.publish()?;
+    fleet.backends[0].order(&BackendOrder::StopGracefully { ms: 20_000 })?;
+    for index in 0..2 {
+        fleet.replace_instance(index, WIDE_LIMIT)?;
+    }
+    let status = fleet.backends[0].process.wait_exit(WIDE_LIMIT)?;
+    ensure!(status.success(), "{status}");
+    wait_more_runs(&mut fleet, 20)?;
+    let reports = loads.into_iter().map(stop_load).collect::<Result<Vec<_>>>()?;
+    for report in &reports {
+        let lost = report.unknown + report.timed_out + report.given_up;
+        ensure!(lost == 0, "{}: {lost} lost, {:?}", report.address, report.refused);
+    }
+    Ok(())
+}
+
 /// Symptom: an instance that was asked to stop goes on for ever, as it gets new tickets out.
 /// Sequence: an instance that has issued a ticket is asked to stop, twice; the fabric sprays only
 /// to it; callers ask for tickets, and one uses the ticket that it has.
