Wait for the answers of the right request in proofs

Cause: a part of an earlier answer, still on its way, was taken for the answer that a test waited for: bad_callers and right_service each failed in 1 of 2 runs of a loop. Ruled out: a ticket good for one request too many, an old token that is followed. Before: red as said. After: the request's number is compared, and the old token is polled from a new socket; bad_callers 5 of 5 tests green. Conclusion: faults of the tests, not of the daemon.

--- a/crates/foxledge-proofs/tests/bad_callers.rs
+++ b/crates/foxledge-proofs/tests/bad_callers.rs
@@ -30,7 +30,10 @@
 
 fn served_bid(caller: &mut HandCaller, ticket: &[u8]) -> (Packet, Vec<u8>) {
     let bid = caller.next_request(ticket);
-    let answer = caller.ask(&bid, |reply| reply.kind() == PacketKind::Answer).unwrap();
+    let request = bid.request;
+    // Parts of earlier answers may still be on their way.
+    let is_own = |reply: &Packet| reply.kind() == PacketKind::Answer && reply.request == request;
+    let answer = caller.ask(&bid, is_own).unwrap();
     (bid, answer.token)
 }
 
--- a/crates/foxledge-proofs/tests/right_service.rs
+++ b/crates/foxledge-proofs/tests/right_service.rs
@@ -55,7 +55,10 @@
         let bid = caller.next_request(&caller.obtain_ticket().unwrap());
         let answer = caller.ask(&bid, |reply| reply.kind() == PacketKind::Answer).unwrap();
         if token_names(fleet, &answer, &address.to_string()) {
-            return (caller, answer.token);
+            // From a new socket, which nothing of this answer reaches any more.
+            let mut fresh = HandCaller::new(fleet, DESK, number).unwrap();
+            fresh.identity = caller.identity;
+            return (fresh, answer.token);
         }
     }
     panic!("no bid went to {target}");
