--- a/crates/foxledge-ctl/src/report/explain.rs
+++ b/crates/foxledge-ctl/src/report/explain.rs
@@ -25,6 +25,7 @@
         }
     }
     text += &reasons_text(&report["reasons"]);
+    text += &desk_text(&report["desk"]);
     text += &events_text(&report["flow_events"]);
     text
 }
@@ -57,6 +58,18 @@
     format!("why:\n{}", lines.collect::<String>())
 }
 
+/// What the choice of a backend server goes by at this home.
+fn desk_text(desk: &Value) -> String {
+    let Some(targets) = desk["targets"].as_array() else {
+        return String::new();
+    };
+    let head = ["name", "state", "busy", "slots", "connections", "pace", "warmth"];
+    let rows = targets.iter().map(|target| head.map(|key| value_text(&target[key])).to_vec());
+    let table = write_table("  ", head.map(str::to_owned).to_vec(), rows.collect());
+    let (policy, queued) = (value_text(&desk["policy"]), value_text(&desk["queued"]));
+    format!("chosen here by policy {policy}, {queued} waiting:\n{table}")
+}
+
 fn events_text(events: &Value) -> String {
     let Some(events) = events.as_array().filter(|events| !events.is_empty()) else {
         return String::new();
--- a/crates/foxledge-ctl/tests/live_daemon.rs
+++ b/crates/foxledge-ctl/tests/live_daemon.rs
@@ -139,7 +139,14 @@
     let flow = format!("{:016x}", report.served_ids[0].flow);
     let followed = [&explain("bid", MEMBER)[..], &["--flow", &flow]].concat();
     let text = ask_text(home, &followed)?;
-    for wanted in ["lately decided for the flow:\n", "dispatched ", " to auction-desk-toledo-"] {
+    for wanted in [
+        "chosen here by policy freest, ",
+        "  auction-desk-toledo-1  open ",
+        "last dispatched to: auction-desk-toledo-",
+        "lately decided for the flow:\n",
+        "dispatched ",
+        " to auction-desk-toledo-",
+    ] {
         ensure!(text.contains(wanted), "no {wanted:?} in\n{text}");
     }
     let report = ask_json(home, &followed)?;
--- a/crates/foxledge-daemon/src/engine_part.rs
+++ b/crates/foxledge-daemon/src/engine_part.rs
@@ -114,11 +114,23 @@
         let explained = question.work.parse().map_err(|error| format!("{error}")).map(|kind| {
             let FlowQuestion { address, member, flow, .. } = question;
             let query = ExplainQuery { address, member, kind, flow };
-            json!(self.engine.explain(&query)).to_string()
+            self.with_desk(json!(self.engine.explain(&query))).to_string()
         });
         let _ = answer.send(explained);
     }
 
+    /// Adds the state of the flow's desk, if it is here: what the choice of a backend server goes by.
+    fn with_desk(&self, mut explained: Value) -> Value {
+        let status = json!(self.engine.status(self.context.clock.now()));
+        let service = &explained["treatment"]["serve"]["service"];
+        let is_asked = |entry: &&Value| {
+            entry["key"]["service"] == *service && entry["key"]["shard"] == explained["shard"]
+        };
+        let desk = status["desks"].as_array().and_then(|desks| desks.iter().find(is_asked));
+        explained["desk"] = desk.map_or(Value::Null, |entry| entry["desk"].clone());
+        explained
+    }
+
     fn tick(&mut self, cx: CX![]) {
         after!(TICK, [cx], tick());
         self.run(cx, |engine, context| engine.on_tick(context.clock.now()));
