Let callers send again when an instance can't reach a ticket's home

Cause: under a cut between two halves of a data centre, each bid that the fabric handed to the wrong half was answered UNKNOWN, though its home lived and the fabric would have handed the next copy to the right half. Ruled out: staying silent (the caller would learn nothing until its deadline); another home (a second run); more relays (a relay is on one side of the cut too). Conclusion: RESEND isn't final and is asked for at most four times; the stand-in caller also waits at most 400 ms between resends.

--- a/crates/foxledge-engine/src/counters.rs
+++ b/crates/foxledge-engine/src/counters.rs
@@ -60,6 +60,8 @@
     checks_sent,
     /// Refusals of targets dropped because the home had placed the work elsewhere.
     superseded,
+    /// Callers asked to send again, as a ticket's home couldn't be reached from here.
+    resends_asked,
     /// Flow tokens sealed anew under a newer key.
     tokens_resealed,
 }
--- a/crates/foxledge-engine/src/engine.rs
+++ b/crates/foxledge-engine/src/engine.rs
@@ -137,7 +137,8 @@
             PacketKind::Unspecified
             | PacketKind::TicketGrant
             | PacketKind::Probe
-            | PacketKind::Check => {
+            | PacketKind::Check
+            | PacketKind::Resend => {
                 self.counters.malformed += 1;
             }
         }
--- a/crates/foxledge-engine/src/entry.rs
+++ b/crates/foxledge-engine/src/entry.rs
@@ -163,6 +163,10 @@
             let refusal = unknown(RefusalReason::HomeLost, DEFAULT_RETRY);
             return self.refuse(now, from, &packet, refusal);
         }
+        let home = InstanceName::new(&ticket.home);
+        if packet.takes_resend && self.silent.is_silent(&home, now) {
+            return self.give_up_home(now, from, &packet);
+        }
         let Ok(home_address) = ticket.home_address.parse() else {
             let refusal = not_run(RefusalReason::BadTicket, DEFAULT_RETRY);
             return self.refuse(now, from, &packet, refusal);
@@ -171,7 +175,7 @@
             packet,
             caller: from,
             route: ForwardRoute::ByTicket { home_address },
-            tried: vec![InstanceName::new(&ticket.home)],
+            tried: vec![home],
             deadline: now.after(self.options.forward_wait),
             hops,
         };
--- a/crates/foxledge-engine/src/homes.rs
+++ b/crates/foxledge-engine/src/homes.rs
@@ -3,13 +3,15 @@
 use std::net::SocketAddr;
 
 use foxledge_core::time::ClockTime;
-use foxledge_wire::flow::{Forward, ForwardAck, RefusalReason, peer_datagram::Body};
+use foxledge_wire::flow::{
+    Forward, ForwardAck, Packet, PacketKind, RefusalReason, peer_datagram::Body,
+};
 
 use crate::{
     effects::EnginePhase,
     engine::FlowEngine,
     forwards::{ForwardRoute, PendingForward},
-    packets::{DEFAULT_RETRY, unknown},
+    packets::{DEFAULT_RETRY, reply_to, unknown},
     placement::DeskKey,
 };
 
@@ -23,6 +25,9 @@
 /// Sends of a ticketed packet to the ticket's home before it counts as lost.
 const TICKET_TRIES: usize = 3;
 
+/// Attempt of a caller at which a home that can't be reached is final.
+const LAST_ATTEMPT: u32 = 4;
+
 impl FlowEngine {
     /// Goes on to the next home that hasn't been tried; the last resort is here.
     pub(crate) fn try_homes(&mut self, now: ClockTime, key: &DeskKey, mut forward: PendingForward) {
@@ -99,9 +104,11 @@
         mut forward: PendingForward,
         home_address: SocketAddr,
     ) {
+        if let Some(silent) = forward.tried.last() {
+            self.silent.note(silent.clone(), now.after(self.options.passed_over));
+        }
         if forward.tried.len() >= TICKET_TRIES || forward.hops > 0 {
-            let refusal = unknown(RefusalReason::HomeLost, DEFAULT_RETRY);
-            return self.refuse(now, forward.caller, &forward.packet, refusal);
+            return self.give_up_home(now, forward.caller, &forward.packet);
         }
         let relay = self
             .view
@@ -121,6 +128,19 @@
         self.send_forward(address, forward);
     }
 
+    /// Gives up on reaching the home of a packet's ticket.
+    ///
+    /// Under a cut between instances another one may still reach it, and the
+    /// fabric may hand it the next copy; so the caller is asked to send again, a
+    /// few times. After that its request is final: nobody knows.
+    pub(crate) fn give_up_home(&mut self, now: ClockTime, caller: SocketAddr, packet: &Packet) {
+        if packet.takes_resend && packet.attempt < LAST_ATTEMPT {
+            self.counters.resends_asked += 1;
+            return self.send_data(caller, &reply_to(packet, PacketKind::Resend));
+        }
+        self.refuse(now, caller, packet, unknown(RefusalReason::HomeLost, DEFAULT_RETRY));
+    }
+
     /// A home has the packet.
     pub(crate) fn on_forward_ack(&mut self, forward_id: u64) {
         let Some(forward) = self.forwards.acknowledge(forward_id) else { return };
--- a/crates/foxledge-engine/tests/forward_paths.rs
+++ b/crates/foxledge-engine/tests/forward_paths.rs
@@ -133,3 +133,57 @@
     });
     assert!(explained.flow_events.iter().any(|event| event.text.contains("Unknown")));
 }
+
+/// Outcomes of a bid whose ticket's home only instance 0 or 1 can reach, of two.
+fn cut_pair(takes_resend: bool) -> Vec<PacketKind> {
+    let mut net = TestNet::new(2, 6, EngineOptions::default());
+    let ticket = net.obtain_ticket(1, 0, "auction").unwrap();
+    let home = home_of(&net);
+    let entry = 1 - home;
+    net.cuts.insert((peer_address(entry), peer_address(home)));
+    net.cuts.insert((peer_address(home), peer_address(entry)));
+    let bid = Packet { ticket, takes_resend, ..work(1, 1, 1, "auction") };
+    net.send(1, entry, &bid);
+    net.run(1000);
+    let answers = net.take_answers(1);
+    if answers.iter().any(|answer| answer.kind() == PacketKind::Resend) {
+        // The fabric hands the next copy to the other instance.
+        net.send(1, home, &Packet { attempt: 1, ..bid });
+        net.run(500);
+    }
+    answers.into_iter().chain(net.take_answers(1)).map(|answer| answer.kind()).collect()
+}
+
+#[test]
+fn cut_pair_resent() {
+    // Symptom: under a cut between two instances, half of all bids are answered "unknown".
+    // Sequence: a ticket's home and the entry instance are cut from each other; no third can relay.
+    // Cause: the entry instance makes the home's silence final, though the fabric would hand the
+    //   next copy to the home itself.
+    assert_eq!(cut_pair(false), [PacketKind::Refusal]);
+    let kinds = cut_pair(true);
+    assert_eq!(kinds[0], PacketKind::Resend);
+    assert!(kinds.contains(&PacketKind::Answer) && !kinds.contains(&PacketKind::Refusal));
+}
+
+#[test]
+fn resends_bounded() {
+    let mut net = TestNet::new(2, 7, EngineOptions::default());
+    let ticket = net.obtain_ticket(1, 0, "auction").unwrap();
+    let home = home_of(&net);
+    net.kill(home);
+    let mut packet = Packet { ticket, takes_resend: true, ..work(1, 1, 1, "auction") };
+    let mut kinds = Vec::new();
+    for _ in 0..10 {
+        net.send(1, 1 - home, &packet);
+        net.run(600);
+        let answers = net.take_answers(1);
+        kinds.extend(answers.iter().map(Packet::kind));
+        if !refusals(&answers).is_empty() {
+            break;
+        }
+        packet.attempt += 1;
+    }
+    assert_eq!(kinds.iter().filter(|kind| **kind == PacketKind::Resend).count(), 4);
+    assert_eq!(kinds.last(), Some(&PacketKind::Refusal));
+}
--- a/crates/foxledge-fakes/src/caller/flow.rs
+++ b/crates/foxledge-fakes/src/caller/flow.rs
@@ -83,6 +83,7 @@
     pub fn on_packet(&mut self, now: ClockTime, packet: &Packet) -> Vec<CallerEffect> {
         match packet.kind() {
             PacketKind::TicketGrant => self.on_grant(now, packet),
+            PacketKind::Resend => self.on_resend(now, packet),
             PacketKind::Ack => self.on_ack(now, packet),
             PacketKind::Answer => self.on_answer(now, packet),
             PacketKind::Refusal => self.on_refusal(now, packet),
@@ -209,6 +210,12 @@
         self.send_due(now, packet.request);
     }
 
+    fn on_resend(&mut self, now: ClockTime, packet: &Packet) {
+        let Some((_, request)) = self.find(packet.request) else { return };
+        request.hurry(now);
+        self.send_due(now, packet.request);
+    }
+
     /// Sends what the request has due, such as the next parts of an upload.
     fn send_due(&mut self, now: ClockTime, request: u64) {
         if let Some((number, _)) = self.find(request) {
--- a/crates/foxledge-fakes/src/caller/identity.rs
+++ b/crates/foxledge-fakes/src/caller/identity.rs
@@ -44,6 +44,7 @@
             work: work_kind(self.kind) as i32,
             idempotent: self.idempotent,
             credential: self.credential.clone(),
+            takes_resend: true,
             ..Packet::default()
         }
     }
--- a/crates/foxledge-fakes/src/caller/pace.rs
+++ b/crates/foxledge-fakes/src/caller/pace.rs
@@ -3,7 +3,9 @@
 use foxledge_core::time::ClockTime;
 
 const FIRST_WAIT_MS: u64 = 200;
-const LONGEST_WAIT_MS: u64 = 1000;
+/// A dead instance swallows what the fabric hands it, one packet in three of
+/// three instances: a longer wait would let short deadlines pass unheard.
+const LONGEST_WAIT_MS: u64 = 400;
 
 /// `SendPace` says when a datagram that found no answer is sent again: the wait doubles.
 #[derive(Clone, Debug)]
@@ -30,6 +32,11 @@
         true
     }
 
+    /// Makes it due now.
+    pub fn hurry(&mut self, now: ClockTime) {
+        self.next = now;
+    }
+
     /// When it is due.
     pub fn next(&self) -> ClockTime {
         self.next
--- a/crates/foxledge-fakes/src/caller/requests.rs
+++ b/crates/foxledge-fakes/src/caller/requests.rs
@@ -83,6 +83,11 @@
         self.pace = SendPace::first(now);
     }
 
+    /// Makes the next sending due at once: another instance may reach the ticket's home.
+    pub fn hurry(&mut self, now: ClockTime) {
+        self.pace.hurry(now);
+    }
+
     /// What is due.
     pub fn due(&mut self, now: ClockTime, identity: &FlowIdentity) -> Vec<DuePacket> {
         if self.token.is_empty() {
