Prove run-once under pairs of faults, a cut of one direction and bad links

Cause: a home that freezes after its dispatch, one that dies together with the backend server, lost acks and bad links between instances weren't proved with real processes. Before: with trial.run_once off a bid runs twice in each of the three hand-made cases. Conclusion: promises 5 and 4 hold under these pairs.

--- a/crates/foxledge-proofs/src/once.rs
+++ b/crates/foxledge-proofs/src/once.rs
@@ -12,6 +12,7 @@
     traffic::TrafficKind,
 };
 use foxledge_fakes::{
+    backend::BackendOrder,
     caller::{FlowIdentity, answers::AnswerStore, answers::read_part},
     harness::{FleetPlan, ServiceSize, TestFleet, TestProcess, wait_until, wait_until_ok},
     publish::MemberPlan,
@@ -49,6 +50,41 @@
         .member(MemberPlan::open("harbor-sets"))
 }
 
+/// Settings of tickets that outlast a test, membership that finds out quickly, and patience with
+/// backend servers on a busy machine.
+pub const QUICK: &str = "[flow]\nticket_ms = 20000\n[stop]\nlimit_ms = 30000\n\
+                         [peers]\nheartbeat_ms = 150\nsuspect_after_ms = 600\ndead_after_ms = 1200\n\
+                         [desk]\nack_ms = 1500\n";
+/// Factor of service times so long that a run is still going when its home dies.
+pub const LONG_RUN: f64 = 500.0;
+
+/// `RunOnce` is whether non-idempotent work runs through its ticket's home only.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RunOnce {
+    /// As it is served.
+    On,
+    /// Only to show that the fault is there.
+    Off,
+}
+
+impl RunOnce {
+    /// Settings with the switch after `more`.
+    pub fn settings(self, more: &str) -> String {
+        format!("{more}[trial]\nrun_once = {}\n", self == RunOnce::On)
+    }
+}
+
+/// Multiplies the service time of every running backend server.
+pub fn slow_down(fleet: &mut TestFleet, factor: f64) -> anyhow::Result<()> {
+    let running = fleet.backends.iter_mut().filter_map(|backend| {
+        let is_running = backend.process.is_running();
+        is_running.then_some(&*backend)
+    });
+    running
+        .into_iter()
+        .try_for_each(|backend| backend.order(&BackendOrder::Slow { factor }).map(drop))
+}
+
 /// Starts a fleet whose instances all hold each other for alive.
 ///
 /// Before that two instances may both be the home of a service, and a test that kills "the" home
--- a/crates/foxledge-proofs/tests/not_run.rs
+++ b/crates/foxledge-proofs/tests/not_run.rs
@@ -13,7 +13,8 @@
     gate::GatedFleet,
     once::{
         CENTRE, DESK, FinalWord, HandCaller, MEMBER, WIDE_LIMIT, count_runs, home_of, others,
-        pass_marker, plan_fleet, resend_until_runs, start_fleet, steer, wait_revision, wait_runs,
+        pass_marker, plan_fleet, resend_until_runs, slow_down, start_fleet, steer, wait_revision,
+        wait_runs,
     },
 };
 use foxledge_wire::flow::{Packet, PacketKind, RefusalReason};
@@ -120,7 +121,7 @@
 fn hold_slots(fleet: &mut GatedFleet, number: u64) -> Vec<HeldSlot> {
     let slots: u32 =
         2 * fleet.backends.iter().filter(|backend| backend.service == DESK.0).count() as u32;
-    slow_down(fleet, LONG_RUN);
+    slow_down(fleet, LONG_RUN).unwrap();
     let mut held = Vec::new();
     for slot in 0..u64::from(slots) {
         let mut caller = HandCaller::new(fleet, DESK, 0x4000 + number * 64 + slot).unwrap();
@@ -130,16 +131,10 @@
         wait_runs(fleet, caller.id(1), 1).unwrap();
         held.push(HeldSlot { caller, bid });
     }
-    slow_down(fleet, 1.0);
+    slow_down(fleet, 1.0).unwrap();
     held
 }
 
-fn slow_down(fleet: &GatedFleet, factor: f64) {
-    for backend in &fleet.backends {
-        backend.order(&BackendOrder::Slow { factor }).unwrap();
-    }
-}
-
 /// These ways of refusing in turn on one fleet; returns words and runs.
 fn refuse_in_ways(ways: &[Refusing], remembers: bool) -> Vec<(Refusing, FinalWord, u32)> {
     let settings = format!("{LASTING}[trial]\nremember_refusals = {remembers}\n");
--- a/crates/foxledge-proofs/tests/own_answer.rs
+++ b/crates/foxledge-proofs/tests/own_answer.rs
@@ -2,7 +2,7 @@
 
 use foxledge_core::traffic::TrafficKind;
 use foxledge_fakes::{
-    backend::{BackendOrder, content::answer_part_count},
+    backend::content::answer_part_count,
     fabric::faults::{FaultWays, PacketFaults},
     harness::TestCaller,
     report::LoadReport,
@@ -11,7 +11,7 @@
     gate::GatedFleet,
     once::{
         CENTRE, DESK, FinalWord, HandCaller, INTAKE, MEMBER, WIDE_LIMIT, count_runs, home_of,
-        others, plan_fleet, start_fleet, steer,
+        others, plan_fleet, slow_down, start_fleet, steer,
     },
 };
 use foxledge_wire::flow::{Packet, PacketKind, RefusalReason};
@@ -162,12 +162,6 @@
     callers.into_iter().find(|c| answer_part_count(c.identity.flow, 1) == 3).unwrap()
 }
 
-fn slow_down(fleet: &GatedFleet, factor: f64) {
-    for backend in &fleet.backends {
-        backend.order(&BackendOrder::Slow { factor }).unwrap();
-    }
-}
-
 #[test]
 fn home_killed_before_answer() {
     // Symptom: a bid that ran is lost to its caller.
@@ -176,7 +170,7 @@
     // Cause: only the home knew where the bid runs. With the flow token that came with the first
     //   sign, any instance finds the backend server; without it nobody does.
     let mut fleet = start_fleet(plan_fleet(3, 2).settings(PATIENT)).unwrap();
-    slow_down(&fleet, 100.0);
+    slow_down(&mut fleet, 100.0).unwrap();
     let mut caller = long_winded(&fleet, 1);
     let ticket = caller.obtain_ticket().unwrap();
     let bid = caller.next_request(&ticket);
@@ -204,7 +198,7 @@
     //   an instance that hasn't seen the flow.
     // Cause: the answer's way is kept from the first packet.
     let mut fleet = start_fleet(plan_fleet(2, 2).settings(PATIENT)).unwrap();
-    slow_down(&fleet, 50.0);
+    slow_down(&mut fleet, 50.0).unwrap();
     let mut caller = long_winded(&fleet, 1);
     let ticket = caller.obtain_ticket().unwrap();
     let home = home_of(&fleet, &ticket).unwrap();
@@ -224,8 +218,8 @@
     // Sequence: both run at once; their answers overtake each other, and each is polled by its own
     //   token and by the other's.
     // Cause: the token is taken for the flow's and not for the request's.
-    let fleet = start_fleet(plan_fleet(2, 2).settings(PATIENT)).unwrap();
-    slow_down(&fleet, 50.0);
+    let mut fleet = start_fleet(plan_fleet(2, 2).settings(PATIENT)).unwrap();
+    slow_down(&mut fleet, 50.0).unwrap();
     let faults = PacketFaults { reorder: 0.5, reorder_ms: 300, ..PacketFaults::default() };
     fleet.fabrics[0].client.set_faults(FaultWays::Back, faults).unwrap();
     let mut caller = HandCaller::new(&fleet, DESK, 1).unwrap();
--- /dev/null
+++ b/crates/foxledge-proofs/tests/paired_faults.rs
@@ -0,0 +1,181 @@
+//! Promises 5 and 4 under faults in pairs, with the cut of one direction and bad links.
+
+use std::time::Duration;
+
+use foxledge_core::traffic::TrafficKind;
+use foxledge_fakes::{
+    fabric::faults::{FaultWays, PacketFaults},
+    harness::LinkMode,
+    report::BackendStats,
+};
+use foxledge_proofs::once::{
+    CENTRE, DESK, FinalWord, HandCaller, LONG_RUN, MEMBER, QUICK, RunOnce, WIDE_LIMIT, count_runs,
+    home_of, pass_marker, plan_fleet, resend_until_runs, slow_down, start_fleet, steer,
+    wait_living, wait_runs,
+};
+use foxledge_wire::flow::RefusalReason;
+
+/// The home freezes while the bid runs and wakes up when it has long ended; returns the runs.
+fn freeze_after_dispatch(run_once: RunOnce) -> u32 {
+    let plan = plan_fleet(2, 3).settings(&run_once.settings(QUICK));
+    let mut fleet = start_fleet(plan).unwrap();
+    slow_down(&mut fleet, 25.0).unwrap();
+    let mut caller = HandCaller::new(&fleet, DESK, 1).unwrap();
+    let ticket = caller.obtain_ticket().unwrap();
+    let home = home_of(&fleet, &ticket).unwrap();
+    let bid = caller.next_request(&ticket);
+    steer(&fleet, &[home]).unwrap();
+    caller.send(&bid).unwrap();
+    wait_runs(&mut fleet, caller.id(1), 1).unwrap();
+    fleet.instances[home].process.freeze().unwrap();
+    steer(&fleet, &[1 - home]).unwrap();
+    match run_once {
+        RunOnce::Off => resend_until_runs(&mut fleet, &caller, &bid, 2).unwrap(),
+        RunOnce::On => {
+            let word = caller.insist(&bid).unwrap();
+            assert!(!matches!(word, FinalWord::NotRun(_)), "told {word:?} of a bid that ran");
+        }
+    }
+    wait_living(&fleet, 1 - home, 1).unwrap();
+    fleet.instances[home].process.wake().unwrap();
+    fleet.instances[home].wait_ready(WIDE_LIMIT).unwrap();
+    steer(&fleet, &[home]).unwrap();
+    for _ in 0..3 {
+        caller.send(&bid).unwrap();
+        caller.overhear(1, Duration::from_millis(300));
+    }
+    pass_marker(&fleet, &[0, 1], 1).unwrap();
+    count_runs(&mut fleet, caller.id(1)).unwrap()
+}
+
+#[test]
+fn home_frozen_after_dispatch() {
+    // Symptom: a bid runs twice.
+    // Sequence: the home dispatches it and freezes; the caller sends it through the other
+    //   instance; the home wakes up, finds its dispatch overdue and gets a copy.
+    // Cause: the other instance places it anew, or the woken home does.
+    assert_eq!(freeze_after_dispatch(RunOnce::Off), 2, "without the mechanism the fault shows");
+    assert_eq!(freeze_after_dispatch(RunOnce::On), 1);
+}
+
+/// Home and backend server die while the bid runs; returns the runs.
+fn kill_home_and_target(run_once: RunOnce) -> u32 {
+    let plan = plan_fleet(2, 3).settings(&run_once.settings(QUICK));
+    let mut fleet = start_fleet(plan).unwrap();
+    slow_down(&mut fleet, LONG_RUN).unwrap();
+    let mut caller = HandCaller::new(&fleet, DESK, 1).unwrap();
+    let ticket = caller.obtain_ticket().unwrap();
+    let home = home_of(&fleet, &ticket).unwrap();
+    let bid = caller.next_request(&ticket);
+    caller.send(&bid).unwrap();
+    wait_runs(&mut fleet, caller.id(1), 1).unwrap();
+    let ran = |stats: &BackendStats| stats.runs.iter().any(|run| run.id == caller.id(1));
+    for backend in &mut fleet.backends {
+        if ran(&backend.stats().unwrap()) {
+            backend.kill().unwrap();
+        }
+    }
+    fleet.kill_instance(home).unwrap();
+    steer(&fleet, &[1 - home]).unwrap();
+    match run_once {
+        RunOnce::Off => resend_until_runs(&mut fleet, &caller, &bid, 2).unwrap(),
+        RunOnce::On => {
+            let word = caller.insist(&bid).unwrap();
+            assert_eq!(word, FinalWord::Unknown(RefusalReason::HomeLost));
+        }
+    }
+    slow_down(&mut fleet, 1.0).unwrap();
+    let mut marked = 0;
+    for number in 0..8 {
+        // The dead backend server makes some markers end as unknown until it is ejected.
+        marked += u32::from(pass_marker(&fleet, &[1 - home], number).is_ok());
+    }
+    assert!(marked > 0, "no marker was answered");
+    count_runs(&mut fleet, caller.id(1)).unwrap()
+}
+
+#[test]
+fn home_and_target_killed() {
+    // Symptom: a bid runs again at another backend server.
+    // Sequence: the backend server that runs it and the home are killed; the caller sends it again.
+    // Cause: nobody is left who could say that it ran.
+    assert_eq!(kill_home_and_target(RunOnce::Off), 2, "without the mechanism the fault shows");
+    assert_eq!(kill_home_and_target(RunOnce::On), 1);
+}
+
+/// What the home sends the other instance is cut; returns the runs.
+fn cut_acks(run_once: RunOnce) -> u32 {
+    let plan = plan_fleet(2, 2).link_mode(LinkMode::Routed).settings(&run_once.settings(QUICK));
+    let mut fleet = start_fleet(plan).unwrap();
+    let mut caller = HandCaller::new(&fleet, DESK, 1).unwrap();
+    let ticket = caller.obtain_ticket().unwrap();
+    let home = home_of(&fleet, &ticket).unwrap();
+    let names = [fleet.instances[home].name.clone(), fleet.instances[1 - home].name.clone()];
+    fleet.links.as_ref().unwrap().client().cut_links(&names[0], &names[1]).unwrap();
+    steer(&fleet, &[1 - home]).unwrap();
+    let bid = caller.next_request(&ticket);
+    caller.send(&bid).unwrap();
+    let expected = if run_once == RunOnce::On { 1 } else { 2 };
+    wait_runs(&mut fleet, caller.id(1), expected).unwrap();
+    for _ in 0..5 {
+        caller.send(&bid).unwrap();
+        let word = caller.overhear(1, Duration::from_millis(300));
+        assert!(!matches!(word, Some(FinalWord::NotRun(_))), "told {word:?} of a bid that ran");
+    }
+    pass_marker(&fleet, &[0, 1], 1).unwrap();
+    count_runs(&mut fleet, caller.id(1)).unwrap()
+}
+
+#[test]
+fn cut_one_way() {
+    // Symptom: a bid runs twice.
+    // Sequence: what the home sends the entry instance is cut, the other direction is open: the
+    //   bid arrives at the home, its ack doesn't come back.
+    // Cause: the entry instance takes the silence for a lost packet and admits the bid itself.
+    assert_eq!(cut_acks(RunOnce::Off), 2, "without the mechanism the fault shows");
+    assert_eq!(cut_acks(RunOnce::On), 1);
+}
+
+#[test]
+fn bad_links_under_load() {
+    // Symptom: bids run twice, or ran though they were refused as "not run".
+    // Sequence: under load, packets between instances are lost, doubled and late, those of callers
+    //   are doubled; then a home freezes and wakes up, and the next one is killed.
+    // Cause: any copy or late forwarding that is taken for new work.
+    let plan = plan_fleet(4, 3).link_mode(LinkMode::Routed).settings("[flow]\nticket_ms = 2000\n");
+    let mut fleet = start_fleet(plan).unwrap();
+    let bad = PacketFaults {
+        loss: 0.2,
+        duplicate: 0.3,
+        reorder: 0.2,
+        reorder_ms: 400,
+        delay_max_ms: 30,
+        ..PacketFaults::default()
+    };
+    let copies = PacketFaults { duplicate: 0.5, ..PacketFaults::default() };
+    fleet.links.as_ref().unwrap().client().set_link_faults("toledo*", "toledo*", bad).unwrap();
+    fleet.fabrics[0].client.set_faults(FaultWays::Forward, copies).unwrap();
+    let load =
+        fleet.plan_caller(DESK.0, MEMBER, TrafficKind::Bid).unwrap().rate(100.0).seconds(9.0);
+    let caller = fleet.start_caller(CENTRE, &load.argument("--deadline-ms=3000")).unwrap();
+    for round in 0..2 {
+        std::thread::sleep(Duration::from_millis(1000));
+        let probe = HandCaller::new(&fleet, DESK, 0x7000 + round).unwrap();
+        let home = home_of(&fleet, &probe.obtain_ticket().unwrap()).unwrap();
+        if round == 0 {
+            fleet.instances[home].process.freeze().unwrap();
+            std::thread::sleep(Duration::from_millis(3500));
+            fleet.instances[home].process.wake().unwrap();
+        } else {
+            fleet.kill_instance(home).unwrap();
+        }
+    }
+    let report = caller.finish(WIDE_LIMIT).unwrap();
+    println!(
+        "offered {}, served {}, not run {}, unknown {}, timed out {}",
+        report.offered, report.served, report.refused_not_run, report.unknown, report.timed_out
+    );
+    let verdict = fleet.judge(std::slice::from_ref(&report)).unwrap();
+    assert!(verdict.is_clean(), "{verdict:?}");
+    assert!(report.served > 0, "nothing was served");
+}
--- a/crates/foxledge-proofs/tests/run_once.rs
+++ b/crates/foxledge-proofs/tests/run_once.rs
@@ -3,48 +3,18 @@
 use std::time::{Duration, Instant};
 
 use foxledge_fakes::{
-    backend::BackendOrder,
     fabric::faults::{FaultWays, PacketFaults},
     harness::{LinkMode, wait_until},
 };
-use foxledge_proofs::{
-    gate::GatedFleet,
-    once::{
-        CENTRE, DESK, FinalWord, HandCaller, WIDE_LIMIT, count_runs, home_of, others, pass_marker,
-        plan_fleet, resend_until_runs, restart_instance, start_fleet, steer, wait_living,
-        wait_runs,
-    },
+use foxledge_proofs::once::{
+    CENTRE, DESK, FinalWord, HandCaller, LONG_RUN, QUICK, RunOnce, WIDE_LIMIT, count_runs, home_of,
+    others, pass_marker, plan_fleet, resend_until_runs, restart_instance, slow_down, start_fleet,
+    steer, wait_living, wait_runs,
 };
 use foxledge_wire::flow::RefusalReason;
 
-/// Tickets that outlast a test, membership that finds out quickly, and patience with backend
-/// servers on a busy machine.
-const QUICK: &str = "[flow]\nticket_ms = 20000\n[stop]\nlimit_ms = 30000\n\
-                     [peers]\nheartbeat_ms = 150\nsuspect_after_ms = 600\ndead_after_ms = 1200\n\
-                     [desk]\nack_ms = 1500\n";
 /// Life of a ticket that runs out while its home is frozen.
 const SHORT_TICKET_MS: u64 = 1500;
-/// Service time so long that a run is still going when its home dies.
-const LONG_RUN: f64 = 500.0;
-
-/// `RunOnce` is whether the mechanism is on.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum RunOnce {
-    On,
-    Off,
-}
-
-impl RunOnce {
-    fn settings(self, more: &str) -> String {
-        format!("{more}[trial]\nrun_once = {}\n", self == RunOnce::On)
-    }
-}
-
-fn slow_down(fleet: &GatedFleet, factor: f64) {
-    for backend in &fleet.backends {
-        backend.order(&BackendOrder::Slow { factor }).unwrap();
-    }
-}
 
 /// Two halves that hold each other for dead get a copy each; returns the runs.
 fn split_views(run_once: RunOnce) -> u32 {
@@ -97,7 +67,7 @@
 fn kill_homes(run_once: RunOnce, kills: usize) -> (u32, FinalWord) {
     let plan = plan_fleet(kills + 1, 3).settings(&run_once.settings(QUICK));
     let mut fleet = start_fleet(plan).unwrap();
-    slow_down(&fleet, LONG_RUN);
+    slow_down(&mut fleet, LONG_RUN).unwrap();
     let mut caller = HandCaller::new(&fleet, DESK, 2).unwrap();
     let ticket = caller.obtain_ticket().unwrap();
     let mut home = home_of(&fleet, &ticket).unwrap();
@@ -119,7 +89,7 @@
         RunOnce::Off => FinalWord::Answered,
     };
     let rest = others(&mut fleet, usize::MAX);
-    slow_down(&fleet, 1.0);
+    slow_down(&mut fleet, 1.0).unwrap();
     for _ in 0..3 {
         caller.send(&bid).unwrap();
         caller.overhear(1, Duration::from_millis(300));
@@ -151,7 +121,7 @@
 /// Home restarted under its name while the bid runs; returns the runs.
 fn restart_home(run_once: RunOnce) -> u32 {
     let mut fleet = start_fleet(plan_fleet(2, 3).settings(&run_once.settings(QUICK))).unwrap();
-    slow_down(&fleet, LONG_RUN);
+    slow_down(&mut fleet, LONG_RUN).unwrap();
     let mut caller = HandCaller::new(&fleet, DESK, 1).unwrap();
     let ticket = caller.obtain_ticket().unwrap();
     let home = home_of(&fleet, &ticket).unwrap();
@@ -166,7 +136,7 @@
         let word = caller.insist(&bid).unwrap();
         assert_eq!(word, FinalWord::Unknown(RefusalReason::HomeLost));
     }
-    slow_down(&fleet, 1.0);
+    slow_down(&mut fleet, 1.0).unwrap();
     pass_marker(&fleet, &[0, 1], 1).unwrap();
     count_runs(&mut fleet, caller.id(1)).unwrap()
 }
@@ -238,7 +208,7 @@
 /// All instances replaced while the bid runs; returns the runs.
 fn replace_all(run_once: RunOnce) -> u32 {
     let mut fleet = start_fleet(plan_fleet(2, 3).settings(&run_once.settings(QUICK))).unwrap();
-    slow_down(&fleet, LONG_RUN);
+    slow_down(&mut fleet, LONG_RUN).unwrap();
     let mut caller = HandCaller::new(&fleet, DESK, 1).unwrap();
     let ticket = caller.obtain_ticket().unwrap();
     let bid = caller.next_request(&ticket);
@@ -257,7 +227,7 @@
         let word = caller.insist(&bid).unwrap();
         assert_eq!(word, FinalWord::Unknown(RefusalReason::HomeLost));
     }
-    slow_down(&fleet, 1.0);
+    slow_down(&mut fleet, 1.0).unwrap();
     pass_marker(&fleet, &[2, 3], 1).unwrap();
     count_runs(&mut fleet, caller.id(1)).unwrap()
 }
