Put a platform that went back into the audit trail

Cause: after a platform restarted at an older state, a list published under a revision below the one in force is ignored; the watch told only the log, at every watch. Ruled out: an entry at each watch, which pushes the others out of the bounded trail. Before: no entry (seen by hand: revisions 2 to 4 ignored over a list 4 in force without a word in the trail). Conclusion: an instance that doesn't read the platform says nothing; at least one reader of each data centre does.

--- a/crates/foxledge-ctl/tests/live_daemon.rs
+++ b/crates/foxledge-ctl/tests/live_daemon.rs
@@ -27,7 +27,8 @@
     let plan = FleetPlan::new()
         .centre(CENTRE, 2)
         .service(SERVICE, ADDRESS, ServiceSize::targets(2))
-        .member(MemberPlan::open(MEMBER));
+        .member(MemberPlan::open(MEMBER))
+        .settings("[platform]\nwait_ms = 500");
     let fleet = TestFleet::start(plan)?;
     for instance in &fleet.instances {
         wait_until_ok("both instances are known", WIDE_LIMIT, || {
@@ -193,6 +194,31 @@
     Ok(())
 }
 
+/// Symptom: an operator publishes a list, and nothing happens or is said anywhere.
+/// Sequence: the platform is restarted at an older state; the list gets a revision below the one
+/// in force.
+/// Cause: a watch that finds an older revision told the log only.
+#[test]
+fn older_platform() -> Result<()> {
+    let mut fleet = start_fleet()?;
+    let target = fleet.list.target_mut("auction-desk-toledo-1").context("no target")?;
+    target.slots = 3;
+    let newest = fleet.publish()?;
+    let instance = &fleet.instances[0];
+    wait_line(instance, &["list accepted", &format!("-> revision {newest} (")])?;
+    fleet.platform.client.rewind(1)?;
+    let change = format!("list ignored rule list: revision {newest} -> revision 1; ");
+    wait_line(instance, &[&change, "because the platform is at an older revision"])?;
+
+    // The way out: a revision above the one in force.
+    let mut published = 1;
+    while published <= newest {
+        published = fleet.publish()?;
+    }
+    wait_line(instance, &["list accepted", &format!("-> revision {published} (")])?;
+    Ok(())
+}
+
 /// Symptom: an operator looks up a metric, a refusal or an audit entry and finds nothing.
 /// Sequence: the code gets a new one.
 /// Cause: the page was not changed with it.
--- a/crates/foxledge-daemon/src/control_link.rs
+++ b/crates/foxledge-daemon/src/control_link.rs
@@ -2,7 +2,7 @@
 
 use std::{io, net::SocketAddr, rc::Rc};
 
-use foxledge_core::audit::AuditEntry;
+use foxledge_core::audit::{AuditChange, AuditEntry, AuditKind};
 use foxledge_wire::control::MemberListing;
 use log::warn;
 use serde_json::json;
@@ -73,6 +73,11 @@
                     call!([life], platform_done());
                 }
             }
+            LinkEvent::PlatformOlder { shown, newest } => self.context.record(
+                AuditChange::new(AuditKind::ListIgnored, "rule list")
+                    .values(format!("revision {newest}"), format!("revision {shown}"))
+                    .because("the platform is at an older revision", "platform"),
+            ),
             LinkEvent::Ended(why) => {
                 warn!("link: the side thread ended: {why}");
                 fail!(cx, "the side thread ended");
--- a/crates/foxledge-daemon/src/side/messages.rs
+++ b/crates/foxledge-daemon/src/side/messages.rs
@@ -90,6 +90,13 @@
     PartsFetched(ListSource, Result<Vec<ListPart>, CallError>),
     /// The platform answered a watch, or could not be reached at any address.
     PlatformAsked,
+    /// The platform shows an older revision than it, or a peer, did before.
+    PlatformOlder {
+        /// The one that it shows.
+        shown: u64,
+        /// The newest known.
+        newest: u64,
+    },
     /// The platform's list of instances.
     ListingRead(MemberListing),
     /// An operator wants the status.
--- a/crates/foxledge-daemon/src/side/watch.rs
+++ b/crates/foxledge-daemon/src/side/watch.rs
@@ -47,6 +47,13 @@
 /// Longest value that the platform holds, with room for the message around it.
 const MESSAGE_LIMIT: usize = 2 << 20;
 
+/// `OlderState` is a revision that the platform showed, and the newer one known then.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+struct OlderState {
+    shown: u64,
+    newest: u64,
+}
+
 /// `PlatformWatch` reads the platform over its addresses in turn.
 #[derive(Clone)]
 pub struct PlatformWatch {
@@ -145,6 +152,7 @@
     async fn watch_manifest(&self, newest: &mut u64) {
         let mut backoff = FIRST_BACKOFF;
         let mut failures = 0;
+        let mut older = OlderState::default();
         // What is there is read at once, not waited for.
         let mut wait = Duration::ZERO;
         loop {
@@ -153,6 +161,7 @@
                     failures = 0;
                     backoff = FIRST_BACKOFF;
                     wait = self.wait;
+                    self.tell_older(&reply, *newest, &mut older);
                     self.take_reply(&reply, newest).await;
                 }
                 Err(error) => {
@@ -169,10 +178,22 @@
         }
     }
 
-    async fn take_reply(&self, reply: &ReadReply, newest: &mut u64) {
-        if reply.unchanged && reply.revision < *newest {
-            warn!("link: the platform is at revision {}, older than {newest}", reply.revision);
+    /// Tells of a platform that went back, once for each state that it shows.
+    ///
+    /// What operators publish then is ignored until its revision is above the
+    /// newest known. Without a word they would wait for it in vain; told at each
+    /// watch, it would push every other entry out of the audit trail.
+    fn tell_older(&self, reply: &ReadReply, newest: u64, told: &mut OlderState) {
+        let state = OlderState { shown: reply.revision, newest };
+        if !reply.unchanged || state.shown >= newest || *told == state {
+            return;
         }
+        *told = state;
+        warn!("link: the platform is at revision {}, older than {newest}", state.shown);
+        self.events.send(LinkEvent::PlatformOlder { shown: state.shown, newest });
+    }
+
+    async fn take_reply(&self, reply: &ReadReply, newest: &mut u64) {
         if reply.found && !reply.unchanged {
             *newest = (*newest).max(reply.revision);
             let outcome = decode_manifest(reply);
