--- a/crates/foxledge-proofs/tests/planned_stop.rs
+++ b/crates/foxledge-proofs/tests/planned_stop.rs
@@ -6,7 +6,7 @@
 use foxledge_core::traffic::TrafficKind;
 use foxledge_fakes::{
     backend::BackendOrder,
-    harness::{FleetPlan, ServiceSize, wait_until_ok},
+    harness::{FleetPlan, LinkMode, ServiceSize, wait_until_ok},
     publish::MemberPlan,
     report::LoadReport,
 };
@@ -121,6 +121,28 @@
     Ok(())
 }
 
+/// Symptom: bids end unknown when an instance stops that another one can't reach.
+/// Sequence: under load the network between two of three instances is cut, then each of the two is
+/// replaced.
+/// Cause: a leaving home whose word doesn't reach all, and that stops before its tickets have run
+/// out.
+#[test]
+fn stop_during_cut() -> Result<()> {
+    let mut fleet = GatedFleet::start(plan_fleet(3, 2).link_mode(LinkMode::Routed))?;
+    let bids = start_bids(&fleet, CENTRE, 40.0)?;
+    wait_more_runs(&mut fleet, 20)?;
+    fleet.links.as_ref().expect("the fleet is routed").cut("toledo-1", "toledo-2")?;
+    wait_more_runs(&mut fleet, 20)?;
+    for index in 0..2 {
+        fleet.replace_instance(index, WIDE_LIMIT)?;
+    }
+    wait_more_runs(&mut fleet, 20)?;
+    let report = stop_load(bids)?;
+    println!("cut: {} offered, {} served, {:?}", report.offered, report.served, report.refused);
+    ensure!(report.unknown + report.timed_out == 0, "{:?}", report.refused);
+    ensure_clean(&fleet.judge(&[report])?)
+}
+
 /// Symptom: an instance that was asked to stop goes on for ever, as it gets new tickets out.
 /// Sequence: an instance that has issued a ticket is asked to stop, twice; the fabric sprays only
 /// to it; callers ask for tickets, and one uses the ticket that it has.
