Send new work to another data centre when no target here can serve

Cause: a home knew only its own data centre's targets. Lot intake has one target in each of four data centres; when it drained or died, its data centre refused every upload while three targets stood idle. Ruled out: moving ticketed work (it runs through its ticket's process only); placing by load across data centres (their members are not known here, and a cut would take the home away). Conclusion: new work goes to a contact in reach; ticketed work is refused NOT_RUN NO_TARGET at once and asked anew.

--- a/crates/foxledge-bench/src/fleet/mishaps.rs
+++ b/crates/foxledge-bench/src/fleet/mishaps.rs
@@ -25,18 +25,21 @@
     PlatformDown,
     /// Half the instances of the first data centre are cut from the others for 5 s.
     CutHalves,
+    /// Every target of the upload service in the first data centre is published as draining.
+    DrainIntake,
     /// The last member sends ten times its share; nothing fails.
     Flood,
 }
 
 /// Every mishap with its word.
-pub const MISHAPS: [(&str, FleetMishap); 7] = [
+pub const MISHAPS: [(&str, FleetMishap); 8] = [
     ("none", FleetMishap::None),
     ("kill", FleetMishap::Kill),
     ("freeze", FleetMishap::Freeze),
     ("replace-all", FleetMishap::ReplaceAll),
     ("platform-down", FleetMishap::PlatformDown),
     ("cut-halves", FleetMishap::CutHalves),
+    ("drain-intake", FleetMishap::DrainIntake),
     ("flood", FleetMishap::Flood),
 ];
 
@@ -67,6 +70,7 @@
                 Ok(())
             }
             FleetMishap::PlatformDown => fleet.platform.client.set_health(PlatformHealth::Down),
+            FleetMishap::DrainIntake => drain_intake(fleet, centre),
             FleetMishap::CutHalves => cut_halves(fleet, centre),
         }
     }
@@ -85,6 +89,15 @@
     fleet.instances[index].process.wake()
 }
 
+fn drain_intake(fleet: &mut TestFleet, centre: &str) -> Result<()> {
+    // The upload service is the second one of every workload.
+    let Some(service) = fleet.list.services.get_mut(1) else { bail!("no upload service") };
+    for target in service.targets.iter_mut().filter(|target| target.data_centre == centre) {
+        target.draining = true;
+    }
+    fleet.publish().map(drop)
+}
+
 fn cut_halves(fleet: &mut TestFleet, centre: &str) -> Result<()> {
     let Some(links) = &fleet.links else { bail!("the fleet isn't routed") };
     let names: Vec<_> = instances_of(fleet, centre)
--- a/crates/foxledge-bench/src/main.rs
+++ b/crates/foxledge-bench/src/main.rs
@@ -67,7 +67,8 @@
         .arg(text_arg(
             "mishap",
             "none",
-            "What happens halfway: none, kill, freeze, replace-all, platform-down, cut-halves, flood",
+            "What happens halfway: none, kill, freeze, replace-all, platform-down, cut-halves, \
+             drain-intake, flood",
         ))
         .arg(number_arg("instances", "3", "Instances in each data centre"))
         .arg(number_arg("seconds", "10", "How long callers send"))
--- a/crates/foxledge-core/src/peers.rs
+++ b/crates/foxledge-core/src/peers.rs
@@ -53,6 +53,17 @@
     pub control_address: SocketAddr,
 }
 
+/// `CentreContact` is an instance of another data centre that takes forwarded packets.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+pub struct CentreContact {
+    /// Its name.
+    pub name: InstanceName,
+    /// Its data centre.
+    pub data_centre: CentreName,
+    /// Where datagrams of other instances arrive.
+    pub peer_address: SocketAddr,
+}
+
 /// `PeerView` is one instance's present view of its data centre and of which
 /// other data centres can be reached.
 ///
@@ -64,6 +75,8 @@
     pub peers: Vec<PeerInfo>,
     /// Data centres that answered lately, the own one included.
     pub reachable_centres: Vec<CentreName>,
+    /// A few instances of each other data centre in reach, by name.
+    pub contacts: Vec<CentreContact>,
 }
 
 impl PeerView {
--- a/crates/foxledge-engine/examples/engine_cost.rs
+++ b/crates/foxledge-engine/examples/engine_cost.rs
@@ -156,7 +156,7 @@
     let me = peer(0);
     let mut engine =
         FlowEngine::new(EngineOptions::default().ledger_limit(1_000_000), me.clone(), SEED);
-    let view = PeerView { peers: vec![me], reachable_centres: Vec::new() };
+    let view = PeerView { peers: vec![me], ..PeerView::default() };
     engine.on_list(ClockTime::ZERO, Arc::new(list.clone()));
     engine.on_view(ClockTime::ZERO, Arc::new(view));
     engine.set_phase(ClockTime::ZERO, EnginePhase::Serving);
@@ -177,7 +177,7 @@
 }
 
 fn wide_view(peers: usize) -> PeerView {
-    PeerView { peers: (0..peers).map(peer).collect(), reachable_centres: Vec::new() }
+    PeerView { peers: (0..peers).map(peer).collect(), ..PeerView::default() }
 }
 
 fn wide_target(index: usize) -> TargetSpec {
--- a/crates/foxledge-engine/src/counters.rs
+++ b/crates/foxledge-engine/src/counters.rs
@@ -62,6 +62,8 @@
     superseded,
     /// Callers asked to send again, as a ticket's home couldn't be reached from here.
     resends_asked,
+    /// Packets sent to another data centre, as no target here could serve them.
+    sent_elsewhere,
     /// Flow tokens sealed anew under a newer key.
     tokens_resealed,
 }
--- a/crates/foxledge-engine/src/entry.rs
+++ b/crates/foxledge-engine/src/entry.rs
@@ -152,7 +152,7 @@
             return self.refuse(now, from, &packet, refusal);
         }
         if self.is_my_ticket(&ticket) {
-            return self.take_as_home(now, from, packet);
+            return self.take_as_home(now, from, packet, hops);
         }
         if !self.options.trial.run_once {
             return self.route_by_rank(now, from, packet, hops);
--- a/crates/foxledge-engine/src/forwards.rs
+++ b/crates/foxledge-engine/src/forwards.rs
@@ -13,6 +13,8 @@
 pub enum ForwardRoute {
     /// Any home of the service will do.
     ByRank,
+    /// Another data centre serves it, as this one's targets can't.
+    OtherCentre,
     /// Only the process that issued the ticket will do.
     ByTicket {
         /// The home's peer address from the ticket.
--- a/crates/foxledge-engine/src/home.rs
+++ b/crates/foxledge-engine/src/home.rs
@@ -79,8 +79,20 @@
 
 impl FlowEngine {
     /// Takes a packet as the home of its service.
-    pub(crate) fn take_as_home(&mut self, now: ClockTime, caller: SocketAddr, packet: Packet) {
+    pub(crate) fn take_as_home(
+        &mut self,
+        now: ClockTime,
+        caller: SocketAddr,
+        packet: Packet,
+        hops: u32,
+    ) {
         self.counters.home_taken += 1;
+        if self.is_new_work(&packet)
+            && let Ok(treatment) = self.decide(&packet)
+            && self.send_elsewhere(now, caller, &packet, &treatment, hops)
+        {
+            return;
+        }
         match packet.kind() {
             PacketKind::TicketRequest => self.grant_ticket(now, caller, &packet),
             PacketKind::Cancel => self.cancel_request(now, &packet),
@@ -104,6 +116,12 @@
         }
     }
 
+    /// True for a packet that any home may answer: no ticket, and unknown here.
+    fn is_new_work(&self, packet: &Packet) -> bool {
+        let opens = matches!(packet.kind(), PacketKind::TicketRequest | PacketKind::Work);
+        opens && packet.ticket.is_empty() && self.ledger.find(&RequestKey::of(packet)).is_none()
+    }
+
     fn grant_ticket(&mut self, now: ClockTime, caller: SocketAddr, packet: &Packet) {
         let treatment = match self.decide(packet) {
             Ok(treatment) => treatment,
@@ -115,6 +133,10 @@
             let refusal = not_run(RefusalReason::Leaving, DEFAULT_RETRY);
             return self.refuse(now, caller, packet, refusal);
         }
+        if !self.can_serve(now, packet, &treatment) {
+            let refusal = not_run(RefusalReason::NoTarget, DEFAULT_RETRY);
+            return self.refuse(now, caller, packet, refusal);
+        }
         let Some(ticket) = self.make_ticket(now, packet, &treatment.service) else { return };
         let reply = Packet {
             ticket,
@@ -226,6 +248,12 @@
                 return self.refuse_for_good(now, caller, &packet, tracking, reason, forget_at);
             }
         };
+        if tracking == RunTracking::ByTicket && !self.can_serve(now, &packet, &treatment) {
+            // The ticket was issued while a target could serve. Its caller gets
+            // another one, perhaps of another data centre, and asks anew.
+            let reason = RefusalReason::NoTarget;
+            return self.refuse_for_good(now, caller, &packet, tracking, reason, forget_at);
+        }
         if self.ledger.is_full() {
             // Nothing is recorded, so a copy may be admitted later: the home
             // can't promise that it never runs.
--- a/crates/foxledge-engine/src/homes.rs
+++ b/crates/foxledge-engine/src/homes.rs
@@ -37,7 +37,7 @@
         });
         let is_here = next.is_none_or(|peer| peer.name == self.me.name);
         if is_here || forward.hops >= MAX_HOPS {
-            return self.take_as_home(now, forward.caller, forward.packet);
+            return self.take_as_home(now, forward.caller, forward.packet, forward.hops);
         }
         let Some(peer) = next else { return };
         let (name, address) = (peer.name.clone(), peer.peer_address);
@@ -54,6 +54,7 @@
             packet: Some(forward.packet.clone()),
             hops: forward.hops + 1,
             entry_address: self.me.peer_address.to_string(),
+            from_other_centre: forward.route == ForwardRoute::OtherCentre,
         };
         let forward_id = self.forwards.add(forward);
         self.send_peer(to, Body::Forward(Forward { forward_id, ..message }));
@@ -65,6 +66,7 @@
             self.counters.forward_silent += 1;
             match forward.route.clone() {
                 ForwardRoute::ByRank => self.retry_by_rank(now, forward),
+                ForwardRoute::OtherCentre => self.give_up_centre(now, forward),
                 ForwardRoute::ByTicket { home_address } => {
                     self.retry_by_ticket(now, forward, home_address);
                 }
@@ -159,11 +161,14 @@
         if !packet.ticket.is_empty() {
             return self.route_by_ticket(now, caller, packet, forward.hops);
         }
+        if forward.from_other_centre {
+            return self.route_by_rank(now, caller, packet, forward.hops);
+        }
         // The forwarder took this instance for the home. Unless it is leaving,
         // it admits, so that a packet never circles.
         if self.phase == EnginePhase::Leaving {
             return self.route_by_rank(now, caller, packet, forward.hops);
         }
-        self.take_as_home(now, caller, packet);
+        self.take_as_home(now, caller, packet, forward.hops);
     }
 }
--- a/crates/foxledge-engine/src/lib.rs
+++ b/crates/foxledge-engine/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod desks;
 pub mod dispatch;
 pub mod effects;
+pub mod elsewhere;
 pub mod engine;
 pub mod entry;
 pub mod explain;
--- a/crates/foxledge-engine/tests/common/mod.rs
+++ b/crates/foxledge-engine/tests/common/mod.rs
@@ -208,7 +208,7 @@
             .iter()
             .filter_map(|&index| self.engines[index].as_ref().map(|engine| engine.me().clone()))
             .collect();
-        let view = Arc::new(PeerView { peers, reachable_centres: Vec::new() });
+        let view = Arc::new(PeerView { peers, ..PeerView::default() });
         for &viewer in viewers {
             let Some(engine) = self.engines[viewer].as_mut() else { continue };
             let effects = engine.on_view(self.now, view.clone());
--- a/crates/foxledge-fakes/src/caller/flow.rs
+++ b/crates/foxledge-fakes/src/caller/flow.rs
@@ -347,6 +347,7 @@
             | RefusalReason::HomeLost
             | RefusalReason::Leaving
             | RefusalReason::NotReady
+            | RefusalReason::NoTarget
     )
 }
 
--- a/crates/foxledge-members/src/centres.rs
+++ b/crates/foxledge-members/src/centres.rs
@@ -5,7 +5,7 @@
 use foxledge_core::{
     lists::ListVersion,
     names::{CentreName, InstanceName},
-    peers::PeerInfo,
+    peers::{CentreContact, PeerInfo},
     time::ClockTime,
 };
 use foxledge_wire::{
@@ -32,12 +32,17 @@
     newest: (u64, u32),
 }
 
+/// How many times longer than a summary a contact counts, as each summary names only some.
+const CONTACT_LIVES: u32 = 4;
+
 /// `CentreEntry` is what is held about one other data centre.
 #[derive(Clone, Debug)]
 struct CentreEntry {
     alive: u32,
     version: ListVersion,
     contacts: Vec<PeerRecord>,
+    /// Every contact named lately, with the deadline until which it counts.
+    known: BTreeMap<InstanceName, (SocketAddr, ClockTime)>,
     /// Addresses said to be there, beside the contacts.
     addresses: Vec<SocketAddr>,
     marks: Vec<AuthorMark>,
@@ -100,6 +105,7 @@
     pub(crate) fn take(&mut self, now: ClockTime, summary: &CentreSummary) -> bool {
         let Some(author) = summary.contacts.first() else { return false };
         let fresh_deadline = now.after(self.fresh_for);
+        let contact_deadline = now.after(self.fresh_for * CONTACT_LIVES);
         let relay_wait = self.talk_every * 2;
         let Some(entry) = self.entry(now, &summary.data_centre) else { return false };
         if !entry.accept_number(author) {
@@ -109,6 +115,7 @@
         entry.version = summary.version.as_ref().map(convert::list_version).unwrap_or_default();
         entry.contacts = summary.contacts.iter().take(MAX_ADDRESSES).cloned().collect();
         entry.fresh_deadline = fresh_deadline;
+        entry.note_contacts(now, contact_deadline);
         if entry.next_relay.is_past(now) {
             entry.next_relay = now.after(relay_wait);
             entry.relays_left = RELAY_SENDS;
@@ -196,6 +203,25 @@
         names
     }
 
+    /// A few instances of each data centre in reach, by name.
+    ///
+    /// Summaries have different authors, each of which names itself first. The
+    /// contacts named lately are taken together, or the view would change with
+    /// each summary.
+    pub(crate) fn contacts(&self, now: ClockTime) -> Vec<CentreContact> {
+        let fresh = self.entries.iter().filter(|(_, entry)| !entry.fresh_deadline.is_past(now));
+        let mut contacts = Vec::new();
+        for (centre, entry) in fresh {
+            let known = entry.known.iter().filter(|(_, (_, until))| !until.is_past(now));
+            contacts.extend(known.map(|(name, (peer_address, _))| CentreContact {
+                name: name.clone(),
+                data_centre: centre.clone(),
+                peer_address: *peer_address,
+            }));
+        }
+        contacts
+    }
+
     /// Gives every data centre that is in reach a whole new wait.
     pub(crate) fn renew(&mut self, now: ClockTime, last_tick: ClockTime) {
         let fresh_deadline = now.after(self.fresh_for);
@@ -216,6 +242,7 @@
             alive: 0,
             version: ListVersion::default(),
             contacts: Vec::new(),
+            known: BTreeMap::new(),
             addresses: Vec::new(),
             marks: Vec::new(),
             fresh_deadline: now,
@@ -229,6 +256,18 @@
 }
 
 impl CentreEntry {
+    /// Keeps the contacts of the summary just taken, and drops those not named for long.
+    fn note_contacts(&mut self, now: ClockTime, until: ClockTime) {
+        self.known.retain(|_, (_, deadline)| !deadline.is_past(now));
+        for contact in &self.contacts {
+            if let Ok(address) = contact.peer_address.parse()
+                && self.known.len() < MAX_ADDRESSES
+            {
+                self.known.insert(InstanceName::new(&contact.name), (address, until));
+            }
+        }
+    }
+
     /// True when the author's number wasn't seen yet; the newest is kept.
     fn accept_number(&mut self, author: &PeerRecord) -> bool {
         let newest = (author.incarnation, author.refutation);
@@ -278,6 +317,7 @@
     PeerRecord {
         name: peer.name.to_string(),
         incarnation: peer.incarnation,
+        peer_address: peer.peer_address.to_string(),
         control_address: peer.control_address.to_string(),
         ..PeerRecord::default()
     }
--- a/crates/foxledge-members/src/membership.rs
+++ b/crates/foxledge-members/src/membership.rs
@@ -279,7 +279,9 @@
 
     fn renew_view(&mut self, now: ClockTime) -> Option<MemberEffect> {
         let reachable_centres = self.centres.reachable(now);
+        let contacts = self.centres.contacts(now);
         let is_same = reachable_centres == self.view.reachable_centres
+            && contacts == self.view.contacts
             && self.viewed_changes == self.table.changes()
             && self.view.find(&self.me.name) == Some(&self.me);
         if is_same {
@@ -289,7 +291,7 @@
         let mut peers: Vec<_> = self.table.living().map(|entry| entry.info.clone()).collect();
         let own = peers.partition_point(|peer| peer.name < self.me.name);
         peers.insert(own, self.me.clone());
-        self.view = Arc::new(PeerView { peers, reachable_centres });
+        self.view = Arc::new(PeerView { peers, reachable_centres, contacts });
         self.renew_watch(now);
         Some(MemberEffect::ViewChanged(self.view.clone()))
     }
--- a/crates/foxledge-members/tests/centre_summary.rs
+++ b/crates/foxledge-members/tests/centre_summary.rs
@@ -116,3 +116,28 @@
         assert!(all_reach(&fleet, 8));
     }
 }
+
+#[test]
+fn contacts_of_other_data_centres_stay_in_the_view() {
+    // Symptom: every instance takes a new view into force each second.
+    // Sequence: two instances of a data centre take turns in summing it up; each names itself first.
+    // Cause: the contacts of the view are those of the newest summary only.
+    let mut fleet = fleet_of(6);
+    assert!(fleet.run_until(seconds(20), |fleet| all_reach(fleet, 3) && fleet.agrees()));
+    fleet.run(seconds(10));
+    let before = fleet.view(0).contacts.clone();
+    for centre in ["erie", "duluth"] {
+        let count = before.iter().filter(|contact| contact.data_centre.as_str() == centre).count();
+        assert!((1..=6).contains(&count), "{count} contacts of {centre}");
+    }
+    assert!(before.iter().all(|contact| contact.data_centre.as_str() != "toledo"));
+    let mut changes = 0;
+    let mut last = before;
+    for _ in 0..300 {
+        fleet.run(Duration::from_millis(200));
+        let now = fleet.view(0).contacts.clone();
+        changes += usize::from(now != last);
+        last = now;
+    }
+    assert!(changes <= 6, "contacts changed {changes} times in a minute");
+}
--- a/crates/foxledge-policy/src/desk.rs
+++ b/crates/foxledge-policy/src/desk.rs
@@ -125,6 +125,11 @@
         effects
     }
 
+    /// True when some target can be expected to take work.
+    pub fn can_serve(&self) -> bool {
+        self.table.has_answering()
+    }
+
     /// Works that still need this desk: what waits, and requests that run.
     ///
     /// Open feeds don't count, as they go on without it.
--- a/crates/foxledge-policy/src/health.rs
+++ b/crates/foxledge-policy/src/health.rs
@@ -197,6 +197,11 @@
         true
     }
 
+    /// True when several probes in a row found no answer.
+    pub fn is_silent(&self) -> bool {
+        self.missed_probes > MISSED_PROBES
+    }
+
     /// True while the target is out.
     pub fn is_ejected(&self) -> bool {
         self.ejection.is_some()
--- a/crates/foxledge-policy/src/targets.rs
+++ b/crates/foxledge-policy/src/targets.rs
@@ -181,6 +181,13 @@
         self.summary.takes_work
     }
 
+    /// True when some target is published, not leaving, in service and answers its probes.
+    pub fn has_answering(&self) -> bool {
+        self.entries
+            .values()
+            .any(|entry| entry.is_open() && !entry.health.is_ejected() && !entry.health.is_silent())
+    }
+
     /// Slots of all targets that are published, not leaving and not out.
     pub fn open_slots(&self) -> u32 {
         self.summary.open_slots
