Count a packet from another data centre among the largest datagrams

Cause: Forward got a field; name_sizes lists every field of the largest datagrams. Before: the test didn't build. After: green. Conclusion: the longest names still fit.

--- a/crates/foxledge-rules/tests/name_sizes.rs
+++ b/crates/foxledge-rules/tests/name_sizes.rs
@@ -138,6 +138,7 @@
         packet: Some(work_by_ticket()),
         hops: 100,
         entry_address: ADDRESS.to_owned(),
+        from_other_centre: true,
     };
     let datagram = PeerDatagram { body: Some(Body::Forward(forward)) };
     let size = seal_datagram(&ring(), &datagram).unwrap().len();
