--- a/crates/foxledge-proofs/tests/bad_callers.rs
+++ b/crates/foxledge-proofs/tests/bad_callers.rs
@@ -224,6 +224,7 @@
         packet: Some(caller.ticket_request()),
         hops: 0,
         entry_address: victim_address,
+        from_other_centre: false,
     };
     let forward = PeerDatagram { body: Some(Body::Forward(forward)) };
     let whole = encode_packet(&caller.ticket_request());
