Ask about open feeds without taking them for lost

Cause: a feed is asked about each 600 s, but a dispatch without a sign for 25 s was taken for a paused process and dropped, so the desk forgot every feed at its first check and the engine kept its work for good; the daemon also laid its own desk options over the engine's, so nothing was asked at all. Ruled out: a longer window (it guards the opening packet against being run as new work, which a question can't be). Before: hours_of_feed red (no check in 2,000 s). After: green; policy's and engine's tests green. Conclusion: Check is an effect of its own and never limited by the resend window; a feed given up silently is forgotten by the engine too (Forget); the engine sets both periods for every desk.

--- a/crates/foxledge-bench/src/world.rs
+++ b/crates/foxledge-bench/src/world.rs
@@ -227,7 +227,8 @@
                 let answered_at = at.after(CENTRE_WAY);
                 self.events.push(answered_at, SimEvent::Report { desk, target: number, load });
             }
-            DeskEffect::Audit(_) => {}
+            // Nothing is asked about accepted work here, and there are no feeds.
+            DeskEffect::Check { .. } | DeskEffect::Forget { .. } | DeskEffect::Audit(_) => {}
         }
     }
 
--- a/crates/foxledge-engine/src/answers.rs
+++ b/crates/foxledge-engine/src/answers.rs
@@ -84,11 +84,10 @@
         let signal = signal_of(&packet, self.works.get(&id).is_some_and(|work| work.is_feed()));
         match signal {
             TargetSignal::Accepted => {
-                if let Some(work) = self.works.get_mut(&id) {
-                    work.is_accepted = true;
-                    if work.is_feed() {
-                        work.packet = None;
-                    }
+                if let Some(work) = self.works.get_mut(&id)
+                    && work.is_feed()
+                {
+                    work.packet = None;
                 }
             }
             TargetSignal::Ended => {
--- a/crates/foxledge-engine/src/dispatch.rs
+++ b/crates/foxledge-engine/src/dispatch.rs
@@ -28,8 +28,14 @@
                 DeskEffect::Resend { work, dispatch, target } => {
                     self.resend_work(now, work, dispatch, &target);
                 }
+                DeskEffect::Check { work, dispatch, target } => {
+                    self.check_work(work, dispatch, &target);
+                }
                 DeskEffect::Refuse { work, refusal } => self.refuse_work(now, work, &refusal),
                 DeskEffect::Cancel { dispatch, target } => self.send_cancel(dispatch, &target),
+                DeskEffect::Forget { work } => {
+                    self.remove_work(work);
+                }
                 DeskEffect::Probe { target } => self.send_probe(key, &target),
                 DeskEffect::Audit(change) => self.out.push(EngineEffect::Audit(change)),
             }
@@ -39,7 +45,6 @@
     fn dispatch_work(&mut self, now: ClockTime, id: u64, dispatch: u64, target: &Arc<TargetSpec>) {
         let Some(work) = self.works.get_mut(&id) else { return };
         let former = std::mem::replace(&mut work.dispatch, dispatch);
-        work.is_accepted = false;
         let (key, forget_at, caller, kind) = (work.key, work.forget_at, work.caller, work.kind);
         let wait = now.since(work.arrived);
         let Some(packet) = work.packet.as_deref().cloned() else {
@@ -60,10 +65,6 @@
     fn resend_work(&mut self, now: ClockTime, id: u64, dispatch: u64, target: &Arc<TargetSpec>) {
         let Some(work) = self.works.get(&id) else { return };
         let caller = work.caller;
-        if work.is_accepted {
-            let (service, flow) = (work.desk.service.clone(), work.key.flow);
-            return self.send_check(&service, flow, dispatch, target);
-        }
         let Some(packet) = work.packet.as_deref().cloned() else { return };
         self.send_to_target(now, caller, &packet, dispatch, target);
     }
@@ -89,17 +90,11 @@
     ///
     /// Its end may have been lost on the way. The slot or connection would stay
     /// taken for good; one would notice a target that gets ever less work.
-    /// The opening packet isn't sent again: a target that has forgotten the
-    /// dispatch would run it as new work.
-    fn send_check(
-        &mut self,
-        service: &ServiceName,
-        flow: u64,
-        dispatch: u64,
-        target: &Arc<TargetSpec>,
-    ) {
+    fn check_work(&mut self, id: u64, dispatch: u64, target: &Arc<TargetSpec>) {
+        let Some(work) = self.works.get(&id) else { return };
+        let (service, flow) = (work.desk.service.clone(), work.key.flow);
         self.counters.checks_sent += 1;
-        let check = notice(PacketKind::Check, service, dispatch, target);
+        let check = notice(PacketKind::Check, &service, dispatch, target);
         self.send_data(target.address, &Packet { flow, ..check });
     }
 
--- a/crates/foxledge-engine/src/engine.rs
+++ b/crates/foxledge-engine/src/engine.rs
@@ -34,7 +34,7 @@
     home::HomeWork,
     journal::FlowJournal,
     ledger::RunLedger,
-    options::EngineOptions,
+    options::{EngineOptions, FEED_CHECK, RUN_CHECK},
     packets::reply_to,
     placement::{DeskKey, HomePlacement, placement_of},
     status::{DeskEntry, EngineStatus},
@@ -89,7 +89,12 @@
             view: Arc::default(),
             ring: KeyRing::default(),
             placement: placement_of(options.placement),
-            desks: DeskSet::new(options.desk.clone(), &options.policy, seed),
+            // Every desk may ask about accepted work, as the engine sends CHECK for it.
+            desks: DeskSet::new(
+                options.desk.clone().run_check(RUN_CHECK).feed_check(FEED_CHECK),
+                &options.policy,
+                seed,
+            ),
             probed: BTreeSet::new(),
             owners: HashMap::new(),
             ledger: RunLedger::new(options.ledger_limit),
--- a/crates/foxledge-engine/src/home.rs
+++ b/crates/foxledge-engine/src/home.rs
@@ -52,8 +52,6 @@
     pub desk: DeskKey,
     /// The opening packet; an open feed keeps none.
     pub packet: Option<Box<Packet>>,
-    /// True once the backend server of the present dispatch has acknowledged it.
-    pub is_accepted: bool,
     /// Where its caller was last seen.
     pub caller: SocketAddr,
     /// Kind of traffic.
@@ -281,7 +279,6 @@
                 member,
                 desk: desk.clone(),
                 packet: Some(Box::new(packet)),
-                is_accepted: false,
                 caller,
                 kind,
                 tracking,
--- a/crates/foxledge-engine/src/options.rs
+++ b/crates/foxledge-engine/src/options.rs
@@ -7,10 +7,10 @@
 use crate::placement::PlacementKind;
 
 /// How often a target is asked about a request that runs.
-const RUN_CHECK: Duration = Duration::from_secs(1);
+pub(crate) const RUN_CHECK: Duration = Duration::from_secs(1);
 /// How often a target is asked about an open feed: 7,700 feeds of a daemon at
 /// the target's size are 13 checks a second.
-const FEED_CHECK: Duration = Duration::from_secs(600);
+pub(crate) const FEED_CHECK: Duration = Duration::from_secs(600);
 
 /// `EngineOptions` is how the engine behaves.
 #[derive(Clone, Debug)]
@@ -78,7 +78,7 @@
             ledger_keep: Duration::from_secs(10),
             ledger_limit: 200_000,
             forward_limit: 20_000,
-            desk: DeskOptions::default().run_check(RUN_CHECK).feed_check(FEED_CHECK),
+            desk: DeskOptions::default(),
             trial: TrialSwitches::default(),
         }
     }
--- a/crates/foxledge-engine/tests/late_notices.rs
+++ b/crates/foxledge-engine/tests/late_notices.rs
@@ -76,3 +76,22 @@
 fn sent_work(effects: &[foxledge_engine::EngineEffect]) -> Option<(std::net::SocketAddr, Packet)> {
     effects.iter().filter_map(sent_packet).find(|(_, packet)| packet.kind() == PacketKind::Work)
 }
+
+#[test]
+fn hours_of_feed() {
+    // Symptom: every feed breaks some minutes after it was opened, though nothing failed.
+    // Sequence: a feed is open for longer than the home waits before it asks its target about it.
+    // Cause: the time since the target's last sign is taken for a pause of this process.
+    let mut net = TestNet::new(1, 3, EngineOptions::default());
+    let feed = Packet {
+        work: foxledge_wire::flow::WorkKind::Feed.into(),
+        idempotent: true,
+        ..work(1, 9, 1, "auction")
+    };
+    net.send(1, 0, &feed);
+    net.run(2_000_000);
+    let engine = net.engines[0].as_ref().unwrap();
+    assert_eq!(engine.status(net.now).open_works, 1);
+    assert!(engine.counters().checks_sent > 0, "the target was asked about it");
+    assert!(refusals(&net.take_answers(1)).is_empty());
+}
--- a/crates/foxledge-policy/src/effects.rs
+++ b/crates/foxledge-policy/src/effects.rs
@@ -18,9 +18,6 @@
         target: Arc<TargetSpec>,
     },
     /// Send the opening packet of the same dispatch to the same target again.
-    ///
-    /// With [`DeskOptions::run_check`](crate::DeskOptions::run_check) set it also
-    /// comes for accepted work: the target answers with the present state.
     Resend {
         /// The work.
         work: u64,
@@ -29,6 +26,18 @@
         /// Where to.
         target: Arc<TargetSpec>,
     },
+    /// Ask the target what became of a dispatch that it has accepted.
+    ///
+    /// It must start nothing at a target that has forgotten the dispatch: the
+    /// opening packet sent again would run there as new work.
+    Check {
+        /// The work.
+        work: u64,
+        /// The dispatch.
+        dispatch: u64,
+        /// Whom.
+        target: Arc<TargetSpec>,
+    },
     /// Give the caller the final answer at once.
     Refuse {
         /// The work.
@@ -43,6 +52,12 @@
         /// Where to.
         target: Arc<TargetSpec>,
     },
+    /// The desk holds the work no longer, and nobody needs to be told: an open
+    /// feed whose target fell silent, which its caller notices itself.
+    Forget {
+        /// The work.
+        work: u64,
+    },
     /// Ask the target for its load.
     Probe {
         /// Whom.
--- a/crates/foxledge-policy/src/options.rs
+++ b/crates/foxledge-policy/src/options.rs
@@ -91,9 +91,9 @@
         ack_wait: Duration,
         /// How often a silent dispatch is sent again before its target counts as silent.
         resends: u32,
-        /// How often an accepted request is asked about by [`Resend`](crate::DeskEffect::Resend);
+        /// How often an accepted request is asked about by [`Check`](crate::DeskEffect::Check);
         /// [`Duration::MAX`], the default, is never. It needs a caller that keeps the opening
-        /// packet of accepted work, or all work that runs longer counts as lost.
+        /// packet of accepted requests, which may then be placed elsewhere.
         run_check: Duration,
         /// How often an open feed is asked about, in the same way.
         feed_check: Duration,
--- a/crates/foxledge-policy/src/running.rs
+++ b/crates/foxledge-policy/src/running.rs
@@ -58,7 +58,7 @@
             } else if running.unanswered >= self.options.resends {
                 self.blame(now, running.target, effects);
                 self.on_lost(now, dispatch, effects);
-            } else if running.resend_deadline.is_past(now) {
+            } else if running.phase == DispatchPhase::Sent && running.resend_deadline.is_past(now) {
                 // This process was paused for long. The target may have
                 // forgotten the dispatch and would run a copy as new work, so
                 // it isn't asked; nor is it to blame.
@@ -246,6 +246,9 @@
             let target = Arc::clone(&running.spec);
             let work = running.pending.item.id;
             effects.push(match running.caller {
+                CallerState::Waiting if running.phase == DispatchPhase::Accepted => {
+                    DeskEffect::Check { work, dispatch, target }
+                }
                 CallerState::Waiting => DeskEffect::Resend { work, dispatch, target },
                 CallerState::Cancelled | CallerState::Overdue | CallerState::Answered => {
                     DeskEffect::Cancel { dispatch, target }
@@ -269,6 +272,7 @@
         if running.pending.item.is_feed() && running.phase == DispatchPhase::Accepted {
             self.counters.ended += 1;
             self.release_member(&running.pending.item);
+            effects.push(DeskEffect::Forget { work: running.pending.item.id });
             return;
         }
         effects.push(DeskEffect::Cancel { dispatch, target: Arc::clone(&running.spec) });
--- a/crates/foxledge-policy/tests/common/mod.rs
+++ b/crates/foxledge-policy/tests/common/mod.rs
@@ -22,6 +22,8 @@
     pub sent: Vec<(u64, u64, String)>,
     pub refused: BTreeMap<u64, DeskRefusal>,
     pub resent: Vec<u64>,
+    pub checked: Vec<u64>,
+    pub forgotten: Vec<u64>,
     pub cancelled: Vec<u64>,
     pub probed: Vec<String>,
     pub audited: Vec<String>,
@@ -36,6 +38,8 @@
             sent: Vec::new(),
             refused: BTreeMap::new(),
             resent: Vec::new(),
+            checked: Vec::new(),
+            forgotten: Vec::new(),
             cancelled: Vec::new(),
             probed: Vec::new(),
             audited: Vec::new(),
@@ -104,6 +108,8 @@
                     self.sent.push((work, dispatch, target.name.to_string()));
                 }
                 DeskEffect::Resend { dispatch, .. } => self.resent.push(dispatch),
+                DeskEffect::Check { dispatch, .. } => self.checked.push(dispatch),
+                DeskEffect::Forget { work } => self.forgotten.push(work),
                 DeskEffect::Refuse { work, refusal } => {
                     let earlier = self.refused.insert(work, refusal);
                     assert_eq!(earlier, None, "work {work} was refused twice");
--- a/crates/foxledge-policy/tests/desk_sweep.rs
+++ b/crates/foxledge-policy/tests/desk_sweep.rs
@@ -57,6 +57,7 @@
 enum Datagram {
     Open { work: u64, dispatch: u64, target: Arc<TargetSpec>, give_up: ClockTime },
     Cancel { dispatch: u64, target: Arc<TargetSpec> },
+    Check { dispatch: u64, target: Arc<TargetSpec> },
     Signal { dispatch: u64, signal: TargetSignal },
 }
 
@@ -210,6 +211,17 @@
                 let signal = known.1;
                 self.network.push(Datagram::Signal { dispatch, signal });
             }
+            Datagram::Check { dispatch, target } => {
+                let fake = self.fake_of(&target);
+                let known = fake.known.get(&dispatch).map(|known| known.1);
+                let is_other = fake.incarnation != target.incarnation;
+                let signal = match known {
+                    _ if is_other => TargetSignal::Unknown,
+                    Some(TargetSignal::Accepted) => TargetSignal::Accepted,
+                    _ => TargetSignal::Ended,
+                };
+                self.network.push(Datagram::Signal { dispatch, signal });
+            }
             Datagram::Signal { dispatch, signal } => self.signal(dispatch, signal),
         }
     }
@@ -264,6 +276,12 @@
                 DeskEffect::Cancel { dispatch, target } => {
                     self.network.push(Datagram::Cancel { dispatch, target });
                 }
+                DeskEffect::Check { dispatch, target, .. } => {
+                    self.network.push(Datagram::Check { dispatch, target });
+                }
+                DeskEffect::Forget { work } => {
+                    self.ended.insert(work);
+                }
                 DeskEffect::Probe { .. } | DeskEffect::Audit(_) => {}
             }
         }
--- a/crates/foxledge-policy/tests/slot_leases.rs
+++ b/crates/foxledge-policy/tests/slot_leases.rs
@@ -81,7 +81,8 @@
     let dispatch = trial.dispatch_of(1);
     trial.signal(dispatch, TargetSignal::Accepted);
     trial.pass(1010);
-    assert_eq!(trial.resent, [dispatch]);
+    assert_eq!(trial.checked, [dispatch]);
+    assert!(trial.resent.is_empty(), "the opening packet could run as new work");
     trial.signal(dispatch, TargetSignal::Ended);
     assert_eq!((busy(&trial), trial.refused.len()), (0, 0));
 }
