--- a/crates/foxledge-proofs/tests/run_once.rs
+++ b/crates/foxledge-proofs/tests/run_once.rs
@@ -164,6 +164,10 @@
     let bid = caller.next_request(&ticket);
     let mut word = FinalWord::Answered;
     for _ in 0..times {
+        // From a new socket, so that what the woken home says of older copies stays apart.
+        let identity = caller.identity.clone();
+        caller = HandCaller::new(&fleet, DESK, 1).unwrap();
+        caller.identity = identity;
         fleet.instances[home].process.freeze().unwrap();
         steer(&fleet, &[home]).unwrap();
         caller.send(&bid).unwrap();
