Go round a silent way to a ticket's home; let pass_over_homes switch all of it off

Cause: (1) an entry instance that found a ticket's home silent gave up each further packet for a second, though a third instance could relay it; four copies handed to that instance ended unknown. (2) silence found by ticket was noted with trial.pass_over_homes off too, so the proof with the switch off couldn't fail. Conclusion: a silent home is asked by way of a relay first; RESEND comes when that fails.

--- a/crates/foxledge-engine/src/entry.rs
+++ b/crates/foxledge-engine/src/entry.rs
@@ -164,9 +164,7 @@
             return self.refuse(now, from, &packet, refusal);
         }
         let home = InstanceName::new(&ticket.home);
-        if packet.takes_resend && self.silent.is_silent(&home, now) {
-            return self.give_up_home(now, from, &packet);
-        }
+        let goes_round = packet.takes_resend && self.silent.is_silent(&home, now);
         let Ok(home_address) = ticket.home_address.parse() else {
             let refusal = not_run(RefusalReason::BadTicket, DEFAULT_RETRY);
             return self.refuse(now, from, &packet, refusal);
@@ -179,6 +177,9 @@
             deadline: now.after(self.options.forward_wait),
             hops,
         };
+        if goes_round {
+            return self.go_round_silent(now, forward);
+        }
         self.send_forward(home_address, forward);
     }
 
--- a/crates/foxledge-engine/src/homes.rs
+++ b/crates/foxledge-engine/src/homes.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use foxledge_core::time::ClockTime;
+use foxledge_core::{names::InstanceName, peers::PeerInfo, time::ClockTime};
 use foxledge_wire::flow::{
     Forward, ForwardAck, Packet, PacketKind, RefusalReason, peer_datagram::Body,
 };
@@ -106,30 +106,53 @@
         mut forward: PendingForward,
         home_address: SocketAddr,
     ) {
-        if let Some(silent) = forward.tried.last() {
+        if let Some(silent) = forward.tried.last()
+            && self.options.trial.pass_over_homes
+        {
             self.silent.note(silent.clone(), now.after(self.options.passed_over));
         }
         if forward.tried.len() >= TICKET_TRIES || forward.hops > 0 {
             return self.give_up_home(now, forward.caller, &forward.packet);
         }
-        let relay = self
-            .view
-            .peers
-            .iter()
-            .find(|peer| {
-                peer.state.holds_homes()
-                    && peer.name != self.me.name
-                    && !forward.tried.contains(&peer.name)
-                    && !self.silent.is_silent(&peer.name, now)
-            })
-            .map(|peer| (peer.name.clone(), peer.peer_address));
         let home = forward.tried[0].clone();
+        let relay = self.find_relay(now, &forward);
         let (name, address) = relay.unwrap_or((home, home_address));
         forward.tried.push(name);
         forward.deadline = now.after(self.options.forward_wait);
         self.send_forward(address, forward);
     }
 
+    /// Sends a packet whose ticket's home was silent a moment ago by way of another instance.
+    ///
+    /// Only the way from here may be cut. If the packet were given up at once, one
+    /// would notice bids that end unknown though their home lives and a third
+    /// instance reaches it.
+    pub(crate) fn go_round_silent(&mut self, now: ClockTime, mut forward: PendingForward) {
+        match self.find_relay(now, &forward) {
+            Some((name, address)) if forward.hops == 0 => {
+                forward.tried.push(name);
+                self.send_forward(address, forward);
+            }
+            _ => self.give_up_home(now, forward.caller, &forward.packet),
+        }
+    }
+
+    /// An instance that hasn't been tried and wasn't silent lately.
+    fn find_relay(
+        &self,
+        now: ClockTime,
+        forward: &PendingForward,
+    ) -> Option<(InstanceName, SocketAddr)> {
+        let can_relay = |peer: &&PeerInfo| {
+            peer.state.holds_homes()
+                && peer.name != self.me.name
+                && !forward.tried.contains(&peer.name)
+                && !self.silent.is_silent(&peer.name, now)
+        };
+        let relay = self.view.peers.iter().find(can_relay)?;
+        Some((relay.name.clone(), relay.peer_address))
+    }
+
     /// Gives up on reaching the home of a packet's ticket.
     ///
     /// Under a cut between instances another one may still reach it, and the
--- a/crates/foxledge-engine/tests/forward_paths.rs
+++ b/crates/foxledge-engine/tests/forward_paths.rs
@@ -166,6 +166,27 @@
     assert!(kinds.contains(&PacketKind::Answer) && !kinds.contains(&PacketKind::Refusal));
 }
 
+#[test]
+fn silent_way_relayed() {
+    // Symptom: a bid ends "unknown" though its home lives and a third instance reaches it.
+    // Sequence: the way from the entry instance to a ticket's home is cut; one bid finds that out,
+    //   and the next one comes while the home still counts as silent there.
+    // Cause: the silence on one way was taken for a home that nobody reaches.
+    let mut net = TestNet::new(3, 3, EngineOptions::default());
+    let ticket = net.obtain_ticket(1, 0, "auction").unwrap();
+    let home = home_of(&net);
+    let entry = (home + 1) % 3;
+    net.cuts.insert((peer_address(entry), peer_address(home)));
+    for request in [1, 2] {
+        let ticket = ticket.clone();
+        let bid = Packet { ticket, takes_resend: true, ..work(1, 1, request, "auction") };
+        net.send(1, entry, &bid);
+        net.run(400);
+        let answers = net.take_answers(1);
+        assert!(is_answered(&answers), "request {request}: {answers:?}");
+    }
+}
+
 #[test]
 fn resends_bounded() {
     let mut net = TestNet::new(2, 7, EngineOptions::default());
