--- a/crates/foxledge-proofs/src/lib.rs
+++ b/crates/foxledge-proofs/src/lib.rs
@@ -4,5 +4,6 @@
 //! come from the right service; [`lasting`] those that feeds, rule lists and planned stops last.
 
 pub mod gate;
+pub mod hand_caller;
 pub mod lasting;
 pub mod once;
--- a/crates/foxledge-proofs/src/once.rs
+++ b/crates/foxledge-proofs/src/once.rs
@@ -1,30 +1,20 @@
 //! Helpers for proofs about single requests and their answers.
 
-use std::{
-    net::{SocketAddr, UdpSocket},
-    time::{Duration, Instant},
-};
+use std::time::Duration;
 
 use anyhow::{Context, ensure};
-use foxledge_core::{
-    lists::KeySpec,
-    names::{MemberName, ServiceAddress},
-    traffic::TrafficKind,
-};
+use foxledge_core::lists::KeySpec;
 use foxledge_fakes::{
     backend::BackendOrder,
-    caller::{FlowIdentity, answers::AnswerStore, answers::read_part},
     harness::{FleetPlan, ServiceSize, TestFleet, TestProcess, wait_until, wait_until_ok},
     publish::MemberPlan,
     report::RequestId,
 };
 use foxledge_seal::{KeyRing, seals::open_ticket};
-use foxledge_wire::{
-    TICKET_PADDING, decode_packet, encode_packet,
-    flow::{Packet, PacketKind, RefusalReason, RunOutcome, Ticket},
-};
+use foxledge_wire::flow::{Packet, Ticket};
 
-use crate::gate::GatedFleet;
+pub use crate::hand_caller::{FinalWord, HandCaller};
+use crate::{gate::GatedFleet, hand_caller::SEND_PERIOD};
 
 /// The data centre of fleets that have one.
 pub const CENTRE: &str = "toledo";
@@ -37,9 +27,6 @@
 /// Wide limit for anything that takes seconds at most.
 pub const WIDE_LIMIT: Duration = Duration::from_secs(40);
 
-/// Wait of a caller before it sends again.
-const RESEND: Duration = Duration::from_millis(200);
-
 /// A fleet of one data centre with both services, `targets` backend servers each.
 pub fn plan_fleet(instances: usize, targets: usize) -> FleetPlan {
     FleetPlan::new()
@@ -101,194 +88,6 @@
     Ok(fleet)
 }
 
-/// `FinalWord` is what a caller was told last of a request.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum FinalWord {
-    /// The whole answer came.
-    Answered,
-    /// It didn't run and never will.
-    NotRun(RefusalReason),
-    /// It may have run.
-    Unknown(RefusalReason),
-}
-
-/// `HandCaller` is a caller whose packets are made one by one.
-pub struct HandCaller {
-    /// Who it is.
-    pub identity: FlowIdentity,
-    socket: UdpSocket,
-    fabric: SocketAddr,
-    last_request: u64,
-}
-
-impl HandCaller {
-    /// Makes a caller of `service` behind the first fabric; `number` sets its ids.
-    pub fn new(
-        fleet: &TestFleet,
-        service: (&str, &str),
-        number: u64,
-    ) -> anyhow::Result<HandCaller> {
-        let fabric = fleet.fabrics.first().context("a fabric")?.address;
-        let identity = FlowIdentity {
-            flow: 0xf10f_0000 + number,
-            caller: 0xca11_0000 + number,
-            member: MemberName::new(MEMBER),
-            address: ServiceAddress::new(service.1),
-            kind: TrafficKind::Bid,
-            idempotent: false,
-            credential: Vec::new(),
-            service: None,
-        };
-        let socket = UdpSocket::bind("127.0.0.1:0")?;
-        Ok(HandCaller { identity, socket, fabric, last_request: 0 })
-    }
-
-    /// Sends a packet to the fabric.
-    pub fn send(&self, packet: &Packet) -> anyhow::Result<()> {
-        self.send_bytes(&encode_packet(packet))
-    }
-
-    /// Sends any bytes to the fabric.
-    pub fn send_bytes(&self, bytes: &[u8]) -> anyhow::Result<()> {
-        self.socket.send_to(bytes, self.fabric)?;
-        Ok(())
-    }
-
-    /// Waits for a packet that `fits` and drops others; none when none comes within `limit`.
-    pub fn receive(&self, limit: Duration, fits: impl Fn(&Packet) -> bool) -> Option<Packet> {
-        let deadline = Instant::now() + limit;
-        let mut buffer = [0; 2048];
-        loop {
-            let left = deadline.saturating_duration_since(Instant::now());
-            if left.is_zero() {
-                return None;
-            }
-            self.socket.set_read_timeout(Some(left)).ok()?;
-            let Ok((size, _)) = self.socket.recv_from(&mut buffer) else { continue };
-            match decode_packet(&buffer[..size]) {
-                Ok(packet) if fits(&packet) => return Some(packet),
-                _ => continue,
-            }
-        }
-    }
-
-    /// Sends a packet again and again until one that `fits` comes.
-    pub fn ask(&self, packet: &Packet, fits: impl Fn(&Packet) -> bool) -> anyhow::Result<Packet> {
-        let deadline = Instant::now() + WIDE_LIMIT;
-        let mut packet = packet.clone();
-        loop {
-            self.send(&packet)?;
-            if let Some(reply) = self.receive(RESEND, &fits) {
-                return Ok(reply);
-            }
-            ensure!(Instant::now() < deadline, "no fitting answer within {WIDE_LIMIT:?}");
-            packet.attempt += 1;
-        }
-    }
-
-    /// A request for a ticket.
-    pub fn ticket_request(&self) -> Packet {
-        let mut packet = self.identity.packet(PacketKind::TicketRequest, 0);
-        packet.payload = vec![0; TICKET_PADDING];
-        packet
-    }
-
-    /// Asks until it gets a ticket.
-    pub fn obtain_ticket(&self) -> anyhow::Result<Vec<u8>> {
-        let grants = |packet: &Packet| packet.kind() == PacketKind::TicketGrant;
-        Ok(self.ask(&self.ticket_request(), grants)?.ticket)
-    }
-
-    /// The opening packet of its next request, of one part.
-    pub fn next_request(&mut self, ticket: &[u8]) -> Packet {
-        self.last_request += 1;
-        let mut packet = self.identity.packet(PacketKind::Work, self.last_request);
-        packet.time_left_ms = 20_000;
-        packet.parts = 1;
-        packet.payload = format!("bid {}", self.last_request).into_bytes();
-        packet.ticket = ticket.to_vec();
-        packet
-    }
-
-    /// A poll for the answer to a request that `token` leads to.
-    pub fn poll(&self, request: u64, token: &[u8]) -> Packet {
-        let mut packet = self.identity.packet(PacketKind::Poll, request);
-        packet.token = token.to_vec();
-        packet.time_left_ms = 20_000;
-        packet
-    }
-
-    /// Sends a packet again and again as it is until its request has a final answer.
-    pub fn insist(&self, packet: &Packet) -> anyhow::Result<FinalWord> {
-        let request = packet.request;
-        let is_final = |reply: &Packet| {
-            let ends = matches!(reply.kind(), PacketKind::Answer | PacketKind::Refusal);
-            reply.request == request && ends
-        };
-        Ok(word_of(&self.ask(packet, is_final)?))
-    }
-
-    /// The refusal or answer to a request that comes within `limit`, without sending anything.
-    pub fn overhear(&self, request: u64, limit: Duration) -> Option<FinalWord> {
-        let reply = self.receive(limit, |reply| {
-            let ends = matches!(reply.kind(), PacketKind::Answer | PacketKind::Refusal);
-            reply.request == request && ends
-        })?;
-        Some(word_of(&reply))
-    }
-
-    /// Follows a request as callers do, by token once one is known, to its whole answer or refusal.
-    ///
-    /// Every part must be of `service` and of this request.
-    pub fn follow(&self, opening: &Packet, service: &str) -> anyhow::Result<FinalWord> {
-        let deadline = Instant::now() + WIDE_LIMIT;
-        let mut packet = opening.clone();
-        let mut answer = AnswerStore::default();
-        loop {
-            ensure!(Instant::now() < deadline, "no final answer within {WIDE_LIMIT:?}");
-            self.send(&packet)?;
-            packet.attempt += 1;
-            while let Some(reply) = self.receive(RESEND, |reply| reply.request == opening.request) {
-                if !reply.token.is_empty() {
-                    packet = self.poll(opening.request, &reply.token);
-                }
-                match reply.kind() {
-                    PacketKind::Refusal => return Ok(word_of(&reply)),
-                    PacketKind::Answer => {
-                        let body = read_part(&reply, None);
-                        let body = body.map_err(|fault| anyhow::anyhow!("answer {fault:?}"))?;
-                        ensure!(body.service == service, "an answer of {}", body.service);
-                        ensure!(body.flow == self.identity.flow, "an answer of another flow");
-                        let stored = answer.store(&body);
-                        ensure!(stored.is_ok(), "parts of two answers");
-                        if answer.is_whole() {
-                            return Ok(FinalWord::Answered);
-                        }
-                        packet.missing = answer.missing();
-                    }
-                    _ => {}
-                }
-            }
-        }
-    }
-
-    /// The id of a request.
-    pub fn id(&self, request: u64) -> RequestId {
-        RequestId { flow: self.identity.flow, request }
-    }
-}
-
-fn word_of(reply: &Packet) -> FinalWord {
-    if reply.kind() == PacketKind::Answer {
-        return FinalWord::Answered;
-    }
-    let refusal = reply.refusal.unwrap_or_default();
-    match refusal.outcome() {
-        RunOutcome::NotRun => FinalWord::NotRun(refusal.reason()),
-        _ => FinalWord::Unknown(refusal.reason()),
-    }
-}
-
 /// Lets the first fabric spray over these instances only, listed or not.
 pub fn steer(fleet: &TestFleet, indexes: &[usize]) -> anyhow::Result<()> {
     let addresses = indexes.iter().map(|index| fleet.instances[*index].listen.data);
@@ -352,7 +151,7 @@
     let mut words = Vec::new();
     wait_until_ok("copies that run", WIDE_LIMIT, || {
         caller.send(packet)?;
-        words.extend(caller.overhear(packet.request, RESEND));
+        words.extend(caller.overhear(packet.request, SEND_PERIOD));
         words.dedup();
         let count = count_runs(fleet, caller.id(packet.request))?;
         ensure!(count >= runs, "{count} runs of {runs}, told {words:?}, {}", loads_of(fleet)?);
