--- a/crates/foxledge-engine/examples/engine_cost.rs
+++ b/crates/foxledge-engine/examples/engine_cost.rs
@@ -29,6 +29,7 @@
 const PAGE_BYTES: u64 = 4096;
 
 fn main() {
+    message_sizes();
     packet_costs();
     for flows in [1_000, 10_000, 100_000, 300_000] {
         flow_memory(flows);
@@ -41,6 +42,64 @@
     }
 }
 
+/// Bytes of the engine's own messages, without IP and UDP headers.
+fn message_sizes() {
+    let list = test_list(1, &[wide_target(0)], &[]);
+    let mut engine = lone_engine(&list);
+    let now = ClockTime::from_micros(5_000_000);
+    let probes = engine.on_tick(now);
+    let probe = first_packet(&probes);
+    print_size("probe", encode_packet(&probe).len());
+    let reply = answer(&probe, PacketKind::ProbeReply);
+    print_size("probe reply", encode_packet(&reply).len());
+
+    // An entry instance that isn't the home, and a home that acknowledges.
+    let view = Arc::new(wide_view(2));
+    let me = peer(0);
+    let names: Vec<_> =
+        view.ranked_homes("auction-desk#0").iter().map(|peer| peer.name.clone()).collect();
+    let entry_name = names[1].clone();
+    let mut entry = FlowEngine::new(
+        EngineOptions::default(),
+        PeerInfo { name: entry_name, ..me.clone() },
+        SEED,
+    );
+    entry.on_list(now, Arc::new(list.clone()));
+    entry.on_view(now, view.clone());
+    let bytes = encode_packet(&ticket_request(1));
+    let forwarded = entry.on_datagram(now, caller_address(1), &bytes);
+    print_size("ticket request", bytes.len());
+    let forward = peer_bytes(&forwarded);
+    print_size("ticket request forwarded", forward.len());
+    let mut home =
+        FlowEngine::new(EngineOptions::default(), PeerInfo { name: names[0].clone(), ..me }, SEED);
+    home.on_list(now, Arc::new(list));
+    home.on_view(now, view);
+    home.set_phase(now, EnginePhase::Serving);
+    let effects = home.on_peer_datagram(now, address(2001), &forward);
+    print_size("acknowledgement of a forwarding", peer_bytes(&effects).len());
+    let grant = first_packet(&effects);
+    print_size("ticket grant", encode_packet(&grant).len());
+    let bid = Packet { ticket: grant.ticket, ..work(1, 1, 1, "auction") };
+    print_size("bid of 3 bytes by ticket", encode_packet(&bid).len());
+    let forwarded = entry.on_datagram(now, caller_address(1), &encode_packet(&bid));
+    print_size("bid forwarded", peer_bytes(&forwarded).len());
+}
+
+fn peer_bytes(effects: &[EngineEffect]) -> Vec<u8> {
+    effects
+        .iter()
+        .find_map(|effect| match effect {
+            EngineEffect::SendPeer { bytes, .. } => Some(bytes.clone()),
+            _ => None,
+        })
+        .expect("a datagram to a peer was sent")
+}
+
+fn print_size(what: &str, bytes: usize) {
+    println!("{{\"what\":\"{what}\",\"bytes\":{bytes}}}");
+}
+
 /// Processor time of one packet on each way through the engine.
 fn packet_costs() {
     const ROUNDS: u64 = 50_000;
