Tick rarely while nothing waits

Ruled out: a slower tick always (a request given up has to be told within 10 ms); the next deadline of every desk (more state for the same gain). Conclusion: 50 ms while no request, opening feed or forwarding waits; the first that does brings the tick forward. quiet_again shows both.

--- a/crates/foxledge-daemon/src/engine_part.rs
+++ b/crates/foxledge-daemon/src/engine_part.rs
@@ -11,7 +11,7 @@
 use foxledge_engine::{EngineEffect, EngineOptions, EnginePhase, ExplainQuery, FlowEngine};
 use log::warn;
 use serde_json::{Value, json};
-use stakker::{CX, Ret, after, call, fail, ret};
+use stakker::{CX, FixedTimerKey, Ret, after, call, fail, ret};
 use tokio::sync::oneshot;
 
 use crate::{
@@ -21,12 +21,24 @@
     side::messages::FlowQuestion,
 };
 
-const TICK: Duration = Duration::from_millis(10);
+/// Time between two looks at deadlines while something waits.
+const BUSY_TICK: Duration = Duration::from_millis(10);
+/// The same while nothing waits but probes and open feeds.
+const QUIET_TICK: Duration = Duration::from_millis(50);
 
 /// `EnginePart` is the part that holds the [`FlowEngine`].
 pub struct EnginePart {
     context: Rc<DaemonContext>,
     engine: FlowEngine,
+    tick_key: FixedTimerKey,
+    pace: TickPace,
+}
+
+/// `TickPace` is how soon the next tick comes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum TickPace {
+    Busy,
+    Quiet,
 }
 
 impl EnginePart {
@@ -37,8 +49,8 @@
         let mut engine = FlowEngine::new(options, me, context.next_seed());
         let now = context.clock.now();
         engine.set_phase(now, context.phase.get());
-        call!([cx], tick());
-        let part = EnginePart { context, engine };
+        let tick_key = after!(BUSY_TICK, [cx], tick());
+        let part = EnginePart { context, engine, tick_key, pace: TickPace::Busy };
         let kept = part.context.kept_list.borrow().as_ref().map(|kept| kept.list().clone());
         if let Some(list) = kept {
             call!([cx], take_list(list));
@@ -61,6 +73,7 @@
             }
             effects
         });
+        self.hasten(cx);
     }
 
     /// Puts a list in force.
@@ -132,8 +145,25 @@
     }
 
     fn tick(&mut self, cx: CX![]) {
-        after!(TICK, [cx], tick());
         self.run(cx, |engine, context| engine.on_tick(context.clock.now()));
+        self.pace = if self.engine.is_quiet() { TickPace::Quiet } else { TickPace::Busy };
+        self.tick_key = match self.pace {
+            TickPace::Quiet => after!(QUIET_TICK, [cx], tick()),
+            TickPace::Busy => after!(BUSY_TICK, [cx], tick()),
+        };
+    }
+
+    /// Brings the next tick forward once something waits.
+    ///
+    /// A hundred ticks a second cost an idle daemon more than all its decisions,
+    /// but a request that is given up has to be told so within 10 ms.
+    fn hasten(&mut self, cx: CX![]) {
+        if self.pace == TickPace::Busy || self.engine.is_quiet() {
+            return;
+        }
+        cx.timer_del(self.tick_key);
+        self.pace = TickPace::Busy;
+        self.tick_key = after!(BUSY_TICK, [cx], tick());
     }
 
     /// Runs a decision and carries its effects out.
--- a/crates/foxledge-daemon/src/life_cycle.rs
+++ b/crates/foxledge-daemon/src/life_cycle.rs
@@ -17,6 +17,8 @@
 };
 
 const TICK: Duration = Duration::from_millis(25);
+/// Time between two looks while there is nothing to wait for but a stop.
+const SERVING_TICK: Duration = Duration::from_millis(100);
 /// Heartbeats sent in state leaving before the process may end.
 const LEAVING_BEATS: u64 = 3;
 
@@ -93,7 +95,10 @@
     }
 
     fn on_tick(&mut self, cx: CX![]) {
-        after!(TICK, [cx], on_tick());
+        match self.context.phase.get() {
+            EnginePhase::Serving => after!(SERVING_TICK, [cx], on_tick()),
+            EnginePhase::Joining | EnginePhase::Leaving => after!(TICK, [cx], on_tick()),
+        };
         if self.context.stop_wanted.take() {
             self.begin_leaving("signal");
         }
--- a/crates/foxledge-engine/src/answers.rs
+++ b/crates/foxledge-engine/src/answers.rs
@@ -87,7 +87,8 @@
                 if let Some(work) = self.works.get_mut(&id)
                     && work.is_feed()
                 {
-                    work.packet = None;
+                    let opening = work.packet.take();
+                    self.opening_feeds -= usize::from(opening.is_some());
                 }
             }
             TargetSignal::Ended => {
--- a/crates/foxledge-engine/src/engine.rs
+++ b/crates/foxledge-engine/src/engine.rs
@@ -64,6 +64,8 @@
     pub(crate) works: HashMap<u64, HomeWork>,
     /// Works that are no feeds; a planned stop waits for them.
     pub(crate) open_requests: usize,
+    /// Feeds that wait for a place or for their target's word.
+    pub(crate) opening_feeds: usize,
     /// No refusal that leaves a request unknown goes into the audit trail before.
     pub(crate) next_unknown_audit: ClockTime,
     /// Work ids by dispatch.
@@ -100,6 +102,7 @@
             ledger: RunLedger::new(options.ledger_limit),
             works: HashMap::new(),
             open_requests: 0,
+            opening_feeds: 0,
             next_unknown_audit: ClockTime::ZERO,
             dispatches: HashMap::new(),
             last_work: 0,
@@ -195,6 +198,11 @@
         self.open_requests + tickets + self.forwards.len()
     }
 
+    /// True when no deadline of a request, of a feed's opening or of a forwarding runs.
+    pub fn is_quiet(&self) -> bool {
+        self.open_requests == 0 && self.opening_feeds == 0 && self.forwards.is_empty()
+    }
+
     /// What this instance is.
     pub fn me(&self) -> &PeerInfo {
         &self.me
@@ -244,6 +252,7 @@
         let work = self.works.remove(&id)?;
         self.dispatches.remove(&work.dispatch);
         self.open_requests -= usize::from(!work.is_feed());
+        self.opening_feeds -= usize::from(work.is_feed() && work.packet.is_some());
         Some(work)
     }
 
--- a/crates/foxledge-engine/src/home.rs
+++ b/crates/foxledge-engine/src/home.rs
@@ -270,7 +270,10 @@
         let member = item.member.clone();
         let address = self.shared_address(&packet.address, &treatment);
         self.ledger.record(key, RequestState::Queued(id), forget_at);
-        self.open_requests += usize::from(kind != TrafficKind::Feed);
+        match kind {
+            TrafficKind::Feed => self.opening_feeds += 1,
+            TrafficKind::Bid | TrafficKind::Upload => self.open_requests += 1,
+        }
         self.works.insert(
             id,
             HomeWork {
--- a/crates/foxledge-engine/tests/late_notices.rs
+++ b/crates/foxledge-engine/tests/late_notices.rs
@@ -95,3 +95,29 @@
     assert!(engine.counters().checks_sent > 0, "the target was asked about it");
     assert!(refusals(&net.take_answers(1)).is_empty());
 }
+
+#[test]
+fn quiet_again() {
+    // Symptom: an idle daemon ticks as often as a busy one, or a busy one too seldom.
+    // Sequence: a feed opens and stays; a bid runs and ends.
+    // Cause: what waits is counted wrong.
+    let mut net = TestNet::new(1, 4, EngineOptions::default());
+    let is_quiet = |net: &TestNet| net.engines[0].as_ref().unwrap().is_quiet();
+    assert!(is_quiet(&net));
+    let feed = Packet {
+        work: foxledge_wire::flow::WorkKind::Feed.into(),
+        idempotent: true,
+        ..work(1, 9, 1, "auction")
+    };
+    net.send(1, 0, &feed);
+    net.run(1);
+    assert!(!is_quiet(&net), "the feed's target hasn't answered yet");
+    net.run(100);
+    assert!(is_quiet(&net), "an open feed needs no look every 10 ms");
+    let ticket = net.obtain_ticket(2, 0, "auction").unwrap();
+    net.send(2, 0, &Packet { ticket, ..work(2, 1, 1, "auction") });
+    net.run(2);
+    assert!(!is_quiet(&net));
+    net.run(1_000);
+    assert!(is_quiet(&net));
+}
