Read the pages as a newcomer and mend what doesn't hold

Ruled out: making foxledged.toml a local example (it shows every key, and a test holds it to that). Before: foxledgectl check settings passed, foxledged could not listen.

--- a/crates/foxledge-ctl/tests/check_files.rs
+++ b/crates/foxledge-ctl/tests/check_files.rs
@@ -48,6 +48,12 @@
         exit code 0
     "#]]
     .assert_eq(&run_to_text(&["check", "settings", &settings]));
+    let local = example("local.toml");
+    expect![[r#"
+        good: instance local-1 in toledo
+        exit code 0
+    "#]]
+    .assert_eq(&run_to_text(&["check", "settings", &local]));
     let rules = example("lakeshore-rules.toml");
     expect![[r#"
         good: 5 rules, 2 services, 3 targets, 2 members, 1 key
--- a/crates/foxledge-settings/src/settings.rs
+++ b/crates/foxledge-settings/src/settings.rs
@@ -72,7 +72,7 @@
 pub struct PeerSettings {
     /// Control addresses of instances to join through.
     pub seeds: Vec<SocketAddr>,
-    /// Time between heartbeats to one peer, in milliseconds.
+    /// Time between rounds of heartbeats, in milliseconds.
     pub heartbeat_ms: u64,
     /// Silence after which a peer is suspected, in milliseconds.
     pub suspect_after_ms: u64,
