Give each address of a test out once

Cause: the harness's IP numbers come round after 254 addresses, and the system may give a port a second time before the first is bound; a routed fleet of 16 instances (over a thousand links) failed to start with 'address in use'. Ruled out: binding at once and handing sockets over (processes bind for themselves). Conclusion: addresses given out are remembered.

--- a/crates/foxledge-fakes/src/harness/ports.rs
+++ b/crates/foxledge-fakes/src/harness/ports.rs
@@ -1,10 +1,11 @@
 //! Loopback addresses whose ports are chosen by the system.
 
 use std::{
+    collections::HashSet,
     net::{Ipv4Addr, SocketAddr, TcpListener, UdpSocket},
     process,
     sync::{
-        Mutex, MutexGuard, PoisonError,
+        LazyLock, Mutex, MutexGuard, PoisonError,
         atomic::{AtomicU32, Ordering},
     },
 };
@@ -24,6 +25,12 @@
 /// ends with "address in use".
 static TRIAL: Mutex<()> = Mutex::new(());
 
+/// Addresses given out by this process that something may not have bound yet.
+///
+/// The IP numbers repeat after 254 addresses. A large routed fleet asks for more before it starts
+/// anything, and one would notice a link whose address is in use.
+static TAKEN: LazyLock<Mutex<HashSet<SocketAddr>>> = LazyLock::new(Mutex::default);
+
 /// Keeps trial sockets out of processes that are being started.
 pub(super) fn lock_trials() -> MutexGuard<'static, ()> {
     TRIAL.lock().unwrap_or_else(PoisonError::into_inner)
@@ -35,7 +42,8 @@
     for _ in 0..TRIES {
         let listener = TcpListener::bind((next_loopback(), 0))?;
         let address = listener.local_addr()?;
-        if UdpSocket::bind(address).is_ok() {
+        let is_free = UdpSocket::bind(address).is_ok();
+        if is_free && TAKEN.lock().unwrap_or_else(PoisonError::into_inner).insert(address) {
             return Ok(address);
         }
     }
