Split the engine tests' common module; give reports a test file

Before: lists, packets and the network in one file; unknown_audited among the forwardings. After: lists and packets have files of their own, every public item says what it is; the network keeps what instances audit. No assertion changed.

--- a/crates/foxledge-engine/examples/engine_cost.rs
+++ b/crates/foxledge-engine/examples/engine_cost.rs
@@ -9,7 +9,11 @@
 
 use std::{fs, sync::Arc, time::Instant};
 
-use common::{address, caller_address, data_address, test_list, work};
+use common::{
+    address, caller_address, data_address,
+    lists::{target_spec, test_list},
+    packets::work,
+};
 use foxledge_core::{
     lists::{
         FlowMatch, FlowRule, FlowTreatment, RuleList, ServeTreatment, ServiceSpec, TargetSpec,
@@ -240,7 +244,7 @@
 }
 
 fn wide_target(index: usize) -> TargetSpec {
-    TargetSpec { slots: 1_000_000, connections: 1_000_000, ..common::target_spec(index, 1) }
+    TargetSpec { slots: 1_000_000, connections: 1_000_000, ..target_spec(index, 1) }
 }
 
 /// The target's shape: about 6.5 targets behind each address, over 8 data centres.
--- a/crates/foxledge-engine/tests/bad_datagrams.rs
+++ b/crates/foxledge-engine/tests/bad_datagrams.rs
@@ -4,7 +4,7 @@
 
 use std::sync::Arc;
 
-use common::{TestNet, address, data_address, work};
+use common::{TestNet, address, data_address, packets::work};
 use foxledge_engine::{EngineEffect, EngineOptions, FlowEngine};
 use foxledge_wire::{
     MAX_DATAGRAM, encode_packet,
--- a/crates/foxledge-engine/tests/common/mod.rs
+++ b/crates/foxledge-engine/tests/common/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code)]
 
+pub mod lists;
+pub mod packets;
 pub mod targets;
 
 use std::{
@@ -11,23 +13,24 @@
 };
 
 use foxledge_core::{
-    lists::{
-        FlowMatch, FlowRule, FlowTreatment, FullAction, KeySpec, ListVersion, MemberSpec,
-        PaidPriority, RuleList, ServeTreatment, ServiceSpec, TargetSpec,
-    },
-    names::{CentreName, InstanceName, MemberName, RuleName, ServiceAddress, ServiceName},
+    audit::{AuditChange, AuditKind},
+    lists::RuleList,
+    names::{CentreName, InstanceName},
     peers::{PeerInfo, PeerState, PeerView},
     time::ClockTime,
 };
 use foxledge_engine::{EngineEffect, EngineOptions, EnginePhase, FlowEngine};
 use foxledge_wire::{
     TICKET_PADDING, decode_packet, encode_packet,
-    flow::{Packet, PacketKind, RunOutcome, WorkKind},
+    flow::{Packet, PacketKind},
 };
 use rand::{Rng, SeedableRng, rngs::StdRng};
 
+use lists::{target_spec, test_list};
+use packets::work;
 use targets::FakeTarget;
 
+/// The data centre of every instance and target.
 pub const CENTRE: &str = "toledo";
 const TICK_MS: u64 = 10;
 
@@ -54,6 +57,8 @@
     pub faults: NetFaults,
     pub cuts: BTreeSet<(SocketAddr, SocketAddr)>,
     pub inbox: BTreeMap<SocketAddr, Vec<Packet>>,
+    /// What the instances put into their audit trails, in order.
+    pub audited: Vec<AuditChange>,
     queue: BTreeSet<(ClockTime, u64, Delivery)>,
     sequence: u64,
     next_tick: ClockTime,
@@ -62,71 +67,26 @@
     incarnation: u64,
 }
 
+/// Where a port of the test network is.
 pub fn address(port: u16) -> SocketAddr {
     SocketAddr::from(([127, 0, 0, 1], port))
 }
 
+/// Where callers and targets reach an instance.
 pub fn data_address(instance: usize) -> SocketAddr {
     address(1000 + instance as u16)
 }
 
+/// Where a target is.
 pub fn target_address(target: usize) -> SocketAddr {
     address(4000 + target as u16)
 }
 
+/// Where a caller is.
 pub fn caller_address(caller: u64) -> SocketAddr {
     address(5000 + caller as u16)
 }
 
-/// A list with an auction desk on the first targets and lot intake on the last.
-pub fn test_list(revision: u64, targets: &[TargetSpec], intake: &[TargetSpec]) -> RuleList {
-    let mut list = RuleList {
-        version: ListVersion { revision, digest: revision },
-        keys: vec![KeySpec { id: 1, secret: vec![7; 32] }],
-        ..RuleList::default()
-    };
-    for (name, place, specs) in
-        [("auction-desk", "auction", targets), ("lot-intake", "intake", intake)]
-    {
-        let service = ServiceSpec {
-            name: ServiceName::new(name),
-            addresses: vec![ServiceAddress::new(place)],
-            queue_limit: 50,
-            shards: 1,
-            targets: specs.to_vec(),
-        };
-        list.services.insert(service.name.clone(), Arc::new(service));
-        list.rules.push(FlowRule {
-            name: RuleName::new(name),
-            when: FlowMatch { addresses: vec![ServiceAddress::new(place)], ..FlowMatch::default() },
-            then: FlowTreatment::Serve(ServeTreatment {
-                service: ServiceName::new(name),
-                priority: PaidPriority(1),
-                weight: 1,
-                member_limit: 0,
-                when_full: FullAction::Queue,
-            }),
-        });
-    }
-    for member in ["bricks", "tiles"] {
-        let name = MemberName::new(member);
-        list.members.insert(name.clone(), MemberSpec { name, secret: Vec::new() });
-    }
-    list
-}
-
-pub fn target_spec(index: usize, incarnation: u64) -> TargetSpec {
-    TargetSpec {
-        name: format!("t{index}").as_str().into(),
-        address: target_address(index),
-        incarnation,
-        data_centre: CentreName::new(CENTRE),
-        slots: 2,
-        connections: 100,
-        draining: false,
-    }
-}
-
 impl TestNet {
     /// Engines that know each other, two auction targets and one intake target.
     pub fn new(instances: usize, seed: u64, options: EngineOptions) -> TestNet {
@@ -138,6 +98,7 @@
             faults: NetFaults::default(),
             cuts: BTreeSet::new(),
             inbox: BTreeMap::new(),
+            audited: Vec::new(),
             queue: BTreeSet::new(),
             sequence: 0,
             next_tick: ClockTime::from_micros(1_000_000),
@@ -178,11 +139,13 @@
         self.frozen.remove(&instance);
     }
 
+    /// The list of the targets as they are now.
     pub fn list(&self, revision: u64) -> RuleList {
         let specs: Vec<_> = self.targets.iter().map(|target| target.spec.clone()).collect();
         test_list(revision, &specs[..2], &specs[2..])
     }
 
+    /// Ends an instance without a word.
     pub fn kill(&mut self, instance: usize) {
         self.engines[instance] = None;
     }
@@ -192,6 +155,7 @@
         self.frozen.insert(instance);
     }
 
+    /// Lets a frozen instance work on.
     pub fn wake(&mut self, instance: usize) {
         self.frozen.remove(&instance);
     }
@@ -216,6 +180,7 @@
         }
     }
 
+    /// Gives one instance a list.
     pub fn publish(&mut self, instance: usize, list: RuleList) {
         let Some(engine) = self.engines[instance].as_mut() else { return };
         let effects = engine.on_list(self.now, Arc::new(list));
@@ -257,6 +222,18 @@
         None
     }
 
+    /// The instance that issued a ticket.
+    pub fn issuer(&self) -> usize {
+        (0..self.engines.len())
+            .find(|&i| self.engines[i].as_ref().is_some_and(|e| e.counters().tickets_issued > 0))
+            .expect("a ticket was issued")
+    }
+
+    /// What was audited of that kind, in order.
+    pub fn audited_of(&self, kind: AuditKind) -> Vec<AuditChange> {
+        self.audited.iter().filter(|change| change.kind == kind).cloned().collect()
+    }
+
     fn step(&mut self, end: ClockTime) -> bool {
         let next = self.queue.first().map_or(ClockTime::FAR, |(at, ..)| *at);
         if next.min(self.next_tick) > end {
@@ -344,7 +321,8 @@
                 EngineEffect::SendPeer { to, bytes } => {
                     self.transmit(address(2000 + instance as u16), to, bytes);
                 }
-                EngineEffect::Audit(_) | EngineEffect::Observe { .. } => {}
+                EngineEffect::Audit(change) => self.audited.push(change),
+                EngineEffect::Observe { .. } => {}
             }
         }
     }
@@ -369,31 +347,3 @@
         self.queue.insert((at, self.sequence, delivery));
     }
 }
-
-/// A bid of one part.
-pub fn work(caller: u64, flow: u64, request: u64, place: &str) -> Packet {
-    Packet {
-        version: foxledge_wire::PROTOCOL_VERSION,
-        kind: PacketKind::Work.into(),
-        flow,
-        address: place.to_owned(),
-        member: "bricks".to_owned(),
-        caller,
-        request,
-        work: WorkKind::Bid.into(),
-        time_left_ms: 2000,
-        parts: 1,
-        payload: b"bid".to_vec(),
-        ..Packet::default()
-    }
-}
-
-/// Outcomes of the refusals among some answers.
-pub fn refusals(answers: &[Packet]) -> Vec<RunOutcome> {
-    answers.iter().filter_map(|answer| Some(answer.refusal.as_ref()?.outcome())).collect()
-}
-
-/// True when an answer part is among some answers.
-pub fn is_answered(answers: &[Packet]) -> bool {
-    answers.iter().any(|answer| answer.kind() == PacketKind::Answer)
-}
--- /dev/null
+++ b/crates/foxledge-engine/tests/common/packets.rs
@@ -0,0 +1,31 @@
+//! Callers' packets and what came back.
+
+use foxledge_wire::flow::{Packet, PacketKind, RunOutcome, WorkKind};
+
+/// A bid of one part.
+pub fn work(caller: u64, flow: u64, request: u64, place: &str) -> Packet {
+    Packet {
+        version: foxledge_wire::PROTOCOL_VERSION,
+        kind: PacketKind::Work.into(),
+        flow,
+        address: place.to_owned(),
+        member: "bricks".to_owned(),
+        caller,
+        request,
+        work: WorkKind::Bid.into(),
+        time_left_ms: 2000,
+        parts: 1,
+        payload: b"bid".to_vec(),
+        ..Packet::default()
+    }
+}
+
+/// Outcomes of the refusals among some answers.
+pub fn refusals(answers: &[Packet]) -> Vec<RunOutcome> {
+    answers.iter().filter_map(|answer| Some(answer.refusal.as_ref()?.outcome())).collect()
+}
+
+/// True when an answer part is among some answers.
+pub fn is_answered(answers: &[Packet]) -> bool {
+    answers.iter().any(|answer| answer.kind() == PacketKind::Answer)
+}
--- a/crates/foxledge-engine/tests/core_sweep.rs
+++ b/crates/foxledge-engine/tests/core_sweep.rs
@@ -4,7 +4,10 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use common::{NetFaults, TestNet, is_answered, refusals, work};
+use common::{
+    NetFaults, TestNet,
+    packets::{is_answered, refusals, work},
+};
 use foxledge_core::lists::KeySpec;
 use foxledge_engine::{EngineOptions, TrialSwitches};
 use foxledge_wire::flow::{Packet, PacketKind, RunOutcome};
--- /dev/null
+++ b/crates/foxledge-engine/tests/flow_reports.rs
@@ -0,0 +1,38 @@
+//! What an instance says of its decisions: explanations and the audit trail.
+
+mod common;
+
+use common::{TestNet, address, packets::work};
+use foxledge_core::{time::ClockTime, traffic::TrafficKind};
+use foxledge_engine::{EngineEffect, EngineOptions, ExplainQuery};
+use foxledge_wire::flow::Packet;
+
+#[test]
+fn unknown_audited() {
+    let mut net = TestNet::new(2, 5, EngineOptions::default());
+    let ticket = net.obtain_ticket(1, 0, "auction").unwrap();
+    let home = net.issuer();
+    net.kill(home);
+    let entry = net.engines[1 - home].as_mut().unwrap();
+    let bid = Packet { ticket, ..work(1, 1, 1, "auction") };
+    let mut effects = Vec::new();
+    let mut now = net.now;
+    effects.extend(entry.on_datagram(now, address(5001), &foxledge_wire::encode_packet(&bid)));
+    for _ in 0..200 {
+        now = ClockTime::from_micros(now.as_micros() + 10_000);
+        effects.extend(entry.on_tick(now));
+    }
+    let audited = effects.iter().filter(|e| matches!(e, EngineEffect::Audit(_))).count();
+    assert_eq!(audited, 1, "one request was left unknown");
+    let explained = entry.explain(&bid_query(1));
+    assert!(explained.flow_events.iter().any(|event| event.text.contains("Unknown")));
+}
+
+fn bid_query(flow: u64) -> ExplainQuery {
+    ExplainQuery {
+        address: "auction".into(),
+        member: "bricks".into(),
+        kind: TrafficKind::Bid,
+        flow,
+    }
+}
--- a/crates/foxledge-engine/tests/flow_tokens.rs
+++ b/crates/foxledge-engine/tests/flow_tokens.rs
@@ -4,7 +4,7 @@
 
 use std::sync::Arc;
 
-use common::{TestNet, target_spec, work};
+use common::{TestNet, lists::target_spec, packets::work};
 use foxledge_core::lists::KeySpec;
 use foxledge_engine::{EngineOptions, TrialSwitches};
 use foxledge_wire::flow::{Packet, PacketKind, RefusalReason, WorkKind};
--- a/crates/foxledge-engine/tests/forward_paths.rs
+++ b/crates/foxledge-engine/tests/forward_paths.rs
@@ -2,17 +2,13 @@
 
 mod common;
 
-use common::{TestNet, address, is_answered, refusals, work};
-use foxledge_core::time::ClockTime;
-use foxledge_engine::{EngineEffect, EngineOptions, EnginePhase, TrialSwitches};
+use common::{
+    TestNet, address,
+    packets::{is_answered, refusals, work},
+};
+use foxledge_engine::{EngineOptions, EnginePhase, TrialSwitches};
 use foxledge_wire::flow::{Packet, PacketKind};
 
-fn home_of(net: &TestNet) -> usize {
-    (0..net.engines.len())
-        .find(|&i| net.engines[i].as_ref().is_some_and(|e| e.counters().tickets_issued > 0))
-        .expect("a ticket was issued")
-}
-
 fn peer_address(instance: usize) -> std::net::SocketAddr {
     address(2000 + instance as u16)
 }
@@ -21,7 +17,7 @@
 fn admission_gap(options: EngineOptions) -> u64 {
     let mut net = TestNet::new(3, 1, options);
     net.obtain_ticket(1, 0, "auction").unwrap();
-    let home = home_of(&net);
+    let home = net.issuer();
     net.kill(home);
     let killed = net.now;
     let entry = (home + 1) % 3;
@@ -52,7 +48,7 @@
     // Cause: the entry instance knows only one way to the home.
     let mut net = TestNet::new(3, 2, EngineOptions::default());
     let ticket = net.obtain_ticket(1, 0, "auction").unwrap();
-    let home = home_of(&net);
+    let home = net.issuer();
     let entry = (home + 1) % 3;
     net.cuts.insert((peer_address(entry), peer_address(home)));
     net.cuts.insert((peer_address(home), peer_address(entry)));
@@ -70,7 +66,7 @@
     // Cause: silence of the acknowledgement is taken for silence of the home.
     let mut net = TestNet::new(3, 3, EngineOptions::default());
     let ticket = net.obtain_ticket(1, 0, "auction").unwrap();
-    let home = home_of(&net);
+    let home = net.issuer();
     let entry = (home + 1) % 3;
     net.cuts.insert((peer_address(home), peer_address(entry)));
     net.send(1, entry, &Packet { ticket, ..work(1, 1, 1, "auction") });
@@ -88,7 +84,7 @@
     // Cause: the home goes at once, or goes on issuing tickets.
     let mut net = TestNet::new(2, 4, EngineOptions::default());
     let ticket = net.obtain_ticket(1, 0, "auction").unwrap();
-    let home = home_of(&net);
+    let home = net.issuer();
     net.send(1, home, &Packet { ticket, ..work(1, 1, 1, "auction") });
     net.run(3);
     let now = net.now;
@@ -108,37 +104,11 @@
     assert_eq!(engine.unfinished(net.now), 0);
 }
 
-#[test]
-fn unknown_audited() {
-    let mut net = TestNet::new(2, 5, EngineOptions::default());
-    let ticket = net.obtain_ticket(1, 0, "auction").unwrap();
-    let home = home_of(&net);
-    net.kill(home);
-    let entry = net.engines[1 - home].as_mut().unwrap();
-    let bid = Packet { ticket, ..work(1, 1, 1, "auction") };
-    let mut effects = Vec::new();
-    let mut now = net.now;
-    effects.extend(entry.on_datagram(now, address(5001), &foxledge_wire::encode_packet(&bid)));
-    for _ in 0..200 {
-        now = ClockTime::from_micros(now.as_micros() + 10_000);
-        effects.extend(entry.on_tick(now));
-    }
-    let audited = effects.iter().filter(|e| matches!(e, EngineEffect::Audit(_))).count();
-    assert_eq!(audited, 1, "one request was left unknown");
-    let explained = entry.explain(&foxledge_engine::ExplainQuery {
-        address: "auction".into(),
-        member: "bricks".into(),
-        kind: foxledge_core::traffic::TrafficKind::Bid,
-        flow: 1,
-    });
-    assert!(explained.flow_events.iter().any(|event| event.text.contains("Unknown")));
-}
-
 /// Outcomes of a bid whose ticket's home only instance 0 or 1 can reach, of two.
 fn cut_pair(takes_resend: bool) -> Vec<PacketKind> {
     let mut net = TestNet::new(2, 6, EngineOptions::default());
     let ticket = net.obtain_ticket(1, 0, "auction").unwrap();
-    let home = home_of(&net);
+    let home = net.issuer();
     let entry = 1 - home;
     net.cuts.insert((peer_address(entry), peer_address(home)));
     net.cuts.insert((peer_address(home), peer_address(entry)));
@@ -174,7 +144,7 @@
     // Cause: the silence on one way was taken for a home that nobody reaches.
     let mut net = TestNet::new(3, 3, EngineOptions::default());
     let ticket = net.obtain_ticket(1, 0, "auction").unwrap();
-    let home = home_of(&net);
+    let home = net.issuer();
     let entry = (home + 1) % 3;
     net.cuts.insert((peer_address(entry), peer_address(home)));
     for request in [1, 2] {
@@ -191,7 +161,7 @@
 fn resends_bounded() {
     let mut net = TestNet::new(2, 7, EngineOptions::default());
     let ticket = net.obtain_ticket(1, 0, "auction").unwrap();
-    let home = home_of(&net);
+    let home = net.issuer();
     net.kill(home);
     let mut packet = Packet { ticket, takes_resend: true, ..work(1, 1, 1, "auction") };
     let mut kinds = Vec::new();
--- a/crates/foxledge-engine/tests/late_notices.rs
+++ b/crates/foxledge-engine/tests/late_notices.rs
@@ -2,7 +2,11 @@
 
 mod common;
 
-use common::{TestNet, address, is_answered, refusals, target_address, work};
+use common::{
+    TestNet, address,
+    packets::{is_answered, refusals, work},
+    target_address,
+};
 use foxledge_engine::EngineOptions;
 use foxledge_wire::{
     decode_packet, encode_packet,
--- a/crates/foxledge-engine/tests/longest_names.rs
+++ b/crates/foxledge-engine/tests/longest_names.rs
@@ -4,7 +4,11 @@
 
 use std::sync::Arc;
 
-use common::{TestNet, is_answered, test_list, work};
+use common::{
+    TestNet,
+    lists::test_list,
+    packets::{is_answered, work},
+};
 use foxledge_core::names::{InstanceName, ServiceAddress, ServiceName, TargetName};
 use foxledge_engine::{EngineOptions, EnginePhase, FlowEngine};
 use foxledge_wire::{MAX_PAYLOAD, flow::Packet};
--- a/crates/foxledge-engine/tests/other_centres.rs
+++ b/crates/foxledge-engine/tests/other_centres.rs
@@ -4,7 +4,10 @@
 
 use std::sync::Arc;
 
-use common::{CENTRE, TestNet, address, is_answered, refusals, work};
+use common::{
+    CENTRE, TestNet, address,
+    packets::{is_answered, refusals, work},
+};
 use foxledge_core::{
     names::{CentreName, InstanceName},
     peers::{CentreContact, PeerInfo, PeerState, PeerView},
--- a/crates/foxledge-engine/tests/run_once.rs
+++ b/crates/foxledge-engine/tests/run_once.rs
@@ -2,7 +2,10 @@
 
 mod common;
 
-use common::{TestNet, is_answered, refusals, work};
+use common::{
+    TestNet,
+    packets::{is_answered, refusals, work},
+};
 use foxledge_core::lists::KeySpec;
 use foxledge_engine::{EngineOptions, TrialSwitches};
 use foxledge_wire::flow::{Packet, PacketKind, RunOutcome};
