Give a flow's events the backend server as a typed value

Before: a change of a sentence would have changed the target unnoticed. After: FlowEvent has an optional TargetPlace, written name@address; the JSON key target stays a text, and events of dispatches have one as well. flow_reports::target_explained checks both. Conclusion: the doc says what it is: the flow's last dispatch from here.

--- a/crates/foxledge-engine/src/dispatch.rs
+++ b/crates/foxledge-engine/src/dispatch.rs
@@ -13,6 +13,7 @@
     engine::FlowEngine,
     home::{RunTracking, bare_packet, wanted_span},
     ledger::{RequestKey, RequestState},
+    journal::{FlowEvent, TargetPlace},
     packets::desk_refusal,
     placement::DeskKey,
 };
@@ -55,9 +56,10 @@
         let state = RequestState::Dispatched { dispatch, target: target.clone() };
         self.ledger.record(key, state, forget_at);
         self.counters.dispatched += 1;
-        let text = format!("dispatched {dispatch:016x} to {}@{}", target.name, target.address);
+        let place = TargetPlace::from(target.as_ref());
+        let text = format!("dispatched {dispatch:016x} to {place}");
         debug!("engine: flow {:016x} request {} {text}", key.flow, key.request);
-        self.journal.note(now, key.flow, key.request, text);
+        self.journal.note(key.flow, FlowEvent::new(now, key.request, text).sent_to(place));
         self.out.push(EngineEffect::Observe { kind, wait });
         self.send_to_target(now, caller, &packet, dispatch, target);
     }
--- a/crates/foxledge-engine/src/engine.rs
+++ b/crates/foxledge-engine/src/engine.rs
@@ -32,7 +32,7 @@
     effects::{EngineEffect, EnginePhase},
     forwards::{ForwardTable, SilentHomes},
     home::HomeWork,
-    journal::FlowJournal,
+    journal::{FlowEvent, FlowJournal},
     ledger::RunLedger,
     options::{EngineOptions, FEED_CHECK, RUN_CHECK},
     packets::reply_to,
@@ -289,7 +289,7 @@
         if refusal.outcome() != RunOutcome::NotRun && !packet.ticket.is_empty() {
             self.audit_unknown(now, packet, &text);
         }
-        self.journal.note(now, packet.flow, packet.request, text);
+        self.journal.note(packet.flow, FlowEvent::new(now, packet.request, text));
         let mut reply = Packet { refusal: Some(refusal), ..reply_to(packet, PacketKind::Refusal) };
         if reply.encoded_len() > packet.encoded_len() {
             // The sender's address may be forged; an answer larger than the
--- a/crates/foxledge-engine/src/explain.rs
+++ b/crates/foxledge-engine/src/explain.rs
@@ -9,7 +9,7 @@
 use crate::{
     desks::shard_count,
     engine::FlowEngine,
-    journal::FlowEvent,
+    journal::{FlowEvent, TargetPlace},
     placement::{DeskKey, shard_of},
 };
 
@@ -40,9 +40,9 @@
     /// Instances that can be home, the best first.
     pub homes: Vec<String>,
     /// Backend servers of the shard in this data centre.
-    pub targets: Vec<String>,
-    /// The one that a new request would be sent to now, if this is the home.
-    pub target: Option<String>,
+    pub targets: Vec<TargetPlace>,
+    /// The one that this instance last sent a request of the flow to.
+    pub target: Option<TargetPlace>,
     /// The steps of the decision, as short sentences.
     pub reasons: Vec<String>,
     /// What this instance decided for the flow lately.
@@ -90,12 +90,9 @@
         reasons
             .push(format!("shard {} of {shards} decides the home by rendezvous hash", key.shard));
         explanation.shard = Some(key.shard);
-        explanation.targets = self
-            .targets_of(&key)
-            .iter()
-            .map(|target| format!("{}@{}", target.name, target.address))
-            .collect();
-        let dispatched = explanation.flow_events.iter().rev().find(|e| e.text.contains(" to "));
-        explanation.target = dispatched.and_then(|e| e.text.rsplit(' ').next().map(str::to_owned));
+        explanation.targets =
+            self.targets_of(&key).iter().map(|spec| TargetPlace::from(spec.as_ref())).collect();
+        let mut newest_first = explanation.flow_events.iter().rev();
+        explanation.target = newest_first.find_map(|event| event.target.clone());
     }
 }
--- a/crates/foxledge-engine/src/journal.rs
+++ b/crates/foxledge-engine/src/journal.rs
@@ -1,9 +1,13 @@
 //! What was decided for recent flows, so that one id can be followed.
 
-use std::collections::{HashMap, VecDeque};
+use std::{
+    collections::{HashMap, VecDeque},
+    fmt::{self, Display, Formatter},
+    net::SocketAddr,
+};
 
-use foxledge_core::time::ClockTime;
-use serde::Serialize;
+use foxledge_core::{lists::TargetSpec, names::TargetName, time::ClockTime};
+use serde::{Serialize, Serializer};
 
 /// Decisions kept for one flow.
 const EVENTS_PER_FLOW: usize = 12;
@@ -17,6 +21,48 @@
     pub request: u64,
     /// What was decided, as a short sentence.
     pub text: String,
+    /// The backend server that the request was sent to, if it was.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub target: Option<TargetPlace>,
+}
+
+impl FlowEvent {
+    /// Makes a decision that sends the request nowhere.
+    pub fn new(now: ClockTime, request: u64, text: impl Into<String>) -> FlowEvent {
+        FlowEvent { at_us: now.as_micros(), request, text: text.into(), target: None }
+    }
+
+    /// Sets the backend server that the request was sent to.
+    pub fn sent_to(self, target: TargetPlace) -> FlowEvent {
+        FlowEvent { target: Some(target), ..self }
+    }
+}
+
+/// `TargetPlace` is a backend server by name and address, written `name@address`.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct TargetPlace {
+    /// Published name.
+    pub name: TargetName,
+    /// Where it is reached.
+    pub address: SocketAddr,
+}
+
+impl From<&TargetSpec> for TargetPlace {
+    fn from(spec: &TargetSpec) -> TargetPlace {
+        TargetPlace { name: spec.name.clone(), address: spec.address }
+    }
+}
+
+impl Display for TargetPlace {
+    fn fmt(&self, formatter: &mut Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{}@{}", self.name, self.address)
+    }
+}
+
+impl Serialize for TargetPlace {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        serializer.collect_str(self)
+    }
 }
 
 /// `FlowJournal` is the decisions for the most recent flows; bounded.
@@ -34,7 +80,7 @@
     }
 
     /// Notes a decision.
-    pub fn note(&mut self, now: ClockTime, flow: u64, request: u64, text: impl Into<String>) {
+    pub fn note(&mut self, flow: u64, event: FlowEvent) {
         if !self.flows.contains_key(&flow) {
             self.make_room();
             self.order.push_back(flow);
@@ -43,7 +89,7 @@
         if events.len() == EVENTS_PER_FLOW {
             events.pop_front();
         }
-        events.push_back(FlowEvent { at_us: now.as_micros(), request, text: text.into() });
+        events.push_back(event);
     }
 
     /// The decisions for a flow, the oldest first.
--- a/crates/foxledge-engine/tests/flow_reports.rs
+++ b/crates/foxledge-engine/tests/flow_reports.rs
@@ -26,6 +26,23 @@
     assert_eq!(audited, 1, "one request was left unknown");
     let explained = entry.explain(&bid_query(1));
     assert!(explained.flow_events.iter().any(|event| event.text.contains("Unknown")));
+    assert_eq!(explained.target, None, "it was sent to no backend server from here");
+}
+
+#[test]
+fn target_explained() {
+    let mut net = TestNet::new(1, 5, EngineOptions::default());
+    let bid = Packet { idempotent: true, ..work(1, 1, 1, "auction") };
+    net.send(1, 0, &bid);
+    net.run(500);
+    let engine = net.engines[0].as_ref().unwrap();
+    let explained = engine.explain(&bid_query(1));
+    let served = net.targets.iter().find(|target| !target.runs.is_empty()).unwrap();
+    let wanted = format!("{}@{}", served.spec.name, served.spec.address);
+    let json = serde_json::to_value(&explained).unwrap();
+    assert_eq!(json["target"], wanted.as_str());
+    assert_eq!(json["flow_events"][0]["target"], wanted.as_str());
+    assert_eq!(engine.explain(&bid_query(2)).target, None, "nothing of that flow was sent");
 }
 
 fn bid_query(flow: u64) -> ExplainQuery {
