Audit a published drain once, by service and target

Cause: the engine recorded it from the list (auction-desk/a2: serving -> draining) and each desk again (a2: open -> draining, said by platform). Before: two entries at a home; a desk's entries named a target that several services may have. Conclusion: one entry per change, open and draining throughout.

--- a/crates/foxledge-engine/src/desks.rs
+++ b/crates/foxledge-engine/src/desks.rs
@@ -166,7 +166,7 @@
                 changes.push(
                     AuditChange::new(
                         AuditKind::TargetDraining,
-                        format!("{}/{}", service.name, target.name),
+                        target_subject(&service.name, target.name.as_str()),
                     )
                     .values(drain_word(was_draining), drain_word(target.draining))
                     .because("published", "list"),
@@ -177,6 +177,11 @@
     changes
 }
 
+/// How the audit trail names a target of a service.
+pub fn target_subject(service: &ServiceName, target: &str) -> String {
+    format!("{service}/{target}")
+}
+
 fn local_targets<'a>(
     service: &'a ServiceSpec,
     centre: &'a str,
@@ -185,5 +190,5 @@
 }
 
 fn drain_word(draining: bool) -> &'static str {
-    if draining { "draining" } else { "serving" }
+    if draining { "draining" } else { "open" }
 }
--- a/crates/foxledge-engine/src/dispatch.rs
+++ b/crates/foxledge-engine/src/dispatch.rs
@@ -2,13 +2,14 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use foxledge_core::{lists::TargetSpec, names::ServiceName, time::ClockTime};
+use foxledge_core::{audit::AuditChange, lists::TargetSpec, names::ServiceName, time::ClockTime};
 use foxledge_policy::{DeskEffect, DeskRefusal, RefuseReason, RunState};
 use foxledge_seal::seals::{seal_path, seal_token};
 use foxledge_wire::flow::{FlowToken, Packet, PacketKind, Refusal, ReturnPath, RunOutcome};
 use log::debug;
 
 use crate::{
+    desks::target_subject,
     effects::EngineEffect,
     engine::FlowEngine,
     home::{RunTracking, bare_packet, wanted_span},
@@ -38,7 +39,12 @@
                     self.remove_work(work);
                 }
                 DeskEffect::Probe { target } => self.send_probe(key, &target),
-                DeskEffect::Audit(change) => self.out.push(EngineEffect::Audit(change)),
+                DeskEffect::Audit(change) => {
+                    // A desk knows its targets by their names alone, which
+                    // another service's targets may have as well.
+                    let subject = target_subject(&key.service, &change.subject);
+                    self.out.push(EngineEffect::Audit(AuditChange { subject, ..change }));
+                }
             }
         }
     }
--- a/crates/foxledge-engine/tests/flow_reports.rs
+++ b/crates/foxledge-engine/tests/flow_reports.rs
@@ -3,7 +3,11 @@
 mod common;
 
 use common::{TestNet, address, packets::work};
-use foxledge_core::{time::ClockTime, traffic::TrafficKind};
+use foxledge_core::{
+    audit::{AuditChange, AuditKind},
+    time::ClockTime,
+    traffic::TrafficKind,
+};
 use foxledge_engine::{EngineEffect, EngineOptions, ExplainQuery};
 use foxledge_wire::flow::Packet;
 
@@ -45,6 +49,29 @@
     assert_eq!(engine.explain(&bid_query(2)).target, None, "nothing of that flow was sent");
 }
 
+#[test]
+fn drains_audited_once() {
+    // Symptom: a published drain stood twice in a home's audit trail, in different words.
+    // Sequence: a target is published as draining; another says of itself that it drains.
+    // Cause: both the engine and the desk recorded what a list changes.
+    let mut net = TestNet::new(1, 5, EngineOptions::default());
+    net.targets[0].spec.draining = true;
+    net.publish(0, net.list(2));
+    net.targets[1].draining = true;
+    net.run(5_000);
+    net.targets[0].spec.draining = false;
+    net.publish(0, net.list(3));
+    let drain = |subject: &str, old: &str, new: &str, cause: &str, source: &str| {
+        AuditChange::new(AuditKind::TargetDraining, subject).values(old, new).because(cause, source)
+    };
+    let wanted = [
+        drain("auction-desk/t0", "open", "draining", "published", "list"),
+        drain("auction-desk/t1", "open", "draining", "reported", "observation"),
+        drain("auction-desk/t0", "draining", "open", "published", "list"),
+    ];
+    assert_eq!(net.audited_of(AuditKind::TargetDraining), wanted);
+}
+
 fn bid_query(flow: u64) -> ExplainQuery {
     ExplainQuery {
         address: "auction".into(),
--- a/crates/foxledge-policy/src/desk.rs
+++ b/crates/foxledge-policy/src/desk.rs
@@ -81,8 +81,8 @@
     /// Dispatches at a target that is no longer published go on; an address
     /// under a new incarnation is another target.
     pub fn set_targets(&mut self, now: ClockTime, specs: Vec<Arc<TargetSpec>>) -> Vec<DeskEffect> {
-        let changes = self.table.replace(now, specs, &self.options);
-        let mut effects: Vec<_> = changes.into_iter().map(DeskEffect::Audit).collect();
+        self.table.replace(now, specs, &self.options);
+        let mut effects = Vec::new();
         self.refuse_hopeless(&mut effects);
         self.pump(now, &mut effects);
         effects
--- a/crates/foxledge-policy/src/targets.rs
+++ b/crates/foxledge-policy/src/targets.rs
@@ -85,23 +85,14 @@
 }
 
 impl TargetTable {
-    /// Takes a published list over; returns changes for the audit trail.
-    pub fn replace(
-        &mut self,
-        now: ClockTime,
-        specs: Vec<Arc<TargetSpec>>,
-        options: &DeskOptions,
-    ) -> Vec<AuditChange> {
-        let mut changes = Vec::new();
+    /// Takes a published list over.
+    pub fn replace(&mut self, now: ClockTime, specs: Vec<Arc<TargetSpec>>, options: &DeskOptions) {
         for entry in self.entries.values_mut() {
             entry.stand = TargetStand::Retired;
         }
         for spec in specs {
             match self.entries.values_mut().find(|entry| is_same_process(&entry.spec, &spec)) {
                 Some(entry) => {
-                    if entry.spec.draining != spec.draining {
-                        changes.push(draining_change(&spec));
-                    }
                     entry.spec = spec;
                     entry.stand = TargetStand::Listed;
                 }
@@ -113,7 +104,6 @@
         let roomy = self.entries.iter().filter(|(_, entry)| entry.is_roomy());
         self.roomy = roomy.map(|(&id, _)| id).collect();
         self.sum_up(now);
-        changes
     }
 
     /// Takes what work of that kind holds of a target.
@@ -384,13 +374,6 @@
     }
 }
 
-/// The entry for the audit trail when a target starts or stops leaving.
-pub fn draining_change(spec: &TargetSpec) -> AuditChange {
-    let words = if spec.draining { ("open", "draining") } else { ("draining", "open") };
-    let change = AuditChange::new(AuditKind::TargetDraining, spec.name.as_str());
-    change.values(words.0, words.1).because("published", "platform")
-}
-
 fn is_same_process(a: &TargetSpec, b: &TargetSpec) -> bool {
     a.name == b.name && a.incarnation == b.incarnation && a.address == b.address
 }
