Audit requests that a home leaves unknown

Cause: refuse() took a packet without a ticket for idempotent work, and what a home keeps of an open request has none. Before: UNKNOWN by TARGET_LOST was in no audit trail. After: it is, under the same bound of one entry in 100 ms; idempotent work still isn't. lost_target_audited and audit_rate_bounded fail without the change.

--- a/crates/foxledge-engine/src/dispatch.rs
+++ b/crates/foxledge-engine/src/dispatch.rs
@@ -13,8 +13,8 @@
     effects::EngineEffect,
     engine::FlowEngine,
     home::{RunTracking, bare_packet, wanted_span},
-    ledger::{RequestKey, RequestState},
     journal::{FlowEvent, TargetPlace},
+    ledger::{RequestKey, RequestState},
     packets::desk_refusal,
     placement::DeskKey,
 };
@@ -173,6 +173,9 @@
             }
             _ => desk_refusal(refusal),
         };
+        if work.tracking == RunTracking::ByTicket && refusal.outcome() != RunOutcome::NotRun {
+            self.audit_unknown(now, work.key, &refusal);
+        }
         self.remember_refusal(work.key, refusal, work.forget_at.max(now));
         self.refuse(now, work.caller, &bare_packet(&work), refusal);
     }
--- a/crates/foxledge-engine/src/engine.rs
+++ b/crates/foxledge-engine/src/engine.rs
@@ -33,7 +33,7 @@
     forwards::{ForwardTable, SilentHomes},
     home::HomeWork,
     journal::{FlowEvent, FlowJournal},
-    ledger::RunLedger,
+    ledger::{RequestKey, RunLedger},
     options::{EngineOptions, FEED_CHECK, RUN_CHECK},
     packets::reply_to,
     placement::{DeskKey, HomePlacement, placement_of},
@@ -260,14 +260,14 @@
     ///
     /// At most one each [`UNKNOWN_AUDIT_GAP`]: a flood of packets with withdrawn
     /// tickets would otherwise push every other change out of the bounded trail.
-    fn audit_unknown(&mut self, now: ClockTime, packet: &Packet, text: &str) {
+    pub(crate) fn audit_unknown(&mut self, now: ClockTime, key: RequestKey, refusal: &Refusal) {
         if !self.next_unknown_audit.is_past(now) {
             return;
         }
         self.next_unknown_audit = now.after(UNKNOWN_AUDIT_GAP);
-        let subject = format!("flow {:016x} request {}", packet.flow, packet.request);
+        let subject = format!("flow {:016x} request {}", key.flow, key.request);
         let change = AuditChange::new(AuditKind::FlowDecided, subject)
-            .values("", text)
+            .values("", refusal_text(refusal))
             .because("may have run", "engine");
         self.out.push(EngineEffect::Audit(change));
     }
@@ -284,10 +284,10 @@
             RunOutcome::NotRun => self.counters.refused_not_run += 1,
             _ => self.counters.refused_unknown += 1,
         }
-        let text = format!("refused {:?} {:?}", refusal.outcome(), refusal.reason());
+        let text = refusal_text(&refusal);
         debug!("engine: flow {:016x} request {} {text}", packet.flow, packet.request);
         if refusal.outcome() != RunOutcome::NotRun && !packet.ticket.is_empty() {
-            self.audit_unknown(now, packet, &text);
+            self.audit_unknown(now, RequestKey::of(packet), &refusal);
         }
         self.journal.note(packet.flow, FlowEvent::new(now, packet.request, text));
         let mut reply = Packet { refusal: Some(refusal), ..reply_to(packet, PacketKind::Refusal) };
@@ -299,3 +299,7 @@
         self.send_data(to, &reply);
     }
 }
+
+fn refusal_text(refusal: &Refusal) -> String {
+    format!("refused {:?} {:?}", refusal.outcome(), refusal.reason())
+}
--- a/crates/foxledge-engine/tests/flow_reports.rs
+++ b/crates/foxledge-engine/tests/flow_reports.rs
@@ -2,14 +2,18 @@
 
 mod common;
 
-use common::{TestNet, address, packets::work};
+use common::{
+    TestNet, address, data_address,
+    packets::{refusals, work},
+    target_address,
+};
 use foxledge_core::{
     audit::{AuditChange, AuditKind},
     time::ClockTime,
     traffic::TrafficKind,
 };
 use foxledge_engine::{EngineEffect, EngineOptions, ExplainQuery};
-use foxledge_wire::flow::Packet;
+use foxledge_wire::flow::{Packet, RunOutcome};
 
 #[test]
 fn unknown_audited() {
@@ -49,6 +53,61 @@
     assert_eq!(engine.explain(&bid_query(2)).target, None, "nothing of that flow was sent");
 }
 
+/// Callers send a bid by ticket each, and no answer of a target arrives any more; gives what
+/// the home audited of them.
+fn audit_lost_bids(callers: u64) -> Vec<AuditChange> {
+    let mut net = TestNet::new(1, 5, EngineOptions::default());
+    let mut bids = Vec::new();
+    for caller in 1..=callers {
+        let ticket = net.obtain_ticket(caller, 0, "auction").unwrap();
+        bids.push(Packet { ticket, ..work(caller, caller, 1, "auction") });
+    }
+    cut_answers(&mut net);
+    for bid in &bids {
+        net.send(bid.caller, 0, bid);
+    }
+    net.run(5_000);
+    for caller in 1..=callers {
+        assert_eq!(refusals(&net.take_answers(caller)), [RunOutcome::Unknown]);
+    }
+    net.audited_of(AuditKind::FlowDecided)
+}
+
+fn cut_answers(net: &mut TestNet) {
+    for target in 0..2 {
+        net.cuts.insert((target_address(target), data_address(0)));
+    }
+}
+
+#[test]
+fn lost_target_audited() {
+    // Symptom: a home left a bid unknown, and its audit trail didn't name it.
+    // Sequence: a bid by ticket is dispatched, and its target falls silent.
+    // Cause: what the home keeps of an open request has no ticket, as if it were idempotent.
+    let wanted = AuditChange::new(AuditKind::FlowDecided, "flow 0000000000000001 request 1")
+        .values("", "refused Unknown TargetLost")
+        .because("may have run", "engine");
+    assert_eq!(audit_lost_bids(1), [wanted]);
+}
+
+#[test]
+fn audit_rate_bounded() {
+    // Symptom: a dead target's requests push every other change out of the audit trail.
+    // Sequence: three bids are left unknown within 100 ms.
+    // Cause: what the home says of them goes past the bound for entry instances.
+    assert_eq!(audit_lost_bids(3).len(), 1);
+}
+
+#[test]
+fn idempotent_not_audited() {
+    let mut net = TestNet::new(1, 5, EngineOptions::default());
+    cut_answers(&mut net);
+    net.send(1, 0, &Packet { idempotent: true, ..work(1, 1, 1, "auction") });
+    net.run(5_000);
+    assert_eq!(refusals(&net.take_answers(1)), [RunOutcome::Unknown]);
+    assert!(net.audited_of(AuditKind::FlowDecided).is_empty(), "its caller may ask again");
+}
+
 #[test]
 fn drains_audited_once() {
     // Symptom: a published drain stood twice in a home's audit trail, in different words.
