Give tickets a file; break up long functions of the engine

Before: tracking, start deadline and forget_at one by one; signal_of(is_feed), next_check(is_feed). After: RunTerms; tickets.rs; admit and home_work of their own; kinds of traffic as arguments; an answer is no longer copied before it is relayed. Conclusion: no behaviour changed; the tests of engine, policy and ctl pass unchanged.

--- a/crates/foxledge-engine/src/answers.rs
+++ b/crates/foxledge-engine/src/answers.rs
@@ -2,14 +2,13 @@
 
 use std::net::SocketAddr;
 
-use foxledge_core::time::ClockTime;
+use foxledge_core::{time::ClockTime, traffic::TrafficKind};
 use foxledge_policy::TargetSignal;
 use foxledge_seal::seals::open_path;
 use foxledge_wire::{
     MAX_DATAGRAM,
     flow::{Packet, PacketKind, Refusal, RefusalReason, RunOutcome},
 };
-
 use prost::Message;
 
 use crate::{
@@ -69,40 +68,32 @@
         desk: &DeskKey,
         packet: Packet,
     ) {
-        let is_target =
-            self.works.get(&id).and_then(|work| self.ledger.find(&work.key)).is_none_or(|state| {
-                match state {
-                    RequestState::Dispatched { target, .. } => target.address == from,
-                    _ => true,
-                }
-            });
-        if !is_target {
+        let Some(work) = self.works.get_mut(&id) else { return };
+        if let Some(RequestState::Dispatched { target, .. }) = self.ledger.find(&work.key)
+            && target.address != from
+        {
             self.counters.path_unsealed += 1;
             return;
         }
-        let load = packet.load.as_ref().map(target_load);
-        let signal = signal_of(&packet, self.works.get(&id).is_some_and(|work| work.is_feed()));
+        let (dispatch, load) = (packet.dispatch, packet.load.as_ref().map(target_load));
+        let signal = signal_of(&packet, work.kind);
         match signal {
             TargetSignal::Accepted => {
-                if let Some(work) = self.works.get_mut(&id)
-                    && work.is_feed()
-                {
+                if work.is_feed() {
                     let opening = work.packet.take();
                     self.opening_feeds -= usize::from(opening.is_some());
                 }
+                self.relay_answer(packet);
             }
             TargetSignal::Ended => {
                 self.counters.ended += 1;
                 let renewal = self.renew_ticket(now, id);
-                self.relay_with_ticket(packet.clone(), renewal);
+                self.relay_with_ticket(packet, renewal);
             }
             TargetSignal::NotRun(_) | TargetSignal::Unknown => {}
         }
-        if signal == TargetSignal::Accepted {
-            self.relay_answer(packet.clone());
-        }
         let Some(home_desk) = self.desks.find(desk) else { return };
-        let effects = home_desk.on_signal(now, packet.dispatch, signal, load);
+        let effects = home_desk.on_signal(now, dispatch, signal, load);
         self.carry_out(now, desk, effects);
         if signal == TargetSignal::Ended {
             self.remove_work(id);
@@ -159,10 +150,10 @@
     }
 }
 
-fn signal_of(packet: &Packet, is_feed: bool) -> TargetSignal {
+fn signal_of(packet: &Packet, kind: TrafficKind) -> TargetSignal {
     match packet.kind() {
         PacketKind::Done => TargetSignal::Ended,
-        PacketKind::Answer if !is_feed => TargetSignal::Ended,
+        PacketKind::Answer if kind != TrafficKind::Feed => TargetSignal::Ended,
         PacketKind::Refusal => refusal_signal(packet.refusal.as_ref()),
         _ => TargetSignal::Accepted,
     }
--- a/crates/foxledge-engine/src/desks.rs
+++ b/crates/foxledge-engine/src/desks.rs
@@ -161,16 +161,11 @@
         let Some(service) = new.services.get(name) else { continue };
         for target in &service.targets {
             let former = before.targets.iter().find(|t| t.name == target.name);
-            let was_draining = former.is_some_and(|former| former.draining);
-            if was_draining != target.draining {
-                changes.push(
-                    AuditChange::new(
-                        AuditKind::TargetDraining,
-                        target_subject(&service.name, target.name.as_str()),
-                    )
-                    .values(drain_word(was_draining), drain_word(target.draining))
-                    .because("published", "list"),
-                );
+            let (old, new) = (former.map_or("open", drain_word), drain_word(target));
+            if old != new {
+                let subject = target_subject(&service.name, target.name.as_str());
+                let change = AuditChange::new(AuditKind::TargetDraining, subject);
+                changes.push(change.values(old, new).because("published", "list"));
             }
         }
     }
@@ -189,6 +184,6 @@
     service.targets.iter().filter(move |target| target.data_centre.as_str() == centre)
 }
 
-fn drain_word(draining: bool) -> &'static str {
-    if draining { "draining" } else { "open" }
+fn drain_word(target: &TargetSpec) -> &'static str {
+    if target.draining { "draining" } else { "open" }
 }
--- a/crates/foxledge-engine/src/entry.rs
+++ b/crates/foxledge-engine/src/entry.rs
@@ -163,6 +163,18 @@
             let refusal = unknown(RefusalReason::HomeLost, DEFAULT_RETRY);
             return self.refuse(now, from, &packet, refusal);
         }
+        self.forward_to_issuer(now, from, packet, &ticket, hops);
+    }
+
+    /// Forwards a packet to the instance that issued its ticket, or to one that may reach it.
+    fn forward_to_issuer(
+        &mut self,
+        now: ClockTime,
+        from: SocketAddr,
+        packet: Packet,
+        ticket: &Ticket,
+        hops: u32,
+    ) {
         let home = InstanceName::new(&ticket.home);
         let goes_round = packet.takes_resend && self.silent.is_silent(&home, now);
         let Ok(home_address) = ticket.home_address.parse() else {
--- a/crates/foxledge-engine/src/home.rs
+++ b/crates/foxledge-engine/src/home.rs
@@ -1,27 +1,24 @@
-//! The home role: tickets, admission and dispatch.
+//! The home role: what is admitted, and what is answered to copies.
 
 use std::{net::SocketAddr, time::Duration};
 
 use foxledge_core::{
     lists::ServeTreatment,
-    names::{MemberName, ServiceAddress, ServiceName},
+    names::{MemberName, ServiceAddress},
     time::ClockTime,
     traffic::TrafficKind,
 };
 use foxledge_policy::WorkItem;
-use foxledge_seal::seals::{open_ticket, seal_ticket};
 use foxledge_wire::{
     TICKET_PADDING,
     convert::{traffic_kind, work_kind},
-    flow::{Packet, PacketKind, Refusal, RefusalReason, Ticket},
+    flow::{Packet, PacketKind, Refusal, RefusalReason},
 };
-use rand::Rng;
 
 use crate::{
-    effects::EnginePhase,
     engine::FlowEngine,
     ledger::{RequestKey, RequestState},
-    packets::{DEFAULT_RETRY, not_run, reply_to, unknown},
+    packets::{DEFAULT_RETRY, not_run, unknown},
     placement::DeskKey,
 };
 
@@ -39,6 +36,17 @@
     Untracked,
 }
 
+/// `RunTerms` is on what terms a request may run here.
+#[derive(Clone, Copy, Debug)]
+pub struct RunTerms {
+    /// What can be said when it is refused.
+    pub tracking: RunTracking,
+    /// Until when it may be started.
+    pub start_deadline: ClockTime,
+    /// Until when the ledger has to know it.
+    pub forget_at: ClockTime,
+}
+
 /// `HomeWork` is one request or feed that was opened at this home.
 #[derive(Debug)]
 pub struct HomeWork {
@@ -120,97 +128,22 @@
         opens && packet.ticket.is_empty() && self.ledger.find(&RequestKey::of(packet)).is_none()
     }
 
-    fn grant_ticket(&mut self, now: ClockTime, caller: SocketAddr, packet: &Packet) {
-        let treatment = match self.decide(packet) {
-            Ok(treatment) => treatment,
-            Err(reason) => {
-                return self.refuse(now, caller, packet, not_run(reason, DEFAULT_RETRY));
-            }
-        };
-        if self.phase == EnginePhase::Leaving {
-            let refusal = not_run(RefusalReason::Leaving, DEFAULT_RETRY);
-            return self.refuse(now, caller, packet, refusal);
-        }
-        if !self.can_serve(now, packet, &treatment) {
-            let refusal = not_run(RefusalReason::NoTarget, DEFAULT_RETRY);
-            return self.refuse(now, caller, packet, refusal);
-        }
-        let Some(ticket) = self.make_ticket(now, packet, &treatment.service) else { return };
-        let reply = Packet {
-            ticket,
-            time_left_ms: self.options.ticket_life.as_millis() as u32,
-            parts: self.options.ticket_count,
-            ..reply_to(packet, PacketKind::TicketGrant)
-        };
-        self.send_data(caller, &reply);
-    }
-
-    /// Seals a ticket for the packet's caller; none when no key is published.
-    pub(crate) fn make_ticket(
-        &mut self,
-        now: ClockTime,
-        packet: &Packet,
-        service: &ServiceName,
-    ) -> Option<Vec<u8>> {
-        let start_deadline = now.after(self.options.ticket_life);
-        let ticket = Ticket {
-            address: packet.address.clone(),
-            service: service.to_string(),
-            member: packet.member.clone(),
-            caller: packet.caller,
-            home: self.me.name.to_string(),
-            home_incarnation: self.me.incarnation,
-            serial: self.rng.random(),
-            start_deadline_us: start_deadline.as_micros(),
-            count: self.options.ticket_count,
-            home_address: self.me.peer_address.to_string(),
-        };
-        let sealed = seal_ticket(&self.ring, &ticket).ok()?;
-        self.tickets_until = self.tickets_until.max(start_deadline);
-        self.counters.tickets_issued += 1;
-        Some(sealed)
-    }
-
-    /// Takes a request by a ticket of this process: it runs here or nowhere.
-    fn take_ticketed(&mut self, now: ClockTime, caller: SocketAddr, packet: Packet) {
-        let key = RequestKey::of(&packet);
-        if let Some(state) = self.ledger.find(&key).cloned() {
-            return self.take_copy(now, caller, &packet, state);
-        }
-        let Ok(ticket) = open_ticket(&self.ring, &packet.ticket) else { return };
-        let start_deadline = ClockTime::from_micros(ticket.start_deadline_us);
-        let forget_at = start_deadline.after(self.options.ledger_keep);
-        if forget_at.is_past(now) {
-            // The ledger may have forgotten a run of it.
-            let refusal = unknown(RefusalReason::TicketExpired, DEFAULT_RETRY);
-            return self.refuse(now, caller, &packet, refusal);
-        }
-        if start_deadline.is_past(now) && self.options.trial.run_once {
-            // Not in the ledger, so it wasn't started, and it can't be any more.
-            let refusal = not_run(RefusalReason::TicketExpired, Duration::ZERO);
-            return self.refuse(now, caller, &packet, refusal);
-        }
-        let tracking = RunTracking::ByTicket;
-        if !self.ledger.use_ticket(ticket.serial, ticket.count, forget_at) {
-            let reason = RefusalReason::Limit;
-            return self.refuse_for_good(now, caller, &packet, tracking, reason, forget_at);
-        }
-        self.open_request(now, caller, packet, tracking, start_deadline, forget_at);
-    }
-
     /// Takes idempotent work.
     fn take_untracked(&mut self, now: ClockTime, caller: SocketAddr, packet: Packet) {
         let key = RequestKey::of(&packet);
         if let Some(state) = self.ledger.find(&key).cloned() {
             return self.take_copy(now, caller, &packet, state);
         }
-        let forget_at = now.after(self.options.ledger_keep);
-        let tracking = RunTracking::Untracked;
-        self.open_request(now, caller, packet, tracking, ClockTime::FAR, forget_at);
+        let terms = RunTerms {
+            tracking: RunTracking::Untracked,
+            start_deadline: ClockTime::FAR,
+            forget_at: now.after(self.options.ledger_keep),
+        };
+        self.open_request(now, caller, packet, terms);
     }
 
     /// Answers a copy of a known request; it starts nothing.
-    fn take_copy(
+    pub(crate) fn take_copy(
         &mut self,
         now: ClockTime,
         caller: SocketAddr,
@@ -231,72 +164,86 @@
         }
     }
 
-    fn open_request(
+    /// Admits a request that isn't known yet, or refuses it.
+    pub(crate) fn open_request(
         &mut self,
         now: ClockTime,
         caller: SocketAddr,
         packet: Packet,
-        tracking: RunTracking,
-        start_deadline: ClockTime,
-        forget_at: ClockTime,
+        terms: RunTerms,
     ) {
-        let treatment = match self.decide(&packet) {
+        let treatment = match self.admit(now, &packet, terms.tracking) {
             Ok(treatment) => treatment,
-            Err(reason) => {
-                return self.refuse_for_good(now, caller, &packet, tracking, reason, forget_at);
-            }
+            Err(reason) => return self.refuse_for_good(now, caller, &packet, terms, reason),
         };
-        if tracking == RunTracking::ByTicket && !self.can_serve(now, &packet, &treatment) {
-            // The ticket was issued while a target could serve. Its caller gets
-            // another one, perhaps of another data centre, and asks anew.
-            let reason = RefusalReason::NoTarget;
-            return self.refuse_for_good(now, caller, &packet, tracking, reason, forget_at);
-        }
         if self.ledger.is_full() {
             // Nothing is recorded, so a copy may be admitted later: the home
             // can't promise that it never runs.
             let refusal = unknown(RefusalReason::Limit, DEFAULT_RETRY);
             return self.refuse(now, caller, &packet, refusal);
         }
-        let Some(kind) = traffic_kind(packet.work()) else { return };
+        let Some(mut work) = self.home_work(now, caller, &packet, &treatment, terms) else {
+            return;
+        };
         self.counters.requests_opened += 1;
         self.last_work += 1;
         let id = self.last_work;
-        let deadline = now.after(wanted_span(&packet));
-        let desk = self.desk_key(&packet, &treatment);
-        let member = self.shared_member(&packet.member);
-        let item = work_item(id, &packet, &treatment, kind, deadline, start_deadline, member);
-        let key = RequestKey::of(&packet);
-        let member = item.member.clone();
-        let address = self.shared_address(&packet.address, &treatment);
-        self.ledger.record(key, RequestState::Queued(id), forget_at);
-        match kind {
+        let item = work_item(id, &work, &packet, &treatment, terms.start_deadline);
+        work.packet = Some(Box::new(packet));
+        let desk = work.desk.clone();
+        self.ledger.record(work.key, RequestState::Queued(id), terms.forget_at);
+        match work.kind {
             TrafficKind::Feed => self.opening_feeds += 1,
             TrafficKind::Bid | TrafficKind::Upload => self.open_requests += 1,
         }
-        self.works.insert(
-            id,
-            HomeWork {
-                key,
-                address,
-                member,
-                desk: desk.clone(),
-                packet: Some(Box::new(packet)),
-                caller,
-                kind,
-                tracking,
-                deadline,
-                arrived: now,
-                forget_at,
-                dispatch: 0,
-            },
-        );
+        self.works.insert(id, work);
         self.obtain_desk(now, &desk);
         let Some(home_desk) = self.desks.find(&desk) else { return };
         let effects = home_desk.offer(now, item);
         self.carry_out(now, &desk, effects);
     }
 
+    /// How a request is served here, or why it isn't.
+    fn admit(
+        &mut self,
+        now: ClockTime,
+        packet: &Packet,
+        tracking: RunTracking,
+    ) -> Result<ServeTreatment, RefusalReason> {
+        let treatment = self.decide(packet)?;
+        if tracking == RunTracking::ByTicket && !self.can_serve(now, packet, &treatment) {
+            // The ticket was issued while a target could serve. Its caller gets
+            // another one, perhaps of another data centre, and asks anew.
+            return Err(RefusalReason::NoTarget);
+        }
+        Ok(treatment)
+    }
+
+    /// What the home keeps of a request, without its opening packet; none of unknown work.
+    fn home_work(
+        &self,
+        now: ClockTime,
+        caller: SocketAddr,
+        packet: &Packet,
+        treatment: &ServeTreatment,
+        terms: RunTerms,
+    ) -> Option<HomeWork> {
+        Some(HomeWork {
+            key: RequestKey::of(packet),
+            address: self.shared_address(&packet.address, treatment),
+            member: self.shared_member(&packet.member),
+            desk: self.desk_key(packet, treatment),
+            packet: None,
+            caller,
+            kind: traffic_kind(packet.work())?,
+            tracking: terms.tracking,
+            deadline: now.after(wanted_span(packet)),
+            arrived: now,
+            forget_at: terms.forget_at,
+            dispatch: 0,
+        })
+    }
+
     /// The member's name, sharing the list's text: one copy per member, not per flow.
     fn shared_member(&self, text: &str) -> MemberName {
         let known = self.list.members.get_key_value(text);
@@ -315,16 +262,15 @@
     ///
     /// A new list could let a copy in that arrives a moment later. Its caller
     /// had been told "not run"; one would notice a refused bid that ran.
-    fn refuse_for_good(
+    pub(crate) fn refuse_for_good(
         &mut self,
         now: ClockTime,
         caller: SocketAddr,
         packet: &Packet,
-        tracking: RunTracking,
+        terms: RunTerms,
         reason: RefusalReason,
-        forget_at: ClockTime,
     ) {
-        let refusal = match tracking {
+        let refusal = match terms.tracking {
             RunTracking::ByTicket => not_run(reason, DEFAULT_RETRY),
             RunTracking::Untracked => self.untracked_refusal(packet, reason),
         };
@@ -332,7 +278,7 @@
             let refusal = unknown(RefusalReason::Limit, DEFAULT_RETRY);
             return self.refuse(now, caller, packet, refusal);
         }
-        self.remember_refusal(RequestKey::of(packet), refusal, forget_at);
+        self.remember_refusal(RequestKey::of(packet), refusal, terms.forget_at);
         self.refuse(now, caller, packet, refusal);
     }
 
@@ -372,26 +318,25 @@
     }
 }
 
+/// What the desk has to know of a request.
 fn work_item(
     id: u64,
+    work: &HomeWork,
     packet: &Packet,
     treatment: &ServeTreatment,
-    kind: TrafficKind,
-    deadline: ClockTime,
     start_deadline: ClockTime,
-    member: MemberName,
 ) -> WorkItem {
     WorkItem {
         id,
         flow: packet.flow,
-        member,
-        kind,
+        member: work.member.clone(),
+        kind: work.kind,
         priority: treatment.priority,
         weight: treatment.weight,
         member_limit: treatment.member_limit,
         when_full: treatment.when_full,
         idempotent: packet.idempotent,
-        deadline,
+        deadline: work.deadline,
         start_deadline,
     }
 }
--- a/crates/foxledge-engine/src/lib.rs
+++ b/crates/foxledge-engine/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod placement;
 pub mod refresh;
 pub mod status;
+pub mod tickets;
 
 pub use counters::EngineCounters;
 pub use effects::{EngineEffect, EnginePhase};
--- a/crates/foxledge-policy/src/options.rs
+++ b/crates/foxledge-policy/src/options.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use foxledge_core::time::ClockTime;
+use foxledge_core::{time::ClockTime, traffic::TrafficKind};
 
 /// `DeskOptions` are the settings of a desk, with defaults for targets of two slots.
 #[derive(Clone, Debug, PartialEq)]
@@ -73,8 +73,8 @@
     }
 
     /// When accepted work is asked about next.
-    pub(crate) fn next_check(&self, now: ClockTime, is_feed: bool) -> ClockTime {
-        let period = if is_feed { self.feed_check } else { self.run_check };
+    pub(crate) fn next_check(&self, now: ClockTime, kind: TrafficKind) -> ClockTime {
+        let period = if kind == TrafficKind::Feed { self.feed_check } else { self.run_check };
         if period == Duration::MAX { ClockTime::FAR } else { now.after(period) }
     }
 
--- a/crates/foxledge-policy/src/running.rs
+++ b/crates/foxledge-policy/src/running.rs
@@ -75,15 +75,15 @@
             if running.caller == CallerState::Answered {
                 return;
             }
-            let is_feed = running.pending.item.is_feed();
-            if is_feed {
+            let kind = running.kind();
+            if kind == TrafficKind::Feed {
                 // A feed's deadline is for its opening; it then stays open.
                 running.lease_deadline = ClockTime::FAR;
             }
             running.resend_deadline = now.after(options.resend_window);
             running.phase = DispatchPhase::Accepted;
             running.unanswered = 0;
-            running.check_at = options.next_check(now, is_feed);
+            running.check_at = options.next_check(now, kind);
         });
     }
 
