--- a/crates/foxledge-members/tests/common/mod.rs
+++ b/crates/foxledge-members/tests/common/mod.rs
@@ -1,6 +1,8 @@
 //! A few memberships in virtual time: links that lose, cuts, kills and freezes.
 #![allow(dead_code)]
 
+mod calls;
+
 use std::{
     cmp::Reverse,
     collections::{BinaryHeap, HashMap, HashSet},
@@ -16,14 +18,12 @@
     peers::{PeerInfo, PeerState, PeerView},
     time::ClockTime,
 };
-use foxledge_members::{MemberEffect, MemberOptions, Membership, ProbeResult};
-use foxledge_wire::control::{Heartbeat, HeartbeatReply};
-use prost::Message;
+use foxledge_members::{MemberEffect, MemberOptions, Membership};
 use rand::{Rng, SeedableRng, rngs::StdRng};
 
+use calls::{FleetCall, FleetEvent};
+
 const TICK_US: u64 = 50_000;
-const LATENCY_US: u64 = 500;
-const CALL_TIMEOUT_US: u64 = 500_000;
 
 /// `FleetNode` is one process.
 pub struct FleetNode {
@@ -39,21 +39,6 @@
     pub spent: Duration,
 }
 
-enum FleetEvent {
-    Tick { node: usize },
-    Request { call: u64, beat: Box<Heartbeat> },
-    Response { call: u64, reply: Box<HeartbeatReply> },
-    Relay { call: u64, target: SocketAddr },
-    RelayEnd { call: u64, result: ProbeResult },
-    Timeout { call: u64 },
-}
-
-struct FleetCall {
-    caller: usize,
-    to: SocketAddr,
-    probed: Option<InstanceName>,
-}
-
 /// `Fleet` is the processes and the network between them.
 pub struct Fleet {
     pub now: u64,
@@ -69,15 +54,18 @@
     rng: StdRng,
 }
 
+/// Where one kind of a node's sockets is.
 pub fn address(kind: u8, index: usize) -> SocketAddr {
     SocketAddr::from(([10, kind, (index / 250) as u8, (index % 250) as u8], 4000))
 }
 
+/// A node's control address.
 pub fn control(index: usize) -> SocketAddr {
     address(3, index)
 }
 
 impl Fleet {
+    /// Makes a fleet without nodes.
     pub fn new(seed: u64) -> Fleet {
         Fleet {
             now: 1_000_000,
@@ -114,6 +102,7 @@
         self.start_with(name, incarnation, centre, MemberOptions::default().seeds(seeds))
     }
 
+    /// Starts an instance with options of its own.
     pub fn start_with(
         &mut self,
         name: &str,
@@ -155,10 +144,12 @@
         index
     }
 
+    /// Ends a node without a word.
     pub fn kill(&mut self, node: usize) {
         self.nodes[node].is_up = false;
     }
 
+    /// Stops a node for a while; calls to it wait.
     pub fn freeze(&mut self, node: usize, span: Duration) {
         self.nodes[node].frozen_until = self.now + span.as_micros() as u64;
     }
@@ -168,16 +159,19 @@
         self.cuts.extend(from.iter().flat_map(|a| to.iter().map(|b| (*a, *b))));
     }
 
+    /// Cuts the ways between two groups.
     pub fn split(&mut self, one: &[usize], other: &[usize]) {
         self.cut(one, other);
         self.cut(other, one);
     }
 
+    /// Takes all cuts and losses away.
     pub fn heal(&mut self) {
         self.cuts.clear();
         self.loss = 0.0;
     }
 
+    /// How one node sees the fleet.
     pub fn view(&self, node: usize) -> Arc<PeerView> {
         self.nodes[node].member.view()
     }
@@ -195,6 +189,7 @@
         self.carry_out(node, effects);
     }
 
+    /// Lets a span pass.
     pub fn run(&mut self, span: Duration) {
         self.run_until(span, |_| false);
     }
@@ -243,6 +238,7 @@
         self.centres.get(name)
     }
 
+    /// The nodes that run, with their numbers.
     pub fn running(&self) -> impl Iterator<Item = (usize, &FleetNode)> + Clone {
         self.nodes.iter().enumerate().filter(|(_, node)| node.is_up)
     }
@@ -251,157 +247,4 @@
     pub fn seen(&self, by: usize, whom: usize) -> Option<PeerState> {
         self.view(by).find(&self.nodes[whom].info.name).map(|peer| peer.state)
     }
-
-    fn push(&mut self, delay: u64, event: FleetEvent) {
-        self.next_id += 1;
-        self.queue.push(Reverse((self.now + delay, self.next_id)));
-        self.events.insert(self.next_id, event);
-    }
-
-    fn handle(&mut self, event: FleetEvent) {
-        match event {
-            FleetEvent::Tick { node } => self.tick(node),
-            FleetEvent::Request { call, beat } => self.request(call, beat),
-            FleetEvent::Response { call, reply } => self.response(call, reply),
-            FleetEvent::Relay { call, target } => self.relay(call, target),
-            FleetEvent::RelayEnd { call, result } => self.relay_end(call, result),
-            FleetEvent::Timeout { call } => self.timeout(call),
-        }
-    }
-
-    fn tick(&mut self, node: usize) {
-        if !self.nodes[node].is_up {
-            return;
-        }
-        let frozen_for = self.nodes[node].frozen_until.saturating_sub(self.now);
-        if frozen_for > 0 {
-            return self.push(frozen_for, FleetEvent::Tick { node });
-        }
-        self.call(node, |member, now| member.on_tick(now));
-        self.push(TICK_US, FleetEvent::Tick { node });
-    }
-
-    fn request(&mut self, call: u64, beat: Box<Heartbeat>) {
-        let Some(FleetCall { caller, to, .. }) = self.calls.get(&call) else { return };
-        let (caller, Some(callee)) = (*caller, self.at.get(to).copied()) else { return };
-        if !self.nodes[callee].is_up {
-            return;
-        }
-        let frozen_for = self.nodes[callee].frozen_until.saturating_sub(self.now);
-        if frozen_for > 0 {
-            return self.push(frozen_for, FleetEvent::Request { call, beat });
-        }
-        let mut answer = None;
-        self.call(callee, |member, now| {
-            let (reply, effects) = member.on_heartbeat(now, *beat);
-            answer = Some(reply);
-            effects
-        });
-        let Some(reply) = answer else { return };
-        self.count(callee, reply.encoded_len(), reply.news.len());
-        if self.passes(callee, caller) {
-            self.push(LATENCY_US, FleetEvent::Response { call, reply: Box::new(reply) });
-        }
-    }
-
-    fn response(&mut self, call: u64, reply: Box<HeartbeatReply>) {
-        let Some(done) = self.calls.remove(&call) else { return };
-        let Some(callee) = self.at.get(&done.to).copied() else { return };
-        let name = self.nodes[callee].info.name.clone();
-        if self.nodes[done.caller].is_up {
-            self.call(done.caller, |member, now| member.on_reply(now, &name, *reply));
-        }
-    }
-
-    fn relay(&mut self, call: u64, target: SocketAddr) {
-        let Some(via) = self.calls.get(&call).and_then(|call| self.at.get(&call.to)) else {
-            return;
-        };
-        let via = *via;
-        if !self.answers_now(via) {
-            return;
-        }
-        let target = self.at.get(&target).copied();
-        let reached = target.filter(|target| {
-            self.answers_now(*target) && self.passes(via, *target) && self.passes(*target, via)
-        });
-        let (delay, result) = match reached {
-            Some(_) => (LATENCY_US * 3, ProbeResult::Answered),
-            None => (CALL_TIMEOUT_US / 2, ProbeResult::Unanswered),
-        };
-        self.push(delay, FleetEvent::RelayEnd { call, result });
-    }
-
-    fn relay_end(&mut self, call: u64, result: ProbeResult) {
-        let Some(done) = self.calls.remove(&call) else { return };
-        let Some(name) = done.probed else { return };
-        self.call(done.caller, |member, now| member.on_probe_result(now, &name, result));
-    }
-
-    fn timeout(&mut self, call: u64) {
-        let Some(done) = self.calls.remove(&call) else { return };
-        if !self.nodes[done.caller].is_up {
-            return;
-        }
-        match done.probed {
-            Some(name) => self.call(done.caller, |member, now| {
-                member.on_probe_result(now, &name, ProbeResult::Unanswered)
-            }),
-            None => self.call(done.caller, |member, now| member.on_failure(now, done.to)),
-        }
-    }
-
-    fn carry_out(&mut self, node: usize, effects: Vec<MemberEffect>) {
-        for effect in effects {
-            match effect {
-                MemberEffect::Beat { to, beat } => {
-                    self.count(node, beat.encoded_len(), beat.news.len());
-                    let beat = Box::new(beat);
-                    self.open(node, to, None, |call| FleetEvent::Request { call, beat });
-                }
-                MemberEffect::ProbeFor { through, probe } => {
-                    self.count(node, probe.encoded_len(), 0);
-                    let target = probe.control_address.parse().expect("an address");
-                    let name = Some(InstanceName::new(&probe.name));
-                    self.open(node, through, name, |call| FleetEvent::Relay { call, target });
-                }
-                MemberEffect::PeerVersion { from, version } => {
-                    self.nodes[node].versions.push((from, version));
-                }
-                MemberEffect::Audit(change) => self.nodes[node].audits.push(change),
-                MemberEffect::ViewChanged(_) => {}
-            }
-        }
-    }
-
-    fn open(
-        &mut self,
-        caller: usize,
-        to: SocketAddr,
-        probed: Option<InstanceName>,
-        event: impl FnOnce(u64) -> FleetEvent,
-    ) {
-        self.next_id += 1;
-        let call = self.next_id;
-        self.calls.insert(call, FleetCall { caller, to, probed });
-        self.push(CALL_TIMEOUT_US, FleetEvent::Timeout { call });
-        if self.at.get(&to).copied().is_some_and(|callee| self.passes(caller, callee)) {
-            self.push(LATENCY_US, event(call));
-        }
-    }
-
-    fn answers_now(&self, node: usize) -> bool {
-        self.nodes[node].is_up && self.nodes[node].frozen_until <= self.now
-    }
-
-    fn passes(&mut self, from: usize, to: usize) -> bool {
-        !self.cuts.contains(&(from, to)) && !self.rng.random_bool(self.loss)
-    }
-
-    fn count(&mut self, node: usize, bytes: usize, news: usize) {
-        let node = &mut self.nodes[node];
-        node.sent_bytes += bytes as u64;
-        node.sent_messages += 1;
-        node.most_news = node.most_news.max(news);
-    }
 }
--- a/crates/foxledge-policy/tests/common/mod.rs
+++ b/crates/foxledge-policy/tests/common/mod.rs
@@ -1,6 +1,8 @@
 //! A desk with a clock, for the tests of this crate.
 #![allow(dead_code)]
 
+pub mod fake_target;
+
 use std::{collections::BTreeMap, sync::Arc};
 
 use foxledge_core::{
--- a/crates/foxledge-policy/tests/desk_sweep.rs
+++ b/crates/foxledge-policy/tests/desk_sweep.rs
@@ -12,14 +12,17 @@
     time::Duration,
 };
 
-use common::{bid, target_spec};
+use common::{
+    bid,
+    fake_target::{FakeTarget, RunStart},
+    target_spec,
+};
 use foxledge_core::{
     lists::{PaidPriority, TargetSpec},
     time::ClockTime,
 };
 use foxledge_policy::{
-    DeskEffect, DeskOptions, HomeDesk, RefuseReason, RunState, TargetLoad, TargetSignal,
-    policy_by_name,
+    DeskEffect, DeskOptions, HomeDesk, RunState, TargetLoad, TargetSignal, policy_by_name,
 };
 use proptest::{prelude::*, sample::Index};
 
@@ -46,6 +49,13 @@
     Pass(u16),
 }
 
+/// `RunChecks` is whether the desk asks about accepted work.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum RunChecks {
+    On,
+    Off,
+}
+
 #[derive(Clone, Copy, Debug)]
 enum NetworkFault {
     None,
@@ -61,14 +71,6 @@
     Signal { dispatch: u64, signal: TargetSignal },
 }
 
-/// One process behind a target's name.
-#[derive(Debug, Default)]
-struct FakeTarget {
-    incarnation: u64,
-    sheds: bool,
-    known: BTreeMap<u64, (u64, TargetSignal)>,
-}
-
 struct SweepWorld {
     desk: HomeDesk,
     now: ClockTime,
@@ -86,9 +88,9 @@
 }
 
 impl SweepWorld {
-    fn new(seed: u64, checks: bool) -> SweepWorld {
+    fn new(seed: u64, checks: RunChecks) -> SweepWorld {
         let mut options = DeskOptions::new().queue_limit(8).retry_burst(5.0);
-        if checks {
+        if checks == RunChecks::On {
             options = options.run_check(Duration::from_millis(300));
         }
         let policy = policy_by_name("freest", seed).expect("known policy");
@@ -188,38 +190,19 @@
         }
         match datagram {
             Datagram::Open { work, dispatch, target, give_up } => {
-                let late = give_up.is_past(self.now);
-                let fake = self.fake_of(&target);
-                let signal = fake.open(work, dispatch, &target, late);
-                let started = signal == TargetSignal::Accepted && !late;
-                let is_new = fake.known.insert(dispatch, (work, signal)).is_none();
-                if is_new && started && target.incarnation == fake.incarnation {
+                let now = self.now;
+                let (signal, start) = self.fake_of(&target).open(now, dispatch, &target, give_up);
+                if start == RunStart::New {
                     *self.runs.entry(work).or_default() += 1;
                 }
                 self.network.push(Datagram::Signal { dispatch, signal });
             }
             Datagram::Cancel { dispatch, target } => {
-                let fake = self.fake_of(&target);
-                let is_other = fake.incarnation != target.incarnation;
-                let reason =
-                    if is_other { RefuseReason::WrongTarget } else { RefuseReason::Cancelled };
-                let refusal = TargetSignal::NotRun(reason);
-                let known = fake.known.entry(dispatch).or_insert((0, refusal));
-                if known.1 == TargetSignal::Accepted {
-                    known.1 = TargetSignal::Unknown;
-                }
-                let signal = known.1;
+                let signal = self.fake_of(&target).cancel(dispatch, &target);
                 self.network.push(Datagram::Signal { dispatch, signal });
             }
             Datagram::Check { dispatch, target } => {
-                let fake = self.fake_of(&target);
-                let known = fake.known.get(&dispatch).map(|known| known.1);
-                let is_other = fake.incarnation != target.incarnation;
-                let signal = match known {
-                    _ if is_other => TargetSignal::Unknown,
-                    Some(TargetSignal::Accepted) => TargetSignal::Accepted,
-                    _ => TargetSignal::Ended,
-                };
+                let signal = self.fake_of(&target).check(dispatch, &target);
                 self.network.push(Datagram::Signal { dispatch, signal });
             }
             Datagram::Signal { dispatch, signal } => self.signal(dispatch, signal),
@@ -248,16 +231,13 @@
     fn end_run(&mut self, index: Index) {
         let mut running = Vec::new();
         for (number, fake) in self.targets.iter().enumerate() {
-            let open = fake.known.iter().filter(|(_, known)| known.1 == TargetSignal::Accepted);
-            running.extend(open.map(|(&dispatch, _)| (number, dispatch)));
+            running.extend(fake.running().map(|dispatch| (number, dispatch)));
         }
         if running.is_empty() {
             return;
         }
         let (number, dispatch) = running[index.index(running.len())];
-        if let Some(known) = self.targets[number].known.get_mut(&dispatch) {
-            known.1 = TargetSignal::Ended;
-        }
+        self.targets[number].end(dispatch);
         self.network.push(Datagram::Signal { dispatch, signal: TargetSignal::Ended });
     }
 
@@ -344,28 +324,6 @@
     }
 }
 
-impl FakeTarget {
-    fn new(incarnation: u64) -> FakeTarget {
-        FakeTarget { incarnation, ..FakeTarget::default() }
-    }
-
-    fn open(&self, _work: u64, dispatch: u64, target: &TargetSpec, late: bool) -> TargetSignal {
-        if target.incarnation != self.incarnation {
-            return TargetSignal::NotRun(RefuseReason::WrongTarget);
-        }
-        if let Some((_, signal)) = self.known.get(&dispatch) {
-            return *signal;
-        }
-        if late {
-            TargetSignal::NotRun(RefuseReason::DeadlinePassed)
-        } else if self.sheds {
-            TargetSignal::NotRun(RefuseReason::TargetShed)
-        } else {
-            TargetSignal::Accepted
-        }
-    }
-}
-
 fn any_fault() -> impl Strategy<Value = NetworkFault> {
     prop_oneof![
         6 => Just(NetworkFault::None),
@@ -400,7 +358,7 @@
     #[test]
     fn any_order_of_events_keeps_the_promises(
         seed in any::<u64>(),
-        checks in any::<bool>(),
+        checks in prop_oneof![Just(RunChecks::On), Just(RunChecks::Off)],
         steps in proptest::collection::vec(any_step(), 1..160),
     ) {
         let mut world = SweepWorld::new(seed, checks);
