Share what proofs of single bids have in common

Cause: a bid with its ticket, and the copies after a lost home, were written out in five proofs; wait_alive twice; switches of a mechanism were bare booleans. Before: four times the same lines of preparation, three times of counting. After: prepare_bid, count_after_copies and wait_alive in the proofs' library; RefusalMemory and OwnerCheck; the daemon's count of failed calls takes the outcome. Conclusion: every assertion stands; the word after a lost home is checked in one place.

--- a/crates/foxledge-daemon/src/side/calls.rs
+++ b/crates/foxledge-daemon/src/side/calls.rs
@@ -76,7 +76,7 @@
                     ListSource::Platform => platform.fetch_manifest().await,
                     ListSource::Peer(peer) => self.fetch_manifest(peer).await,
                 };
-                self.count("fetch_manifest", outcome.is_err());
+                self.count("fetch_manifest", &outcome);
                 Some(LinkEvent::ManifestFetched(from, outcome))
             }
             LinkCommand::FetchParts { from, digests } => {
@@ -84,7 +84,7 @@
                     ListSource::Platform => platform.fetch_parts(&digests).await,
                     ListSource::Peer(peer) => self.fetch_parts(peer, digests).await,
                 };
-                self.count("fetch_parts", outcome.is_err());
+                self.count("fetch_parts", &outcome);
                 Some(LinkEvent::PartsFetched(from, outcome))
             }
             LinkCommand::Watch(_) => None,
@@ -94,7 +94,7 @@
     async fn beat(&self, to: SocketAddr, beat: Heartbeat) -> LinkEvent {
         let call = |channel| async { PeerClient::new(channel).beat(beat).await };
         let outcome = self.peers.call(to, BEAT_WAIT, call).await;
-        self.count("beat", outcome.is_err());
+        self.count("beat", &outcome);
         LinkEvent::BeatEnded(to, outcome)
     }
 
@@ -102,7 +102,7 @@
         let name = probe.name.clone();
         let call = |channel| async { PeerClient::new(channel).probe_for(probe).await };
         let outcome = self.peers.call(through, RELAY_WAIT, call).await;
-        self.count("probe_for", outcome.is_err());
+        self.count("probe_for", &outcome);
         let result = match outcome {
             Ok(reply) if reply.answered => ProbeResult::Answered,
             _ => ProbeResult::Unanswered,
@@ -147,8 +147,9 @@
         self.events.send(event);
     }
 
-    fn count(&self, method: &str, failed: bool) {
-        if failed {
+    /// Counts a call that failed.
+    fn count<T>(&self, method: &str, outcome: &Result<T, CallError>) {
+        if outcome.is_err() {
             self.metrics.call_failures.with_label_values(&[method]).inc();
         }
     }
--- a/crates/foxledge-proofs/src/lasting.rs
+++ b/crates/foxledge-proofs/src/lasting.rs
@@ -281,6 +281,16 @@
     Ok(names.map(str::to_owned).collect())
 }
 
+/// Waits until an instance sees just these peers alive, itself included.
+pub fn wait_alive(fleet: &TestFleet, index: usize, expected: &[&str]) -> anyhow::Result<()> {
+    let instance = &fleet.instances[index];
+    wait_until_ok(&format!("peers of {}", instance.name), WIDE_LIMIT, || {
+        let seen = peers_seen(instance, &["alive"])?;
+        ensure!(seen == expected, "{seen:?}");
+        Ok(())
+    })
+}
+
 /// The data centres that an instance holds for reachable.
 pub fn centres_seen(instance: &TestInstance) -> anyhow::Result<Vec<String>> {
     let status = status_of(instance)?;
--- a/crates/foxledge-proofs/src/once.rs
+++ b/crates/foxledge-proofs/src/once.rs
@@ -11,7 +11,7 @@
     report::RequestId,
 };
 use foxledge_seal::{KeyRing, seals::open_ticket};
-use foxledge_wire::flow::{Packet, Ticket};
+use foxledge_wire::flow::{Packet, RefusalReason, Ticket};
 
 pub use crate::hand_caller::{FinalWord, HandCaller};
 use crate::{gate::GatedFleet, hand_caller::SEND_PERIOD};
@@ -127,6 +127,49 @@
     running.collect()
 }
 
+/// `OpenBid` is a caller's first bid, by ticket.
+pub struct OpenBid {
+    /// The caller.
+    pub caller: HandCaller,
+    /// The opening packet, not sent yet.
+    pub bid: Packet,
+    /// Index of the instance that issued the ticket.
+    pub home: usize,
+}
+
+/// Gets a ticket and makes the bid that is to be sent by it; `number` sets the caller's ids.
+pub fn prepare_bid(fleet: &TestFleet, number: u64) -> anyhow::Result<OpenBid> {
+    let mut caller = HandCaller::new(fleet, DESK, number)?;
+    let ticket = caller.obtain_ticket()?;
+    let home = home_of(fleet, &ticket)?;
+    let bid = caller.next_request(&ticket);
+    Ok(OpenBid { caller, bid, home })
+}
+
+/// Sends copies of a bid that runs and whose home is lost; returns the runs.
+///
+/// Without the mechanism a copy must run a second time. With it the caller must hear that nobody
+/// knows. The markers go through these instances.
+pub fn count_after_copies(
+    run_once: RunOnce,
+    fleet: &mut TestFleet,
+    caller: &HandCaller,
+    bid: &Packet,
+    instances: &[usize],
+) -> anyhow::Result<u32> {
+    match run_once {
+        RunOnce::Off => resend_until_runs(fleet, caller, bid, 2)?,
+        RunOnce::On => {
+            let word = caller.insist(bid)?;
+            let expected = FinalWord::Unknown(RefusalReason::HomeLost);
+            ensure!(word == expected, "told {word:?} of a bid whose home is lost");
+        }
+    }
+    slow_down(fleet, 1.0)?;
+    pass_marker(fleet, instances, 1)?;
+    count_runs(fleet, caller.id(bid.request))
+}
+
 /// How often a request was started, on all backend servers.
 pub fn count_runs(fleet: &mut TestFleet, id: RequestId) -> anyhow::Result<u32> {
     let stats = fleet.backend_stats()?;
--- a/crates/foxledge-proofs/tests/cut_centres.rs
+++ b/crates/foxledge-proofs/tests/cut_centres.rs
@@ -16,7 +16,7 @@
     gate::GatedFleet,
     lasting::{
         OTHER_CENTRE, centres_seen, ensure_clean, open_connections, peers_seen, plan_two_centres,
-        start_bids, start_feeds, stop_load, wait_heartbeats, wait_more_runs,
+        start_bids, start_feeds, stop_load, wait_alive, wait_heartbeats, wait_more_runs,
     },
     once::{CENTRE, DESK, HandCaller, MEMBER, WIDE_LIMIT, plan_fleet},
 };
@@ -65,16 +65,6 @@
     Ok(())
 }
 
-/// Waits until an instance sees just these peers alive, itself included.
-fn wait_alive(fleet: &TestFleet, index: usize, expected: &[&str]) -> Result<()> {
-    let instance = &fleet.instances[index];
-    wait_until_ok(&format!("peers of {}", instance.name), WIDE_LIMIT, || {
-        let seen = peers_seen(instance, &["alive"])?;
-        ensure!(seen == expected, "{seen:?}");
-        Ok(())
-    })
-}
-
 /// Waits until the backend servers of a data centre have started so many runs more.
 fn wait_runs_in(fleet: &mut TestFleet, centre: &str, more: u64) -> Result<()> {
     let runs = |fleet: &mut TestFleet| -> Result<u64> {
--- a/crates/foxledge-proofs/tests/not_run.rs
+++ b/crates/foxledge-proofs/tests/not_run.rs
@@ -25,6 +25,9 @@
 /// Service time so long that a run lasts until it is cancelled.
 const LONG_RUN: f64 = 5000.0;
 
+/// Name of the rule that denies bids.
+const NO_BIDS: &str = "no-more-bids";
+
 /// `Refusing` is what makes the home refuse a bid that can't have been started.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Refusing {
@@ -38,19 +41,28 @@
     Cancel,
 }
 
+/// `RefusalMemory` is whether a home remembers what it refused.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum RefusalMemory {
+    /// As it is served.
+    On,
+    /// Only to show that the fault is there.
+    Off,
+}
+
 /// Refuses a bid in that way, takes the cause away and sends copies; returns the word and the runs.
 fn refuse_then_copy(
     fleet: &mut GatedFleet,
     refusing: Refusing,
     number: u64,
-    remembers: bool,
+    memory: RefusalMemory,
 ) -> (FinalWord, u32) {
     let mut caller = HandCaller::new(fleet, DESK, number).unwrap();
     let ticket = caller.obtain_ticket().unwrap();
     let mut bid = caller.next_request(&ticket);
     let mut holders = Vec::new();
     match refusing {
-        Refusing::Rule => publish_rules(fleet, true),
+        Refusing::Rule => deny_bids(fleet),
         Refusing::Shed => shed(fleet, true),
         Refusing::Deadline => {
             holders = hold_slots(fleet, number);
@@ -68,30 +80,36 @@
         _ => caller.insist(&bid).unwrap(),
     };
     match refusing {
-        Refusing::Rule => publish_rules(fleet, false),
+        Refusing::Rule => allow_bids(fleet),
         Refusing::Shed => shed(fleet, false),
         Refusing::Deadline | Refusing::Cancel => holders.iter().for_each(HeldSlot::free),
     }
     bid.time_left_ms = 20_000;
-    if !remembers {
+    if memory == RefusalMemory::Off {
         resend_until_runs(fleet, &caller, &bid, 1).unwrap();
     }
     for _ in 0..4 {
         caller.send(&bid).unwrap();
         let again = caller.overhear(1, Duration::from_millis(300));
-        assert!(!remembers || again != Some(FinalWord::Answered), "{refusing:?} is answered later");
+        let is_answered = again == Some(FinalWord::Answered);
+        assert!(memory == RefusalMemory::Off || !is_answered, "{refusing:?} is answered later");
     }
     pass_marker(fleet, &[0, 1], number).unwrap();
     steer(fleet, &[0, 1]).unwrap();
     (word, count_runs(fleet, caller.id(1)).unwrap())
 }
 
-fn publish_rules(fleet: &mut GatedFleet, denied: bool) {
-    let rule = RulePlan::deny_rest("no-more-bids").members(&[MEMBER]);
-    match denied {
-        true => fleet.list.rules.insert(0, rule),
-        false => fleet.list.rules.retain(|known| known.name != rule.name),
-    }
+fn deny_bids(fleet: &mut GatedFleet) {
+    fleet.list.rules.insert(0, RulePlan::deny_rest(NO_BIDS).members(&[MEMBER]));
+    publish_list(fleet);
+}
+
+fn allow_bids(fleet: &mut GatedFleet) {
+    fleet.list.rules.retain(|rule| rule.name != NO_BIDS);
+    publish_list(fleet);
+}
+
+fn publish_list(fleet: &mut GatedFleet) {
     let revision = fleet.publish().unwrap();
     wait_revision(fleet, &[0, 1], revision).unwrap();
 }
@@ -136,12 +154,13 @@
 }
 
 /// These ways of refusing in turn on one fleet; returns words and runs.
-fn refuse_in_ways(ways: &[Refusing], remembers: bool) -> Vec<(Refusing, FinalWord, u32)> {
-    let settings = format!("{LASTING}[trial]\nremember_refusals = {remembers}\n");
+fn refuse_in_ways(ways: &[Refusing], memory: RefusalMemory) -> Vec<(Refusing, FinalWord, u32)> {
+    let is_on = memory == RefusalMemory::On;
+    let settings = format!("{LASTING}[trial]\nremember_refusals = {is_on}\n");
     let mut fleet = start_fleet(plan_fleet(2, 1).settings(&settings)).unwrap();
     let mut results = Vec::new();
     for (number, &refusing) in (1..).zip(ways) {
-        let (word, runs) = refuse_then_copy(&mut fleet, refusing, number, remembers);
+        let (word, runs) = refuse_then_copy(&mut fleet, refusing, number, memory);
         results.push((refusing, word, runs));
     }
     results
@@ -161,11 +180,11 @@
     ];
     // What was queued or dispatched stays known as such, so only the rule shows the switch.
     let (rule, told) = expected[0];
-    let without = refuse_in_ways(&[rule], false);
+    let without = refuse_in_ways(&[rule], RefusalMemory::Off);
     assert_eq!(without, [(rule, told, 1)], "without the mechanism the fault shows");
     let ways = expected.map(|(refusing, _)| refusing);
     let with = expected.map(|(refusing, word)| (refusing, word, 0));
-    assert_eq!(refuse_in_ways(&ways, true), with);
+    assert_eq!(refuse_in_ways(&ways, RefusalMemory::On), with);
 }
 
 #[test]
--- a/crates/foxledge-proofs/tests/paired_faults.rs
+++ b/crates/foxledge-proofs/tests/paired_faults.rs
@@ -9,21 +9,17 @@
     report::Verdict,
 };
 use foxledge_proofs::once::{
-    CENTRE, DESK, FinalWord, HandCaller, LONG_RUN, MEMBER, QUICK, RunOnce, WIDE_LIMIT, count_runs,
-    home_of, pass_marker, plan_fleet, resend_until_runs, slow_down, start_fleet, steer,
-    wait_living, wait_revision, wait_runs,
+    CENTRE, DESK, FinalWord, HandCaller, LONG_RUN, MEMBER, OpenBid, QUICK, RunOnce, WIDE_LIMIT,
+    count_after_copies, count_runs, home_of, pass_marker, plan_fleet, prepare_bid,
+    resend_until_runs, slow_down, start_fleet, steer, wait_living, wait_revision, wait_runs,
 };
-use foxledge_wire::flow::RefusalReason;
 
 /// The home freezes while the bid runs and wakes up when it has long ended; returns the runs.
 fn freeze_after_dispatch(run_once: RunOnce) -> u32 {
     let plan = plan_fleet(2, 3).settings(&run_once.settings(QUICK));
     let mut fleet = start_fleet(plan).unwrap();
     slow_down(&mut fleet, 25.0).unwrap();
-    let mut caller = HandCaller::new(&fleet, DESK, 1).unwrap();
-    let ticket = caller.obtain_ticket().unwrap();
-    let home = home_of(&fleet, &ticket).unwrap();
-    let bid = caller.next_request(&ticket);
+    let OpenBid { caller, bid, home } = prepare_bid(&fleet, 1).unwrap();
     steer(&fleet, &[home]).unwrap();
     caller.send(&bid).unwrap();
     wait_runs(&mut fleet, caller.id(1), 1).unwrap();
@@ -63,10 +59,7 @@
     let plan = plan_fleet(2, 3).settings(&run_once.settings(QUICK));
     let mut fleet = start_fleet(plan).unwrap();
     slow_down(&mut fleet, LONG_RUN).unwrap();
-    let mut caller = HandCaller::new(&fleet, DESK, 1).unwrap();
-    let ticket = caller.obtain_ticket().unwrap();
-    let home = home_of(&fleet, &ticket).unwrap();
-    let bid = caller.next_request(&ticket);
+    let OpenBid { caller, bid, home } = prepare_bid(&fleet, 1).unwrap();
     caller.send(&bid).unwrap();
     wait_runs(&mut fleet, caller.id(1), 1).unwrap();
     let stats = fleet.backend_stats().unwrap();
@@ -80,16 +73,7 @@
     let revision = fleet.publish().unwrap();
     wait_revision(&fleet, &[1 - home], revision).unwrap();
     steer(&fleet, &[1 - home]).unwrap();
-    match run_once {
-        RunOnce::Off => resend_until_runs(&mut fleet, &caller, &bid, 2).unwrap(),
-        RunOnce::On => {
-            let word = caller.insist(&bid).unwrap();
-            assert_eq!(word, FinalWord::Unknown(RefusalReason::HomeLost));
-        }
-    }
-    slow_down(&mut fleet, 1.0).unwrap();
-    pass_marker(&fleet, &[1 - home], 1).unwrap();
-    count_runs(&mut fleet, caller.id(1)).unwrap()
+    count_after_copies(run_once, &mut fleet, &caller, &bid, &[1 - home]).unwrap()
 }
 
 #[test]
--- a/crates/foxledge-proofs/tests/peer_views.rs
+++ b/crates/foxledge-proofs/tests/peer_views.rs
@@ -11,7 +11,8 @@
 use foxledge_proofs::{
     gate::GatedFleet,
     lasting::{
-        ensure_clean, peers_seen, start_bids, stop_load, total_runs, wait_audit, wait_more_runs,
+        ensure_clean, peers_seen, start_bids, stop_load, total_runs, wait_alive, wait_audit,
+        wait_more_runs,
     },
     once::{CENTRE, DESK, HandCaller, MEMBER, WIDE_LIMIT, home_of, plan_fleet},
 };
@@ -25,16 +26,6 @@
 /// Bids a second.
 const RATE: f64 = 80.0;
 
-/// Waits until a running instance sees just these peers alive, itself included.
-fn wait_alive(fleet: &TestFleet, index: usize, expected: &[&str]) -> Result<()> {
-    let instance = &fleet.instances[index];
-    wait_until_ok(&format!("peers of {}", instance.name), WIDE_LIMIT, || {
-        let seen = peers_seen(instance, &["alive"])?;
-        ensure!(seen == expected, "{seen:?}");
-        Ok(())
-    })
-}
-
 /// Waits until an instance takes just these peers for living, itself included.
 fn wait_living(fleet: &TestFleet, index: usize, expected: &[&str]) -> Result<()> {
     let instance = &fleet.instances[index];
--- a/crates/foxledge-proofs/tests/right_service.rs
+++ b/crates/foxledge-proofs/tests/right_service.rs
@@ -83,9 +83,19 @@
     fleet.backends[owner].stats().unwrap().wrong_target - before
 }
 
+/// `OwnerCheck` is whether an instance asks who owns the address that a token names.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum OwnerCheck {
+    /// As it is served.
+    On,
+    /// Only to show that the fault is there.
+    Off,
+}
+
 /// The address goes to another service and back; returns what reached the wrong process each time.
-fn reuse_twice(check_target_owner: bool) -> [u64; 2] {
-    let settings = format!("{PATIENT}[trial]\ncheck_target_owner = {check_target_owner}\n");
+fn reuse_twice(check: OwnerCheck) -> [u64; 2] {
+    let is_on = check == OwnerCheck::On;
+    let settings = format!("{PATIENT}[trial]\ncheck_target_owner = {is_on}\n");
     let mut fleet = start_fleet(plan_fleet(2, 2).settings(&settings)).unwrap();
     let (caller, token) = bid_at(&fleet, "auction-desk-toledo-1");
     let (revision, owner) = reuse_address(&mut fleet, "auction-desk-toledo-1", INTAKE, "second");
@@ -103,9 +113,9 @@
     // Sequence: the backend server that a flow token names dies; its address goes to a process of
     //   another service, and later to a new process of the first one; the caller polls by the token.
     // Cause: the token leads to an address, and nobody asks who owns that now.
-    let without = reuse_twice(false);
+    let without = reuse_twice(OwnerCheck::Off);
     assert!(without[0] >= 2 && without[1] >= 2, "without the mechanism it shows: {without:?}");
-    assert_eq!(reuse_twice(true), [0, 0]);
+    assert_eq!(reuse_twice(OwnerCheck::On), [0, 0]);
 }
 
 fn load(
--- a/crates/foxledge-proofs/tests/run_once.rs
+++ b/crates/foxledge-proofs/tests/run_once.rs
@@ -7,9 +7,9 @@
     harness::{LinkMode, wait_until},
 };
 use foxledge_proofs::once::{
-    CENTRE, DESK, FinalWord, HandCaller, LONG_RUN, QUICK, RunOnce, WIDE_LIMIT, count_runs, home_of,
-    others, pass_marker, plan_fleet, resend_until_runs, restart_instance, slow_down, start_fleet,
-    steer, wait_living, wait_runs,
+    CENTRE, DESK, FinalWord, HandCaller, LONG_RUN, OpenBid, QUICK, RunOnce, WIDE_LIMIT,
+    count_after_copies, count_runs, home_of, others, pass_marker, plan_fleet, prepare_bid,
+    resend_until_runs, restart_instance, slow_down, start_fleet, steer, wait_living, wait_runs,
 };
 use foxledge_wire::flow::RefusalReason;
 
@@ -68,10 +68,7 @@
     let plan = plan_fleet(kills + 1, 3).settings(&run_once.settings(QUICK));
     let mut fleet = start_fleet(plan).unwrap();
     slow_down(&mut fleet, LONG_RUN).unwrap();
-    let mut caller = HandCaller::new(&fleet, DESK, 2).unwrap();
-    let ticket = caller.obtain_ticket().unwrap();
-    let mut home = home_of(&fleet, &ticket).unwrap();
-    let bid = caller.next_request(&ticket);
+    let OpenBid { caller, bid, mut home } = prepare_bid(&fleet, 2).unwrap();
     caller.send(&bid).unwrap();
     wait_runs(&mut fleet, caller.id(1), 1).unwrap();
     for kill in 1..=kills {
@@ -122,23 +119,12 @@
 fn restart_home(run_once: RunOnce) -> u32 {
     let mut fleet = start_fleet(plan_fleet(2, 3).settings(&run_once.settings(QUICK))).unwrap();
     slow_down(&mut fleet, LONG_RUN).unwrap();
-    let mut caller = HandCaller::new(&fleet, DESK, 1).unwrap();
-    let ticket = caller.obtain_ticket().unwrap();
-    let home = home_of(&fleet, &ticket).unwrap();
-    let bid = caller.next_request(&ticket);
+    let OpenBid { caller, bid, home } = prepare_bid(&fleet, 1).unwrap();
     caller.send(&bid).unwrap();
     wait_runs(&mut fleet, caller.id(1), 1).unwrap();
     restart_instance(&mut fleet, home).unwrap();
     steer(&fleet, &[home]).unwrap();
-    if run_once == RunOnce::Off {
-        resend_until_runs(&mut fleet, &caller, &bid, 2).unwrap();
-    } else {
-        let word = caller.insist(&bid).unwrap();
-        assert_eq!(word, FinalWord::Unknown(RefusalReason::HomeLost));
-    }
-    slow_down(&mut fleet, 1.0).unwrap();
-    pass_marker(&fleet, &[0, 1], 1).unwrap();
-    count_runs(&mut fleet, caller.id(1)).unwrap()
+    count_after_copies(run_once, &mut fleet, &caller, &bid, &[0, 1]).unwrap()
 }
 
 #[test]
@@ -225,15 +211,7 @@
         fleet.add_instance(CENTRE).unwrap();
         fleet.forget_instance(index).unwrap();
     }
-    if run_once == RunOnce::Off {
-        resend_until_runs(&mut fleet, &caller, &bid, 2).unwrap();
-    } else {
-        let word = caller.insist(&bid).unwrap();
-        assert_eq!(word, FinalWord::Unknown(RefusalReason::HomeLost));
-    }
-    slow_down(&mut fleet, 1.0).unwrap();
-    pass_marker(&fleet, &[2, 3], 1).unwrap();
-    count_runs(&mut fleet, caller.id(1)).unwrap()
+    count_after_copies(run_once, &mut fleet, &caller, &bid, &[2, 3]).unwrap()
 }
 
 #[test]
