Say arguments of the stand-ins and words of states once

After: arguments.rs in the fakes; PeerState::word in core. Conclusion: command lines, audit trail and reports are as they were.

--- a/crates/foxledge-core/src/peers.rs
+++ b/crates/foxledge-core/src/peers.rs
@@ -30,6 +30,17 @@
     pub fn holds_homes(self) -> bool {
         matches!(self, PeerState::Alive | PeerState::Suspect)
     }
+
+    /// The state's word in audit trails and reports.
+    pub fn word(self) -> &'static str {
+        match self {
+            PeerState::Joining => "joining",
+            PeerState::Alive => "alive",
+            PeerState::Suspect => "suspect",
+            PeerState::Leaving => "leaving",
+            PeerState::Dead => "dead",
+        }
+    }
 }
 
 /// `PeerInfo` is what one instance is and where it listens.
--- a/crates/foxledge-daemon/src/member_keeper.rs
+++ b/crates/foxledge-daemon/src/member_keeper.rs
@@ -152,7 +152,7 @@
         *self.context.view.borrow_mut() = view.clone();
         self.context.metrics.peers.reset();
         for peer in &view.peers {
-            let state = state_word(peer.state);
+            let state = peer.state.word();
             self.context.metrics.peers.with_label_values(&[state]).inc();
         }
         if let Some(engine) = self.context.directory.engine.get() {
@@ -179,13 +179,3 @@
         .seeds(seeds)
         .stale(stale_lists(&context.settings))
 }
-
-fn state_word(state: PeerState) -> &'static str {
-    match state {
-        PeerState::Joining => "joining",
-        PeerState::Alive => "alive",
-        PeerState::Suspect => "suspect",
-        PeerState::Leaving => "leaving",
-        PeerState::Dead => "dead",
-    }
-}
--- a/crates/foxledge-fakes/src/backend/mod.rs
+++ b/crates/foxledge-fakes/src/backend/mod.rs
@@ -19,9 +19,11 @@
 
 use std::net::SocketAddr;
 
-use clap::{Arg, ArgMatches, Command, value_parser};
+use clap::{Arg, ArgMatches, Command};
 use log::info;
 
+use crate::arguments::{address_arg, number_arg};
+
 pub use options::BackendOptions;
 pub use orders::{BackendOrder, BackendReply, LoadSaying};
 pub use server::BackendServer;
@@ -31,41 +33,18 @@
 pub fn command() -> Command {
     Command::new("backend")
         .about("Stand-in for a backend server of one service")
-        .arg(
-            Arg::new("listen")
-                .long("listen")
-                .value_name("IP:PORT")
-                .required(true)
-                .value_parser(value_parser!(SocketAddr))
-                .help("Data socket"),
-        )
-        .arg(
-            Arg::new("control")
-                .long("control")
-                .value_name("IP:PORT")
-                .required(true)
-                .value_parser(value_parser!(SocketAddr))
-                .help("Control port, JSON lines"),
-        )
+        .arg(address_arg("listen", "Data socket").required(true))
+        .arg(address_arg("control", "Control port, JSON lines").required(true))
         .arg(Arg::new("name").long("name").required(true).help("Name of the target"))
         .arg(Arg::new("service").long("service").required(true).help("Service it belongs to"))
         .arg(Arg::new("data-centre").long("data-centre").default_value("").help("Data centre"))
-        .arg(number("incarnation", "1", "Number of the process at its address"))
-        .arg(number("slots", "2", "Requests that run at once"))
-        .arg(number("connections", "2000", "Requests and feeds open at once"))
-        .arg(number("work-ms", "20", "Mean service time of a bid"))
-        .arg(number("cold-ms", "0", "How long it is slow after its start"))
-        .arg(number("feed-ms", "200", "Time between two items of a feed"))
-        .arg(number("seed", "1", "Seed of the service times"))
-}
-
-fn number(name: &'static str, default: &'static str, help: &'static str) -> Arg {
-    Arg::new(name)
-        .long(name)
-        .value_name("N")
-        .default_value(default)
-        .value_parser(value_parser!(u64))
-        .help(help)
+        .arg(number_arg("incarnation", "1", "Number of the process at its address"))
+        .arg(number_arg("slots", "2", "Requests that run at once"))
+        .arg(number_arg("connections", "2000", "Requests and feeds open at once"))
+        .arg(number_arg("work-ms", "20", "Mean service time of a bid"))
+        .arg(number_arg("cold-ms", "0", "How long it is slow after its start"))
+        .arg(number_arg("feed-ms", "200", "Time between two items of a feed"))
+        .arg(number_arg("seed", "1", "Seed of the service times"))
 }
 
 /// Runs `foxledge-fake backend`.
--- a/crates/foxledge-fakes/src/caller/mod.rs
+++ b/crates/foxledge-fakes/src/caller/mod.rs
@@ -37,16 +37,16 @@
 pub use raw::RawCaller;
 pub use runner::{run_load, run_load_until};
 
-use crate::report::LoadReport;
+use crate::{
+    arguments::{address_arg, number_arg, option_arg},
+    report::LoadReport,
+};
 
 /// The command line of `foxledge-fake caller`.
 pub fn command() -> Command {
     Command::new("caller")
         .about("Stand-in for callers: open-loop load, with a report as JSON; SIGTERM ends it early")
-        .arg(
-            required("fabric", "IP:PORT", "Where datagrams go")
-                .value_parser(value_parser!(SocketAddr)),
-        )
+        .arg(address_arg("fabric", "Where datagrams go").required(true))
         .arg(required("address", "ADDRESS", "Service address"))
         .arg(required("member", "NAME", "Member that the callers belong to"))
         .arg(required("kind", "KIND", "Kind of traffic: feed, bid or upload"))
@@ -54,14 +54,21 @@
             required("report", "FILE", "Where the report goes")
                 .value_parser(value_parser!(PathBuf)),
         )
-        .arg(option("rate", "N", "10", "Arrivals a second").value_parser(value_parser!(f64)))
-        .arg(option("seconds", "S", "5", "How long work arrives").value_parser(value_parser!(f64)))
-        .arg(number("seed", "1", "Seed of arrivals, ids and payloads"))
-        .arg(number("feeds", "0", "Feeds held open besides; with --kind feed at least 1"))
-        .arg(number("upload-kb", "64", "Size of an upload in KiB"))
-        .arg(number("deadline-ms", "2000", "How long a caller waits"))
-        .arg(number("callers", "16", "Simulated callers"))
-        .arg(number("flow-requests", "0", "Requests until a caller takes a new flow; 0 is never"))
+        .arg(option_arg("rate", "N", "10", "Arrivals a second").value_parser(value_parser!(f64)))
+        .arg(
+            option_arg("seconds", "S", "5", "How long work arrives")
+                .value_parser(value_parser!(f64)),
+        )
+        .arg(number_arg("seed", "1", "Seed of arrivals, ids and payloads"))
+        .arg(number_arg("feeds", "0", "Feeds held open besides; with --kind feed at least 1"))
+        .arg(number_arg("upload-kb", "64", "Size of an upload in KiB"))
+        .arg(number_arg("deadline-ms", "2000", "How long a caller waits"))
+        .arg(number_arg("callers", "16", "Simulated callers"))
+        .arg(number_arg(
+            "flow-requests",
+            "0",
+            "Requests until a caller takes a new flow; 0 is never",
+        ))
         .arg(Arg::new("secret").long("secret").value_name("HEX").help("The member's secret"))
         .arg(
             Arg::new("service").long("service").value_name("NAME").help("Service that must answer"),
@@ -85,19 +92,6 @@
     Arg::new(name).long(name).value_name(value).required(true).help(help)
 }
 
-fn option(
-    name: &'static str,
-    value: &'static str,
-    default: &'static str,
-    help: &'static str,
-) -> Arg {
-    Arg::new(name).long(name).value_name(value).default_value(default).help(help)
-}
-
-fn number(name: &'static str, default: &'static str, help: &'static str) -> Arg {
-    option(name, "N", default, help).value_parser(value_parser!(u64))
-}
-
 /// Runs `foxledge-fake caller`.
 pub fn run(matches: &ArgMatches) -> anyhow::Result<()> {
     let options = read_options(matches)?;
--- a/crates/foxledge-fakes/src/demo.rs
+++ b/crates/foxledge-fakes/src/demo.rs
@@ -7,6 +7,7 @@
 use foxledge_core::traffic::TrafficKind;
 
 use crate::{
+    arguments::number_arg,
     harness::{CallerPlan, FleetPlan, TestCaller, TestFleet},
     report::{LoadReport, Verdict},
 };
@@ -40,14 +41,7 @@
                 .value_parser(value_parser!(u64).range(1..=9))
                 .help("Instances in each data centre"),
         )
-        .arg(
-            Arg::new("seed")
-                .long("seed")
-                .value_name("N")
-                .default_value("1")
-                .value_parser(value_parser!(u64))
-                .help("Seed of callers, fabrics and backend servers"),
-        )
+        .arg(number_arg("seed", "1", "Seed of callers, fabrics and backend servers"))
 }
 
 /// Runs `foxledge-fake demo`; an error when something broke that must never break.
--- a/crates/foxledge-fakes/src/fabric/mod.rs
+++ b/crates/foxledge-fakes/src/fabric/mod.rs
@@ -37,7 +37,10 @@
 use log::info;
 use tokio::net::{TcpListener, UdpSocket};
 
-use crate::control::serve_lines;
+use crate::{
+    arguments::{address_arg, number_arg},
+    control::serve_lines,
+};
 
 use links::LinkTable;
 use orders::{FabricOrder, FabricReport, LinkSpec};
@@ -60,22 +63,7 @@
                 .value_parser(value_parser!(PathBuf))
                 .help("JSON list of links to open: from, to, protocol, listen, forward_to"),
         )
-        .arg(
-            Arg::new("seed")
-                .long("seed")
-                .value_name("N")
-                .default_value("1")
-                .value_parser(value_parser!(u64))
-                .help("Seed of every draw"),
-        )
-}
-
-fn address_arg(name: &'static str, help: &'static str) -> Arg {
-    Arg::new(name)
-        .long(name)
-        .value_name("IP:PORT")
-        .value_parser(value_parser!(SocketAddr))
-        .help(help)
+        .arg(number_arg("seed", "1", "Seed of every draw"))
 }
 
 /// Runs `foxledge-fake fabric`.
--- a/crates/foxledge-fakes/src/platform/mod.rs
+++ b/crates/foxledge-fakes/src/platform/mod.rs
@@ -19,7 +19,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio_stream::{StreamExt, wrappers::TcpListenerStream};
 
-use crate::control::serve_lines;
+use crate::{arguments::address_arg, control::serve_lines};
 
 use service::{PlatformService, PlatformState};
 
@@ -30,21 +30,10 @@
 pub fn command() -> Command {
     Command::new("platform")
         .about("Serves revisioned values for reading and watching")
+        .arg(address_arg("listen", "Where readers call").required(true))
         .arg(
-            Arg::new("listen")
-                .long("listen")
-                .value_name("IP:PORT")
-                .required(true)
-                .value_parser(value_parser!(SocketAddr))
-                .help("Where readers call"),
-        )
-        .arg(
-            Arg::new("control")
-                .long("control")
-                .value_name("IP:PORT")
-                .required(true)
-                .value_parser(value_parser!(SocketAddr))
-                .help("Where operators publish and tests order failures"),
+            address_arg("control", "Where operators publish and tests order failures")
+                .required(true),
         )
         .arg(
             Arg::new("reads-per-second")
--- a/crates/foxledge-fakes/src/publish.rs
+++ b/crates/foxledge-fakes/src/publish.rs
@@ -6,20 +6,16 @@
 use clap::{Arg, ArgMatches, Command, value_parser};
 use serde::Serialize;
 
-use crate::platform::orders::{PartText, PlatformClient};
+use crate::{
+    arguments::address_arg,
+    platform::orders::{PartText, PlatformClient},
+};
 
 /// The command line of `foxledge-fake publish`.
 pub fn command() -> Command {
     Command::new("publish")
         .about("Publishes list parts from files, in the order given")
-        .arg(
-            Arg::new("control")
-                .long("control")
-                .value_name("IP:PORT")
-                .required(true)
-                .value_parser(value_parser!(SocketAddr))
-                .help("Control port of the platform"),
-        )
+        .arg(address_arg("control", "Control port of the platform").required(true))
         .arg(
             Arg::new("files")
                 .value_name("FILE")
--- a/crates/foxledge-members/src/membership/claims.rs
+++ b/crates/foxledge-members/src/membership/claims.rs
@@ -123,9 +123,9 @@
             self.round.widen();
         }
         if old != Some(info.state) {
-            let old = old.map_or("unknown", state_word);
+            let old = old.map_or("unknown", PeerState::word);
             let change = AuditChange::new(AuditKind::MemberChanged, name.as_str())
-                .values(old, state_word(info.state))
+                .values(old, info.state.word())
                 .because(cause, source);
             effects.push(MemberEffect::Audit(change));
         }
@@ -184,7 +184,7 @@
         self.me.refutation = claim.refutation.saturating_add(1);
         self.round.widen();
         let change = AuditChange::new(AuditKind::MemberChanged, self.me.name.as_str())
-            .values(state_word(claim.state), state_word(self.me.state))
+            .values(claim.state.word(), self.me.state.word())
             .because("refuted what others held", teller.as_str());
         effects.push(MemberEffect::Audit(change));
     }
@@ -199,20 +199,9 @@
             return;
         }
         let change = AuditChange::new(AuditKind::MemberChanged, self.me.name.as_str())
-            .values(state_word(self.me.state), state_word(PeerState::Leaving))
+            .values(self.me.state.word(), PeerState::Leaving.word())
             .because("a newer process has this name", teller.as_str());
         self.me.state = PeerState::Leaving;
         effects.push(MemberEffect::Audit(change));
     }
 }
-
-/// The state's word in the audit trail.
-pub(super) fn state_word(state: PeerState) -> &'static str {
-    match state {
-        PeerState::Joining => "joining",
-        PeerState::Alive => "alive",
-        PeerState::Suspect => "suspect",
-        PeerState::Leaving => "leaving",
-        PeerState::Dead => "dead",
-    }
-}
