Look a desk up instead of listing its targets at each request

Cause: obtain_desk sorted and copied the service's targets before it looked whether the desk exists; since can_serve asks too, each request did so twice. Ruled out: a cache of targets (the desk holds them already). Before: the work on the path of every request. After: a look-up; the engine's tests are green and unchanged. No cost was measured for this commit. Conclusion: targets are listed only when a desk is made.

--- a/crates/foxledge-engine/src/desks.rs
+++ b/crates/foxledge-engine/src/desks.rs
@@ -40,23 +40,24 @@
         }
     }
 
-    /// The desk of that key, made on first use.
-    pub fn obtain(
+    /// True when there is a desk of that key.
+    pub fn contains(&self, key: &DeskKey) -> bool {
+        self.desks.contains_key(key)
+    }
+
+    /// Makes the desk of that key.
+    pub fn open(
         &mut self,
         now: ClockTime,
         key: &DeskKey,
-        targets: impl FnOnce() -> Vec<Arc<TargetSpec>>,
+        targets: Vec<Arc<TargetSpec>>,
         queue_limit: u32,
-    ) -> (&mut HomeDesk, Vec<DeskEffect>) {
-        let mut effects = Vec::new();
-        if !self.desks.contains_key(key) {
-            let mut desk = self.make_desk();
-            desk.set_queue_limit(queue_limit);
-            effects = desk.set_targets(now, targets());
-            self.desks.insert(key.clone(), desk);
-        }
-        let desk = self.desks.get_mut(key).expect("inserted above");
-        (desk, effects)
+    ) -> Vec<DeskEffect> {
+        let mut desk = self.make_desk();
+        desk.set_queue_limit(queue_limit);
+        let effects = desk.set_targets(now, targets);
+        self.desks.insert(key.clone(), desk);
+        effects
     }
 
     /// The desk of that key, if there is one.
--- a/crates/foxledge-engine/src/refresh.rs
+++ b/crates/foxledge-engine/src/refresh.rs
@@ -126,11 +126,14 @@
         self.desks.drop_idle(|key| probed.contains(key));
     }
 
-    /// Makes sure the desk exists.
+    /// Makes sure the desk exists; each request asks, so an existing one costs a look-up only.
     pub(crate) fn obtain_desk(&mut self, now: ClockTime, key: &DeskKey) {
+        if self.desks.contains(key) {
+            return;
+        }
         let targets = self.targets_of(key);
         let queue_limit = self.queue_limit_of(key);
-        let (_, effects) = self.desks.obtain(now, key, || targets, queue_limit);
+        let effects = self.desks.open(now, key, targets, queue_limit);
         self.carry_out(now, key, effects);
     }
 
