--- a/crates/foxledge-daemon/src/lib.rs
+++ b/crates/foxledge-daemon/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod listener;
 pub mod member_keeper;
 pub mod metrics;
+pub mod packets;
 pub mod parts;
 pub mod phase;
 pub mod restarts;
--- /dev/null
+++ b/crates/foxledge-daemon/src/packets/context.rs
@@ -0,0 +1,101 @@
+//! What the parts of the packets' tree share.
+
+use std::{
+    cell::{Cell, OnceCell, RefCell},
+    net::UdpSocket,
+    path::PathBuf,
+    rc::Rc,
+    sync::Arc,
+};
+
+use foxledge_core::{audit::AuditChange, time::ClockTime};
+use foxledge_flows::{ListSource, PacketCodec};
+use foxledge_gossip::FleetMember;
+use foxledge_settings::PacketSettings;
+use serde::Serialize;
+use stakker::Fwd;
+use tokio::sync::mpsc::UnboundedSender;
+
+use crate::{context::PartEntry, phase::PhaseCell, supervisor::Supervisor};
+
+use super::{
+    clock::BootClock, event_log::EventLog, fleet_part::FleetPart, flow_part::FlowPart,
+    life_part::LifePart, metrics::PacketMetrics, side::SideOrder,
+};
+
+/// `PacketAdapters` translate between foxledge and the platform it runs on.
+pub struct PacketAdapters {
+    /// The form of packets.
+    pub codec: Box<dyn PacketCodec>,
+    /// Makes a reader of the published list.
+    pub source: Box<dyn Fn(&PacketSettings) -> Box<dyn ListSource>>,
+}
+
+/// `PacketContext` is what every part can reach, and what outlives a failed part.
+pub struct PacketContext {
+    /// The settings.
+    pub settings: RefCell<PacketSettings>,
+    /// Where they were read.
+    pub settings_path: PathBuf,
+    /// The process's clock.
+    pub clock: BootClock,
+    /// What is specific to the platform.
+    pub adapters: PacketAdapters,
+    /// Packets of callers.
+    pub data: UdpSocket,
+    /// Messages of instances.
+    pub peer: UdpSocket,
+    /// The metrics.
+    pub metrics: Arc<PacketMetrics>,
+    /// The phase of the process.
+    pub phase: Arc<PhaseCell>,
+    /// The log.
+    pub log: RefCell<EventLog>,
+    /// List and fleet as they are known. They outlive the part that keeps them,
+    /// so that a restart of it can't bring back an older list.
+    pub member: RefCell<FleetMember>,
+    /// When the last packet of a caller came.
+    pub packet_at: Cell<ClockTime>,
+    /// Orders for the side thread.
+    pub side: UnboundedSender<SideOrder>,
+    /// The present actor of each part.
+    pub directory: PacketDirectory,
+    /// Where audit entries go.
+    pub audit: OnceCell<Fwd<AuditChange>>,
+}
+
+/// `PacketDirectory` is the present actor of each part.
+#[derive(Default)]
+pub struct PacketDirectory {
+    /// The root supervisor.
+    pub root: PartEntry<Supervisor>,
+    /// Packets.
+    pub flows: PartEntry<FlowPart>,
+    /// List and peers.
+    pub fleet: PartEntry<FleetPart>,
+    /// Start and stop.
+    pub life: PartEntry<LifePart>,
+}
+
+impl PacketContext {
+    /// Logs a change of what the process is or believes.
+    pub fn note<T: Serialize>(&self, kind: &'static str, event: &T) {
+        self.log.borrow_mut().note(self.clock.now(), kind, event);
+    }
+
+    /// Puts a change into the audit trail.
+    pub fn record(&self, change: AuditChange) {
+        if let Some(audit) = self.audit.get() {
+            audit.fwd(change);
+        }
+    }
+
+    /// Age of the store's last confirmation of the list, in milliseconds.
+    pub fn confirmed_age_ms(&self) -> Option<u64> {
+        let confirmed = self.member.borrow().confirmed_at()?;
+        Some(self.clock.now().since(confirmed).as_millis() as u64)
+    }
+}
+
+/// `SharedContext` is the context as parts hold it.
+pub type SharedContext = Rc<PacketContext>;
--- /dev/null
+++ b/crates/foxledge-daemon/src/packets/daemon.rs
@@ -0,0 +1,305 @@
+//! The process that routes packets, from its settings to its end.
+
+use std::{
+    cell::{Cell, OnceCell, RefCell},
+    net::{SocketAddr, TcpListener},
+    path::PathBuf,
+    rc::Rc,
+    sync::Arc,
+    thread,
+    time::{Duration, Instant},
+};
+
+use anyhow::{Context, Result, bail};
+use foxledge_core::{audit::AuditChange, time::ClockTime};
+use foxledge_gossip::{FleetMember, MemberOptions};
+use foxledge_settings::PacketSettings;
+use log::info;
+use rand::{Rng, SeedableRng, rngs::StdRng};
+use serde::Serialize;
+use serde_json::Value;
+use signal_hook::{
+    consts::{SIGHUP, SIGINT, SIGTERM},
+    iterator::Signals,
+};
+use stakker::{
+    ActorOwn, Stakker, StopCause, actor, call, fwd_do, fwd_to, ret_shutdown,
+    sync::{Channel, ChannelGuard},
+};
+use stakker_mio::{
+    MioPoll,
+    mio::{Events, Poll},
+};
+use tokio::sync::{mpsc, oneshot};
+
+use crate::{
+    clock::ProcessClock,
+    listener::POLL_PRIORITY,
+    phase::PhaseCell,
+    sockets::{bind_tcp, bind_udp},
+    supervisor::{Supervisor, SupervisorOptions},
+};
+
+use super::{
+    clock::BootClock,
+    context::{PacketAdapters, PacketContext, PacketDirectory, SharedContext},
+    event_log::EventLog,
+    metrics::PacketMetrics,
+    parts::PacketParts,
+    reports::{MemberReport, StatusReport},
+    side::{OperatorQuestion, SideEvent, SideThread},
+};
+
+const EVENT_LIMIT: usize = 256;
+const LONGEST_WAIT: Duration = Duration::from_secs(60);
+/// Entries that the audit trail keeps.
+const AUDIT_ENTRIES: usize = 500;
+
+/// `StartLine` is the log line of a process that starts.
+#[derive(Serialize)]
+struct StartLine<'a> {
+    event: &'static str,
+    instance: &'a str,
+    data_centre: &'a str,
+    data: SocketAddr,
+    peer: SocketAddr,
+    store: SocketAddr,
+    seeds: usize,
+    incarnation: u64,
+}
+
+/// `PacketDaemon` is the process: the main loop and what it holds.
+pub struct PacketDaemon {
+    stakker: Stakker,
+    poll: MioPoll,
+    context: SharedContext,
+    is_idle_pending: bool,
+    is_io_pending: bool,
+    _guards: Vec<ChannelGuard>,
+    _root: ActorOwn<Supervisor>,
+}
+
+impl PacketDaemon {
+    /// Binds the sockets and starts every part.
+    ///
+    /// # Errors
+    ///
+    /// When a socket can't be bound or the system gives no thread.
+    pub fn start(
+        settings: PacketSettings,
+        path: PathBuf,
+        adapters: PacketAdapters,
+    ) -> Result<PacketDaemon> {
+        let mut stakker = Stakker::new(Instant::now());
+        let poll = Poll::new().context("can't poll")?;
+        let events = Events::with_capacity(EVENT_LIMIT);
+        let poll = MioPoll::new(&mut stakker, poll, events, POLL_PRIORITY)?;
+        let (side, orders) = mpsc::unbounded_channel();
+        let context = make_context(settings, path, adapters, side)?;
+        let side_guard = start_side(&mut stakker, &context, orders)?;
+        let signal_guard = watch_signals(&mut stakker, &context)?;
+        let root = start_root(&mut stakker, &context);
+        let is_idle_pending = stakker.run(Instant::now(), false);
+        Ok(PacketDaemon {
+            stakker,
+            poll,
+            context,
+            is_idle_pending,
+            is_io_pending: false,
+            _guards: vec![side_guard, signal_guard],
+            _root: root,
+        })
+    }
+
+    /// Runs until the process is told to stop.
+    ///
+    /// # Errors
+    ///
+    /// When the root supervisor ends for another reason.
+    pub fn run(&mut self) -> Result<()> {
+        while self.stakker.not_shutdown() {
+            let is_pending = self.is_idle_pending || self.is_io_pending;
+            let wait = self.stakker.next_wait_max(Instant::now(), LONGEST_WAIT, is_pending);
+            let (is_active, is_io_pending) = self.poll.poll(wait)?;
+            self.is_io_pending = is_io_pending;
+            self.is_idle_pending = self.stakker.run(Instant::now(), !is_active);
+        }
+        self.context.log.borrow_mut().write();
+        match self.stakker.shutdown_reason() {
+            None | Some(StopCause::Stopped) => Ok(()),
+            Some(cause) => bail!("the root supervisor ended: {cause}"),
+        }
+    }
+}
+
+fn make_context(
+    settings: PacketSettings,
+    path: PathBuf,
+    adapters: PacketAdapters,
+    side: mpsc::UnboundedSender<super::side::SideOrder>,
+) -> Result<SharedContext> {
+    let clock = BootClock::start();
+    let mut rng = StdRng::from_os_rng();
+    let incarnation = rng.random();
+    let options = MemberOptions::new(settings.peer, settings.data_centre.clone())
+        .incarnation(incarnation)
+        .seeds(settings.seeds.clone())
+        .seed(rng.random());
+    let mut log = EventLog::on_stdout(settings.lines_per_s)?;
+    let line = StartLine {
+        event: "started",
+        instance: &settings.name,
+        data_centre: &settings.data_centre,
+        data: settings.data.into(),
+        peer: settings.peer.into(),
+        store: settings.store.into(),
+        seeds: settings.seeds.len(),
+        incarnation,
+    };
+    log.note(clock.now(), "started", &line);
+    log.write();
+    Ok(Rc::new(PacketContext {
+        data: bind_udp("listen.data", settings.data.into())?,
+        peer: bind_udp("listen.peer", settings.peer.into())?,
+        settings: RefCell::new(settings),
+        settings_path: path,
+        clock,
+        adapters,
+        metrics: Arc::new(PacketMetrics::new()),
+        phase: Arc::new(PhaseCell::default()),
+        log: RefCell::new(log),
+        member: RefCell::new(FleetMember::new(options, clock.now())),
+        packet_at: Cell::new(ClockTime::ZERO),
+        side,
+        directory: PacketDirectory::default(),
+        audit: OnceCell::new(),
+    }))
+}
+
+fn start_root(stakker: &mut Stakker, context: &SharedContext) -> ActorOwn<Supervisor> {
+    let seed = StdRng::from_os_rng().random();
+    let options = SupervisorOptions::new(ProcessClock::start(), seed).audit_limit(AUDIT_ENTRIES);
+    let starter = Box::new(PacketParts::new(context.clone()));
+    let root = actor!(stakker, Supervisor::init(options, starter), ret_shutdown!(stakker));
+    context.directory.root.set(&root);
+    // The root supervisor is made once, so the cell is empty.
+    let _ = context.audit.set(fwd_to!([root], record() as (AuditChange)));
+    root
+}
+
+fn start_side(
+    stakker: &mut Stakker,
+    context: &SharedContext,
+    orders: mpsc::UnboundedReceiver<super::side::SideOrder>,
+) -> Result<ChannelGuard> {
+    let settings = context.settings.borrow();
+    let admin = bind_tcp("listen.admin", settings.admin)?;
+    let metrics_listener: Option<TcpListener> =
+        settings.metrics.map(|address| bind_tcp("listen.metrics", address)).transpose()?;
+    let shared = context.clone();
+    let (events, guard) = Channel::new(stakker, fwd_do!(move |event| take_event(&shared, event)));
+    let side = SideThread {
+        orders,
+        source: (context.adapters.source)(&settings),
+        admin,
+        metrics_listener,
+        metrics: context.metrics.clone(),
+        phase: context.phase.clone(),
+        events,
+    };
+    side.start().context("can't start the side thread")?;
+    Ok(guard)
+}
+
+fn take_event(context: &SharedContext, event: SideEvent) {
+    match event {
+        SideEvent::Reading(order, answer) => {
+            if let Some(fleet) = context.directory.fleet.get() {
+                call!([fleet], take_reading(order, answer));
+            }
+        }
+        SideEvent::Asked(question, sender) => answer_operator(context, question, sender),
+        // Without the thread nobody learns that this process is alive, and it
+        // learns of no list. The platform starts it anew.
+        SideEvent::Ended(why) => {
+            context.note("side_ended", &serde_json::json!({ "event": "side_ended", "why": why }));
+            context.log.borrow_mut().write();
+            if let Some(root) = context.directory.root.get() {
+                call!([root], give_up(why));
+            }
+        }
+    }
+}
+
+fn answer_operator(
+    context: &SharedContext,
+    question: OperatorQuestion,
+    sender: oneshot::Sender<Value>,
+) {
+    match question {
+        OperatorQuestion::Gauges => {
+            set_gauges(context);
+            // A question whose asker has gone needs no answer; so below.
+            let _ = sender.send(Value::Null);
+        }
+        OperatorQuestion::Status => {
+            let Some(flows) = context.directory.flows.get() else { return };
+            let shared = context.clone();
+            let answer = Box::new(move |routing| {
+                let report = status_report(&shared, routing);
+                let _ = sender.send(serde_json::to_value(report).unwrap_or_default());
+            });
+            call!([flows], report(answer));
+        }
+        OperatorQuestion::Audit => {
+            let Some(root) = context.directory.root.get() else { return };
+            let answer = Box::new(move |entries| {
+                let _ = sender.send(serde_json::to_value(entries).unwrap_or_default());
+            });
+            call!([root], read_audit(0, AUDIT_ENTRIES, answer));
+        }
+    }
+}
+
+fn status_report(context: &SharedContext, routing: super::reports::RouteReport) -> StatusReport {
+    let settings = context.settings.borrow();
+    StatusReport {
+        instance: settings.name.to_string(),
+        data_centre: settings.data_centre.to_string(),
+        phase: context.phase.word(),
+        list: MemberReport::new(&context.member.borrow(), context.clock.now()),
+        routing,
+    }
+}
+
+fn set_gauges(context: &SharedContext) {
+    let member = context.member.borrow();
+    let metrics = &context.metrics;
+    metrics.peers.set(member.peer_count() as i64);
+    metrics.is_reader.set(i64::from(member.is_reading()));
+    metrics.list_age_ms.set(context.confirmed_age_ms().map_or(-1, |age| age as i64));
+    metrics.lines_suppressed.set(context.log.borrow().suppressed() as i64);
+    drop(member);
+    if let Some(flows) = context.directory.flows.get() {
+        call!([flows], set_gauges());
+    }
+}
+
+/// Hands signals to the life part, in a thread of their own.
+fn watch_signals(stakker: &mut Stakker, context: &SharedContext) -> Result<ChannelGuard> {
+    let mut signals = Signals::new([SIGTERM, SIGINT, SIGHUP])?;
+    let shared = context.clone();
+    let hand_over = fwd_do!(move |signal: i32| {
+        if let Some(life) = shared.directory.life.get() {
+            call!([life], on_signal(signal));
+        }
+    });
+    let (channel, guard) = Channel::new(stakker, hand_over);
+    thread::Builder::new().name("signals".to_owned()).spawn(move || {
+        for signal in signals.forever() {
+            info!("life: signal {signal}");
+            channel.send(signal);
+        }
+    })?;
+    Ok(guard)
+}
--- /dev/null
+++ b/crates/foxledge-daemon/src/packets/event_log.rs
@@ -0,0 +1,184 @@
+//! Structured log lines on standard output.
+//!
+//! Each line is one JSON object. Lines are collected and written without ever
+//! waiting: a reader that is slow costs lines, which are counted, and no packet.
+
+use std::{
+    collections::HashMap,
+    fs::File,
+    io::{self, ErrorKind, Write},
+    os::fd::AsFd,
+};
+
+use foxledge_core::time::ClockTime;
+use nix::fcntl::{FcntlArg, OFlag, fcntl};
+use serde::Serialize;
+
+/// Bytes of lines kept while standard output takes none; more are lost.
+const MOST_WAITING: usize = 128 * 1024;
+/// Bytes that are written at once rather than at the next turn.
+const WRITE_AT: usize = 4 * 1024;
+/// Longest time that a line waits to be written together with others, in milliseconds.
+const WAIT_MS: u64 = 200;
+/// One flow in this many keeps all its lines, on every instance, when there are too many.
+const SAMPLE: u64 = 16;
+
+/// `LogField` are the fields with which every line begins.
+#[derive(Serialize)]
+struct LogLine<'a, T: Serialize> {
+    at_ms: u64,
+    #[serde(skip_serializing_if = "is_zero")]
+    suppressed: u64,
+    #[serde(flatten)]
+    event: &'a T,
+}
+
+fn is_zero(count: &u64) -> bool {
+    *count == 0
+}
+
+/// `LineBudget` bounds the lines of one kind: a token bucket of one second.
+#[derive(Clone, Copy, Debug)]
+struct LineBudget {
+    tokens: f64,
+    filled_at: ClockTime,
+    suppressed: u64,
+}
+
+/// `EventLog` is the log of one process.
+pub struct EventLog {
+    lines_per_s: f64,
+    budgets: HashMap<&'static str, LineBudget>,
+    waiting: Vec<u8>,
+    write_at: ClockTime,
+    suppressed: u64,
+    output: Box<dyn Write>,
+}
+
+impl EventLog {
+    /// A log on standard output, which is set never to wait.
+    ///
+    /// # Errors
+    ///
+    /// When the process has no standard output.
+    pub fn on_stdout(lines_per_s: u32) -> io::Result<EventLog> {
+        let output = File::from(io::stdout().as_fd().try_clone_to_owned()?);
+        let flags = fcntl(&output, FcntlArg::F_GETFL).map(OFlag::from_bits_truncate)?;
+        fcntl(&output, FcntlArg::F_SETFL(flags | OFlag::O_NONBLOCK))?;
+        Ok(EventLog::on(Box::new(output), lines_per_s))
+    }
+
+    /// A log on another output.
+    pub fn on(output: Box<dyn Write>, lines_per_s: u32) -> EventLog {
+        EventLog {
+            lines_per_s: f64::from(lines_per_s),
+            budgets: HashMap::new(),
+            waiting: Vec::new(),
+            write_at: ClockTime::ZERO,
+            suppressed: 0,
+            output,
+        }
+    }
+
+    /// Lines that weren't written since the start.
+    pub fn suppressed(&self) -> u64 {
+        self.suppressed
+    }
+
+    /// Logs a change of what the process is or believes.
+    pub fn note<T: Serialize>(&mut self, now: ClockTime, kind: &'static str, event: &T) {
+        if let Some(suppressed) = self.admit(now, kind, 0) {
+            self.add(now, suppressed, event);
+        }
+    }
+
+    /// Logs a decision on a flow.
+    ///
+    /// While the kind's budget is low, only one flow in sixteen is logged, chosen
+    /// by its hash: such a flow has all its lines on every instance.
+    pub fn decision<T: Serialize>(
+        &mut self,
+        now: ClockTime,
+        kind: &'static str,
+        flow_hash: u64,
+        event: &T,
+    ) {
+        if let Some(suppressed) = self.admit(now, kind, flow_hash) {
+            self.add(now, suppressed, event);
+        }
+    }
+
+    /// Writes what waits, if it has waited long enough or is much.
+    pub fn flush(&mut self, now: ClockTime) {
+        let is_due = self.waiting.len() >= WRITE_AT || self.write_at.is_past(now);
+        if is_due && !self.waiting.is_empty() {
+            self.write();
+        }
+    }
+
+    /// Writes what waits.
+    pub fn write(&mut self) {
+        while !self.waiting.is_empty() {
+            match self.output.write(&self.waiting) {
+                Ok(0) => return,
+                Ok(count) => drop(self.waiting.drain(..count)),
+                Err(error) if error.kind() == ErrorKind::Interrupted => {}
+                // Nobody reads now: the lines wait, as far as there is room.
+                Err(error) if error.kind() == ErrorKind::WouldBlock => return,
+                Err(_) => {
+                    // Nobody will ever read them.
+                    self.suppressed += count_lines(&self.waiting);
+                    self.waiting.clear();
+                }
+            }
+        }
+    }
+
+    /// Takes a token; returns how many lines of the kind were suppressed since the last.
+    fn admit(&mut self, now: ClockTime, kind: &'static str, flow_hash: u64) -> Option<u64> {
+        let most = self.lines_per_s;
+        let full = LineBudget { tokens: most, filled_at: now, suppressed: 0 };
+        let budget = self.budgets.entry(kind).or_insert(full);
+        let grown = now.since(budget.filled_at).as_secs_f64() * most;
+        budget.tokens = (budget.tokens + grown).min(most);
+        budget.filled_at = now;
+        let is_sampled = flow_hash.is_multiple_of(SAMPLE);
+        let is_low = budget.tokens < most / 2.0 && !is_sampled;
+        if budget.tokens < 1.0 || is_low {
+            budget.suppressed += 1;
+            self.suppressed += 1;
+            return None;
+        }
+        budget.tokens -= 1.0;
+        Some(std::mem::take(&mut budget.suppressed))
+    }
+
+    fn add<T: Serialize>(&mut self, now: ClockTime, suppressed: u64, event: &T) {
+        if self.waiting.len() >= MOST_WAITING {
+            self.suppressed += 1;
+            return;
+        }
+        if self.waiting.is_empty() {
+            self.write_at = now.after_millis(WAIT_MS);
+        }
+        let line = LogLine { at_ms: wall_ms(), suppressed, event };
+        let size = self.waiting.len();
+        match serde_json::to_writer(&mut self.waiting, &line) {
+            Ok(()) => self.waiting.push(b'\n'),
+            Err(_) => {
+                self.waiting.truncate(size);
+                self.suppressed += 1;
+            }
+        }
+    }
+}
+
+/// The time of day in milliseconds, for people; nothing is decided by it.
+fn wall_ms() -> u64 {
+    let since = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+    since.map_or(0, |span| span.as_millis() as u64)
+}
+
+fn count_lines(bytes: &[u8]) -> u64 {
+    bytes.iter().filter(|byte| **byte == b'\n').count() as u64
+}
--- /dev/null
+++ b/crates/foxledge-daemon/src/packets/fleet_part.rs
@@ -0,0 +1,200 @@
+//! The part that keeps the list and talks with other instances and the store.
+
+use std::{io, net::SocketAddr, time::Duration};
+
+use foxledge_core::audit::{AuditChange, AuditKind};
+use foxledge_flows::{HealthNote, ListReading, SourceError};
+use foxledge_gossip::{FleetEffect, FleetEvent, LARGEST_MESSAGE, ReadOrder};
+use stakker::{CX, FixedTimerKey, after, call, fail, fwd_to};
+use stakker_mio::{
+    MioPoll, MioSource, Ready,
+    mio::{Interest, net::UdpSocket},
+};
+
+use crate::listener::{BATCH_LIMIT, POLL_PRIORITY};
+
+use super::{context::SharedContext, side::SideOrder};
+
+/// Larger than any message, so that one that is too long shows as cut.
+const READ_SIZE: usize = 2 * LARGEST_MESSAGE;
+/// Shortest time between two turns for timers, in milliseconds: timers that
+/// fall due together are served together.
+const TICK_MS: u64 = 5;
+
+/// `FleetPart` owns the socket for messages of instances.
+pub struct FleetPart {
+    context: SharedContext,
+    socket: MioSource<UdpSocket>,
+    timer: Option<FixedTimerKey>,
+}
+
+impl FleetPart {
+    /// Opens a duplicate of the bound socket and goes on with what is known.
+    pub fn init(cx: CX![], context: SharedContext) -> Option<FleetPart> {
+        match FleetPart::open(cx, context) {
+            Ok(part) => {
+                call!([cx], drain());
+                call!([cx], on_time());
+                Some(part)
+            }
+            Err(error) => {
+                fail!(cx, "can't open the socket: {}", error);
+                None
+            }
+        }
+    }
+
+    fn open(cx: CX![], context: SharedContext) -> io::Result<FleetPart> {
+        let poll = cx.anymap_get::<MioPoll>();
+        let socket = UdpSocket::from_std(context.peer.try_clone()?);
+        let ready = fwd_to!([cx], socket_ready() as (Ready));
+        let socket = poll.add(socket, Interest::READABLE, POLL_PRIORITY, ready)?;
+        Ok(FleetPart { context, socket, timer: None })
+    }
+
+    /// Tells other instances what packets told of backend servers.
+    pub fn share_notes(&mut self, cx: CX![], notes: Vec<HealthNote>) {
+        let now = self.context.clock.now();
+        self.context.member.borrow_mut().share_notes(now, &notes);
+        self.carry_out(cx);
+    }
+
+    /// Takes the store's answer to an order.
+    pub fn take_reading(
+        &mut self,
+        cx: CX![],
+        order: ReadOrder,
+        answer: Result<ListReading, SourceError>,
+    ) {
+        let outcome = answer.as_ref().map_or_else(SourceError::word, |_| "answered");
+        self.context.metrics.store_calls.with_label_values(&[outcome]).inc();
+        let now = self.context.clock.now();
+        self.context.member.borrow_mut().on_reading(now, order, answer);
+        self.carry_out(cx);
+    }
+
+    /// Tells other instances that this one stops.
+    pub fn leave(&mut self, cx: CX![]) {
+        let now = self.context.clock.now();
+        self.context.member.borrow_mut().leave(now);
+        self.carry_out(cx);
+    }
+
+    fn on_time(&mut self, cx: CX![]) {
+        self.timer = None;
+        let now = self.context.clock.now();
+        self.context.member.borrow_mut().on_time(now);
+        self.context.log.borrow_mut().flush(now);
+        self.carry_out(cx);
+    }
+
+    fn socket_ready(&mut self, cx: CX![], _ready: Ready) {
+        self.drain(cx);
+    }
+
+    fn drain(&mut self, cx: CX![]) {
+        let mut buffer = [0; READ_SIZE];
+        for _ in 0..BATCH_LIMIT {
+            match self.socket.recv_from(&mut buffer) {
+                Ok((size, from)) => self.take_message(&buffer[..size], from),
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => break,
+                Err(error) if error.kind() == io::ErrorKind::Interrupted => continue,
+                Err(error) if error.kind() == io::ErrorKind::ConnectionRefused => continue,
+                Err(error) => return fail!(cx, "can't read the socket: {}", error),
+            }
+        }
+        self.carry_out(cx);
+    }
+
+    fn take_message(&mut self, bytes: &[u8], from: SocketAddr) {
+        let SocketAddr::V4(from) = from else { return };
+        let metrics = &self.context.metrics;
+        metrics.messages.with_label_values(&["in"]).inc();
+        metrics.message_bytes.with_label_values(&["in"]).inc_by(bytes.len() as u64);
+        let now = self.context.clock.now();
+        if !self.context.member.borrow_mut().on_datagram(now, from, bytes) {
+            metrics.malformed.with_label_values(&["message"]).inc();
+        }
+    }
+
+    fn carry_out(&mut self, cx: CX![]) {
+        let effects = self.context.member.borrow_mut().take_effects();
+        for effect in effects {
+            self.carry_out_one(effect);
+        }
+        self.context.log.borrow_mut().flush(self.context.clock.now());
+        self.set_timer(cx);
+    }
+
+    fn carry_out_one(&mut self, effect: FleetEffect) {
+        let directory = &self.context.directory;
+        match effect {
+            FleetEffect::Send { to, bytes } => self.send(SocketAddr::V4(to), &bytes),
+            FleetEffect::Read(order) => {
+                if self.context.side.send(SideOrder::Read(order)).is_err() {
+                    // The side thread is gone, and its end is being reported.
+                    self.context.metrics.store_calls.with_label_values(&["unsent"]).inc();
+                }
+            }
+            FleetEffect::Rows(rows) => {
+                self.set_list_metrics();
+                if let Some(flows) = directory.flows.get() {
+                    call!([flows], take_rows(rows));
+                }
+                if let Some(life) = directory.life.get() {
+                    call!([life], consider_serving());
+                }
+            }
+            FleetEffect::Confirmed(at) => {
+                if let Some(flows) = directory.flows.get() {
+                    call!([flows], take_confirmation(at));
+                }
+                if let Some(life) = directory.life.get() {
+                    call!([life], consider_serving());
+                }
+            }
+            FleetEffect::Note(note) => {
+                if let Some(flows) = directory.flows.get() {
+                    call!([flows], take_note(note));
+                }
+            }
+            FleetEffect::Event(event) => self.log_event(&event),
+        }
+    }
+
+    fn send(&self, to: SocketAddr, bytes: &[u8]) {
+        let metrics = &self.context.metrics;
+        metrics.messages.with_label_values(&["out"]).inc();
+        metrics.message_bytes.with_label_values(&["out"]).inc_by(bytes.len() as u64);
+        if self.socket.send_to(bytes, to).is_err() {
+            // Messages are repeated; the peer's silence is logged when it counts as lost.
+            metrics.send_errors.with_label_values(&["peer"]).inc();
+        }
+    }
+
+    fn log_event(&self, event: &FleetEvent) {
+        self.context.note(event.kind(), event);
+        if let FleetEvent::ListTaken { version, revision, former_revision, source, .. } = event {
+            let change = AuditChange::new(AuditKind::ListAccepted, format!("version {version}"))
+                .values(former_revision.to_string(), revision.to_string())
+                .because("newer", source.as_str());
+            self.context.record(change);
+        }
+    }
+
+    fn set_list_metrics(&self) {
+        let member = self.context.member.borrow();
+        self.context.metrics.list_revision.set(member.list().head() as i64);
+        self.context.metrics.list_version.set(member.list().version() as i64);
+    }
+
+    fn set_timer(&mut self, cx: CX![]) {
+        let now = self.context.clock.now();
+        let next = self.context.member.borrow().next_at(now);
+        let wait = next.left(now).max(Duration::from_millis(TICK_MS));
+        if let Some(key) = self.timer.take() {
+            cx.timer_del(key);
+        }
+        self.timer = Some(after!(wait, [cx], on_time()));
+    }
+}
--- /dev/null
+++ b/crates/foxledge-daemon/src/packets/flow_part.rs
@@ -0,0 +1,347 @@
+//! The part that reads packets of callers, decides and sends them on.
+
+use std::{
+    io,
+    net::{SocketAddr, SocketAddrV4},
+};
+
+use foxledge_core::{names::CentreName, time::ClockTime};
+use foxledge_flows::{
+    Backend, DropReason, FlowDecision, FlowPacket, FlowRouter, HealthClass, HealthNote, NoteKind,
+    OpenReason, RefuseReason, RouterCounts, RouterOptions, flow_hash,
+    packet::{HEADROOM, LARGEST_PACKET},
+    rows::ListRow,
+};
+use serde::Serialize;
+use stakker::{CX, call, fail, fwd_to, idle};
+use stakker_mio::{
+    MioPoll, MioSource, Ready,
+    mio::{Interest, net::UdpSocket},
+};
+
+use crate::listener::{BATCH_LIMIT, POLL_PRIORITY};
+
+use super::{context::SharedContext, reports::RouteReport};
+
+/// One byte more than a packet may have, so that a longer one shows as oversized.
+const READ_SIZE: usize = HEADROOM + LARGEST_PACKET + 1;
+
+/// `FlowPart` owns the socket for callers' packets.
+pub struct FlowPart {
+    context: SharedContext,
+    socket: MioSource<UdpSocket>,
+    router: FlowRouter,
+    counts: RouterCounts,
+    frame: Box<[u8; READ_SIZE]>,
+}
+
+/// `FlowLine` is the log line of a decision on one flow.
+#[derive(Serialize)]
+#[serde(tag = "event", rename_all = "snake_case")]
+enum FlowLine<'a> {
+    /// An opening packet was sent on.
+    FlowOpened {
+        flow: String,
+        sequence: u32,
+        backend: &'a str,
+        address: SocketAddrV4,
+        data_centre: &'a CentreName,
+        #[serde(flatten)]
+        reason: &'a OpenReason,
+        list_revision: u64,
+        list_age_ms: Option<u64>,
+    },
+    /// An opening packet was refused.
+    FlowRefused {
+        flow: String,
+        sequence: u32,
+        reason: RefuseReason,
+        list_revision: u64,
+        list_age_ms: Option<u64>,
+    },
+    /// A packet was dropped.
+    PacketDropped {
+        flow: String,
+        sequence: u32,
+        token: u32,
+        reason: DropReason,
+        list_revision: u64,
+        list_age_ms: Option<u64>,
+    },
+    /// A packet's form was bad.
+    PacketMalformed { from: SocketAddr, fault: &'static str },
+}
+
+/// `HealthLine` is the log line of an observation of a backend server.
+#[derive(Serialize)]
+struct HealthLine<'a> {
+    event: &'static str,
+    backend: &'a str,
+    service: &'a str,
+    kind: NoteKind,
+    observer: &'static str,
+    age_ms: u64,
+    running: u32,
+    flows: u32,
+    backend_revision: u64,
+}
+
+impl FlowPart {
+    /// Opens a duplicate of the bound socket, with the list as it is known.
+    pub fn init(cx: CX![], context: SharedContext) -> Option<FlowPart> {
+        match FlowPart::open(cx, context) {
+            Ok(part) => {
+                call!([cx], drain());
+                Some(part)
+            }
+            Err(error) => {
+                fail!(cx, "can't open the socket: {}", error);
+                None
+            }
+        }
+    }
+
+    fn open(cx: CX![], context: SharedContext) -> io::Result<FlowPart> {
+        let poll = cx.anymap_get::<MioPoll>();
+        let socket = UdpSocket::from_std(context.data.try_clone()?);
+        let ready = fwd_to!([cx], socket_ready() as (Ready));
+        let socket = poll.add(socket, Interest::READABLE, POLL_PRIORITY, ready)?;
+        let data_centre = context.settings.borrow().data_centre.clone();
+        let mut router = FlowRouter::new(RouterOptions::new(data_centre));
+        let member = context.member.borrow();
+        let rows: Vec<_> = member.list().rows().cloned().collect();
+        router.take_rows(context.clock.now(), &rows);
+        if let Some(at) = member.confirmed_at() {
+            router.set_confirmed(at);
+        }
+        drop(member);
+        let counts = RouterCounts::default();
+        Ok(FlowPart { context, socket, router, counts, frame: Box::new([0; READ_SIZE]) })
+    }
+
+    /// Takes rows of the list that changed.
+    pub fn take_rows(&mut self, _cx: CX![], rows: Vec<ListRow>) {
+        self.router.take_rows(self.context.clock.now(), &rows);
+    }
+
+    /// Takes the time of a confirmation of the list.
+    pub fn take_confirmation(&mut self, _cx: CX![], at: ClockTime) {
+        self.router.set_confirmed(at);
+    }
+
+    /// Takes what another instance observed of a backend server.
+    pub fn take_note(&mut self, _cx: CX![], note: HealthNote) {
+        self.router.take_note(self.context.clock.now(), &note);
+        self.log_note(&note, "peer");
+    }
+
+    /// Answers with what the router knows.
+    pub fn report(&mut self, _cx: CX![], answer: Box<dyn FnOnce(RouteReport)>) {
+        answer(RouteReport::new(&self.router, self.context.clock.now()));
+    }
+
+    /// Brings the gauges of flows up to date.
+    pub fn set_gauges(&mut self, _cx: CX![]) {
+        let now = self.context.clock.now();
+        let is_ejected = |backend: &&Backend| backend.health.class(now) == HealthClass::Ejected;
+        let metrics = &self.context.metrics;
+        metrics.flows.set(self.router.tracked_flows() as i64);
+        metrics.ejected.set(self.router.backends().filter(is_ejected).count() as i64);
+    }
+
+    fn socket_ready(&mut self, cx: CX![], _ready: Ready) {
+        self.drain(cx);
+    }
+
+    /// Reads a bounded batch and lets the main loop run before the next.
+    ///
+    /// Without the bound, a flood would keep the main loop in here, and messages
+    /// of instances would wait for longer than a new list may take.
+    fn drain(&mut self, cx: CX![]) {
+        let now = self.context.clock.now();
+        let mut count = 0;
+        while count < BATCH_LIMIT {
+            match self.socket.recv_from(&mut self.frame[HEADROOM..]) {
+                Ok((size, from)) => self.take_datagram(now, size, from),
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => break,
+                Err(error) if error.kind() == io::ErrorKind::Interrupted => continue,
+                // An ICMP error of an earlier send; the socket itself is fine.
+                Err(error) if error.kind() == io::ErrorKind::ConnectionRefused => {}
+                Err(error) => return fail!(cx, "can't read the socket: {}", error),
+            }
+            count += 1;
+        }
+        if count == BATCH_LIMIT {
+            idle!([cx], drain());
+        }
+        if count > 0 {
+            self.context.packet_at.set(now);
+            self.share_observations();
+        }
+    }
+
+    fn take_datagram(&mut self, now: ClockTime, size: usize, from: SocketAddr) {
+        let read = self.context.adapters.codec.read(&self.frame[HEADROOM..HEADROOM + size]);
+        let packet = match read {
+            Ok(packet) => packet,
+            Err(fault) => {
+                self.context.metrics.malformed.with_label_values(&[fault.word()]).inc();
+                let line = FlowLine::PacketMalformed { from, fault: fault.word() };
+                return self.context.note("packet_malformed", &line);
+            }
+        };
+        match self.router.on_packet(now, &packet) {
+            FlowDecision::Forward { backend } => self.forward(size, backend),
+            FlowDecision::Open { backend, reason } => {
+                self.log_opening(now, &packet, backend, &reason);
+                self.open_flow(size, backend);
+            }
+            FlowDecision::Refuse(reason) => self.refuse(now, &packet, reason),
+            FlowDecision::Drop(reason) => self.drop_packet(now, &packet, reason),
+        }
+    }
+
+    fn forward(&mut self, size: usize, index: usize) {
+        self.context.metrics.packets.with_label_values(&["forward"]).inc();
+        self.send_frame(size, index);
+    }
+
+    fn open_flow(&mut self, size: usize, index: usize) {
+        self.context.metrics.packets.with_label_values(&["open"]).inc();
+        let Some(token) = self.router.backend(index).map(|backend| backend.token) else { return };
+        self.context.adapters.codec.set_token(&mut self.frame[..], token);
+        self.send_frame(size, index);
+    }
+
+    fn send_frame(&mut self, size: usize, index: usize) {
+        let Some(backend) = self.router.backend(index) else { return };
+        self.context.adapters.codec.address_to(&mut self.frame[..], backend.number);
+        let to = SocketAddr::V4(backend.address);
+        if self.socket.send_to(&self.frame[..HEADROOM + size], to).is_err() {
+            // The caller sends again; a log line for each would add to a trouble.
+            self.context.metrics.send_errors.with_label_values(&["data"]).inc();
+        }
+    }
+
+    fn refuse(&mut self, now: ClockTime, packet: &FlowPacket, reason: RefuseReason) {
+        let word = match reason {
+            RefuseReason::NoRoute => "no_route",
+            RefuseReason::NoBackend => "no_backend",
+        };
+        self.context.metrics.packets.with_label_values(&["refuse"]).inc();
+        self.context.metrics.refusals.with_label_values(&[word]).inc();
+        let (list_revision, list_age_ms) = self.list_state();
+        let line = FlowLine::FlowRefused {
+            flow: packet.key.to_string(),
+            sequence: packet.sequence,
+            reason,
+            list_revision,
+            list_age_ms,
+        };
+        self.log_decision(now, "flow_refused", packet, &line);
+        let refusal = self.context.adapters.codec.refusal(packet);
+        // Callers listen at the port at which packets arrive here.
+        let port = self.context.settings.borrow().data.port();
+        let to = SocketAddr::V4(SocketAddrV4::new(*packet.key.caller.ip(), port));
+        if self.socket.send_to(&refusal, to).is_err() {
+            self.context.metrics.send_errors.with_label_values(&["data"]).inc();
+        }
+    }
+
+    fn drop_packet(&mut self, now: ClockTime, packet: &FlowPacket, reason: DropReason) {
+        self.context.metrics.packets.with_label_values(&["drop"]).inc();
+        self.context.metrics.drops.with_label_values(&[reason.word()]).inc();
+        let (list_revision, list_age_ms) = self.list_state();
+        let line = FlowLine::PacketDropped {
+            flow: packet.key.to_string(),
+            sequence: packet.sequence,
+            token: packet.token,
+            reason,
+            list_revision,
+            list_age_ms,
+        };
+        self.log_decision(now, "packet_dropped", packet, &line);
+    }
+
+    fn log_opening(&self, now: ClockTime, packet: &FlowPacket, index: usize, reason: &OpenReason) {
+        let Some(backend) = self.router.backend(index) else { return };
+        let (list_revision, list_age_ms) = self.list_state();
+        let line = FlowLine::FlowOpened {
+            flow: packet.key.to_string(),
+            sequence: packet.sequence,
+            backend: &backend.key,
+            address: backend.address,
+            data_centre: &backend.data_centre,
+            reason,
+            list_revision,
+            list_age_ms,
+        };
+        self.log_decision(now, "flow_opened", packet, &line);
+    }
+
+    fn log_decision(
+        &self,
+        now: ClockTime,
+        kind: &'static str,
+        packet: &FlowPacket,
+        line: &FlowLine<'_>,
+    ) {
+        self.context.log.borrow_mut().decision(now, kind, flow_hash(&packet.key), line);
+    }
+
+    fn list_state(&self) -> (u64, Option<u64>) {
+        (self.context.member.borrow().list().head(), self.context.confirmed_age_ms())
+    }
+
+    /// Tells other instances what packets told of backend servers, and counts.
+    fn share_observations(&mut self) {
+        for latency in self.router.take_latencies() {
+            self.context.metrics.latency.observe(latency.as_secs_f64());
+        }
+        let counts = self.router.counts();
+        let metrics = &self.context.metrics;
+        metrics.open_copies.inc_by(counts.copies - self.counts.copies);
+        metrics.open_overdue.inc_by(counts.overdue - self.counts.overdue);
+        metrics.data_resent.inc_by(counts.resent - self.counts.resent);
+        self.counts = counts;
+        let notes = self.router.take_notes();
+        if notes.is_empty() {
+            return;
+        }
+        for note in &notes {
+            self.log_note(note, "self");
+        }
+        if let Some(fleet) = self.context.directory.fleet.get() {
+            call!([fleet], share_notes(notes));
+        }
+    }
+
+    fn log_note(&self, note: &HealthNote, observer: &'static str) {
+        let now = self.context.clock.now();
+        let Some(backend) = self.router.backend_of(note.number) else { return };
+        let kind = match note.kind {
+            NoteKind::Suspect => "suspect",
+            NoteKind::Ejected => "ejected",
+            NoteKind::Alive => "alive",
+        };
+        self.context.metrics.health_notes.with_label_values(&[kind, observer]).inc();
+        let line = HealthLine {
+            event: "backend_observed",
+            backend: &backend.key,
+            service: &backend.service,
+            kind: note.kind,
+            observer,
+            age_ms: now.since(note.at).as_millis() as u64,
+            running: backend.running,
+            flows: backend.flows,
+            backend_revision: backend.revision,
+        };
+        self.context.log.borrow_mut().note(now, "backend_observed", &line);
+    }
+}
+
+impl Drop for FlowPart {
+    fn drop(&mut self) {
+        self.context.log.borrow_mut().write();
+    }
+}
--- /dev/null
+++ b/crates/foxledge-daemon/src/packets/life_part.rs
@@ -0,0 +1,186 @@
+//! The part that takes the process from its start to its planned stop.
+
+use std::time::Duration;
+
+use foxledge_core::{
+    audit::{AuditChange, AuditKind},
+    time::ClockTime,
+};
+use foxledge_engine::EnginePhase;
+use foxledge_settings::load_packet_settings;
+use serde::Serialize;
+use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
+use stakker::{CX, StopCause, after, call};
+
+use super::context::SharedContext;
+
+/// Longest wait for the store's word that the list is the newest, in
+/// milliseconds, once a list is known: an old list serves better than none.
+const UNSURE_MS: u64 = 1_500;
+/// Shortest time from the begin of a planned stop to its end, in milliseconds.
+///
+/// Routers ask twice a second whether an instance is ready and take it out after
+/// two misses. Packets that they send until then must still be sent on.
+const NOTICED_MS: u64 = 1_700;
+/// Silence after which no more packets are expected, in milliseconds.
+const EBB_MS: u64 = 400;
+/// Time before the limit of a planned stop at which the process ends all the
+/// same, in milliseconds, so that it isn't killed.
+const MARGIN_MS: u64 = 800;
+/// Time between two looks during a planned stop.
+const LOOK: Duration = Duration::from_millis(100);
+
+/// `LifePart` sets the phase of the process.
+pub struct LifePart {
+    context: SharedContext,
+    unsure_until: Option<ClockTime>,
+    leaving: Option<LeaveTimes>,
+}
+
+/// `LeaveTimes` bounds a planned stop.
+#[derive(Clone, Copy, Debug)]
+struct LeaveTimes {
+    begun_at: ClockTime,
+    earliest: ClockTime,
+    latest: ClockTime,
+}
+
+/// `LifeLine` is the log line of a change of the process.
+#[derive(Serialize)]
+#[serde(tag = "event", rename_all = "snake_case")]
+enum LifeLine<'a> {
+    /// Flows are taken from now on.
+    Serving { version: u64, revision: u64, list_age_ms: Option<u64> },
+    /// A planned stop began.
+    StopBegun { signal: i32, limit_ms: u64 },
+    /// A signal that changes nothing.
+    SignalIgnored { signal: i32 },
+    /// The process ends.
+    Stopped { after_ms: u64, silent_ms: u64 },
+    /// The settings were read anew.
+    Reloaded { changes: Vec<String> },
+    /// The settings can't be used; the former stay in force.
+    ReloadRefused { findings: &'a str },
+}
+
+impl LifePart {
+    /// Begins where the process stands.
+    pub fn init(cx: CX![], context: SharedContext) -> Option<LifePart> {
+        let mut life = LifePart { context, unsure_until: None, leaving: None };
+        match life.context.phase.get() {
+            EnginePhase::Leaving => life.begin_leaving(cx),
+            _ => call!([cx], consider_serving()),
+        }
+        Some(life)
+    }
+
+    /// Begins to serve when the list is known.
+    pub fn consider_serving(&mut self, cx: CX![]) {
+        if self.context.phase.get() != EnginePhase::Joining {
+            return;
+        }
+        let now = self.context.clock.now();
+        let member = self.context.member.borrow();
+        if !member.list().has_routes() {
+            return;
+        }
+        let is_sure = member.confirmed_at().is_some();
+        drop(member);
+        let until = *self.unsure_until.get_or_insert_with(|| {
+            after!(Duration::from_millis(UNSURE_MS), [cx], consider_serving());
+            now.after_millis(UNSURE_MS)
+        });
+        if is_sure || until.is_past(now) {
+            self.begin_serving();
+        }
+    }
+
+    /// Acts on a signal.
+    pub fn on_signal(&mut self, cx: CX![], signal: i32) {
+        match signal {
+            SIGHUP => self.reload(cx),
+            SIGTERM | SIGINT if self.context.phase.get() != EnginePhase::Leaving => {
+                let limit_ms = self.context.settings.borrow().stop_ms;
+                self.context.note("stop_begun", &LifeLine::StopBegun { signal, limit_ms });
+                self.set_phase(EnginePhase::Leaving, "planned stop");
+                if let Some(fleet) = self.context.directory.fleet.get() {
+                    call!([fleet], leave());
+                }
+                self.begin_leaving(cx);
+            }
+            _ => self.context.note("signal_ignored", &LifeLine::SignalIgnored { signal }),
+        }
+    }
+
+    fn begin_serving(&mut self) {
+        self.set_phase(EnginePhase::Serving, "the list is known");
+        let member = self.context.member.borrow();
+        let line = LifeLine::Serving {
+            version: member.list().version(),
+            revision: member.list().head(),
+            list_age_ms: self.context.confirmed_age_ms(),
+        };
+        self.context.note("serving", &line);
+        self.context.log.borrow_mut().write();
+    }
+
+    fn begin_leaving(&mut self, cx: CX![]) {
+        let now = self.context.clock.now();
+        let limit_ms = self.context.settings.borrow().stop_ms;
+        self.leaving = Some(LeaveTimes {
+            begun_at: now,
+            earliest: now.after_millis(NOTICED_MS.min(limit_ms)),
+            latest: now.after_millis(limit_ms.saturating_sub(MARGIN_MS)),
+        });
+        after!(LOOK, [cx], check_left());
+    }
+
+    fn check_left(&mut self, cx: CX![]) {
+        let Some(times) = self.leaving else { return };
+        let now = self.context.clock.now();
+        let silent = now.since(self.context.packet_at.get());
+        let has_ebbed = silent >= Duration::from_millis(EBB_MS) && times.earliest.is_past(now);
+        if !has_ebbed && !times.latest.is_past(now) {
+            after!(LOOK, [cx], check_left());
+            return;
+        }
+        let line = LifeLine::Stopped {
+            after_ms: now.since(times.begun_at).as_millis() as u64,
+            silent_ms: silent.as_millis() as u64,
+        };
+        self.context.note("stopped", &line);
+        self.context.log.borrow_mut().write();
+        cx.shutdown(StopCause::Stopped);
+    }
+
+    /// Reads the settings anew; addresses of sockets change only with a restart.
+    fn reload(&mut self, _cx: CX![]) {
+        let newer = match load_packet_settings(&self.context.settings_path) {
+            Ok(newer) => newer,
+            Err(findings) => {
+                let findings = findings.to_string();
+                return self
+                    .context
+                    .note("reload_refused", &LifeLine::ReloadRefused { findings: &findings });
+            }
+        };
+        let changes = self.context.settings.borrow().changes(&newer);
+        let changes =
+            changes.iter().map(|(key, before, after)| format!("{key}: {before} to {after}"));
+        self.context.note("reloaded", &LifeLine::Reloaded { changes: changes.collect() });
+        self.context.member.borrow_mut().set_seeds(newer.seeds.clone());
+        let mut settings = self.context.settings.borrow_mut();
+        settings.seeds = newer.seeds;
+        settings.stop_ms = newer.stop_ms;
+    }
+
+    fn set_phase(&self, phase: EnginePhase, cause: &str) {
+        let before = self.context.phase.word();
+        self.context.phase.set(phase);
+        let name = self.context.settings.borrow().name.to_string();
+        let change = AuditChange::new(AuditKind::ProcessChanged, name)
+            .values(before, self.context.phase.word())
+            .because(cause, "life");
+        self.context.record(change);
+    }
+}
--- /dev/null
+++ b/crates/foxledge-daemon/src/packets/metrics.rs
@@ -0,0 +1,140 @@
+//! Metrics of the packets' tree.
+
+use prometheus::{
+    Encoder, Histogram, HistogramOpts, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
+    TextEncoder, core::Collector, process_collector::ProcessCollector,
+};
+
+const LATENCY_BUCKETS: [f64; 11] =
+    [0.005, 0.01, 0.02, 0.035, 0.05, 0.075, 0.1, 0.15, 0.25, 0.5, 1.0];
+
+/// `PacketMetrics` is every metric of an instance that routes packets.
+pub struct PacketMetrics {
+    registry: Registry,
+    /// Packets by what was decided.
+    pub packets: IntCounterVec,
+    /// Datagrams of callers that weren't packets, by fault.
+    pub malformed: IntCounterVec,
+    /// Opening packets by why they were refused.
+    pub refusals: IntCounterVec,
+    /// Packets that were dropped, by reason.
+    pub drops: IntCounterVec,
+    /// Datagrams that the system didn't take, by socket.
+    pub send_errors: IntCounterVec,
+    /// Time from a request to the first sign of its answer.
+    pub latency: Histogram,
+    /// Opening packets that callers sent again.
+    pub open_copies: IntCounter,
+    /// Opening packets that weren't answered as fast as others are.
+    pub open_overdue: IntCounter,
+    /// Data that callers sent again.
+    pub data_resent: IntCounter,
+    /// Flows that are tracked.
+    pub flows: IntGauge,
+    /// Observations of backend servers by kind and by who observed.
+    pub health_notes: IntCounterVec,
+    /// Backend servers that get no new flows for want of health.
+    pub ejected: IntGauge,
+    /// Revision of the list.
+    pub list_revision: IntGauge,
+    /// Operators' version of the list.
+    pub list_version: IntGauge,
+    /// Age of the store's last confirmation; -1 before the first.
+    pub list_age_ms: IntGauge,
+    /// Other instances that are known.
+    pub peers: IntGauge,
+    /// 1 while this instance reads the store.
+    pub is_reader: IntGauge,
+    /// Calls of the store by outcome.
+    pub store_calls: IntCounterVec,
+    /// Messages between instances by direction.
+    pub messages: IntCounterVec,
+    /// Bytes of them by direction.
+    pub message_bytes: IntCounterVec,
+    /// Log lines that weren't written.
+    pub lines_suppressed: IntGauge,
+    /// Restarts of parts.
+    pub part_restarts: IntCounterVec,
+}
+
+impl Default for PacketMetrics {
+    fn default() -> PacketMetrics {
+        PacketMetrics::new()
+    }
+}
+
+impl PacketMetrics {
+    /// Makes the metrics, all zero.
+    pub fn new() -> PacketMetrics {
+        let registry = Registry::new();
+        let r = &registry;
+        let set = PacketMetrics {
+            packets: counters(r, "packets_total", "Packets by decision", &["decision"]),
+            malformed: counters(r, "malformed_total", "Datagrams that are no packets", &["fault"]),
+            refusals: counters(r, "refusals_total", "Refused opening packets", &["reason"]),
+            drops: counters(r, "drops_total", "Dropped packets", &["reason"]),
+            send_errors: counters(r, "send_errors_total", "Datagrams not sent", &["socket"]),
+            latency: latency(r),
+            open_copies: counter(r, "open_copies_total", "Copies of opening packets"),
+            open_overdue: counter(r, "open_overdue_total", "Openings unanswered in time"),
+            data_resent: counter(r, "data_resent_total", "Data that callers sent again"),
+            flows: gauge(r, "flows", "Flows that are tracked"),
+            health_notes: counters(
+                r,
+                "health_notes_total",
+                "Observations of backend servers",
+                &["kind", "observer"],
+            ),
+            ejected: gauge(r, "backends_ejected", "Backend servers without new flows"),
+            list_revision: gauge(r, "list_revision", "Revision of the list"),
+            list_version: gauge(r, "list_version", "Operators' version of the list"),
+            list_age_ms: gauge(r, "list_age_milliseconds", "Age of the last confirmation"),
+            peers: gauge(r, "peers", "Other instances that are known"),
+            is_reader: gauge(r, "is_reader", "1 while this instance reads the store"),
+            store_calls: counters(r, "store_calls_total", "Calls of the store", &["outcome"]),
+            messages: counters(r, "messages_total", "Messages of instances", &["direction"]),
+            message_bytes: counters(r, "message_bytes_total", "Bytes of them", &["direction"]),
+            lines_suppressed: gauge(r, "log_lines_suppressed", "Lines not written"),
+            part_restarts: counters(r, "part_restarts_total", "Restarts of parts", &["part"]),
+            registry: registry.clone(),
+        };
+        // The first collector of the process's own names can't clash.
+        r.register(Box::new(ProcessCollector::for_self())).expect("names differ");
+        set
+    }
+
+    /// The text that `/metrics` answers with.
+    pub fn render(&self) -> String {
+        let mut text = Vec::new();
+        // Encoding into memory fails only for a metric without a name, and all have one.
+        let _ = TextEncoder::new().encode(&self.registry.gather(), &mut text);
+        String::from_utf8_lossy(&text).into_owned()
+    }
+}
+
+fn latency(registry: &Registry) -> Histogram {
+    let options = HistogramOpts::new("foxledge_answer_seconds", "From a request to its answer")
+        .buckets(LATENCY_BUCKETS.to_vec());
+    register(registry, Histogram::with_opts(options).expect("the name is good"))
+}
+
+fn counters(registry: &Registry, name: &str, help: &str, labels: &[&str]) -> IntCounterVec {
+    let options = Opts::new(format!("foxledge_{name}"), help);
+    register(registry, IntCounterVec::new(options, labels).expect("the name is good"))
+}
+
+fn counter(registry: &Registry, name: &str, help: &str) -> IntCounter {
+    let counter = IntCounter::new(format!("foxledge_{name}"), help);
+    register(registry, counter.expect("the name is good"))
+}
+
+fn gauge(registry: &Registry, name: &str, help: &str) -> IntGauge {
+    let gauge = IntGauge::new(format!("foxledge_{name}"), help);
+    register(registry, gauge.expect("the name is good"))
+}
+
+fn register<T: Collector + Clone + 'static>(registry: &Registry, collector: T) -> T {
+    // Fails only when a name stands twice, which every start would show.
+    registry.register(Box::new(collector.clone())).expect("names differ");
+    collector
+}
--- /dev/null
+++ b/crates/foxledge-daemon/src/packets/reports.rs
@@ -0,0 +1,111 @@
+//! What operators see of an instance that routes packets.
+
+use foxledge_core::time::ClockTime;
+use foxledge_flows::{FlowRouter, rows::RowValue};
+use foxledge_gossip::FleetMember;
+use serde::Serialize;
+
+/// Most backend servers in a report, so that its size stays bounded.
+const MOST_BACKENDS: usize = 2_000;
+
+/// `BackendReport` is one backend server as this instance sees it.
+#[derive(Clone, Debug, Serialize)]
+pub struct BackendReport {
+    /// Its key in the list.
+    pub backend: String,
+    /// Its service.
+    pub service: String,
+    /// Its data centre.
+    pub data_centre: String,
+    /// Where it takes packets.
+    pub address: String,
+    /// What is believed of its health.
+    pub health: foxledge_flows::HealthClass,
+    /// True when it may get new flows.
+    pub takes_flows: bool,
+    /// Published as leaving.
+    pub is_draining: bool,
+    /// Requests that run there by this instance's own view.
+    pub running: u32,
+    /// Flows open there by this instance's own view.
+    pub flows: u32,
+    /// Revision of its entry.
+    pub revision: u64,
+}
+
+/// `RouteReport` is what the router knows.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct RouteReport {
+    /// Flows that are tracked.
+    pub flows: usize,
+    /// Backend servers, the first of them when there are many.
+    pub backends: Vec<BackendReport>,
+}
+
+impl RouteReport {
+    /// Describes a router at `now`.
+    pub fn new(router: &FlowRouter, now: ClockTime) -> RouteReport {
+        let backends = router.backends().take(MOST_BACKENDS).map(|backend| BackendReport {
+            backend: backend.key.to_string(),
+            service: backend.service.to_string(),
+            data_centre: backend.data_centre.to_string(),
+            address: backend.address.to_string(),
+            health: backend.health.class(now),
+            takes_flows: backend.takes_flows(now),
+            is_draining: backend.is_draining,
+            running: backend.running,
+            flows: backend.flows,
+            revision: backend.revision,
+        });
+        RouteReport { flows: router.tracked_flows(), backends: backends.collect() }
+    }
+}
+
+/// `MemberReport` is what an instance knows of list and fleet.
+#[derive(Clone, Debug, Serialize)]
+pub struct MemberReport {
+    /// The operators' version of the list.
+    pub version: u64,
+    /// The store's revision.
+    pub revision: u64,
+    /// Time since the store confirmed the list.
+    pub confirmed_age_ms: Option<u64>,
+    /// True while this instance reads the store.
+    pub is_reader: bool,
+    /// Other instances that are known.
+    pub peers: usize,
+    /// Routes in force.
+    pub routes: usize,
+}
+
+impl MemberReport {
+    /// Describes a member at `now`.
+    pub fn new(member: &FleetMember, now: ClockTime) -> MemberReport {
+        let list = member.list();
+        let is_route =
+            |row: &&foxledge_flows::rows::ListRow| matches!(row.value, Some(RowValue::Route(_)));
+        MemberReport {
+            version: list.version(),
+            revision: list.head(),
+            confirmed_age_ms: member.confirmed_at().map(|at| now.since(at).as_millis() as u64),
+            is_reader: member.is_reading(),
+            peers: member.peer_count(),
+            routes: list.rows().filter(is_route).count(),
+        }
+    }
+}
+
+/// `StatusReport` is the whole instance.
+#[derive(Clone, Debug, Serialize)]
+pub struct StatusReport {
+    /// Its name.
+    pub instance: String,
+    /// Its data centre.
+    pub data_centre: String,
+    /// Its phase.
+    pub phase: &'static str,
+    /// List and fleet.
+    pub list: MemberReport,
+    /// Flows and backend servers.
+    pub routing: RouteReport,
+}
--- /dev/null
+++ b/crates/foxledge-daemon/src/packets/side.rs
@@ -0,0 +1,174 @@
+//! The side thread: calls of the store, and HTTP for routers and operators.
+//!
+//! It runs a tokio runtime of its own and decides nothing.
+
+use std::{io, net::TcpListener, sync::Arc, thread, time::Duration};
+
+use axum::{Json, Router, extract::State, http::StatusCode, response::IntoResponse, routing::get};
+use foxledge_engine::EnginePhase;
+use foxledge_flows::{ListReading, ListSource, SourceError};
+use foxledge_gossip::ReadOrder;
+use serde_json::{Value, json};
+use stakker::sync::Channel;
+use tokio::{
+    runtime,
+    sync::{mpsc, oneshot},
+    time::timeout,
+};
+
+use crate::phase::PhaseCell;
+
+use super::metrics::PacketMetrics;
+
+/// Longest wait for the main thread's answer to an operator's question.
+const ANSWER_WAIT: Duration = Duration::from_millis(500);
+const METRICS_TYPE: &str = "text/plain; version=0.0.4";
+
+/// `SideOrder` is what the main thread wants done.
+#[derive(Clone, Copy, Debug)]
+pub enum SideOrder {
+    /// Call the store.
+    Read(ReadOrder),
+}
+
+/// `SideEvent` is what the side thread tells the main thread.
+pub enum SideEvent {
+    /// The store's answer to an order.
+    Reading(ReadOrder, Result<ListReading, SourceError>),
+    /// An operator asks something.
+    Asked(OperatorQuestion, oneshot::Sender<Value>),
+    /// The thread has ended.
+    Ended(String),
+}
+
+/// `OperatorQuestion` is what operators can ask.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum OperatorQuestion {
+    /// The whole instance.
+    Status,
+    /// The audit trail.
+    Audit,
+    /// Bring the metrics' gauges up to date.
+    Gauges,
+}
+
+/// `SideThread` is what the thread starts with.
+pub struct SideThread {
+    /// Orders of the main thread.
+    pub orders: mpsc::UnboundedReceiver<SideOrder>,
+    /// Reads the store.
+    pub source: Box<dyn ListSource>,
+    /// HTTP for routers.
+    pub admin: TcpListener,
+    /// HTTP for metrics and operators.
+    pub metrics_listener: Option<TcpListener>,
+    /// The metrics.
+    pub metrics: Arc<PacketMetrics>,
+    /// The phase of the process.
+    pub phase: Arc<PhaseCell>,
+    /// Where events go.
+    pub events: Channel<SideEvent>,
+}
+
+#[derive(Clone)]
+struct AdminState {
+    metrics: Arc<PacketMetrics>,
+    phase: Arc<PhaseCell>,
+    events: Channel<SideEvent>,
+}
+
+impl SideThread {
+    /// Starts the thread; it ends when the sender of orders is dropped.
+    ///
+    /// # Errors
+    ///
+    /// When the system gives no thread or no event queue.
+    pub fn start(self) -> io::Result<()> {
+        let runtime = runtime::Builder::new_current_thread().enable_io().enable_time().build()?;
+        let events = self.events.clone();
+        thread::Builder::new().name("side".to_owned()).spawn(move || {
+            let why = match runtime.block_on(self.run()) {
+                Ok(()) => "no more orders".to_owned(),
+                Err(error) => error.to_string(),
+            };
+            events.send(SideEvent::Ended(why));
+        })?;
+        Ok(())
+    }
+
+    async fn run(self) -> io::Result<()> {
+        let state =
+            AdminState { metrics: self.metrics, phase: self.phase, events: self.events.clone() };
+        let router = operator_routes(state);
+        if let Some(listener) = self.metrics_listener {
+            tokio::spawn(serve(listener, router.clone()));
+        }
+        tokio::select! {
+            result = serve(self.admin, router) => result,
+            () = read_store(self.source, self.orders, self.events) => Ok(()),
+        }
+    }
+}
+
+fn operator_routes(state: AdminState) -> Router {
+    Router::new()
+        .route("/healthz", get(healthz))
+        .route("/metrics", get(metrics_text))
+        .route("/status", get(status))
+        .route("/audit", get(audit))
+        .with_state(state)
+}
+
+async fn serve(listener: TcpListener, router: Router) -> io::Result<()> {
+    let listener = tokio::net::TcpListener::from_std(listener)?;
+    axum::serve(listener, router).await
+}
+
+async fn read_store(
+    mut source: Box<dyn ListSource>,
+    mut orders: mpsc::UnboundedReceiver<SideOrder>,
+    events: Channel<SideEvent>,
+) {
+    while let Some(SideOrder::Read(order)) = orders.recv().await {
+        let answer = match order {
+            ReadOrder::All(mode) => source.read_all(mode).await,
+            ReadOrder::Watch { after, wait_ms } => source.watch(after, wait_ms).await,
+        };
+        events.send(SideEvent::Reading(order, answer));
+    }
+}
+
+async fn healthz(State(state): State<AdminState>) -> impl IntoResponse {
+    let is_serving = state.phase.get() == EnginePhase::Serving;
+    let code = if is_serving { StatusCode::OK } else { StatusCode::SERVICE_UNAVAILABLE };
+    (code, Json(json!({ "phase": state.phase.word() })))
+}
+
+async fn metrics_text(State(state): State<AdminState>) -> impl IntoResponse {
+    // Old gauges are better than no answer when the main thread is busy.
+    let _ = ask(&state, OperatorQuestion::Gauges).await;
+    ([("content-type", METRICS_TYPE)], state.metrics.render())
+}
+
+async fn status(State(state): State<AdminState>) -> impl IntoResponse {
+    answer_or_busy(ask(&state, OperatorQuestion::Status).await)
+}
+
+async fn audit(State(state): State<AdminState>) -> impl IntoResponse {
+    answer_or_busy(ask(&state, OperatorQuestion::Audit).await)
+}
+
+async fn ask(state: &AdminState, question: OperatorQuestion) -> Option<Value> {
+    let (sender, answer) = oneshot::channel();
+    if !state.events.send(SideEvent::Asked(question, sender)) {
+        return None;
+    }
+    timeout(ANSWER_WAIT, answer).await.ok()?.ok()
+}
+
+fn answer_or_busy(answer: Option<Value>) -> (StatusCode, Json<Value>) {
+    match answer {
+        Some(value) => (StatusCode::OK, Json(value)),
+        None => (StatusCode::SERVICE_UNAVAILABLE, Json(json!({ "error": "busy" }))),
+    }
+}
--- a/crates/foxledge-daemon/src/parts.rs
+++ b/crates/foxledge-daemon/src/parts.rs
@@ -27,6 +27,10 @@
     Link,
     /// Start and planned stop.
     Life,
+    /// Packets of callers, where packets are routed.
+    Flows,
+    /// List and peers, where packets are routed.
+    Fleet,
 }
 
 impl PartKind {
@@ -39,6 +43,8 @@
             PartKind::Members => "members",
             PartKind::Link => "link",
             PartKind::Life => "life",
+            PartKind::Flows => "flows",
+            PartKind::Fleet => "fleet",
         }
     }
 }
@@ -106,6 +112,8 @@
                 directory.life.set(&owner);
                 owner.anon()
             }
+            // `parts` names neither; they belong to the tree of packets.
+            PartKind::Flows | PartKind::Fleet => unreachable!("no part of this tree"),
         }
     }
 
--- a/crates/foxledge-daemon/src/sockets.rs
+++ b/crates/foxledge-daemon/src/sockets.rs
@@ -78,7 +78,8 @@
     }
 }
 
-fn bind_udp(key: &str, address: SocketAddr) -> Result<UdpSocket> {
+/// Binds a UDP socket; the error names the address and its setting.
+pub(crate) fn bind_udp(key: &str, address: SocketAddr) -> Result<UdpSocket> {
     let socket = UdpSocket::bind(address).with_context(|| bind_failed(key, address))?;
     // A burst that comes while the main loop is busy waits in the kernel; a
     // smaller limit of the system's is taken as it is.
@@ -87,7 +88,8 @@
     Ok(socket)
 }
 
-fn bind_tcp(key: &str, address: SocketAddr) -> Result<TcpListener> {
+/// Binds a listening TCP socket; the error names the address and its setting.
+pub(crate) fn bind_tcp(key: &str, address: SocketAddr) -> Result<TcpListener> {
     let listener = TcpListener::bind(address).with_context(|| bind_failed(key, address))?;
     listener.set_nonblocking(true)?;
     Ok(listener)
--- a/crates/foxledge-daemon/src/supervisor.rs
+++ b/crates/foxledge-daemon/src/supervisor.rs
@@ -7,7 +7,7 @@
 use log::{info, warn};
 use rand::{SeedableRng, rngs::StdRng};
 use serde::Serialize;
-use stakker::{ActorOwnAnon, CX, Ret, StopCause, after, ret_some_to};
+use stakker::{ActorOwnAnon, CX, Ret, StopCause, after, fail, ret_some_to};
 use std::time::Duration;
 
 use crate::{
@@ -159,6 +159,11 @@
         answer(dropped.is_some());
     }
 
+    /// Ends the process, as something outside of the parts failed for good.
+    pub fn give_up(&mut self, cx: CX![], why: String) {
+        fail!(cx, "{}", why);
+    }
+
     fn start_slot(&mut self, cx: CX![], index: usize) {
         let slot = &mut self.slots[index];
         slot.starts += 1;
--- /dev/null
+++ b/crates/foxledge-flows/src/health.rs
@@ -0,0 +1,145 @@
+//! What packets tell of a backend server's health.
+//!
+//! Backend servers answer callers directly, so an instance sees no answer. It
+//! sees what follows one: a caller that got the answer to its opening packet
+//! goes on, one that didn't falls silent or sends the opening packet again.
+
+use foxledge_core::time::ClockTime;
+use serde::Serialize;
+
+/// How long one sign of silence keeps new flows away, in milliseconds.
+///
+/// Long enough for the caller's first resend at 200 ms to confirm or refute it;
+/// a false alarm after a lost datagram costs one backend server for that long.
+pub const SUSPECT_MS: u64 = 300;
+/// First time without new flows after confirmed silence, in milliseconds.
+///
+/// Each return risks one caller's 200 ms until its resend. The platform drops the
+/// entry of a dead process after about 3.6 s, so two or three are risked.
+const FIRST_EJECTION_MS: u64 = 1_000;
+/// Longest time without new flows, in milliseconds.
+const LONGEST_EJECTION_MS: u64 = 8_000;
+
+/// `NoteKind` is what one instance tells others of a backend server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum NoteKind {
+    /// A new flow wasn't answered as fast as others are.
+    Suspect,
+    /// Silence is confirmed.
+    Ejected,
+    /// It answers again.
+    Alive,
+}
+
+/// `HealthNote` is one instance's observation of one backend server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct HealthNote {
+    /// The number of the backend server.
+    pub number: u64,
+    /// What was observed.
+    pub kind: NoteKind,
+    /// When, on the clock of this process.
+    pub at: ClockTime,
+}
+
+/// `HealthState` is what is believed of one backend server.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct HealthState {
+    suspect_until: ClockTime,
+    ejected_until: ClockTime,
+    ejections: u32,
+    alive_at: ClockTime,
+    strikes: u32,
+}
+
+/// `HealthClass` orders backend servers for new flows, the best first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum HealthClass {
+    /// Nothing speaks against it.
+    Healthy,
+    /// Was ejected, and one flow may try it.
+    Probation,
+    /// One sign of silence.
+    Suspect,
+    /// Confirmed silence.
+    Ejected,
+}
+
+impl HealthState {
+    /// Its class at `now`.
+    pub fn class(&self, now: ClockTime) -> HealthClass {
+        if !self.ejected_until.is_past(now) {
+            return HealthClass::Ejected;
+        }
+        if !self.suspect_until.is_past(now) {
+            return HealthClass::Suspect;
+        }
+        match self.ejections {
+            0 => HealthClass::Healthy,
+            _ => HealthClass::Probation,
+        }
+    }
+
+    /// When it last gave a sign of life.
+    pub fn alive_at(&self) -> ClockTime {
+        self.alive_at
+    }
+
+    /// Takes a sign of life; returns the news for others, if it is any.
+    pub fn on_alive(&mut self, now: ClockTime) -> Option<NoteKind> {
+        let was_ejected = self.ejections > 0;
+        *self = HealthState { alive_at: now, ..HealthState::default() };
+        was_ejected.then_some(NoteKind::Alive)
+    }
+
+    /// Takes a first sign of silence about something sent at `sent`.
+    ///
+    /// A second one in a row, or one while the backend server is on probation,
+    /// confirms the first.
+    pub fn on_suspicion(&mut self, now: ClockTime, sent: ClockTime) -> Option<NoteKind> {
+        if self.alive_at > sent {
+            return None;
+        }
+        self.strikes += 1;
+        if self.strikes > 1 || self.ejections > 0 {
+            return self.on_silence(now, sent);
+        }
+        self.suspect_until = now.after_millis(SUSPECT_MS);
+        Some(NoteKind::Suspect)
+    }
+
+    /// Takes confirmed silence about something sent at `sent`.
+    pub fn on_silence(&mut self, now: ClockTime, sent: ClockTime) -> Option<NoteKind> {
+        let is_ejected = !self.ejected_until.is_past(now);
+        if self.alive_at > sent || is_ejected {
+            return None;
+        }
+        self.eject(now);
+        Some(NoteKind::Ejected)
+    }
+
+    /// Takes an observation of another instance.
+    pub fn on_note(&mut self, now: ClockTime, note: &HealthNote) {
+        if note.at <= self.alive_at {
+            return;
+        }
+        match note.kind {
+            NoteKind::Alive => {
+                *self = HealthState { alive_at: note.at, ..HealthState::default() };
+            }
+            NoteKind::Suspect => {
+                self.suspect_until = self.suspect_until.max(note.at.after_millis(SUSPECT_MS));
+            }
+            NoteKind::Ejected if self.ejected_until.is_past(now) => self.eject(now),
+            NoteKind::Ejected => {}
+        }
+    }
+
+    fn eject(&mut self, now: ClockTime) {
+        let doubled = FIRST_EJECTION_MS << self.ejections.min(8);
+        self.ejections += 1;
+        self.ejected_until = now.after_millis(doubled.min(LONGEST_EJECTION_MS));
+    }
+}
--- /dev/null
+++ b/crates/foxledge-flows/src/lib.rs
@@ -0,0 +1,35 @@
+//! Routing of packets between callers and backend servers.
+//!
+//! An instance sees the packets of callers only; backend servers answer callers
+//! directly. [`FlowRouter`] decides on each packet: a new flow is placed on a
+//! backend server, a packet of an open flow follows the 32-bit token that both
+//! ends carry, so that any instance can continue any flow without a table.
+//!
+//! What operators and backend servers publish is a set of [`rows::ListRow`]s,
+//! kept by [`list::FleetList`] in the order of the platform's revisions.
+//! Everything here is decision logic: packets, rows and the time go in,
+//! decisions come out.
+
+mod backends;
+mod health;
+mod openings;
+mod router;
+mod routes;
+mod tracks;
+
+pub mod list;
+pub mod packet;
+pub mod placement;
+pub mod rows;
+pub mod source;
+
+pub use backends::{Backend, BackendTable};
+pub use health::{HealthClass, HealthNote, HealthState, NoteKind};
+pub use list::FleetList;
+pub use packet::{FlowKey, FlowPacket, PacketCodec, PacketKind};
+pub use placement::{LeastLoaded, PlacementPolicy};
+pub use router::{
+    DropReason, FlowDecision, FlowRouter, OpenReason, RefuseReason, RouterCounts, RouterOptions,
+};
+pub use routes::{FlowRoute, flow_hash};
+pub use source::{ConfigReading, ItemChange, ListReading, ListSource, SourceError};
--- /dev/null
+++ b/crates/foxledge-flows/src/list.rs
@@ -0,0 +1,315 @@
+//! The published list as one instance knows it.
+
+use std::{
+    collections::{BTreeSet, HashMap},
+    ops::Bound,
+    sync::Arc,
+};
+
+use foxledge_core::time::ClockTime;
+use prost::Message;
+
+use crate::{
+    rows::{LIMITS_KEY, ListRow, RemovedRow, RowValue, backend_key, route_key},
+    source::{ConfigReading, ItemChange, ListReading},
+};
+
+/// How long a removed row stays known, in milliseconds.
+///
+/// A removed backend server keeps its open flows for as long as a flow may last
+/// (60 s on the users' platform), and an instance that was cut off for less than
+/// this catches up by changes instead of by a whole copy.
+const REMOVED_KEPT_MS: u64 = 90_000;
+
+/// `ListCursor` is a place in the order of changes.
+#[derive(Clone, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct ListCursor {
+    /// Revision of the last row before the place.
+    pub revision: u64,
+    /// Its key; empty for a place after all rows of lower revisions.
+    pub key: Arc<str>,
+}
+
+impl ListCursor {
+    /// The place after every row of `revision`.
+    pub fn after(revision: u64) -> ListCursor {
+        // No key sorts behind this one, as keys are ASCII.
+        ListCursor { revision, key: Arc::from("\u{10ffff}") }
+    }
+
+    /// The place before every row.
+    pub fn start() -> ListCursor {
+        ListCursor { revision: 0, key: Arc::from("") }
+    }
+}
+
+/// `ListPage` is some rows in the order of changes.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct ListPage {
+    /// The rows.
+    pub rows: Vec<ListRow>,
+    /// Where the next page begins; none after the last.
+    pub next: Option<ListCursor>,
+}
+
+/// `FleetList` is every published row, known in full up to one revision.
+///
+/// The revision never falls within a process: rows of an older revision than
+/// the known one are passed over, whoever brings them.
+#[derive(Clone, Debug, Default)]
+pub struct FleetList {
+    rows: HashMap<Arc<str>, ListRow>,
+    order: BTreeSet<(u64, Arc<str>)>,
+    removed: HashMap<Arc<str>, ClockTime>,
+    head: u64,
+    floor: u64,
+}
+
+impl FleetList {
+    /// Makes an empty list, older than every published one.
+    pub fn new() -> FleetList {
+        FleetList::default()
+    }
+
+    /// The revision up to which the list is known in full; 0 before the first.
+    pub fn head(&self) -> u64 {
+        self.head
+    }
+
+    /// Removals at or below this revision are no longer listed.
+    pub fn floor(&self) -> u64 {
+        self.floor
+    }
+
+    /// The operators' version of the routes; 0 while none is known.
+    pub fn version(&self) -> u64 {
+        match self.rows.get(LIMITS_KEY).and_then(|row| row.value.as_ref()) {
+            Some(RowValue::Limits(limits)) => limits.version,
+            _ => 0,
+        }
+    }
+
+    /// True when routes are known, so that flows can be placed.
+    pub fn has_routes(&self) -> bool {
+        self.rows.contains_key(LIMITS_KEY)
+    }
+
+    /// Number of rows, removed ones included.
+    pub fn len(&self) -> usize {
+        self.rows.len()
+    }
+
+    /// True when nothing is known.
+    pub fn is_empty(&self) -> bool {
+        self.rows.is_empty()
+    }
+
+    /// Every row, in no order.
+    pub fn rows(&self) -> impl Iterator<Item = &ListRow> {
+        self.rows.values()
+    }
+
+    /// Takes what changed up to `head`; returns the rows that were new here.
+    pub fn take_changes(&mut self, now: ClockTime, rows: Vec<ListRow>, head: u64) -> Vec<ListRow> {
+        let known = self.head;
+        let news: Vec<_> = rows.into_iter().filter(|row| row.revision > known).collect();
+        let taken = news.into_iter().filter_map(|row| self.put(now, row)).collect();
+        self.head = self.head.max(head);
+        taken
+    }
+
+    /// Takes a whole copy; rows that it lacks are gone.
+    ///
+    /// A copy older than what is known is passed over.
+    pub fn take_copy(&mut self, now: ClockTime, rows: Vec<ListRow>, head: u64) -> Vec<ListRow> {
+        if head < self.head {
+            return Vec::new();
+        }
+        let listed: BTreeSet<&str> = rows.iter().map(|row| row.key.as_str()).collect();
+        let gone: Vec<_> = self
+            .rows
+            .values()
+            .filter(|row| !is_removed(row) && row.revision <= head)
+            .filter(|row| !listed.contains(row.key.as_str()))
+            .map(|row| removal(row, head))
+            .collect();
+        let mut taken: Vec<_> = rows.into_iter().filter_map(|row| self.put(now, row)).collect();
+        taken.extend(gone.into_iter().filter_map(|row| self.put(now, row)));
+        self.head = head;
+        taken
+    }
+
+    /// Turns a whole reading of the store into rows and takes them.
+    pub fn take_reading(&mut self, now: ClockTime, reading: ListReading) -> Vec<ListRow> {
+        if reading.head < self.head {
+            return Vec::new();
+        }
+        let head = reading.head;
+        let backends: BTreeSet<String> = reading.items.iter().filter_map(backend_of).collect();
+        let gone: Vec<_> = self
+            .rows
+            .values()
+            .filter(|row| matches!(row.value, Some(RowValue::Backend(_))))
+            .filter(|row| row.revision <= head && !backends.contains(&row.key))
+            .map(|row| removal(row, head))
+            .collect();
+        let mut rows = self.rows_of(reading.items);
+        rows.extend(gone);
+        let taken = rows.into_iter().filter_map(|row| self.put(now, row)).collect();
+        self.head = head;
+        taken
+    }
+
+    /// Turns changes of the store into rows and takes them.
+    pub fn take_watch(&mut self, now: ClockTime, reading: ListReading) -> Vec<ListRow> {
+        let head = reading.head;
+        let rows = self.rows_of(reading.items);
+        self.take_changes(now, rows, head)
+    }
+
+    /// Rows after a cursor, in order of changes, up to `budget` encoded bytes but one at least.
+    pub fn page(&self, now: ClockTime, cursor: &ListCursor, budget: usize) -> ListPage {
+        let from = (cursor.revision, cursor.key.clone());
+        let mut page = ListPage::default();
+        let mut size = 0;
+        for (revision, key) in self.order.range((Bound::Excluded(from), Bound::Unbounded)) {
+            let Some(row) = self.rows.get(key) else { continue };
+            let row = self.aged(now, row);
+            size += row.encoded_len() + ROW_FRAME;
+            if size > budget && !page.rows.is_empty() {
+                let last = page.rows.last().map(|row| row.key.as_str()).unwrap_or_default();
+                let before = page.rows.last().map_or(*revision, |row| row.revision);
+                page.next = Some(ListCursor { revision: before, key: Arc::from(last) });
+                return page;
+            }
+            page.rows.push(row);
+        }
+        page
+    }
+
+    /// Forgets removals that are older than any open flow.
+    pub fn forget_removed(&mut self, now: ClockTime) {
+        let old: Vec<_> = self
+            .removed
+            .iter()
+            .filter(|(_, at)| at.after_millis(REMOVED_KEPT_MS).is_past(now))
+            .map(|(key, _)| key.clone())
+            .collect();
+        for key in old {
+            self.removed.remove(&key);
+            let Some(row) = self.rows.remove(&key) else { continue };
+            self.order.remove(&(row.revision, key));
+            self.floor = self.floor.max(row.revision);
+        }
+    }
+
+    fn rows_of(&self, items: Vec<ItemChange>) -> Vec<ListRow> {
+        let mut rows = Vec::new();
+        for item in items {
+            match item {
+                ItemChange::Config { revision, config } => {
+                    rows.extend(self.config_rows(revision, config));
+                }
+                ItemChange::Backend { revision, id, backend } => rows.push(ListRow {
+                    key: backend_key(&id),
+                    revision,
+                    value: Some(RowValue::Backend(backend)),
+                }),
+                ItemChange::BackendGone { revision, id } => {
+                    let key = backend_key(&id);
+                    let Some(row) = self.rows.get(key.as_str()) else { continue };
+                    rows.push(removal(row, revision));
+                }
+                ItemChange::Malformed { .. } => {}
+            }
+        }
+        rows
+    }
+
+    /// The rows that differ from the operators' list in force.
+    ///
+    /// A row that didn't change keeps its revision, so that instances pass on
+    /// one row for one changed route. At 350 routes that is some 60 bytes in
+    /// place of 20 KB.
+    fn config_rows(&self, revision: u64, config: ConfigReading) -> Vec<ListRow> {
+        let mut listed = BTreeSet::new();
+        let mut rows = Vec::new();
+        let limits = (LIMITS_KEY.to_owned(), RowValue::Limits(config.limits));
+        let routes =
+            config.routes.into_iter().map(|route| (route_key(&route.name), RowValue::Route(route)));
+        for (key, value) in routes.chain([limits]) {
+            let known = self.rows.get(key.as_str()).and_then(|row| row.value.as_ref());
+            if known != Some(&value) {
+                rows.push(ListRow { key: key.clone(), revision, value: Some(value) });
+            }
+            listed.insert(key);
+        }
+        let gone = self
+            .rows
+            .values()
+            .filter(|row| matches!(row.value, Some(RowValue::Route(_))))
+            .filter(|row| row.revision < revision && !listed.contains(&row.key))
+            .map(|row| removal(row, revision));
+        rows.extend(gone);
+        rows
+    }
+
+    /// Puts a row in place unless a newer one is known.
+    fn put(&mut self, now: ClockTime, row: ListRow) -> Option<ListRow> {
+        let key: Arc<str> = Arc::from(row.key.as_str());
+        if let Some(known) = self.rows.get(&key) {
+            if known.revision >= row.revision {
+                return None;
+            }
+            self.order.remove(&(known.revision, key.clone()));
+        }
+        match &row.value {
+            Some(RowValue::Removed(removed)) => {
+                let age = u64::from(removed.age_ms) * 1_000;
+                let at = ClockTime::from_micros(now.as_micros().saturating_sub(age));
+                self.removed.insert(key.clone(), at);
+            }
+            _ => {
+                self.removed.remove(&key);
+            }
+        }
+        self.order.insert((row.revision, key.clone()));
+        self.rows.insert(key, row.clone());
+        Some(row)
+    }
+
+    /// The row with the time since its removal, as it is sent.
+    fn aged(&self, now: ClockTime, row: &ListRow) -> ListRow {
+        let mut row = row.clone();
+        if let Some(RowValue::Removed(removed)) = &mut row.value {
+            let at = self.removed.get(row.key.as_str()).copied().unwrap_or(now);
+            removed.age_ms = u32::try_from(now.since(at).as_millis()).unwrap_or(u32::MAX);
+        }
+        row
+    }
+}
+
+/// Bytes that a row takes in a message beside its own: a tag and a length.
+const ROW_FRAME: usize = 4;
+
+fn backend_of(item: &ItemChange) -> Option<String> {
+    match item {
+        ItemChange::Backend { id, .. } => Some(backend_key(id)),
+        ItemChange::Malformed { key, .. } => Some(key.clone()),
+        ItemChange::Config { .. } | ItemChange::BackendGone { .. } => None,
+    }
+}
+
+fn is_removed(row: &ListRow) -> bool {
+    matches!(row.value, Some(RowValue::Removed(_)) | None)
+}
+
+fn removal(row: &ListRow, revision: u64) -> ListRow {
+    let backend = match &row.value {
+        Some(RowValue::Backend(backend)) => Some(backend.clone()),
+        Some(RowValue::Removed(removed)) => removed.backend.clone(),
+        _ => None,
+    };
+    let removed = RemovedRow { backend, age_ms: 0 };
+    ListRow { key: row.key.clone(), revision, value: Some(RowValue::Removed(removed)) }
+}
--- /dev/null
+++ b/crates/foxledge-flows/src/openings.rs
@@ -0,0 +1,133 @@
+//! New flows whose opening packet has been sent on and whose caller hasn't gone on yet.
+
+use std::{
+    collections::{HashMap, VecDeque},
+    net::Ipv4Addr,
+};
+
+use foxledge_core::time::ClockTime;
+
+use crate::packet::FlowKey;
+
+/// How long an opening packet may stay unanswered, in milliseconds, before it
+/// speaks against the backend server.
+///
+/// A caller 3 ms away goes on 7 ms after its opening packet passed here. The
+/// rest is room for a late turn of this process.
+pub const ANSWER_WAIT_MS: u64 = 40;
+/// How long an opening packet is remembered, in milliseconds: callers send
+/// copies after 200 and 600 ms and give up after 1.4 s.
+const REMEMBERED_MS: u64 = 1_500;
+/// Most openings remembered at a time; more come only with a flood, and then
+/// the oldest tell least.
+const MOST_OPENINGS: usize = 20_000;
+
+/// `Opening` is one opening packet that was sent on.
+#[derive(Clone, Copy, Debug)]
+pub struct Opening {
+    /// Index of the backend server.
+    pub backend: usize,
+    /// When the packet was sent there first.
+    pub sent: ClockTime,
+    /// True once its silence was counted against the backend server.
+    pub is_overdue: bool,
+}
+
+/// `OpeningTable` is every opening that waits for its caller to go on.
+#[derive(Debug, Default)]
+pub struct OpeningTable {
+    waiting: HashMap<FlowKey, Opening>,
+    by_caller: HashMap<Ipv4Addr, Vec<(usize, ClockTime)>>,
+    fresh: HashMap<usize, u32>,
+    by_age: VecDeque<(ClockTime, FlowKey)>,
+    overdue: VecDeque<(ClockTime, FlowKey)>,
+}
+
+impl OpeningTable {
+    /// Notes that an opening packet was sent to a backend server.
+    pub fn add(&mut self, now: ClockTime, key: FlowKey, backend: usize) {
+        self.remove(&key);
+        if self.waiting.len() >= MOST_OPENINGS {
+            return;
+        }
+        self.waiting.insert(key, Opening { backend, sent: now, is_overdue: false });
+        self.by_caller.entry(*key.caller.ip()).or_default().push((backend, now));
+        *self.fresh.entry(backend).or_default() += 1;
+        self.by_age.push_back((now, key));
+    }
+
+    /// The opening of a flow.
+    pub fn get(&self, key: &FlowKey) -> Option<&Opening> {
+        self.waiting.get(key)
+    }
+
+    /// Takes an opening out, as its caller went on or gave up.
+    pub fn remove(&mut self, key: &FlowKey) -> Option<Opening> {
+        let opening = self.waiting.remove(key)?;
+        let caller = *key.caller.ip();
+        if let Some(openings) = self.by_caller.get_mut(&caller) {
+            let found = openings.iter().position(|one| *one == (opening.backend, opening.sent));
+            if let Some(index) = found {
+                openings.swap_remove(index);
+            }
+            if openings.is_empty() {
+                self.by_caller.remove(&caller);
+            }
+        }
+        if !opening.is_overdue {
+            self.end_fresh(opening.backend);
+        }
+        Some(opening)
+    }
+
+    /// Openings at `backend` that wait and aren't overdue.
+    pub fn waiting_at(&self, backend: usize) -> u32 {
+        self.fresh.get(&backend).copied().unwrap_or(0)
+    }
+
+    /// True when `caller` has an opening at `backend` that waits since before `since`.
+    pub fn is_stuck(&self, caller: &Ipv4Addr, backend: usize, since: ClockTime) -> bool {
+        let Some(openings) = self.by_caller.get(caller) else { return false };
+        openings.iter().any(|(index, sent)| *index == backend && *sent < since)
+    }
+
+    /// The next opening that has waited for longer than [`ANSWER_WAIT_MS`]; each is told once.
+    pub fn next_overdue(&mut self, now: ClockTime) -> Option<(FlowKey, Opening)> {
+        self.forget(now);
+        loop {
+            let (sent, key) = *self.by_age.front()?;
+            if !sent.after_millis(ANSWER_WAIT_MS).is_past(now) {
+                return None;
+            }
+            self.by_age.pop_front();
+            let Some(opening) = self.waiting.get_mut(&key) else { continue };
+            if opening.sent != sent {
+                continue;
+            }
+            opening.is_overdue = true;
+            let told = *opening;
+            self.end_fresh(told.backend);
+            self.overdue.push_back((sent, key));
+            return Some((key, told));
+        }
+    }
+
+    fn forget(&mut self, now: ClockTime) {
+        while let Some((sent, key)) = self.overdue.front() {
+            if !sent.after_millis(REMEMBERED_MS).is_past(now) {
+                return;
+            }
+            if self.waiting.get(key).is_some_and(|opening| opening.sent == *sent) {
+                let key = *key;
+                self.remove(&key);
+            }
+            self.overdue.pop_front();
+        }
+    }
+
+    fn end_fresh(&mut self, backend: usize) {
+        if let Some(count) = self.fresh.get_mut(&backend) {
+            *count = count.saturating_sub(1);
+        }
+    }
+}
--- /dev/null
+++ b/crates/foxledge-flows/src/placement.rs
@@ -0,0 +1,109 @@
+//! Which backend server a new flow goes to.
+
+use foxledge_core::time::ClockTime;
+use serde::Serialize;
+
+use crate::health::HealthClass;
+
+/// `PlacementCandidate` is a backend server that may take a new flow.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PlacementCandidate {
+    /// Its index.
+    pub index: usize,
+    /// What is believed of its health.
+    pub class: HealthClass,
+    /// Openings that wait for its answer.
+    pub waiting: u32,
+    /// True when the caller waits in vain for its answer to another flow.
+    pub is_stuck: bool,
+    /// True in the data centre of this instance.
+    pub is_near: bool,
+    /// Requests that run there.
+    pub running: u32,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// True while it has just started and is slow.
+    pub is_cold: bool,
+    /// Open flows there.
+    pub flows: u32,
+    /// Counter of the last placement there.
+    pub picked: u64,
+}
+
+/// `PlacementRank` is by what a candidate is chosen, the least first.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize)]
+pub struct PlacementRank {
+    /// Health, the caller's own failed attempt included.
+    pub avoidance: u8,
+    /// Load and distance as one cost.
+    pub cost: u32,
+    /// Open flows.
+    pub flows: u32,
+    /// The longest unused goes first.
+    pub picked: u64,
+}
+
+/// `PlacementPolicy` chooses among candidates.
+pub trait PlacementPolicy {
+    /// The candidate for a new flow and its rank; none without candidates.
+    fn choose(
+        &mut self,
+        now: ClockTime,
+        candidates: &[PlacementCandidate],
+    ) -> Option<(usize, PlacementRank)>;
+}
+
+/// Cost of one request that runs, per slot.
+const REQUEST_COST: u32 = 100;
+/// Cost of a backend server that is cold: it takes 1.6 times as long, so one
+/// request there is as slow as one that waits behind half a request.
+const COLD_COST: u32 = 40;
+/// Cost of the way to another data centre.
+///
+/// Bytes between data centres are paid for. Flows leave only when every near
+/// backend server runs this many hundredths of its slots more than the far one.
+const FAR_COST: u32 = 200;
+
+/// `LeastLoaded` places on the healthiest, nearest, least loaded backend server.
+///
+/// The number of running requests is this instance's own view. Two choices among
+/// random ones would do with less knowledge; with every count at hand the least
+/// of all is as cheap.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct LeastLoaded;
+
+impl PlacementPolicy for LeastLoaded {
+    fn choose(
+        &mut self,
+        _now: ClockTime,
+        candidates: &[PlacementCandidate],
+    ) -> Option<(usize, PlacementRank)> {
+        let ranked = candidates.iter().map(|candidate| (rank(candidate), candidate.index));
+        ranked.min().map(|(rank, index)| (index, rank))
+    }
+}
+
+fn rank(candidate: &PlacementCandidate) -> PlacementRank {
+    let busy = (candidate.running + candidate.waiting) * REQUEST_COST / candidate.slots.max(1);
+    let cold = if candidate.is_cold { COLD_COST } else { 0 };
+    let far = if candidate.is_near { 0 } else { FAR_COST };
+    PlacementRank {
+        avoidance: avoidance(candidate),
+        cost: busy + cold + far,
+        flows: candidate.flows,
+        picked: candidate.picked,
+    }
+}
+
+fn avoidance(candidate: &PlacementCandidate) -> u8 {
+    if candidate.is_stuck {
+        return 3;
+    }
+    match candidate.class {
+        HealthClass::Healthy => 0,
+        // One flow at a time tries a backend server that was silent.
+        HealthClass::Probation if candidate.waiting == 0 => 0,
+        HealthClass::Probation | HealthClass::Suspect => 1,
+        HealthClass::Ejected => 2,
+    }
+}
--- /dev/null
+++ b/crates/foxledge-flows/src/router.rs
@@ -0,0 +1,433 @@
+//! Decisions on packets.
+
+use std::{net::Ipv4Addr, sync::Arc, time::Duration};
+
+use foxledge_core::{
+    names::{CentreName, ServiceName},
+    time::ClockTime,
+};
+use serde::Serialize;
+
+use crate::{
+    backends::{Backend, BackendTable},
+    health::{HealthNote, NoteKind},
+    openings::OpeningTable,
+    packet::{FlowKey, FlowPacket, PacketKind},
+    placement::{LeastLoaded, PlacementCandidate, PlacementPolicy, PlacementRank},
+    routes::{FlowRoute, RouteTable, flow_hash},
+    rows::{ListRow, RowValue},
+    tracks::{TrackNews, TrackTable},
+};
+
+/// A copy of an opening packet that comes sooner than this after the first, in
+/// milliseconds, goes to the same backend server.
+///
+/// Callers send copies after 200 ms. After a freeze the first packet and its
+/// copies wait in the socket together and are read at once: sent to several
+/// backend servers they would open the flow twice, and the caller would mix the
+/// token of one with the sequence numbers of the other.
+const COPY_MS: u64 = 150;
+/// How long an unanswered opening of the same caller counts as failed, in
+/// milliseconds.
+///
+/// A backend server that resets a flow makes its caller try again at once. An
+/// answer arrives within 7 ms, so a second flow of the caller that comes later
+/// than this avoids the backend server of the first.
+const STUCK_MS: u64 = 12;
+/// Idle time of flows while no list says another, in milliseconds.
+const DEFAULT_IDLE_MS: u64 = 15_000;
+
+/// `RouterOptions` is what a router starts with.
+#[derive(Clone, Debug)]
+pub struct RouterOptions {
+    data_centre: CentreName,
+    fresh_ms: u64,
+}
+
+impl RouterOptions {
+    /// Options of an instance in `data_centre`.
+    pub fn new(data_centre: CentreName) -> RouterOptions {
+        RouterOptions { data_centre, fresh_ms: 2_000 }
+    }
+
+    /// Sets how old the store's confirmation of the list may be, in
+    /// milliseconds, for a missing route to be refused; when it is older, the
+    /// caller gets no answer and a copy of its packet may find the route.
+    pub fn fresh_ms(mut self, fresh_ms: u64) -> RouterOptions {
+        self.fresh_ms = fresh_ms;
+        self
+    }
+}
+
+/// `FlowDecision` is what to do with a packet.
+#[derive(Clone, Debug, PartialEq)]
+pub enum FlowDecision {
+    /// Send it on to a backend server.
+    Forward {
+        /// Index of the backend server.
+        backend: usize,
+    },
+    /// Send the opening packet of a flow on, with a token.
+    Open {
+        /// Index of the backend server.
+        backend: usize,
+        /// Why this one.
+        reason: OpenReason,
+    },
+    /// Tell the caller at once that the flow can't be served.
+    Refuse(RefuseReason),
+    /// Do nothing.
+    Drop(DropReason),
+}
+
+/// `OpenReason` is by what an opening packet was placed.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct OpenReason {
+    /// The route that decided.
+    pub route: Arc<str>,
+    /// Its revision.
+    pub route_revision: u64,
+    /// Which copy of the opening packet, from 0.
+    pub copy: u32,
+    /// The rank that won; none when a copy follows the first packet.
+    pub rank: Option<PlacementRank>,
+    /// How many backend servers could be chosen from.
+    pub candidates: usize,
+}
+
+/// `RefuseReason` is why a caller is told that a flow can't be served.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum RefuseReason {
+    /// No route leads from the address.
+    NoRoute,
+    /// The service has no backend server that takes flows.
+    NoBackend,
+}
+
+/// `DropReason` is why a packet is dropped without an answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum DropReason {
+    /// No route is known, but a newer list may have one.
+    MaybeStale,
+    /// The token names no backend server that is known here.
+    UnknownToken,
+    /// The route of the open flow is gone.
+    RouteRemoved,
+    /// No list is known yet.
+    NoList,
+}
+
+impl DropReason {
+    /// The reason's word in metrics and logs.
+    pub fn word(self) -> &'static str {
+        match self {
+            DropReason::MaybeStale => "maybe_stale",
+            DropReason::UnknownToken => "unknown_token",
+            DropReason::RouteRemoved => "route_removed",
+            DropReason::NoList => "no_list",
+        }
+    }
+}
+
+/// `RouterCounts` is what a router counted since its start.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct RouterCounts {
+    /// Openings that stayed unanswered for too long.
+    pub overdue: u64,
+    /// Copies of opening packets.
+    pub copies: u64,
+    /// Data that callers sent again.
+    pub resent: u64,
+}
+
+/// `FlowRouter` decides on the packets of callers.
+pub struct FlowRouter {
+    options: RouterOptions,
+    routes: RouteTable,
+    backends: BackendTable,
+    openings: OpeningTable,
+    tracks: TrackTable,
+    policy: Box<dyn PlacementPolicy>,
+    notes: Vec<HealthNote>,
+    latencies: Vec<Duration>,
+    counts: RouterCounts,
+    confirmed_at: Option<ClockTime>,
+    idle_ms: u64,
+    picks: u64,
+}
+
+impl FlowRouter {
+    /// Makes a router that knows no list.
+    pub fn new(options: RouterOptions) -> FlowRouter {
+        FlowRouter {
+            options,
+            routes: RouteTable::default(),
+            backends: BackendTable::default(),
+            openings: OpeningTable::default(),
+            tracks: TrackTable::default(),
+            policy: Box::new(LeastLoaded),
+            notes: Vec::new(),
+            latencies: Vec::new(),
+            counts: RouterCounts::default(),
+            confirmed_at: None,
+            idle_ms: DEFAULT_IDLE_MS,
+            picks: 0,
+        }
+    }
+
+    /// Sets the policy that places new flows.
+    pub fn policy(mut self, policy: Box<dyn PlacementPolicy>) -> FlowRouter {
+        self.policy = policy;
+        self
+    }
+
+    /// Takes rows of the list.
+    pub fn take_rows(&mut self, now: ClockTime, rows: &[ListRow]) {
+        for row in rows {
+            if let Some(RowValue::Limits(limits)) = &row.value {
+                self.idle_ms = u64::from(limits.idle_ms).max(1_000);
+            }
+            self.routes.take(row);
+            self.backends.take(now, row);
+        }
+        self.backends.forget(now);
+    }
+
+    /// Notes when the store last confirmed that the list is the newest.
+    pub fn set_confirmed(&mut self, at: ClockTime) {
+        self.confirmed_at = Some(at);
+    }
+
+    /// Takes what another instance observed of a backend server.
+    pub fn take_note(&mut self, now: ClockTime, note: &HealthNote) {
+        let Some(index) = self.backends.by_number(note.number) else { return };
+        if let Some(backend) = self.backends.get_mut(index) {
+            backend.health.on_note(now, note);
+        }
+    }
+
+    /// What was observed of backend servers since the last call, for other instances.
+    pub fn take_notes(&mut self) -> Vec<HealthNote> {
+        std::mem::take(&mut self.notes)
+    }
+
+    /// Times from requests to their answers seen since the last call.
+    pub fn take_latencies(&mut self) -> Vec<Duration> {
+        std::mem::take(&mut self.latencies)
+    }
+
+    /// What was counted.
+    pub fn counts(&self) -> RouterCounts {
+        self.counts
+    }
+
+    /// The backend server at an index that a decision named.
+    pub fn backend(&self, index: usize) -> Option<&Backend> {
+        self.backends.get(index)
+    }
+
+    /// The backend server of a number.
+    pub fn backend_of(&self, number: u64) -> Option<&Backend> {
+        self.backends.get(self.backends.by_number(number)?)
+    }
+
+    /// Every backend server.
+    pub fn backends(&self) -> impl Iterator<Item = &Backend> {
+        self.backends.iter()
+    }
+
+    /// The route that decides for a flow.
+    pub fn route(&self, key: &FlowKey) -> Option<&Arc<FlowRoute>> {
+        self.routes.find(&key.service)
+    }
+
+    /// Flows that are tracked.
+    pub fn tracked_flows(&self) -> usize {
+        self.tracks.len()
+    }
+
+    /// Decides on a packet.
+    pub fn on_packet(&mut self, now: ClockTime, packet: &FlowPacket) -> FlowDecision {
+        self.check_overdue(now);
+        match packet.kind {
+            PacketKind::Open { copy } => self.open(now, packet, copy),
+            _ => self.follow(now, packet),
+        }
+    }
+
+    fn open(&mut self, now: ClockTime, packet: &FlowPacket, copy: u32) -> FlowDecision {
+        let Some(route) = self.routes.find(&packet.key.service).cloned() else {
+            return self.without_route(now);
+        };
+        if copy > 0 {
+            self.counts.copies += 1;
+        }
+        let reason = |rank, candidates| OpenReason {
+            route: Arc::from(route.name.as_str()),
+            route_revision: route.revision,
+            copy,
+            rank,
+            candidates,
+        };
+        let former = self.openings.get(&packet.key).copied();
+        if let Some(opening) = former {
+            if !opening.sent.after_millis(COPY_MS).is_past(now) {
+                return FlowDecision::Open { backend: opening.backend, reason: reason(None, 1) };
+            }
+            self.openings.remove(&packet.key);
+            self.note(now, opening.backend, |backend| backend.health.on_silence(now, opening.sent));
+        }
+        let service = route.service_of(&packet.key).clone();
+        let avoided = former.map(|opening| opening.backend);
+        let candidates = self.candidates(now, &service, &packet.key, avoided);
+        let Some((index, rank)) = self.policy.choose(now, &candidates) else {
+            return FlowDecision::Refuse(RefuseReason::NoBackend);
+        };
+        self.picks += 1;
+        if let Some(backend) = self.backends.get_mut(index) {
+            backend.picked = self.picks;
+        }
+        self.openings.add(now, packet.key, index);
+        FlowDecision::Open { backend: index, reason: reason(Some(rank), candidates.len()) }
+    }
+
+    /// What to do with an opening packet that no route matches.
+    ///
+    /// A refusal is final for the caller, so only an instance that has heard
+    /// lately that its list is the newest refuses.
+    fn without_route(&self, now: ClockTime) -> FlowDecision {
+        let Some(confirmed) = self.confirmed_at else {
+            return FlowDecision::Drop(DropReason::NoList);
+        };
+        if confirmed.after_millis(self.options.fresh_ms).is_past(now) {
+            return FlowDecision::Drop(DropReason::MaybeStale);
+        }
+        FlowDecision::Refuse(RefuseReason::NoRoute)
+    }
+
+    fn candidates(
+        &self,
+        now: ClockTime,
+        service: &ServiceName,
+        key: &FlowKey,
+        avoided: Option<usize>,
+    ) -> Vec<PlacementCandidate> {
+        let caller: Ipv4Addr = *key.caller.ip();
+        let stuck_before = ClockTime::from_micros(now.as_micros().saturating_sub(STUCK_MS * 1_000));
+        let indexes = self.backends.of_service(service);
+        // Each flow starts its look elsewhere, so that instances that know
+        // nothing yet don't all begin with the same backend server.
+        let shift = flow_hash(key);
+        let candidate = |index: usize| {
+            let backend = self.backends.get(index)?;
+            if !backend.takes_flows(now) {
+                return None;
+            }
+            let tie = match backend.picked {
+                0 => shift.wrapping_mul(backend.number | 1) >> 40,
+                picked => (1 << 24) + picked,
+            };
+            Some(PlacementCandidate {
+                index,
+                class: backend.health.class(now),
+                waiting: self.openings.waiting_at(index),
+                is_stuck: avoided == Some(index)
+                    || self.openings.is_stuck(&caller, index, stuck_before),
+                is_near: backend.data_centre == self.options.data_centre,
+                running: backend.running,
+                slots: backend.slots,
+                is_cold: !backend.warm_at.is_past(now),
+                flows: backend.flows,
+                picked: tie,
+            })
+        };
+        indexes.iter().copied().filter_map(candidate).collect()
+    }
+
+    /// Sends a packet of an open flow to the backend server that its token names.
+    fn follow(&mut self, now: ClockTime, packet: &FlowPacket) -> FlowDecision {
+        let address = &packet.key.service;
+        let route = self.routes.find(address);
+        if route.is_none() && self.routes.was_removed(address) {
+            self.end_track(&packet.key);
+            return FlowDecision::Drop(DropReason::RouteRemoved);
+        }
+        let fits = |backend: &Backend| route.is_some_and(|route| route.allows(&backend.service));
+        let Some(index) = self.backends.by_token(packet.token, fits) else {
+            return FlowDecision::Drop(DropReason::UnknownToken);
+        };
+        if let Some(opening) = self.openings.remove(&packet.key)
+            && opening.backend == index
+        {
+            self.note(now, index, |backend| backend.health.on_alive(now));
+        }
+        self.track(now, packet, index);
+        FlowDecision::Forward { backend: index }
+    }
+
+    fn track(&mut self, now: ClockTime, packet: &FlowPacket, index: usize) {
+        for (index, was_running) in self.tracks.sweep(now, self.idle_ms) {
+            self.settle(index, was_running);
+        }
+        if matches!(packet.kind, PacketKind::Finish | PacketKind::Abort) {
+            return self.end_track(&packet.key);
+        }
+        let before = self.tracks.len();
+        let news = self.tracks.take(now, packet, index);
+        let Some(backend) = self.backends.get_mut(index) else { return };
+        if self.tracks.len() > before {
+            backend.flows += 1;
+        }
+        match news {
+            TrackNews::Nothing => {}
+            TrackNews::Asked => backend.running += 1,
+            TrackNews::Answered(latency) => {
+                backend.running = backend.running.saturating_sub(1);
+                self.latencies.push(latency);
+                self.note(now, index, |backend| backend.health.on_alive(now));
+            }
+            TrackNews::Resent(sent) => {
+                self.counts.resent += 1;
+                self.note(now, index, |backend| backend.health.on_suspicion(now, sent));
+            }
+        }
+    }
+
+    fn end_track(&mut self, key: &FlowKey) {
+        if let Some((index, was_running)) = self.tracks.end(key) {
+            self.settle(index, was_running);
+        }
+    }
+
+    fn settle(&mut self, index: usize, was_running: bool) {
+        let Some(backend) = self.backends.get_mut(index) else { return };
+        backend.flows = backend.flows.saturating_sub(1);
+        if was_running {
+            backend.running = backend.running.saturating_sub(1);
+        }
+    }
+
+    fn check_overdue(&mut self, now: ClockTime) {
+        while let Some((_, opening)) = self.openings.next_overdue(now) {
+            self.counts.overdue += 1;
+            self.note(now, opening.backend, |backend| {
+                backend.health.on_suspicion(now, opening.sent)
+            });
+        }
+    }
+
+    /// Changes what is believed of a backend server and keeps the news for others.
+    fn note(
+        &mut self,
+        now: ClockTime,
+        index: usize,
+        observe: impl FnOnce(&mut Backend) -> Option<NoteKind>,
+    ) {
+        let Some(backend) = self.backends.get_mut(index) else { return };
+        let Some(kind) = observe(backend) else { return };
+        let number = backend.number;
+        self.notes.push(HealthNote { number, kind, at: now });
+    }
+}
--- /dev/null
+++ b/crates/foxledge-flows/src/routes.rs
@@ -0,0 +1,128 @@
+//! Routes by address: the first that matches decides.
+
+use std::{
+    collections::{HashMap, HashSet},
+    net::{Ipv4Addr, SocketAddrV4},
+    sync::Arc,
+};
+
+use foxledge_core::names::{RuleName, ServiceName};
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::{
+    packet::FlowKey,
+    rows::{ListRow, RouteRow, RowValue},
+};
+
+/// `FlowRoute` is one when-then rule, ready to decide.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct FlowRoute {
+    /// Its name.
+    pub name: RuleName,
+    /// Place among all routes.
+    pub position: u32,
+    /// Services with their weights, at least one.
+    pub shares: Vec<(ServiceName, u32)>,
+    /// Paid priority, 0 is the highest.
+    pub priority: u32,
+    /// True when requests can be repeated.
+    pub idempotent: bool,
+    /// Revision at which the route last changed.
+    pub revision: u64,
+}
+
+impl FlowRoute {
+    /// The service of a flow; the same one wherever the flow is decided.
+    pub fn service_of(&self, key: &FlowKey) -> &ServiceName {
+        let total: u64 = self.shares.iter().map(|(_, weight)| u64::from(*weight)).sum();
+        let mut left = match (self.shares.len(), total) {
+            (1, _) | (_, 0) => 0,
+            _ => flow_hash(key) % total,
+        };
+        for (service, weight) in &self.shares {
+            if left < u64::from(*weight) {
+                return service;
+            }
+            left -= u64::from(*weight);
+        }
+        &self.shares[0].0
+    }
+
+    /// True when flows may go to `service` by this route.
+    pub fn allows(&self, service: &str) -> bool {
+        self.shares.iter().any(|(name, _)| name.as_str() == service)
+    }
+}
+
+/// Hash of a flow's four addresses and ports.
+pub fn flow_hash(key: &FlowKey) -> u64 {
+    let mut bytes = [0; 12];
+    bytes[..4].copy_from_slice(&key.caller.ip().octets());
+    bytes[4..6].copy_from_slice(&key.caller.port().to_be_bytes());
+    bytes[6..10].copy_from_slice(&key.service.ip().octets());
+    bytes[10..].copy_from_slice(&key.service.port().to_be_bytes());
+    xxh3_64(&bytes)
+}
+
+/// `RouteTable` is every route in force.
+#[derive(Clone, Debug, Default)]
+pub struct RouteTable {
+    by_address: HashMap<SocketAddrV4, Vec<Arc<FlowRoute>>>,
+    places: HashMap<String, SocketAddrV4>,
+    removed: HashSet<SocketAddrV4>,
+}
+
+impl RouteTable {
+    /// The route that decides for an address.
+    pub fn find(&self, address: &SocketAddrV4) -> Option<&Arc<FlowRoute>> {
+        self.by_address.get(address)?.first()
+    }
+
+    /// True when an address had a route that is gone.
+    pub fn was_removed(&self, address: &SocketAddrV4) -> bool {
+        self.removed.contains(address)
+    }
+
+    /// Takes a row; rows of other kinds change nothing.
+    pub fn take(&mut self, row: &ListRow) {
+        match &row.value {
+            Some(RowValue::Route(route)) => self.put(row, route),
+            Some(RowValue::Removed(_)) => self.remove(&row.key),
+            _ => {}
+        }
+    }
+
+    fn put(&mut self, row: &ListRow, spec: &RouteRow) {
+        self.remove(&row.key);
+        let Ok(port) = u16::try_from(spec.port) else { return };
+        if spec.shares.is_empty() {
+            return;
+        }
+        let address = SocketAddrV4::new(Ipv4Addr::from(spec.ip), port);
+        let shares = spec.shares.iter();
+        let route = FlowRoute {
+            name: RuleName::new(&spec.name),
+            position: spec.position,
+            shares: shares.map(|share| (ServiceName::new(&share.service), share.weight)).collect(),
+            priority: spec.priority,
+            idempotent: spec.idempotent,
+            revision: row.revision,
+        };
+        let routes = self.by_address.entry(address).or_default();
+        let index = routes.partition_point(|other| other.position <= route.position);
+        routes.insert(index, Arc::new(route));
+        self.places.insert(row.key.clone(), address);
+        self.removed.remove(&address);
+    }
+
+    fn remove(&mut self, key: &str) {
+        let Some(address) = self.places.remove(key) else { return };
+        let name = key.strip_prefix("route/").unwrap_or(key);
+        let Some(routes) = self.by_address.get_mut(&address) else { return };
+        routes.retain(|route| route.name.as_str() != name);
+        if routes.is_empty() {
+            self.by_address.remove(&address);
+            self.removed.insert(address);
+        }
+    }
+}
--- /dev/null
+++ b/crates/foxledge-flows/src/rows.rs
@@ -0,0 +1,152 @@
+//! Rows: what is published, cut into pieces that change one by one.
+//!
+//! A list of routes may be a megabyte long and change thousands of times a day.
+//! Instances pass on only the rows that changed, each under the revision at
+//! which it did.
+
+use std::net::{Ipv4Addr, SocketAddrV4};
+
+use prost::{Message, Oneof};
+
+/// `ListRow` is one published row under its key.
+#[derive(Clone, PartialEq, Message)]
+pub struct ListRow {
+    /// Unique in the list: a word for the kind and a name.
+    #[prost(string, tag = "1")]
+    pub key: String,
+    /// Revision at which the row last changed.
+    #[prost(uint64, tag = "2")]
+    pub revision: u64,
+    /// What it says.
+    #[prost(oneof = "RowValue", tags = "3, 4, 5, 6")]
+    pub value: Option<RowValue>,
+}
+
+/// `RowValue` is what a row says.
+#[derive(Clone, PartialEq, Oneof)]
+pub enum RowValue {
+    /// A route: one when-then rule.
+    #[prost(message, tag = "3")]
+    Route(RouteRow),
+    /// A backend server.
+    #[prost(message, tag = "4")]
+    Backend(BackendRow),
+    /// Limits of the whole list.
+    #[prost(message, tag = "5")]
+    Limits(LimitsRow),
+    /// The row is gone.
+    #[prost(message, tag = "6")]
+    Removed(RemovedRow),
+}
+
+/// `RouteRow` is a when-then rule: flows to an address go to services.
+#[derive(Clone, PartialEq, Message)]
+pub struct RouteRow {
+    /// Its name.
+    #[prost(string, tag = "1")]
+    pub name: String,
+    /// Place among all routes: the first that matches decides.
+    #[prost(uint32, tag = "2")]
+    pub position: u32,
+    /// IPv4 address that callers want, as a number.
+    #[prost(fixed32, tag = "3")]
+    pub ip: u32,
+    /// Port that callers want.
+    #[prost(uint32, tag = "4")]
+    pub port: u32,
+    /// Services with their weights; several when flows are split.
+    #[prost(message, repeated, tag = "5")]
+    pub shares: Vec<ServiceShare>,
+    /// Paid priority, 0 is the highest.
+    #[prost(uint32, tag = "6")]
+    pub priority: u32,
+    /// How long a request may take, in milliseconds.
+    #[prost(uint32, tag = "7")]
+    pub timeout_ms: u32,
+    /// True when requests can be repeated.
+    #[prost(bool, tag = "8")]
+    pub idempotent: bool,
+}
+
+/// `ServiceShare` is a service's share of a route's flows.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct ServiceShare {
+    /// The service.
+    #[prost(string, tag = "1")]
+    pub service: String,
+    /// Its weight among the shares of the route.
+    #[prost(uint32, tag = "2")]
+    pub weight: u32,
+}
+
+/// `BackendRow` is one process of a backend server.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct BackendRow {
+    /// The number by which packets name it.
+    #[prost(fixed64, tag = "1")]
+    pub number: u64,
+    /// Its service.
+    #[prost(string, tag = "2")]
+    pub service: String,
+    /// IPv4 address, as a number.
+    #[prost(fixed32, tag = "3")]
+    pub ip: u32,
+    /// Port.
+    #[prost(uint32, tag = "4")]
+    pub port: u32,
+    /// Its data centre.
+    #[prost(string, tag = "5")]
+    pub data_centre: String,
+    /// Requests that it runs at once.
+    #[prost(uint32, tag = "6")]
+    pub slots: u32,
+    /// It is leaving: no new flows.
+    #[prost(bool, tag = "7")]
+    pub draining: bool,
+    /// Time until it is warm, counted from when the row was written, in milliseconds.
+    #[prost(uint32, tag = "8")]
+    pub warm_in_ms: u32,
+}
+
+impl BackendRow {
+    /// Where it takes packets; none when the row names no port.
+    pub fn address(&self) -> Option<SocketAddrV4> {
+        let port = u16::try_from(self.port).ok().filter(|port| *port > 0)?;
+        Some(SocketAddrV4::new(Ipv4Addr::from(self.ip), port))
+    }
+}
+
+/// `LimitsRow` is what holds for all flows.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct LimitsRow {
+    /// The operators' number of the list.
+    #[prost(uint64, tag = "1")]
+    pub version: u64,
+    /// Silence after which a flow may be forgotten, in milliseconds.
+    #[prost(uint32, tag = "2")]
+    pub idle_ms: u32,
+}
+
+/// `RemovedRow` is what remains of a row that is gone.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct RemovedRow {
+    /// The backend server that it was; its open flows may go on.
+    #[prost(message, optional, tag = "1")]
+    pub backend: Option<BackendRow>,
+    /// Time since the removal when the row was sent, in milliseconds.
+    #[prost(uint32, tag = "2")]
+    pub age_ms: u32,
+}
+
+/// Key of the row of limits.
+pub const LIMITS_KEY: &str = "limits";
+
+/// Key of a route's row.
+pub fn route_key(name: &str) -> String {
+    format!("route/{name}")
+}
+
+/// Key of a backend server's row.
+pub fn backend_key(id: &str) -> String {
+    format!("backend/{id}")
+}
--- /dev/null
+++ b/crates/foxledge-flows/src/source.rs
@@ -0,0 +1,117 @@
+//! Where lists come from: the border to the platform's store.
+
+use std::{future::Future, pin::Pin};
+
+use thiserror::Error;
+
+use crate::rows::{BackendRow, LimitsRow, RouteRow};
+
+/// `ConfigReading` is the operators' list as published, whole.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct ConfigReading {
+    /// Version and limits.
+    pub limits: LimitsRow,
+    /// Routes in the operators' order.
+    pub routes: Vec<RouteRow>,
+}
+
+/// `ItemChange` is one published item at one revision.
+#[derive(Clone, Debug, PartialEq)]
+pub enum ItemChange {
+    /// The operators' list.
+    Config {
+        /// Revision of the item.
+        revision: u64,
+        /// Its contents.
+        config: ConfigReading,
+    },
+    /// A backend server's entry.
+    Backend {
+        /// Revision of the item.
+        revision: u64,
+        /// The backend server's id.
+        id: String,
+        /// Its contents.
+        backend: BackendRow,
+    },
+    /// A backend server's entry is gone.
+    BackendGone {
+        /// Revision of the removal.
+        revision: u64,
+        /// The backend server's id.
+        id: String,
+    },
+    /// An item that can't be understood; the last good one stays in force.
+    Malformed {
+        /// Revision of the item.
+        revision: u64,
+        /// Where it lies.
+        key: String,
+        /// What is wrong.
+        fault: String,
+    },
+}
+
+/// `ListReading` is an answer of the store: items, and the revision up to which they are complete.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct ListReading {
+    /// The items.
+    pub items: Vec<ItemChange>,
+    /// The store's revision.
+    pub head: u64,
+}
+
+/// `ReadMode` is how new a whole reading must be.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ReadMode {
+    /// As new as the store's newest acknowledgement.
+    Newest,
+    /// Cheap for the store, and possibly seconds old.
+    MaybeOld,
+}
+
+/// `SourceError` is why the store gave no answer that can be used.
+#[derive(Clone, Debug, PartialEq, Eq, Error)]
+pub enum SourceError {
+    /// The history that a watch asked for is gone; a whole reading is needed.
+    #[error("the history is gone")]
+    HistoryGone,
+    /// The store turned the call away.
+    #[error("turned away with status {0}")]
+    Refused(u16),
+    /// No answer in time.
+    #[error("no answer within {0} ms")]
+    Timeout(u64),
+    /// The connection failed.
+    #[error("connection failed: {0}")]
+    Connection(String),
+    /// The answer can't be understood.
+    #[error("malformed answer: {0}")]
+    Malformed(String),
+}
+
+impl SourceError {
+    /// The error's word in metrics.
+    pub fn word(&self) -> &'static str {
+        match self {
+            SourceError::HistoryGone => "history_gone",
+            SourceError::Refused(_) => "refused",
+            SourceError::Timeout(_) => "timeout",
+            SourceError::Connection(_) => "connection",
+            SourceError::Malformed(_) => "malformed",
+        }
+    }
+}
+
+/// `SourceAnswer` is a store's answer that is still on its way.
+pub type SourceAnswer<'a> =
+    Pin<Box<dyn Future<Output = Result<ListReading, SourceError>> + Send + 'a>>;
+
+/// `ListSource` reads what operators and backend servers publish.
+pub trait ListSource: Send {
+    /// Reads everything.
+    fn read_all(&mut self, mode: ReadMode) -> SourceAnswer<'_>;
+
+    /// Waits for changes after a revision, `wait_ms` milliseconds at most.
+    fn watch(&mut self, after: u64, wait_ms: u64) -> SourceAnswer<'_>;
+}
--- /dev/null
+++ b/crates/foxledge-flows/src/tracks.rs
@@ -0,0 +1,141 @@
+//! Open flows as far as this instance has seen them.
+//!
+//! Nothing depends on a track: a flow without one goes on by its token. Tracks
+//! tell how many requests each backend server works on and how long it takes.
+
+use std::{collections::HashMap, time::Duration};
+
+use foxledge_core::time::ClockTime;
+
+use crate::packet::{FlowKey, FlowPacket};
+
+/// Most flows tracked, at about 70 bytes each.
+const MOST_TRACKS: usize = 100_000;
+/// Time between two looks for forgotten tracks, in milliseconds.
+const SWEEP_MS: u64 = 5_000;
+/// A resend of data sooner than this after the first copy is a copy that the
+/// network made; callers send again after 200 ms at the earliest.
+const RESEND_MS: u64 = 150;
+
+#[derive(Clone, Copy, Debug)]
+struct FlowTrack {
+    backend: usize,
+    last_at: ClockTime,
+    /// When the request that runs was sent on; none while none does.
+    asked_at: Option<ClockTime>,
+    /// End of the data sent on so far.
+    sent_to: u32,
+    /// What the caller had received when it asked.
+    acknowledged: u32,
+}
+
+/// `TrackNews` is what a packet of an open flow tells.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum TrackNews {
+    /// Nothing new.
+    Nothing,
+    /// A request began.
+    Asked,
+    /// The answer to a request has begun to arrive, so long after it was asked.
+    Answered(Duration),
+    /// Data was sent again, first sent at this time.
+    Resent(ClockTime),
+}
+
+/// `TrackTable` is the flows that were seen lately.
+#[derive(Debug, Default)]
+pub struct TrackTable {
+    tracks: HashMap<FlowKey, FlowTrack>,
+    sweep_at: ClockTime,
+}
+
+impl TrackTable {
+    /// Takes a packet of a flow at `backend`.
+    pub fn take(&mut self, now: ClockTime, packet: &FlowPacket, backend: usize) -> TrackNews {
+        let Some(track) = self.tracks.get_mut(&packet.key) else {
+            return self.begin(now, packet, backend);
+        };
+        track.last_at = now;
+        track.backend = backend;
+        let is_answered =
+            track.asked_at.is_some() && is_after(packet.acknowledged, track.acknowledged);
+        if packet.length == 0 {
+            return if is_answered { track.answer(now) } else { TrackNews::Nothing };
+        }
+        let end = packet.sequence.wrapping_add(u32::from(packet.length));
+        if !is_after(end, track.sent_to) {
+            return match track.asked_at {
+                Some(asked) if asked.after_millis(RESEND_MS).is_past(now) => {
+                    TrackNews::Resent(asked)
+                }
+                _ => TrackNews::Nothing,
+            };
+        }
+        track.sent_to = end;
+        if track.asked_at.is_some() && !is_answered {
+            return TrackNews::Nothing;
+        }
+        let was_asked = track.asked_at.replace(now).is_some();
+        track.acknowledged = packet.acknowledged;
+        // The last answer was seen only now, with the next request: one begins as one ends.
+        if was_asked { TrackNews::Nothing } else { TrackNews::Asked }
+    }
+
+    /// Ends a track; true when a request was running.
+    pub fn end(&mut self, key: &FlowKey) -> Option<(usize, bool)> {
+        let track = self.tracks.remove(key)?;
+        Some((track.backend, track.asked_at.is_some()))
+    }
+
+    /// Forgets flows that were silent for longer than flows may be, and returns them.
+    pub fn sweep(&mut self, now: ClockTime, idle_ms: u64) -> Vec<(usize, bool)> {
+        if !self.sweep_at.is_past(now) {
+            return Vec::new();
+        }
+        self.sweep_at = now.after_millis(SWEEP_MS);
+        let mut ended = Vec::new();
+        self.tracks.retain(|_, track| {
+            let is_old = track.last_at.after_millis(idle_ms).is_past(now);
+            if is_old {
+                ended.push((track.backend, track.asked_at.is_some()));
+            }
+            !is_old
+        });
+        ended
+    }
+
+    /// Number of flows tracked.
+    pub fn len(&self) -> usize {
+        self.tracks.len()
+    }
+
+    fn begin(&mut self, now: ClockTime, packet: &FlowPacket, backend: usize) -> TrackNews {
+        // A flow begins with data; what comes without may be the end of one.
+        if packet.length == 0 || self.tracks.len() >= MOST_TRACKS {
+            return TrackNews::Nothing;
+        }
+        let track = FlowTrack {
+            backend,
+            last_at: now,
+            asked_at: Some(now),
+            sent_to: packet.sequence.wrapping_add(u32::from(packet.length)),
+            acknowledged: packet.acknowledged,
+        };
+        self.tracks.insert(packet.key, track);
+        TrackNews::Asked
+    }
+}
+
+impl FlowTrack {
+    fn answer(&mut self, now: ClockTime) -> TrackNews {
+        match self.asked_at.take() {
+            Some(asked) => TrackNews::Answered(now.since(asked)),
+            None => TrackNews::Nothing,
+        }
+    }
+}
+
+/// True when sequence number `a` comes after `b`, in the arithmetic of a counter that wraps.
+fn is_after(a: u32, b: u32) -> bool {
+    a != b && a.wrapping_sub(b) < 1 << 31
+}
--- /dev/null
+++ b/crates/foxledge-gossip/src/effects.rs
@@ -0,0 +1,127 @@
+//! What a member of the fleet wants done.
+
+use std::net::SocketAddrV4;
+
+use foxledge_core::time::ClockTime;
+use foxledge_flows::{HealthNote, rows::ListRow, source::ReadMode};
+use serde::Serialize;
+
+/// `ReadOrder` is one call of the store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ReadOrder {
+    /// Read everything.
+    All(ReadMode),
+    /// Wait for changes.
+    Watch {
+        /// Revision after which changes are wanted.
+        after: u64,
+        /// Longest wait in milliseconds.
+        wait_ms: u64,
+    },
+}
+
+/// `FleetEffect` is one thing to do.
+#[derive(Clone, Debug, PartialEq)]
+pub enum FleetEffect {
+    /// Send a message to an instance.
+    Send {
+        /// The receiver.
+        to: SocketAddrV4,
+        /// The bytes.
+        bytes: Vec<u8>,
+    },
+    /// Call the store; one call at a time is out.
+    Read(ReadOrder),
+    /// Rows changed in the list.
+    Rows(Vec<ListRow>),
+    /// The store confirmed the list as the newest at this time.
+    Confirmed(ClockTime),
+    /// Another instance observed a backend server.
+    Note(HealthNote),
+    /// Something worth a log line.
+    Event(FleetEvent),
+}
+
+/// `FleetEvent` is a change of what this instance believes.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+#[serde(tag = "event", rename_all = "snake_case")]
+pub enum FleetEvent {
+    /// A newer list is in force.
+    ListTaken {
+        /// The operators' version.
+        version: u64,
+        /// The store's revision.
+        revision: u64,
+        /// Revision before.
+        former_revision: u64,
+        /// Rows that changed.
+        rows: usize,
+        /// Who brought it: the store or a peer.
+        source: String,
+        /// Time since the store confirmed it.
+        confirmed_age_ms: Option<u64>,
+    },
+    /// This instance begins to read the store.
+    ReadingBegun {
+        /// Time since the store last confirmed the list.
+        confirmed_age_ms: Option<u64>,
+        /// Live instances that are ranked before this one.
+        rank: usize,
+    },
+    /// This instance leaves reading to others.
+    ReadingEnded {
+        /// Other readers that were heard of.
+        readers: usize,
+    },
+    /// Calls of the store fail.
+    StoreLost {
+        /// The first error.
+        error: String,
+        /// Time since the store last confirmed the list.
+        confirmed_age_ms: Option<u64>,
+    },
+    /// Calls of the store succeed again.
+    StoreRegained {
+        /// Calls that failed in between.
+        failures: u32,
+    },
+    /// An item of the store can't be understood.
+    ItemRefused {
+        /// Where it lies.
+        key: String,
+        /// Its revision.
+        revision: u64,
+        /// What is wrong.
+        fault: String,
+    },
+    /// An instance was heard of for the first time.
+    PeerFound {
+        /// Where it takes messages.
+        peer: String,
+        /// Its data centre.
+        data_centre: String,
+    },
+    /// An instance hasn't been heard of for long, or said that it stops.
+    PeerLost {
+        /// Where it took messages.
+        peer: String,
+        /// Time since somebody heard from it.
+        age_ms: u64,
+    },
+}
+
+impl FleetEvent {
+    /// The event's word, as in log lines.
+    pub fn kind(&self) -> &'static str {
+        match self {
+            FleetEvent::ListTaken { .. } => "list_taken",
+            FleetEvent::ReadingBegun { .. } => "reading_begun",
+            FleetEvent::ReadingEnded { .. } => "reading_ended",
+            FleetEvent::StoreLost { .. } => "store_lost",
+            FleetEvent::StoreRegained { .. } => "store_regained",
+            FleetEvent::ItemRefused { .. } => "item_refused",
+            FleetEvent::PeerFound { .. } => "peer_found",
+            FleetEvent::PeerLost { .. } => "peer_lost",
+        }
+    }
+}
--- /dev/null
+++ b/crates/foxledge-gossip/src/election.rs
@@ -0,0 +1,168 @@
+//! Who reads the store.
+//!
+//! No instance is appointed, and none needs to agree with another. Whoever
+//! hasn't heard for a while that its list is the newest begins to read; the
+//! better its rank among the live, the sooner. A reader stops when it hears of
+//! better ranked ones. Too many readers cost calls, none costs seconds.
+
+use std::net::SocketAddrV4;
+
+use foxledge_core::time::ClockTime;
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::messages::PeerCard;
+
+/// Time by which each rank waits longer than the one before, in milliseconds.
+///
+/// A reader's first answer reaches all within some 50 ms, so the next rank
+/// mostly needn't begin. Ranks of dead instances cost this much each.
+const RANK_MS: u64 = 120;
+/// A reader counts while its last answer is younger than this, in milliseconds:
+/// a watch of a second and room for the way.
+const CLAIM_MS: u64 = 1_400;
+/// Readers that the fleet keeps, in different data centres where it can.
+///
+/// With one, each loss of a reader would leave all lists unconfirmed for the
+/// take-over's 1.5 s, half of the 3 s within which a new list must be in force.
+const READERS: usize = 2;
+/// First wait after a failed call in milliseconds; doubles with each.
+const RETRY_MS: u64 = 200;
+/// Longest wait after a failed call in milliseconds.
+const LONGEST_RETRY_MS: u64 = 1_000;
+/// Shortest time from one call's answer to the next call, in milliseconds:
+/// changes that come together are read together.
+const BATCH_MS: u64 = 150;
+
+/// Rank of an instance as a reader: lower is better.
+pub fn reader_rank(address: &SocketAddrV4) -> u64 {
+    let mut bytes = [0; 6];
+    bytes[..4].copy_from_slice(&address.ip().octets());
+    bytes[4..].copy_from_slice(&address.port().to_be_bytes());
+    xxh3_64(&bytes)
+}
+
+/// `ReaderClaim` is another instance's last answer from the store, as heard.
+#[derive(Clone, Debug)]
+pub struct ReaderClaim {
+    /// The reader.
+    pub card: PeerCard,
+    /// When the store answered it.
+    pub at: ClockTime,
+}
+
+/// `ReaderElection` is this instance's part in reading the store.
+#[derive(Debug)]
+pub struct ReaderElection {
+    rank: u64,
+    data_centre: String,
+    claims: Vec<ReaderClaim>,
+    is_reading: bool,
+    is_waiting: bool,
+    next_at: ClockTime,
+    failures: u32,
+}
+
+impl ReaderElection {
+    /// Makes the part of an instance that doesn't read yet.
+    pub fn new(card: &PeerCard) -> ReaderElection {
+        ReaderElection {
+            rank: card.address().as_ref().map_or(u64::MAX, reader_rank),
+            data_centre: card.data_centre.clone(),
+            claims: Vec::new(),
+            is_reading: false,
+            is_waiting: false,
+            next_at: ClockTime::ZERO,
+            failures: 0,
+        }
+    }
+
+    /// True while this instance reads.
+    pub fn is_reading(&self) -> bool {
+        self.is_reading
+    }
+
+    /// Calls that failed since the last success.
+    pub fn failures(&self) -> u32 {
+        self.failures
+    }
+
+    /// Live instances that are ranked before this one.
+    pub fn rank_among(&self, live: impl Iterator<Item = SocketAddrV4>) -> usize {
+        live.filter(|address| reader_rank(address) < self.rank).count()
+    }
+
+    /// How much longer than the best ranked this instance waits, in milliseconds.
+    pub fn patience_ms(rank: usize) -> u64 {
+        RANK_MS * rank as u64
+    }
+
+    /// Begins to read.
+    pub fn begin(&mut self, now: ClockTime) {
+        self.is_reading = true;
+        self.next_at = now;
+    }
+
+    /// Stops reading; an answer that is still out is taken all the same.
+    pub fn end(&mut self) {
+        self.is_reading = false;
+    }
+
+    /// When the next call is due; none while one is out or others read.
+    pub fn call_at(&self) -> Option<ClockTime> {
+        (self.is_reading && !self.is_waiting).then_some(self.next_at)
+    }
+
+    /// Notes that a call went out.
+    pub fn called(&mut self) {
+        self.is_waiting = true;
+    }
+
+    /// Notes a call's success; returns how many had failed before.
+    pub fn succeeded(&mut self, now: ClockTime) -> u32 {
+        self.is_waiting = false;
+        self.next_at = now.after_millis(BATCH_MS);
+        std::mem::take(&mut self.failures)
+    }
+
+    /// Notes that a call failed.
+    pub fn failed(&mut self, now: ClockTime) {
+        self.is_waiting = false;
+        let wait = RETRY_MS << self.failures.min(4);
+        self.failures += 1;
+        self.next_at = now.after_millis(wait.min(LONGEST_RETRY_MS));
+    }
+
+    /// Takes a claim as heard; claims of this instance itself are passed over.
+    pub fn take_claim(&mut self, now: ClockTime, claim: ReaderClaim) {
+        let Some(address) = claim.card.address() else { return };
+        if reader_rank(&address) == self.rank {
+            return;
+        }
+        self.claims.retain(|known| is_fresh(known, now));
+        match self.claims.iter_mut().find(|known| known.card.address() == Some(address)) {
+            Some(known) if known.at < claim.at => *known = claim,
+            Some(_) => {}
+            None if is_fresh(&claim, now) => self.claims.push(claim),
+            None => {}
+        }
+    }
+
+    /// Claims that count.
+    pub fn claims(&self, now: ClockTime) -> impl Iterator<Item = &ReaderClaim> {
+        self.claims.iter().filter(move |claim| is_fresh(claim, now))
+    }
+
+    /// True when enough better ranked instances read.
+    pub fn is_needless(&self, now: ClockTime) -> bool {
+        let is_better = |claim: &&ReaderClaim| {
+            claim.card.address().is_some_and(|address| reader_rank(&address) < self.rank)
+        };
+        let better: Vec<_> = self.claims(now).filter(is_better).collect();
+        let is_near = better.iter().any(|claim| claim.card.data_centre == self.data_centre);
+        is_near || better.len() >= READERS
+    }
+}
+
+fn is_fresh(claim: &ReaderClaim, now: ClockTime) -> bool {
+    !claim.at.after_millis(CLAIM_MS).is_past(now)
+}
--- /dev/null
+++ b/crates/foxledge-gossip/src/lib.rs
@@ -0,0 +1,24 @@
+//! Spreading of lists and observations between instances.
+//!
+//! Two or three instances of the fleet read the store; all others learn from
+//! peers by UDP. Nobody appoints the readers: an instance that hasn't heard for
+//! a while that its list is the newest reads by itself, and stops when better
+//! ranked ones do. News spread as an epidemic: whoever hears something new
+//! tells a few others at once, so that the traffic of one instance doesn't grow
+//! with the fleet.
+//!
+//! [`FleetMember`] is decision logic: datagrams, the store's answers and the
+//! time go in, [`FleetEffect`]s come out.
+
+mod effects;
+mod election;
+mod member;
+mod messages;
+mod options;
+mod peers;
+mod pulls;
+
+pub use effects::{FleetEffect, FleetEvent, ReadOrder};
+pub use member::FleetMember;
+pub use messages::{FleetMessage, LARGEST_MESSAGE};
+pub use options::MemberOptions;
--- /dev/null
+++ b/crates/foxledge-gossip/src/member.rs
@@ -0,0 +1,648 @@
+//! One instance as a member of the fleet.
+
+use std::{collections::HashMap, net::SocketAddrV4};
+
+use foxledge_core::time::ClockTime;
+use foxledge_flows::{
+    FleetList, HealthNote, ItemChange, ListReading, NoteKind, SourceError, list::ListCursor,
+    rows::ListRow, source::ReadMode,
+};
+use prost::Message;
+use rand::{Rng, SeedableRng, rngs::StdRng};
+
+use crate::{
+    effects::{FleetEffect, FleetEvent, ReadOrder},
+    election::{ReaderClaim, ReaderElection},
+    messages::{
+        BeatMessage, FleetMessage, HeardPeer, LARGEST_MESSAGE, MessageBody, NoteMessage,
+        PageMessage, PeerCard, PullMessage,
+    },
+    options::MemberOptions,
+    peers::{PeerChange, PeerTable, heard},
+    pulls::{ListPull, PullStep},
+};
+
+/// Longest time between two heartbeats, in milliseconds.
+const BEAT_MS: u64 = 1_000;
+/// Peers of the own data centre that news are passed on to. With three, one
+/// epidemic reaches 94 of 100; the next, a second later, the rest.
+const NEAR_FANOUT: usize = 3;
+/// Peers of each other data centre that a reader tells at first hand.
+const FAR_FANOUT: usize = 2;
+/// Known instances told with each heartbeat.
+const SAMPLE: usize = 4;
+/// A confirmation is news if it is newer than the known one by this, in
+/// milliseconds; less would pass each on as often as there are readers.
+const NEWER_MS: u64 = 300;
+/// Bytes of rows in one message, so that the rest of it has room.
+const ROW_BUDGET: usize = 900;
+/// How long observations of backend servers are repeated, in milliseconds.
+const NOTE_MS: u64 = 1_500;
+/// Most observations in one message.
+const MOST_NOTES: usize = 12;
+/// Wait of a watch that only asks whether a list is still the newest, in milliseconds.
+const GLANCE_MS: u64 = 20;
+/// Wait of an instance named as a seed before it reads at its start, in milliseconds.
+const SEED_START_MS: u64 = 50;
+/// Shortest wait of any other instance before it reads at its start, in milliseconds.
+const START_MS: u64 = 300;
+/// Spread of these waits in milliseconds, so that a fleet that starts at once
+/// doesn't read the store at once.
+const START_SPREAD_MS: u64 = 600;
+/// Time between two questions to the seeds while no list is known, in milliseconds.
+const ASK_MS: u64 = 150;
+
+/// `FleetMember` is what one instance knows of list and fleet, and what it does about it.
+pub struct FleetMember {
+    options: MemberOptions,
+    card: PeerCard,
+    rng: StdRng,
+    list: FleetList,
+    peers: PeerTable,
+    election: ReaderElection,
+    pull: Option<ListPull>,
+    notes: HashMap<u64, HealthNote>,
+    confirmed_at: Option<ClockTime>,
+    needs_copy: bool,
+    beat_at: ClockTime,
+    ask_at: ClockTime,
+    start_at: ClockTime,
+    effects: Vec<FleetEffect>,
+}
+
+impl FleetMember {
+    /// Makes a member that knows nothing; its first questions are due at once.
+    pub fn new(options: MemberOptions, now: ClockTime) -> FleetMember {
+        let card = PeerCard {
+            ip: u32::from(*options.address.ip()),
+            port: u32::from(options.address.port()),
+            data_centre: options.data_centre.to_string(),
+            incarnation: options.incarnation,
+            is_leaving: false,
+        };
+        let mut rng = StdRng::seed_from_u64(options.seed);
+        let place = options.seeds.iter().position(|seed| *seed == options.address);
+        let wait = match place {
+            Some(place) => SEED_START_MS * (place as u64 + 1),
+            None => START_MS + rng.random_range(0..START_SPREAD_MS),
+        };
+        FleetMember {
+            election: ReaderElection::new(&card),
+            card,
+            rng,
+            list: FleetList::new(),
+            peers: PeerTable::default(),
+            pull: None,
+            notes: HashMap::new(),
+            confirmed_at: None,
+            needs_copy: true,
+            beat_at: now.after_millis(BEAT_MS),
+            ask_at: now,
+            start_at: now.after_millis(wait),
+            effects: Vec::new(),
+            options,
+        }
+    }
+
+    /// The list as it is known.
+    pub fn list(&self) -> &FleetList {
+        &self.list
+    }
+
+    /// When the store last confirmed the list, as far as is known.
+    pub fn confirmed_at(&self) -> Option<ClockTime> {
+        self.confirmed_at
+    }
+
+    /// True while this instance reads the store.
+    pub fn is_reading(&self) -> bool {
+        self.election.is_reading()
+    }
+
+    /// Number of known instances, this one not counted.
+    pub fn peer_count(&self) -> usize {
+        self.peers.len()
+    }
+
+    /// What is to be done, in order.
+    pub fn take_effects(&mut self) -> Vec<FleetEffect> {
+        std::mem::take(&mut self.effects)
+    }
+
+    /// Takes other seeds, as the settings changed.
+    pub fn set_seeds(&mut self, seeds: Vec<SocketAddrV4>) {
+        self.options.seeds = seeds;
+    }
+
+    /// When [`FleetMember::on_time`] is due next.
+    pub fn next_at(&self, now: ClockTime) -> ClockTime {
+        let mut next = self.beat_at;
+        if !self.list.has_routes() {
+            next = next.min(self.ask_at);
+        }
+        if let Some(pull) = &self.pull {
+            next = next.min(pull.retry_at);
+        }
+        if let Some(at) = self.election.call_at() {
+            next = next.min(at);
+        }
+        if !self.election.is_reading() && !self.card.is_leaving {
+            next = next.min(self.read_at(now));
+        }
+        next
+    }
+
+    /// Does what is due.
+    pub fn on_time(&mut self, now: ClockTime) {
+        if !self.list.has_routes() && self.ask_at.is_past(now) {
+            self.ask_at = now.after_millis(ASK_MS);
+            self.ask_seeds(now);
+        }
+        self.retry_pull(now);
+        self.consider_reading(now);
+        if self.beat_at.is_past(now) {
+            self.beat(now);
+        }
+    }
+
+    /// Takes a datagram of another instance; false when it isn't a message.
+    pub fn on_datagram(&mut self, now: ClockTime, from: SocketAddrV4, bytes: &[u8]) -> bool {
+        let Ok(message) = FleetMessage::decode(bytes) else { return false };
+        match message.body {
+            Some(MessageBody::Beat(beat)) => self.take_beat(now, from, beat),
+            Some(MessageBody::Pull(pull)) => self.answer_pull(now, from, &pull),
+            Some(MessageBody::Page(page)) => self.take_page(now, page),
+            None => return false,
+        }
+        true
+    }
+
+    /// Takes the store's answer to a [`FleetEffect::Read`].
+    pub fn on_reading(
+        &mut self,
+        now: ClockTime,
+        order: ReadOrder,
+        answer: Result<ListReading, SourceError>,
+    ) {
+        match answer {
+            Ok(reading) => self.take_reading(now, order, reading),
+            Err(error) => self.take_failure(now, order, &error),
+        }
+        self.consider_reading(now);
+    }
+
+    /// Shares what this instance observed of backend servers.
+    pub fn share_notes(&mut self, now: ClockTime, notes: &[HealthNote]) {
+        if notes.is_empty() {
+            return;
+        }
+        for note in notes {
+            self.notes.insert(note.number, *note);
+        }
+        self.spread(now, self.list.head(), None);
+    }
+
+    /// Tells others that this instance stops, and reads the store no more.
+    pub fn leave(&mut self, now: ClockTime) {
+        self.card.is_leaving = true;
+        self.election.end();
+        self.spread(now, self.list.head(), None);
+    }
+
+    fn take_beat(&mut self, now: ClockTime, from: SocketAddrV4, beat: BeatMessage) {
+        self.learn_peers(now, &beat);
+        self.learn_readers(now, &beat);
+        let has_notes = self.learn_notes(now, &beat);
+        let former = self.list.head();
+        self.learn_rows(now, from, &beat);
+        let is_confirmed = self.learn_confirmation(now, beat.head, beat.confirmed_ms);
+        if beat.wants_answer || (beat.head < self.list.head() && self.list.head() == former) {
+            self.tell(now, from, beat.head);
+        }
+        let is_newer = self.list.head() > former;
+        if is_newer || is_confirmed || has_notes {
+            self.spread(now, former, Some(from));
+        }
+    }
+
+    fn learn_peers(&mut self, now: ClockTime, beat: &BeatMessage) {
+        let sender = beat.from.iter().map(|card| (card, now));
+        let told = beat.peers.iter().filter_map(|peer| {
+            let card = peer.card.as_ref()?;
+            Some((card, earlier(now, peer.age_ms)))
+        });
+        for (card, heard_at) in sender.chain(told) {
+            if card.address() == Some(self.options.address) {
+                continue;
+            }
+            let change = self.peers.take(&self.options.data_centre, card, heard_at);
+            let Some(address) = card.address() else { continue };
+            match change {
+                PeerChange::None => {}
+                PeerChange::Found => self.effects.push(FleetEffect::Event(FleetEvent::PeerFound {
+                    peer: address.to_string(),
+                    data_centre: card.data_centre.clone(),
+                })),
+                PeerChange::Left => self.effects.push(FleetEffect::Event(FleetEvent::PeerLost {
+                    peer: address.to_string(),
+                    age_ms: 0,
+                })),
+            }
+        }
+    }
+
+    fn learn_readers(&mut self, now: ClockTime, beat: &BeatMessage) {
+        for reader in &beat.readers {
+            let Some(card) = reader.card.clone() else { continue };
+            let at = earlier(now, reader.age_ms);
+            self.election.take_claim(now, ReaderClaim { card, at });
+        }
+    }
+
+    fn learn_notes(&mut self, now: ClockTime, beat: &BeatMessage) -> bool {
+        let mut is_news = false;
+        for message in &beat.notes {
+            let Some(kind) = note_kind(message.kind) else { continue };
+            let note =
+                HealthNote { number: message.number, kind, at: earlier(now, message.age_ms) };
+            let known = self.notes.get(&note.number);
+            // The same observation arrives from several peers with slightly
+            // different ages.
+            let is_known = known.is_some_and(|known| {
+                note.at <= known.at
+                    || (note.kind == known.kind && note.at < known.at.after_millis(50))
+            });
+            if is_known || note.at.after_millis(NOTE_MS).is_past(now) {
+                continue;
+            }
+            self.notes.insert(note.number, note);
+            self.effects.push(FleetEffect::Note(note));
+            is_news = true;
+        }
+        is_news
+    }
+
+    fn learn_rows(&mut self, now: ClockTime, from: SocketAddrV4, beat: &BeatMessage) {
+        let known = self.list.head();
+        if beat.head <= known {
+            return;
+        }
+        // Rows after nothing hold no copy: the first list is pulled whole.
+        let is_whole = known > 0 && beat.base.is_some_and(|base| base <= known);
+        if !is_whole {
+            return self.begin_pull(now, from);
+        }
+        let rows = self.list.take_changes(now, beat.rows.clone(), beat.head);
+        let confirmed = beat.confirmed_ms;
+        self.rows_taken(now, rows, known, from.to_string(), confirmed.map(u64::from));
+    }
+
+    fn learn_confirmation(&mut self, now: ClockTime, head: u64, age_ms: Option<u32>) -> bool {
+        let Some(age_ms) = age_ms else { return false };
+        if head != self.list.head() || head == 0 {
+            return false;
+        }
+        self.confirm(earlier(now, age_ms))
+    }
+
+    /// Takes a confirmation; true when it is news worth passing on.
+    fn confirm(&mut self, at: ClockTime) -> bool {
+        let known = self.confirmed_at;
+        if known.is_some_and(|known| at <= known) {
+            return false;
+        }
+        self.confirmed_at = Some(at);
+        self.effects.push(FleetEffect::Confirmed(at));
+        known.is_none_or(|known| known.after_millis(NEWER_MS).is_past(at))
+    }
+
+    fn begin_pull(&mut self, now: ClockTime, from: SocketAddrV4) {
+        if self.pull.is_some() {
+            return;
+        }
+        let ticket = self.rng.random();
+        let pull = ListPull::new(now, from, ticket, self.list.head());
+        let question = pull.question();
+        self.pull = Some(pull);
+        self.send(from, MessageBody::Pull(question));
+    }
+
+    fn retry_pull(&mut self, now: ClockTime) {
+        let Some(mut pull) = self.pull.take() else { return };
+        if !pull.retry_at.is_past(now) {
+            self.pull = Some(pull);
+            return;
+        }
+        if let PullStep::Ask(question) = pull.retry(now) {
+            self.send(pull.from, MessageBody::Pull(question));
+            self.pull = Some(pull);
+        }
+    }
+
+    fn answer_pull(&mut self, now: ClockTime, from: SocketAddrV4, pull: &PullMessage) {
+        let is_copy = pull.is_copy || pull.revision < self.list.floor();
+        let cursor = match pull.is_copy == is_copy {
+            true => ListCursor { revision: pull.revision, key: pull.key.as_str().into() },
+            false => ListCursor::start(),
+        };
+        let page = self.list.page(now, &cursor, ROW_BUDGET);
+        let answer = PageMessage {
+            ticket: pull.ticket,
+            has_more: page.next.is_some(),
+            rows: page.rows,
+            is_copy,
+            head: self.list.head(),
+            confirmed_ms: self.confirmed_ms(now),
+        };
+        self.send(from, MessageBody::Page(answer));
+    }
+
+    fn take_page(&mut self, now: ClockTime, page: PageMessage) {
+        let Some(mut pull) = self.pull.take_if(|pull| pull.ticket == page.ticket) else { return };
+        let from = pull.from;
+        let (head, confirmed) = (page.head, page.confirmed_ms);
+        match pull.take(now, page) {
+            PullStep::Ask(question) => {
+                self.send(from, MessageBody::Pull(question));
+                self.pull = Some(pull);
+            }
+            PullStep::Done { rows, is_copy } => {
+                let known = self.list.head();
+                let taken = match is_copy {
+                    true => self.list.take_copy(now, rows, head),
+                    false => self.list.take_changes(now, rows, head),
+                };
+                self.needs_copy = self.list.head() == 0;
+                self.rows_taken(now, taken, known, from.to_string(), confirmed.map(u64::from));
+                self.learn_confirmation(now, head, confirmed);
+            }
+            PullStep::Lost => {}
+        }
+    }
+
+    fn rows_taken(
+        &mut self,
+        now: ClockTime,
+        rows: Vec<ListRow>,
+        former: u64,
+        source: String,
+        confirmed_age_ms: Option<u64>,
+    ) {
+        if !rows.is_empty() {
+            let event = FleetEvent::ListTaken {
+                version: self.list.version(),
+                revision: self.list.head(),
+                former_revision: former,
+                rows: rows.len(),
+                source,
+                confirmed_age_ms,
+            };
+            self.effects.push(FleetEffect::Rows(rows));
+            self.effects.push(FleetEffect::Event(event));
+        }
+        self.list.forget_removed(now);
+    }
+
+    /// Begins to read when nobody has confirmed the list for too long, and calls when due.
+    fn consider_reading(&mut self, now: ClockTime) {
+        if self.card.is_leaving {
+            return;
+        }
+        if !self.election.is_reading() {
+            if !self.read_at(now).is_past(now) {
+                return;
+            }
+            let rank = self.election.rank_among(self.peers.live(now));
+            self.election.begin(now);
+            let confirmed_age_ms = self.confirmed_ms(now).map(u64::from);
+            self.effects
+                .push(FleetEffect::Event(FleetEvent::ReadingBegun { confirmed_age_ms, rank }));
+        }
+        if self.election.call_at().is_some_and(|at| at.is_past(now)) {
+            self.election.called();
+            let order = self.next_order(now);
+            self.effects.push(FleetEffect::Read(order));
+        }
+    }
+
+    /// When this instance begins to read unless it hears of a confirmation before.
+    fn read_at(&self, now: ClockTime) -> ClockTime {
+        let Some(at) = self.confirmed_at else { return self.start_at };
+        let rank = self.election.rank_among(self.peers.live(now));
+        at.after_millis(self.options.takeover_ms + ReaderElection::patience_ms(rank))
+    }
+
+    fn next_order(&self, now: ClockTime) -> ReadOrder {
+        if self.needs_copy {
+            // The cheap way is enough for a first copy: the watch that follows
+            // brings what it lacks.
+            let mode = if self.list.head() == 0 { ReadMode::MaybeOld } else { ReadMode::Newest };
+            return ReadOrder::All(mode);
+        }
+        let is_sure = self
+            .confirmed_at
+            .is_some_and(|at| !at.after_millis(self.options.watch_ms).is_past(now));
+        let wait_ms = if is_sure { self.options.watch_ms } else { GLANCE_MS };
+        ReadOrder::Watch { after: self.list.head(), wait_ms }
+    }
+
+    fn take_reading(&mut self, now: ClockTime, order: ReadOrder, reading: ListReading) {
+        let failures = self.election.succeeded(now);
+        if failures > 0 {
+            self.effects.push(FleetEffect::Event(FleetEvent::StoreRegained { failures }));
+        }
+        for item in &reading.items {
+            if let ItemChange::Malformed { key, revision, fault } = item {
+                self.effects.push(FleetEffect::Event(FleetEvent::ItemRefused {
+                    key: key.clone(),
+                    revision: *revision,
+                    fault: fault.clone(),
+                }));
+            }
+        }
+        let former = self.list.head();
+        let head = reading.head;
+        let (rows, is_newest) = match order {
+            ReadOrder::All(mode) => {
+                self.needs_copy = false;
+                (self.list.take_reading(now, reading), mode == ReadMode::Newest)
+            }
+            ReadOrder::Watch { .. } => (self.list.take_watch(now, reading), true),
+        };
+        self.rows_taken(now, rows, former, "store".to_owned(), Some(0));
+        if is_newest && head >= self.list.head() {
+            self.confirm(now);
+        }
+        if self.election.is_reading() && self.election.is_needless(now) {
+            let readers = self.election.claims(now).count();
+            self.election.end();
+            self.effects.push(FleetEffect::Event(FleetEvent::ReadingEnded { readers }));
+        }
+        self.spread_widely(now, former);
+    }
+
+    fn take_failure(&mut self, now: ClockTime, order: ReadOrder, error: &SourceError) {
+        if *error == SourceError::HistoryGone {
+            self.needs_copy = true;
+            self.election.succeeded(now);
+            return;
+        }
+        if self.election.failures() == 0 {
+            let confirmed_age_ms = self.confirmed_ms(now).map(u64::from);
+            let error = error.to_string();
+            self.effects
+                .push(FleetEffect::Event(FleetEvent::StoreLost { error, confirmed_age_ms }));
+        }
+        if matches!(order, ReadOrder::All(_)) && self.list.has_routes() {
+            // What a peer brought meanwhile may make the copy needless.
+            self.needs_copy = self.list.head() == 0 || self.needs_copy;
+        }
+        self.election.failed(now);
+        let is_confirmed = self
+            .confirmed_at
+            .is_some_and(|at| !at.after_millis(self.options.takeover_ms).is_past(now));
+        if is_confirmed {
+            // Others are served while this instance isn't.
+            let readers = self.election.claims(now).count();
+            self.election.end();
+            self.effects.push(FleetEffect::Event(FleetEvent::ReadingEnded { readers }));
+        }
+    }
+
+    fn ask_seeds(&mut self, now: ClockTime) {
+        let mut beat = self.beat_message(now, None);
+        beat.wants_answer = true;
+        let mut seeds = self.options.seeds.clone();
+        seeds.retain(|seed| *seed != self.options.address);
+        for seed in seeds {
+            self.send(seed, MessageBody::Beat(beat.clone()));
+        }
+    }
+
+    /// Sends the heartbeat that is due, and forgets who has been silent.
+    fn beat(&mut self, now: ClockTime) {
+        self.notes.retain(|_, note| !note.at.after_millis(NOTE_MS).is_past(now));
+        for (address, age_ms) in self.peers.forget(now) {
+            let peer = address.to_string();
+            self.effects.push(FleetEffect::Event(FleetEvent::PeerLost { peer, age_ms }));
+        }
+        if self.peers.len() == 0 {
+            self.ask_seeds(now);
+        }
+        self.spread(now, self.list.head(), None);
+    }
+
+    /// Passes news on to some peers nearby, and now and then to one far away.
+    fn spread(&mut self, now: ClockTime, base: u64, but: Option<SocketAddrV4>) {
+        let near = self.options.data_centre.clone();
+        let mut to = self.peers.pick_near(&mut self.rng, &near, NEAR_FANOUT + 1);
+        to.retain(|address| Some(*address) != but);
+        to.truncate(NEAR_FANOUT);
+        let far = self.peers.pick_far(&mut self.rng, &near, 1);
+        // One of the data centre's instances on average tells each other data centre.
+        let odds = to.len() as u32 + 1;
+        to.extend(far.into_iter().filter(|_| self.rng.random_ratio(1, odds)));
+        self.send_beats(now, base, to);
+    }
+
+    /// Tells news of the store to peers nearby and in every data centre.
+    fn spread_widely(&mut self, now: ClockTime, base: u64) {
+        let near = self.options.data_centre.clone();
+        let mut to = self.peers.pick_near(&mut self.rng, &near, NEAR_FANOUT);
+        to.extend(self.peers.pick_far(&mut self.rng, &near, FAR_FANOUT));
+        self.send_beats(now, base, to);
+    }
+
+    fn send_beats(&mut self, now: ClockTime, base: u64, to: Vec<SocketAddrV4>) {
+        self.beat_at = now.after_millis(BEAT_MS);
+        let beat = self.beat_message(now, Some(base));
+        for address in to {
+            self.send(address, MessageBody::Beat(beat.clone()));
+        }
+    }
+
+    fn tell(&mut self, now: ClockTime, to: SocketAddrV4, base: u64) {
+        let mut beat = self.beat_message(now, Some(base));
+        beat.peers = self.peers.sample(&mut self.rng, now, SAMPLE * 3);
+        self.send(to, MessageBody::Beat(beat));
+    }
+
+    fn beat_message(&mut self, now: ClockTime, base: Option<u64>) -> BeatMessage {
+        let (base, rows) = self.rows_since(now, base);
+        let recent = self.notes.values().filter(|note| !note.at.after_millis(NOTE_MS).is_past(now));
+        BeatMessage {
+            from: Some(self.card.clone()),
+            head: self.list.head(),
+            confirmed_ms: self.confirmed_ms(now),
+            base,
+            rows,
+            notes: recent.take(MOST_NOTES).map(|note| note_message(now, note)).collect(),
+            peers: self.peers.sample(&mut self.rng, now, SAMPLE),
+            readers: self.reader_claims(now),
+            wants_answer: false,
+        }
+    }
+
+    /// The rows that changed after `base`, if one message holds them.
+    fn rows_since(&self, now: ClockTime, base: Option<u64>) -> (Option<u64>, Vec<ListRow>) {
+        let Some(base) = base.filter(|base| *base > 0 && *base >= self.list.floor()) else {
+            return (None, Vec::new());
+        };
+        if base >= self.list.head() {
+            return (Some(self.list.head()), Vec::new());
+        }
+        let page = self.list.page(now, &ListCursor::after(base), ROW_BUDGET);
+        match page.next {
+            None => (Some(base), page.rows),
+            Some(_) => (None, Vec::new()),
+        }
+    }
+
+    fn reader_claims(&self, now: ClockTime) -> Vec<HeardPeer> {
+        let claims = self.election.claims(now);
+        let mut readers: Vec<_> =
+            claims.take(3).map(|claim| heard(&claim.card, claim.at, now)).collect();
+        // Own answers are claimed while this instance reads and the store answers.
+        if self.election.is_reading()
+            && self.election.failures() == 0
+            && let Some(at) = self.confirmed_at
+        {
+            readers.push(heard(&self.card, at, now));
+        }
+        readers
+    }
+
+    fn confirmed_ms(&self, now: ClockTime) -> Option<u32> {
+        let age = now.since(self.confirmed_at?).as_millis();
+        Some(u32::try_from(age).unwrap_or(u32::MAX))
+    }
+
+    fn send(&mut self, to: SocketAddrV4, body: MessageBody) {
+        let bytes = FleetMessage { body: Some(body) }.encode_to_vec();
+        debug_assert!(bytes.len() <= LARGEST_MESSAGE + ROW_BUDGET);
+        self.effects.push(FleetEffect::Send { to, bytes });
+    }
+}
+
+fn earlier(now: ClockTime, age_ms: u32) -> ClockTime {
+    ClockTime::from_micros(now.as_micros().saturating_sub(u64::from(age_ms) * 1_000))
+}
+
+fn note_kind(code: u32) -> Option<NoteKind> {
+    match code {
+        1 => Some(NoteKind::Suspect),
+        2 => Some(NoteKind::Ejected),
+        3 => Some(NoteKind::Alive),
+        _ => None,
+    }
+}
+
+fn note_message(now: ClockTime, note: &HealthNote) -> NoteMessage {
+    let kind = match note.kind {
+        NoteKind::Suspect => 1,
+        NoteKind::Ejected => 2,
+        NoteKind::Alive => 3,
+    };
+    let age = now.since(note.at).as_millis();
+    NoteMessage { number: note.number, kind, age_ms: u32::try_from(age).unwrap_or(u32::MAX) }
+}
--- /dev/null
+++ b/crates/foxledge-gossip/src/messages.rs
@@ -0,0 +1,156 @@
+//! Messages between instances, one to a datagram.
+
+use std::net::{Ipv4Addr, SocketAddrV4};
+
+use foxledge_flows::rows::ListRow;
+use prost::{Message, Oneof};
+
+/// Largest message in bytes: fits a datagram on every usual link unfragmented.
+pub const LARGEST_MESSAGE: usize = 1_400;
+
+/// `FleetMessage` is one datagram between instances.
+#[derive(Clone, PartialEq, Message)]
+pub struct FleetMessage {
+    /// Of what kind.
+    #[prost(oneof = "MessageBody", tags = "1, 2, 3")]
+    pub body: Option<MessageBody>,
+}
+
+/// `MessageBody` is what a message says.
+#[derive(Clone, PartialEq, Oneof)]
+pub enum MessageBody {
+    /// Heartbeat with news.
+    #[prost(message, tag = "1")]
+    Beat(BeatMessage),
+    /// Question for rows.
+    #[prost(message, tag = "2")]
+    Pull(PullMessage),
+    /// Rows that were asked for.
+    #[prost(message, tag = "3")]
+    Page(PageMessage),
+}
+
+/// `PeerCard` is who an instance is.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct PeerCard {
+    /// IPv4 address for messages, as a number.
+    #[prost(fixed32, tag = "1")]
+    pub ip: u32,
+    /// Port for messages.
+    #[prost(uint32, tag = "2")]
+    pub port: u32,
+    /// Its data centre.
+    #[prost(string, tag = "3")]
+    pub data_centre: String,
+    /// Of its process: differs after each start.
+    #[prost(fixed64, tag = "4")]
+    pub incarnation: u64,
+    /// It is stopping.
+    #[prost(bool, tag = "5")]
+    pub is_leaving: bool,
+}
+
+impl PeerCard {
+    /// Where it takes messages; none when the port is none.
+    pub fn address(&self) -> Option<SocketAddrV4> {
+        let port = u16::try_from(self.port).ok().filter(|port| *port > 0)?;
+        Some(SocketAddrV4::new(Ipv4Addr::from(self.ip), port))
+    }
+}
+
+/// `BeatMessage` is a heartbeat with what may be news.
+#[derive(Clone, PartialEq, Message)]
+pub struct BeatMessage {
+    /// The sender.
+    #[prost(message, optional, tag = "1")]
+    pub from: Option<PeerCard>,
+    /// Revision up to which the sender knows the list in full.
+    #[prost(uint64, tag = "2")]
+    pub head: u64,
+    /// Time since the store confirmed that nothing newer exists, in milliseconds.
+    #[prost(uint32, optional, tag = "3")]
+    pub confirmed_ms: Option<u32>,
+    /// Revision after which `rows` hold every change up to `head`.
+    #[prost(uint64, optional, tag = "4")]
+    pub base: Option<u64>,
+    /// Changed rows.
+    #[prost(message, repeated, tag = "5")]
+    pub rows: Vec<ListRow>,
+    /// Observations of backend servers.
+    #[prost(message, repeated, tag = "6")]
+    pub notes: Vec<NoteMessage>,
+    /// Some instances that the sender knows.
+    #[prost(message, repeated, tag = "7")]
+    pub peers: Vec<HeardPeer>,
+    /// Instances that read the store.
+    #[prost(message, repeated, tag = "8")]
+    pub readers: Vec<HeardPeer>,
+    /// The sender has just started and asks for an answer.
+    #[prost(bool, tag = "9")]
+    pub wants_answer: bool,
+}
+
+/// `HeardPeer` is an instance and how long ago somebody last heard from it.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct HeardPeer {
+    /// The instance.
+    #[prost(message, optional, tag = "1")]
+    pub card: Option<PeerCard>,
+    /// Time since then in milliseconds.
+    #[prost(uint32, tag = "2")]
+    pub age_ms: u32,
+}
+
+/// `NoteMessage` is an observation of a backend server.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct NoteMessage {
+    /// The backend server's number.
+    #[prost(fixed64, tag = "1")]
+    pub number: u64,
+    /// 1 suspect, 2 ejected, 3 alive.
+    #[prost(uint32, tag = "2")]
+    pub kind: u32,
+    /// Time since the observation in milliseconds.
+    #[prost(uint32, tag = "3")]
+    pub age_ms: u32,
+}
+
+/// `PullMessage` asks for the rows after a cursor.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct PullMessage {
+    /// Chosen by the asker, returned with the page.
+    #[prost(fixed32, tag = "1")]
+    pub ticket: u32,
+    /// Revision of the cursor.
+    #[prost(uint64, tag = "2")]
+    pub revision: u64,
+    /// Key of the cursor.
+    #[prost(string, tag = "3")]
+    pub key: String,
+    /// A whole copy is being read.
+    #[prost(bool, tag = "4")]
+    pub is_copy: bool,
+}
+
+/// `PageMessage` is some rows after a cursor.
+#[derive(Clone, PartialEq, Message)]
+pub struct PageMessage {
+    /// The asker's ticket.
+    #[prost(fixed32, tag = "1")]
+    pub ticket: u32,
+    /// The rows.
+    #[prost(message, repeated, tag = "2")]
+    pub rows: Vec<ListRow>,
+    /// More follow after the last row.
+    #[prost(bool, tag = "3")]
+    pub has_more: bool,
+    /// The rows are part of a whole copy.
+    #[prost(bool, tag = "4")]
+    pub is_copy: bool,
+    /// Revision up to which the sender knows the list in full.
+    #[prost(uint64, tag = "5")]
+    pub head: u64,
+    /// Time since the store confirmed it, in milliseconds.
+    #[prost(uint32, optional, tag = "6")]
+    pub confirmed_ms: Option<u32>,
+}
--- /dev/null
+++ b/crates/foxledge-gossip/src/options.rs
@@ -0,0 +1,63 @@
+//! What a member of the fleet starts with.
+
+use std::net::SocketAddrV4;
+
+use foxledge_core::names::CentreName;
+
+/// `MemberOptions` is who an instance is and whom it asks first.
+#[derive(Clone, Debug)]
+pub struct MemberOptions {
+    pub(crate) address: SocketAddrV4,
+    pub(crate) data_centre: CentreName,
+    pub(crate) incarnation: u64,
+    pub(crate) seeds: Vec<SocketAddrV4>,
+    pub(crate) seed: u64,
+    pub(crate) watch_ms: u64,
+    pub(crate) takeover_ms: u64,
+}
+
+impl MemberOptions {
+    /// Options of the instance that takes messages at `address`.
+    pub fn new(address: SocketAddrV4, data_centre: CentreName) -> MemberOptions {
+        MemberOptions {
+            address,
+            data_centre,
+            incarnation: 0,
+            seeds: Vec::new(),
+            seed: 0,
+            watch_ms: 1_000,
+            takeover_ms: 1_500,
+        }
+    }
+
+    /// Sets the number of this start of the process.
+    pub fn incarnation(mut self, incarnation: u64) -> MemberOptions {
+        self.incarnation = incarnation;
+        self
+    }
+
+    /// Sets the instances to ask first.
+    pub fn seeds(mut self, seeds: Vec<SocketAddrV4>) -> MemberOptions {
+        self.seeds = seeds;
+        self
+    }
+
+    /// Sets the seed of random choices.
+    pub fn seed(mut self, seed: u64) -> MemberOptions {
+        self.seed = seed;
+        self
+    }
+
+    /// Sets how long one watch of the store waits, in milliseconds.
+    pub fn watch_ms(mut self, watch_ms: u64) -> MemberOptions {
+        self.watch_ms = watch_ms;
+        self
+    }
+
+    /// Sets how old the store's last confirmation may be before the best ranked
+    /// instance reads by itself, in milliseconds.
+    pub fn takeover_ms(mut self, takeover_ms: u64) -> MemberOptions {
+        self.takeover_ms = takeover_ms;
+        self
+    }
+}
--- /dev/null
+++ b/crates/foxledge-gossip/src/pulls.rs
@@ -0,0 +1,103 @@
+//! Rows asked of a peer, page by page.
+
+use std::net::SocketAddrV4;
+
+use foxledge_core::time::ClockTime;
+use foxledge_flows::{list::ListCursor, rows::ListRow};
+
+use crate::messages::{PageMessage, PullMessage};
+
+/// Wait for a page in milliseconds: some times the way there and back.
+const PAGE_MS: u64 = 60;
+/// Questions for one page before the peer is given up.
+const MOST_TRIES: u32 = 3;
+
+/// `ListPull` is a transfer of rows from one peer.
+///
+/// Rows are kept aside until the last page has come: a list of which one part is
+/// new and another old would treat one flow by the new list and the next by the old.
+#[derive(Debug)]
+pub struct ListPull {
+    /// The peer.
+    pub from: SocketAddrV4,
+    /// Ticket of the question that is out.
+    pub ticket: u32,
+    cursor: ListCursor,
+    is_copy: bool,
+    rows: Vec<ListRow>,
+    tries: u32,
+    /// When to ask again.
+    pub retry_at: ClockTime,
+}
+
+/// `PullStep` is how a transfer goes on.
+#[derive(Debug)]
+pub enum PullStep {
+    /// Ask the peer.
+    Ask(PullMessage),
+    /// Everything has come.
+    Done {
+        /// The rows.
+        rows: Vec<ListRow>,
+        /// True when they are a whole copy.
+        is_copy: bool,
+    },
+    /// The peer is given up.
+    Lost,
+}
+
+impl ListPull {
+    /// Begins a transfer of what changed after `known`.
+    pub fn new(now: ClockTime, from: SocketAddrV4, ticket: u32, known: u64) -> ListPull {
+        let cursor = if known == 0 { ListCursor::start() } else { ListCursor::after(known) };
+        ListPull {
+            from,
+            ticket,
+            cursor,
+            is_copy: known == 0,
+            rows: Vec::new(),
+            tries: 0,
+            retry_at: now.after_millis(PAGE_MS),
+        }
+    }
+
+    /// The question for the next page.
+    pub fn question(&self) -> PullMessage {
+        PullMessage {
+            ticket: self.ticket,
+            revision: self.cursor.revision,
+            key: self.cursor.key.to_string(),
+            is_copy: self.is_copy,
+        }
+    }
+
+    /// Takes a page that answers the question that is out.
+    pub fn take(&mut self, now: ClockTime, page: PageMessage) -> PullStep {
+        if page.is_copy && !self.is_copy {
+            // The peer has forgotten removals that the changes would need.
+            self.is_copy = true;
+            self.rows.clear();
+        }
+        let Some(last) = page.rows.last().filter(|_| page.has_more) else {
+            self.rows.extend(page.rows);
+            let rows = std::mem::take(&mut self.rows);
+            return PullStep::Done { rows, is_copy: self.is_copy };
+        };
+        self.cursor = ListCursor { revision: last.revision, key: last.key.as_str().into() };
+        self.rows.extend(page.rows);
+        self.ticket = self.ticket.wrapping_add(1);
+        self.tries = 0;
+        self.retry_at = now.after_millis(PAGE_MS);
+        PullStep::Ask(self.question())
+    }
+
+    /// Goes on when no page has come in time.
+    pub fn retry(&mut self, now: ClockTime) -> PullStep {
+        self.tries += 1;
+        if self.tries >= MOST_TRIES {
+            return PullStep::Lost;
+        }
+        self.retry_at = now.after_millis(PAGE_MS << self.tries);
+        PullStep::Ask(self.question())
+    }
+}
--- a/crates/foxledge-settings/src/lib.rs
+++ b/crates/foxledge-settings/src/lib.rs
@@ -5,10 +5,12 @@
 
 mod checks;
 pub mod choices;
+pub mod packet_settings;
 mod parse;
 pub mod settings;
 
 pub use choices::{PlacementChoice, PolicyChoice};
+pub use packet_settings::{PacketSettings, load_packet_settings, parse_packet_settings};
 pub use parse::{load_settings, parse_settings};
 pub use settings::{
     AuditSettings, DaemonSettings, DeskSettings, FlowSettings, InstanceSettings, ListenSettings,
--- /dev/null
+++ b/crates/foxledge-settings/src/packet_settings.rs
@@ -0,0 +1,183 @@
+//! Settings of an instance that routes packets.
+
+use std::{fs, net::SocketAddr, net::SocketAddrV4, path::Path, sync::Arc};
+
+use foxledge_core::{
+    findings::FindingList,
+    names::{CentreName, InstanceName},
+};
+use foxledge_document::{SourceNotes, TableReader, read_document};
+use log::LevelFilter;
+
+use crate::parse::{read_level, whole_finding};
+
+/// Largest settings file, in bytes.
+const LARGEST_FILE: usize = 1_000_000;
+
+/// `PacketSettings` is everything that an instance reads at its start.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct PacketSettings {
+    /// The instance's name, unique in the fleet.
+    pub name: InstanceName,
+    /// Its data centre.
+    pub data_centre: CentreName,
+    /// UDP, packets of callers.
+    pub data: SocketAddrV4,
+    /// UDP, other instances.
+    pub peer: SocketAddrV4,
+    /// TCP, HTTP with `/healthz`.
+    pub admin: SocketAddr,
+    /// TCP, HTTP with `/metrics`, `/status` and more; none serves them with `admin`.
+    pub metrics: Option<SocketAddr>,
+    /// The platform's store.
+    pub store: SocketAddrV4,
+    /// Instances to ask first.
+    pub seeds: Vec<SocketAddrV4>,
+    /// Longest time of a planned stop, in milliseconds.
+    pub stop_ms: u64,
+    /// What is logged.
+    pub level: LevelFilter,
+    /// Lines of each kind logged in a second at most.
+    pub lines_per_s: u32,
+}
+
+/// Reads and checks a settings file.
+///
+/// # Errors
+///
+/// Every finding, with its line and key.
+pub fn load_packet_settings(path: &Path) -> Result<PacketSettings, FindingList> {
+    let source = path.display().to_string();
+    match fs::read_to_string(path) {
+        Ok(text) => parse_packet_settings(&source, &text),
+        Err(error) => Err(whole_finding(&source, format!("can't be read: {error}"))),
+    }
+}
+
+/// Checks the text of a settings file; `source` stands in the findings.
+///
+/// # Errors
+///
+/// Every finding, with its line and key.
+pub fn parse_packet_settings(source: &str, text: &str) -> Result<PacketSettings, FindingList> {
+    if text.len() > LARGEST_FILE {
+        return Err(whole_finding(source, "is larger than 1 MB"));
+    }
+    let notes = SourceNotes::new(source, text);
+    match read_document(&notes, text, read_settings).flatten() {
+        Some(settings) if notes.is_clean() => Ok(settings),
+        _ => Err(notes.into_findings()),
+    }
+}
+
+/// Reads every table before it gives up on one, so that all findings are noted.
+fn read_settings(root: &TableReader<'_>) -> Option<PacketSettings> {
+    let instance = root.table("instance");
+    let name = instance.require("name", filled_text(&instance, "name"));
+    let data_centre = instance.require("data_centre", filled_text(&instance, "data_centre"));
+    instance.finish();
+
+    let listen = root.table("listen");
+    let data = listen.require("data", address_v4(&listen, "data"));
+    let peer = listen.require("peer", address_v4(&listen, "peer"));
+    let admin = listen.require("admin", listen.address("admin"));
+    let metrics = listen.has("metrics").then(|| listen.address("metrics"));
+    if data.is_some() && data == peer {
+        listen.note("peer", "must differ from data");
+    }
+    listen.finish();
+
+    let store = root.table("store");
+    let address = store.require("address", address_v4(&store, "address"));
+    store.finish();
+
+    let peers = root.table("peers");
+    let seeds = read_seeds(&peers);
+    peers.finish();
+
+    let stop = root.table("stop");
+    let stop_ms = 1_000 * stop.number_or("limit_s", 1..=3_600, 6);
+    stop.finish();
+
+    let log = root.table("log");
+    let level = read_level(&log);
+    let lines_per_s = log.number_or("lines_per_s", 1..=100_000, 100) as u32;
+    log.finish();
+
+    Some(PacketSettings {
+        name: InstanceName::new(name?),
+        data_centre: CentreName::new(data_centre?),
+        data: data?,
+        peer: peer?,
+        admin: admin?,
+        metrics: metrics.flatten(),
+        store: address?,
+        seeds,
+        stop_ms,
+        level,
+        lines_per_s,
+    })
+}
+
+impl PacketSettings {
+    /// What differs from `newer`, each as key, value before and value after.
+    pub fn changes(&self, newer: &PacketSettings) -> Vec<(Arc<str>, String, String)> {
+        let pairs = [
+            ("instance.name", self.name.to_string(), newer.name.to_string()),
+            ("instance.data_centre", self.data_centre.to_string(), newer.data_centre.to_string()),
+            ("listen.data", self.data.to_string(), newer.data.to_string()),
+            ("listen.peer", self.peer.to_string(), newer.peer.to_string()),
+            ("listen.admin", self.admin.to_string(), newer.admin.to_string()),
+            ("listen.metrics", format!("{:?}", self.metrics), format!("{:?}", newer.metrics)),
+            ("store.address", self.store.to_string(), newer.store.to_string()),
+            ("peers.seeds", format!("{:?}", self.seeds), format!("{:?}", newer.seeds)),
+            ("stop.limit_s", self.stop_ms.to_string(), newer.stop_ms.to_string()),
+            ("log.level", self.level.to_string(), newer.level.to_string()),
+            ("log.lines_per_s", self.lines_per_s.to_string(), newer.lines_per_s.to_string()),
+        ];
+        let changed = pairs.into_iter().filter(|(_, before, after)| before != after);
+        changed.map(|(key, before, after)| (Arc::from(key), before, after)).collect()
+    }
+}
+
+/// The seeds, each once: a list that names one twice is harmless.
+fn read_seeds(table: &TableReader<'_>) -> Vec<SocketAddrV4> {
+    let mut seeds = Vec::new();
+    for text in table.texts("seeds") {
+        match text.text.parse::<SocketAddrV4>() {
+            Ok(seed) if seeds.contains(&seed) => {}
+            Ok(seed) => seeds.push(seed),
+            Err(_) => {
+                let fault = format!("\"{}\" is not an IPv4 number with a port", text.text);
+                table.note("seeds", fault);
+            }
+        }
+    }
+    seeds
+}
+
+fn filled_text<'d>(table: &TableReader<'d>, key: &'static str) -> Option<&'d str> {
+    let text = table.text(key)?;
+    if text.is_empty() {
+        table.note(key, "must not be empty");
+        return None;
+    }
+    Some(text)
+}
+
+/// Packets name their ends by IPv4 addresses.
+fn address_v4(table: &TableReader<'_>, key: &'static str) -> Option<SocketAddrV4> {
+    let address = table.address(key)?;
+    let found = v4_of(address);
+    if found.is_none() {
+        table.note(key, "must be an IPv4 address");
+    }
+    found
+}
+
+fn v4_of(address: SocketAddr) -> Option<SocketAddrV4> {
+    match address {
+        SocketAddr::V4(address) => Some(address),
+        SocketAddr::V6(_) => None,
+    }
+}
--- a/crates/foxledge-settings/src/parse.rs
+++ b/crates/foxledge-settings/src/parse.rs
@@ -48,7 +48,7 @@
     }
 }
 
-fn whole_finding(source: &str, text: impl Into<String>) -> FindingList {
+pub(crate) fn whole_finding(source: &str, text: impl Into<String>) -> FindingList {
     let mut findings = FindingList::new();
     findings.add(source, 0, "", text);
     findings
@@ -166,6 +166,13 @@
 }
 
 fn read_log(table: &TableReader<'_>) -> LogSettings {
+    let level = read_level(table);
+    table.finish();
+    LogSettings { level }
+}
+
+/// Reads `level`; the default is `info`.
+pub(crate) fn read_level(table: &TableReader<'_>) -> LevelFilter {
     let levels = [
         ("off", LevelFilter::Off),
         ("error", LevelFilter::Error),
@@ -174,9 +181,7 @@
         ("debug", LevelFilter::Debug),
         ("trace", LevelFilter::Trace),
     ];
-    let level = word(table, "level", &levels).unwrap_or(LevelFilter::Info);
-    table.finish();
-    LogSettings { level }
+    word(table, "level", &levels).unwrap_or(LevelFilter::Info)
 }
 
 fn read_audit(table: &TableReader<'_>) -> AuditSettings {
