Tell copies of news apart from news by an identity, not by their time

Times travel as ages, and each hop makes a point in time seem later by the way. An observation that came back by a slow instance looked new by 50 ms and went round for ever. Observations carry a random id, confirmations the reader's serial number; messages that waited through a pause of the process are dropped. Ruled out: pulls that never end (358 list_taken, as many as changes x instances). Log lines go to descriptor 1 itself, as a duplicate isn't followed.

--- a/crates/foxledge-daemon/src/packets/event_log.rs
+++ b/crates/foxledge-daemon/src/packets/event_log.rs
@@ -5,13 +5,14 @@
 
 use std::{
     collections::HashMap,
-    fs::File,
     io::{self, ErrorKind, Write},
-    os::fd::AsFd,
 };
 
 use foxledge_core::time::ClockTime;
-use nix::fcntl::{FcntlArg, OFlag, fcntl};
+use nix::{
+    fcntl::{FcntlArg, OFlag, fcntl},
+    unistd,
+};
 use serde::Serialize;
 
 /// Bytes of lines kept while standard output takes none; more are lost.
@@ -45,6 +46,20 @@
     suppressed: u64,
 }
 
+/// `RawStdout` writes to standard output without the buffer of the standard
+/// library, which would hide how much was taken.
+struct RawStdout;
+
+impl Write for RawStdout {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        Ok(unistd::write(io::stdout(), bytes)?)
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
 /// `EventLog` is the log of one process.
 pub struct EventLog {
     lines_per_s: f64,
@@ -62,10 +77,9 @@
     ///
     /// When the process has no standard output.
     pub fn on_stdout(lines_per_s: u32) -> io::Result<EventLog> {
-        let output = File::from(io::stdout().as_fd().try_clone_to_owned()?);
-        let flags = fcntl(&output, FcntlArg::F_GETFL).map(OFlag::from_bits_truncate)?;
-        fcntl(&output, FcntlArg::F_SETFL(flags | OFlag::O_NONBLOCK))?;
-        Ok(EventLog::on(Box::new(output), lines_per_s))
+        let flags = fcntl(io::stdout(), FcntlArg::F_GETFL).map(OFlag::from_bits_truncate)?;
+        fcntl(io::stdout(), FcntlArg::F_SETFL(flags | OFlag::O_NONBLOCK))?;
+        Ok(EventLog::on(Box::new(RawStdout), lines_per_s))
     }
 
     /// A log on another output.
--- a/crates/foxledge-daemon/src/packets/fleet_part.rs
+++ b/crates/foxledge-daemon/src/packets/fleet_part.rs
@@ -2,9 +2,13 @@
 
 use std::{io, net::SocketAddr, time::Duration};
 
-use foxledge_core::audit::{AuditChange, AuditKind};
+use foxledge_core::{
+    audit::{AuditChange, AuditKind},
+    time::ClockTime,
+};
 use foxledge_flows::{HealthNote, ListReading, SourceError};
 use foxledge_gossip::{FleetEffect, FleetEvent, LARGEST_MESSAGE, ReadOrder};
+use serde::Serialize;
 use stakker::{CX, FixedTimerKey, after, call, fail, fwd_to};
 use stakker_mio::{
     MioPoll, MioSource, Ready,
@@ -21,11 +25,23 @@
 /// fall due together are served together.
 const TICK_MS: u64 = 5;
 
+/// Delay of a timer that shows that the process stood still, in milliseconds.
+const PAUSE_MS: u64 = 400;
+
 /// `FleetPart` owns the socket for messages of instances.
 pub struct FleetPart {
     context: SharedContext,
     socket: MioSource<UdpSocket>,
     timer: Option<FixedTimerKey>,
+    due_at: ClockTime,
+}
+
+/// `PauseLine` is the log line of a process that stood still.
+#[derive(Serialize)]
+struct PauseLine {
+    event: &'static str,
+    late_ms: u64,
+    discarded_messages: usize,
 }
 
 impl FleetPart {
@@ -49,7 +65,7 @@
         let socket = UdpSocket::from_std(context.peer.try_clone()?);
         let ready = fwd_to!([cx], socket_ready() as (Ready));
         let socket = poll.add(socket, Interest::READABLE, POLL_PRIORITY, ready)?;
-        Ok(FleetPart { context, socket, timer: None })
+        Ok(FleetPart { context, socket, timer: None, due_at: ClockTime::FAR })
     }
 
     /// Tells other instances what packets told of backend servers.
@@ -82,6 +98,7 @@
 
     fn on_time(&mut self, cx: CX![]) {
         self.timer = None;
+        self.discard_after_pause();
         let now = self.context.clock.now();
         self.context.member.borrow_mut().on_time(now);
         self.context.log.borrow_mut().flush(now);
@@ -92,7 +109,29 @@
         self.drain(cx);
     }
 
+    /// Drops messages that have waited while the process stood still.
+    ///
+    /// Messages tell times as ages. After a freeze of four seconds, ages in what
+    /// waited are short by as much: the list would count as confirmed a moment
+    /// ago, and this would be told to others. Peers repeat what is still true.
+    fn discard_after_pause(&mut self) {
+        let now = self.context.clock.now();
+        if !self.due_at.after_millis(PAUSE_MS).is_past(now) {
+            return;
+        }
+        let mut buffer = [0; READ_SIZE];
+        let mut discarded_messages = 0;
+        while self.socket.recv_from(&mut buffer).is_ok() {
+            discarded_messages += 1;
+        }
+        let late_ms = now.since(self.due_at).as_millis() as u64;
+        let line = PauseLine { event: "paused", late_ms, discarded_messages };
+        self.context.note("paused", &line);
+        self.due_at = ClockTime::FAR;
+    }
+
     fn drain(&mut self, cx: CX![]) {
+        self.discard_after_pause();
         let mut buffer = [0; READ_SIZE];
         for _ in 0..BATCH_LIMIT {
             match self.socket.recv_from(&mut buffer) {
@@ -192,6 +231,7 @@
         let now = self.context.clock.now();
         let next = self.context.member.borrow().next_at(now);
         let wait = next.left(now).max(Duration::from_millis(TICK_MS));
+        self.due_at = now.after(wait);
         if let Some(key) = self.timer.take() {
             cx.timer_del(key);
         }
--- a/crates/foxledge-gossip/src/election.rs
+++ b/crates/foxledge-gossip/src/election.rs
@@ -25,6 +25,8 @@
 /// With one, each loss of a reader would leave all lists unconfirmed for the
 /// take-over's 1.5 s, half of the 3 s within which a new list must be in force.
 const READERS: usize = 2;
+/// Claims that are remembered.
+const MOST_CLAIMS: usize = 6;
 /// First wait after a failed call in milliseconds; doubles with each.
 const RETRY_MS: u64 = 200;
 /// Longest wait after a failed call in milliseconds.
@@ -41,13 +43,17 @@
     xxh3_64(&bytes)
 }
 
-/// `ReaderClaim` is another instance's last answer from the store, as heard.
+/// `ReaderClaim` is a reader's last answer from the store, as heard.
 #[derive(Clone, Debug)]
 pub struct ReaderClaim {
     /// The reader.
     pub card: PeerCard,
+    /// Counts the reader's answers.
+    pub serial: u32,
     /// When the store answered it.
     pub at: ClockTime,
+    /// The store's revision in that answer.
+    pub head: u64,
 }
 
 /// `ReaderElection` is this instance's part in reading the store.
@@ -132,24 +138,39 @@
         self.next_at = now.after_millis(wait.min(LONGEST_RETRY_MS));
     }
 
-    /// Takes a claim as heard; claims of this instance itself are passed over.
-    pub fn take_claim(&mut self, now: ClockTime, claim: ReaderClaim) {
-        let Some(address) = claim.card.address() else { return };
-        if reader_rank(&address) == self.rank {
-            return;
-        }
-        self.claims.retain(|known| is_fresh(known, now));
-        match self.claims.iter_mut().find(|known| known.card.address() == Some(address)) {
-            Some(known) if known.at < claim.at => *known = claim,
-            Some(_) => {}
-            None if is_fresh(&claim, now) => self.claims.push(claim),
-            None => {}
+    /// Takes a claim as heard; true when it is newer than the reader's last known one.
+    pub fn take_claim(&mut self, claim: ReaderClaim) -> bool {
+        let same = |known: &&mut ReaderClaim| {
+            known.card.address() == claim.card.address()
+                && known.card.incarnation == claim.card.incarnation
+        };
+        match self.claims.iter_mut().find(same) {
+            Some(known) if known.serial >= claim.serial => return false,
+            Some(known) => *known = claim,
+            None => self.claims.push(claim),
         }
+        self.claims.sort_by_key(|claim| std::cmp::Reverse(claim.at));
+        self.claims.truncate(MOST_CLAIMS);
+        true
+    }
+
+    /// Every claim that is remembered, the newest first.
+    pub fn claims(&self) -> &[ReaderClaim] {
+        &self.claims
+    }
+
+    /// Other instances that read, as far as is known.
+    pub fn other_readers(&self, now: ClockTime) -> impl Iterator<Item = &ReaderClaim> {
+        let own = self.rank;
+        let is_other = move |claim: &&ReaderClaim| {
+            claim.card.address().is_some_and(|address| reader_rank(&address) != own)
+        };
+        self.claims.iter().filter(move |claim| is_fresh(claim, now)).filter(is_other)
     }
 
-    /// Claims that count.
-    pub fn claims(&self, now: ClockTime) -> impl Iterator<Item = &ReaderClaim> {
-        self.claims.iter().filter(move |claim| is_fresh(claim, now))
+    /// When the store last answered anybody with no more than is known up to `head`.
+    pub fn confirmed_at(&self, head: u64) -> Option<ClockTime> {
+        self.claims.iter().filter(|claim| claim.head <= head).map(|claim| claim.at).max()
     }
 
     /// True when enough better ranked instances read.
@@ -157,7 +178,7 @@
         let is_better = |claim: &&ReaderClaim| {
             claim.card.address().is_some_and(|address| reader_rank(&address) < self.rank)
         };
-        let better: Vec<_> = self.claims(now).filter(is_better).collect();
+        let better: Vec<_> = self.other_readers(now).filter(is_better).collect();
         let is_near = better.iter().any(|claim| claim.card.data_centre == self.data_centre);
         is_near || better.len() >= READERS
     }
--- a/crates/foxledge-gossip/src/member.rs
+++ b/crates/foxledge-gossip/src/member.rs
@@ -14,11 +14,11 @@
     effects::{FleetEffect, FleetEvent, ReadOrder},
     election::{ReaderClaim, ReaderElection},
     messages::{
-        BeatMessage, FleetMessage, HeardPeer, LARGEST_MESSAGE, MessageBody, NoteMessage,
+        BeatMessage, ClaimMessage, FleetMessage, LARGEST_MESSAGE, MessageBody, NoteMessage,
         PageMessage, PeerCard, PullMessage,
     },
     options::MemberOptions,
-    peers::{PeerChange, PeerTable, heard},
+    peers::{PeerChange, PeerTable},
     pulls::{ListPull, PullStep},
 };
 
@@ -38,6 +38,10 @@
 const ROW_BUDGET: usize = 900;
 /// How long observations of backend servers are repeated, in milliseconds.
 const NOTE_MS: u64 = 1_500;
+/// Longest time that an answer takes beside what its watch waits, in milliseconds.
+const SLOWEST_MS: u64 = 1_000;
+/// Readers told with each message.
+const MOST_CLAIMS: usize = 3;
 /// Most observations in one message.
 const MOST_NOTES: usize = 12;
 /// Wait of a watch that only asks whether a list is still the newest, in milliseconds.
@@ -61,8 +65,11 @@
     peers: PeerTable,
     election: ReaderElection,
     pull: Option<ListPull>,
-    notes: HashMap<u64, HealthNote>,
+    notes: HashMap<u32, HealthNote>,
     confirmed_at: Option<ClockTime>,
+    told_at: ClockTime,
+    serial: u32,
+    called_at: ClockTime,
     needs_copy: bool,
     beat_at: ClockTime,
     ask_at: ClockTime,
@@ -95,6 +102,9 @@
             pull: None,
             notes: HashMap::new(),
             confirmed_at: None,
+            told_at: ClockTime::ZERO,
+            serial: 0,
+            called_at: now,
             needs_copy: true,
             beat_at: now.after_millis(BEAT_MS),
             ask_at: now,
@@ -197,7 +207,8 @@
             return;
         }
         for note in notes {
-            self.notes.insert(note.number, *note);
+            let id = self.rng.random();
+            self.notes.insert(id, *note);
         }
         self.spread(now, self.list.head(), None);
     }
@@ -211,11 +222,11 @@
 
     fn take_beat(&mut self, now: ClockTime, from: SocketAddrV4, beat: BeatMessage) {
         self.learn_peers(now, &beat);
-        self.learn_readers(now, &beat);
+        self.learn_claims(now, &beat.claims);
         let has_notes = self.learn_notes(now, &beat);
         let former = self.list.head();
         self.learn_rows(now, from, &beat);
-        let is_confirmed = self.learn_confirmation(now, beat.head, beat.confirmed_ms);
+        let is_confirmed = self.confirm();
         if beat.wants_answer || (beat.head < self.list.head() && self.list.head() == former) {
             self.tell(now, from, beat.head);
         }
@@ -251,11 +262,15 @@
         }
     }
 
-    fn learn_readers(&mut self, now: ClockTime, beat: &BeatMessage) {
-        for reader in &beat.readers {
-            let Some(card) = reader.card.clone() else { continue };
-            let at = earlier(now, reader.age_ms);
-            self.election.take_claim(now, ReaderClaim { card, at });
+    fn learn_claims(&mut self, now: ClockTime, claims: &[ClaimMessage]) {
+        for message in claims {
+            let Some(card) = message.card.clone() else { continue };
+            if card.address() == Some(self.options.address) {
+                continue;
+            }
+            let at = earlier(now, message.age_ms);
+            let claim = ReaderClaim { card, serial: message.serial, at, head: message.head };
+            self.election.take_claim(claim);
         }
     }
 
@@ -263,19 +278,12 @@
         let mut is_news = false;
         for message in &beat.notes {
             let Some(kind) = note_kind(message.kind) else { continue };
-            let note =
-                HealthNote { number: message.number, kind, at: earlier(now, message.age_ms) };
-            let known = self.notes.get(&note.number);
-            // The same observation arrives from several peers with slightly
-            // different ages.
-            let is_known = known.is_some_and(|known| {
-                note.at <= known.at
-                    || (note.kind == known.kind && note.at < known.at.after_millis(50))
-            });
-            if is_known || note.at.after_millis(NOTE_MS).is_past(now) {
+            let at = earlier(now, message.age_ms);
+            if self.notes.contains_key(&message.id) || at.after_millis(NOTE_MS).is_past(now) {
                 continue;
             }
-            self.notes.insert(note.number, note);
+            let note = HealthNote { number: message.number, kind, at };
+            self.notes.insert(message.id, note);
             self.effects.push(FleetEffect::Note(note));
             is_news = true;
         }
@@ -293,27 +301,18 @@
             return self.begin_pull(now, from);
         }
         let rows = self.list.take_changes(now, beat.rows.clone(), beat.head);
-        let confirmed = beat.confirmed_ms;
-        self.rows_taken(now, rows, known, from.to_string(), confirmed.map(u64::from));
-    }
-
-    fn learn_confirmation(&mut self, now: ClockTime, head: u64, age_ms: Option<u32>) -> bool {
-        let Some(age_ms) = age_ms else { return false };
-        if head != self.list.head() || head == 0 {
-            return false;
-        }
-        self.confirm(earlier(now, age_ms))
+        self.rows_taken(now, rows, known, from.to_string());
     }
 
-    /// Takes a confirmation; true when it is news worth passing on.
-    fn confirm(&mut self, at: ClockTime) -> bool {
-        let known = self.confirmed_at;
-        if known.is_some_and(|known| at <= known) {
+    /// Takes the newest claim that confirms the list; true when it is worth passing on.
+    fn confirm(&mut self) -> bool {
+        let Some(at) = self.election.confirmed_at(self.list.head()) else { return false };
+        if self.list.head() == 0 || self.confirmed_at.is_some_and(|known| at <= known) {
             return false;
         }
         self.confirmed_at = Some(at);
         self.effects.push(FleetEffect::Confirmed(at));
-        known.is_none_or(|known| known.after_millis(NEWER_MS).is_past(at))
+        self.told_at.after_millis(NEWER_MS).is_past(at)
     }
 
     fn begin_pull(&mut self, now: ClockTime, from: SocketAddrV4) {
@@ -352,7 +351,7 @@
             rows: page.rows,
             is_copy,
             head: self.list.head(),
-            confirmed_ms: self.confirmed_ms(now),
+            claims: self.claim_messages(now),
         };
         self.send(from, MessageBody::Page(answer));
     }
@@ -360,7 +359,8 @@
     fn take_page(&mut self, now: ClockTime, page: PageMessage) {
         let Some(mut pull) = self.pull.take_if(|pull| pull.ticket == page.ticket) else { return };
         let from = pull.from;
-        let (head, confirmed) = (page.head, page.confirmed_ms);
+        let head = page.head;
+        self.learn_claims(now, &page.claims);
         match pull.take(now, page) {
             PullStep::Ask(question) => {
                 self.send(from, MessageBody::Pull(question));
@@ -373,21 +373,14 @@
                     false => self.list.take_changes(now, rows, head),
                 };
                 self.needs_copy = self.list.head() == 0;
-                self.rows_taken(now, taken, known, from.to_string(), confirmed.map(u64::from));
-                self.learn_confirmation(now, head, confirmed);
+                self.rows_taken(now, taken, known, from.to_string());
+                self.confirm();
             }
             PullStep::Lost => {}
         }
     }
 
-    fn rows_taken(
-        &mut self,
-        now: ClockTime,
-        rows: Vec<ListRow>,
-        former: u64,
-        source: String,
-        confirmed_age_ms: Option<u64>,
-    ) {
+    fn rows_taken(&mut self, now: ClockTime, rows: Vec<ListRow>, former: u64, source: String) {
         if !rows.is_empty() {
             let event = FleetEvent::ListTaken {
                 version: self.list.version(),
@@ -395,7 +388,7 @@
                 former_revision: former,
                 rows: rows.len(),
                 source,
-                confirmed_age_ms,
+                confirmed_age_ms: self.confirmed_ms(now),
             };
             self.effects.push(FleetEffect::Rows(rows));
             self.effects.push(FleetEffect::Event(event));
@@ -414,12 +407,13 @@
             }
             let rank = self.election.rank_among(self.peers.live(now));
             self.election.begin(now);
-            let confirmed_age_ms = self.confirmed_ms(now).map(u64::from);
+            let confirmed_age_ms = self.confirmed_ms(now);
             self.effects
                 .push(FleetEffect::Event(FleetEvent::ReadingBegun { confirmed_age_ms, rank }));
         }
         if self.election.call_at().is_some_and(|at| at.is_past(now)) {
             self.election.called();
+            self.called_at = now;
             let order = self.next_order(now);
             self.effects.push(FleetEffect::Read(order));
         }
@@ -469,18 +463,31 @@
             }
             ReadOrder::Watch { .. } => (self.list.take_watch(now, reading), true),
         };
-        self.rows_taken(now, rows, former, "store".to_owned(), Some(0));
-        if is_newest && head >= self.list.head() {
-            self.confirm(now);
+        if is_newest {
+            self.claim(now, head);
         }
+        self.confirm();
+        self.rows_taken(now, rows, former, "store".to_owned());
         if self.election.is_reading() && self.election.is_needless(now) {
-            let readers = self.election.claims(now).count();
+            let readers = self.election.other_readers(now).count();
             self.election.end();
             self.effects.push(FleetEffect::Event(FleetEvent::ReadingEnded { readers }));
         }
         self.spread_widely(now, former);
     }
 
+    /// Notes that the store has just answered this instance.
+    ///
+    /// An answer that comes later than any can came before a pause of this
+    /// process, nobody knows when; it counts from the call.
+    fn claim(&mut self, now: ClockTime, head: u64) {
+        self.serial += 1;
+        let is_late = self.called_at.after_millis(self.options.watch_ms + SLOWEST_MS).is_past(now);
+        let at = if is_late { self.called_at } else { now };
+        let card = self.card.clone();
+        self.election.take_claim(ReaderClaim { card, serial: self.serial, at, head });
+    }
+
     fn take_failure(&mut self, now: ClockTime, order: ReadOrder, error: &SourceError) {
         if *error == SourceError::HistoryGone {
             self.needs_copy = true;
@@ -488,7 +495,7 @@
             return;
         }
         if self.election.failures() == 0 {
-            let confirmed_age_ms = self.confirmed_ms(now).map(u64::from);
+            let confirmed_age_ms = self.confirmed_ms(now);
             let error = error.to_string();
             self.effects
                 .push(FleetEffect::Event(FleetEvent::StoreLost { error, confirmed_age_ms }));
@@ -503,7 +510,7 @@
             .is_some_and(|at| !at.after_millis(self.options.takeover_ms).is_past(now));
         if is_confirmed {
             // Others are served while this instance isn't.
-            let readers = self.election.claims(now).count();
+            let readers = self.election.other_readers(now).count();
             self.election.end();
             self.effects.push(FleetEffect::Event(FleetEvent::ReadingEnded { readers }));
         }
@@ -555,6 +562,7 @@
 
     fn send_beats(&mut self, now: ClockTime, base: u64, to: Vec<SocketAddrV4>) {
         self.beat_at = now.after_millis(BEAT_MS);
+        self.told_at = self.confirmed_at.unwrap_or(ClockTime::ZERO);
         let beat = self.beat_message(now, Some(base));
         for address in to {
             self.send(address, MessageBody::Beat(beat.clone()));
@@ -569,16 +577,16 @@
 
     fn beat_message(&mut self, now: ClockTime, base: Option<u64>) -> BeatMessage {
         let (base, rows) = self.rows_since(now, base);
-        let recent = self.notes.values().filter(|note| !note.at.after_millis(NOTE_MS).is_past(now));
+        let recent =
+            self.notes.iter().filter(|(_, note)| !note.at.after_millis(NOTE_MS).is_past(now));
         BeatMessage {
             from: Some(self.card.clone()),
             head: self.list.head(),
-            confirmed_ms: self.confirmed_ms(now),
             base,
             rows,
-            notes: recent.take(MOST_NOTES).map(|note| note_message(now, note)).collect(),
+            notes: recent.take(MOST_NOTES).map(|(id, note)| note_message(now, *id, note)).collect(),
             peers: self.peers.sample(&mut self.rng, now, SAMPLE),
-            readers: self.reader_claims(now),
+            claims: self.claim_messages(now),
             wants_answer: false,
         }
     }
@@ -598,23 +606,19 @@
         }
     }
 
-    fn reader_claims(&self, now: ClockTime) -> Vec<HeardPeer> {
-        let claims = self.election.claims(now);
-        let mut readers: Vec<_> =
-            claims.take(3).map(|claim| heard(&claim.card, claim.at, now)).collect();
-        // Own answers are claimed while this instance reads and the store answers.
-        if self.election.is_reading()
-            && self.election.failures() == 0
-            && let Some(at) = self.confirmed_at
-        {
-            readers.push(heard(&self.card, at, now));
-        }
-        readers
+    fn claim_messages(&self, now: ClockTime) -> Vec<ClaimMessage> {
+        let claims = self.election.claims().iter().take(MOST_CLAIMS);
+        let message = |claim: &ReaderClaim| ClaimMessage {
+            card: Some(claim.card.clone()),
+            serial: claim.serial,
+            age_ms: age_ms(now, claim.at),
+            head: claim.head,
+        };
+        claims.map(message).collect()
     }
 
-    fn confirmed_ms(&self, now: ClockTime) -> Option<u32> {
-        let age = now.since(self.confirmed_at?).as_millis();
-        Some(u32::try_from(age).unwrap_or(u32::MAX))
+    fn confirmed_ms(&self, now: ClockTime) -> Option<u64> {
+        Some(now.since(self.confirmed_at?).as_millis() as u64)
     }
 
     fn send(&mut self, to: SocketAddrV4, body: MessageBody) {
@@ -628,6 +632,11 @@
     ClockTime::from_micros(now.as_micros().saturating_sub(u64::from(age_ms) * 1_000))
 }
 
+/// Age in milliseconds, rounded up: told from hop to hop it mustn't shrink by rounding.
+fn age_ms(now: ClockTime, at: ClockTime) -> u32 {
+    u32::try_from(now.since(at).as_micros().div_ceil(1_000)).unwrap_or(u32::MAX)
+}
+
 fn note_kind(code: u32) -> Option<NoteKind> {
     match code {
         1 => Some(NoteKind::Suspect),
@@ -637,12 +646,11 @@
     }
 }
 
-fn note_message(now: ClockTime, note: &HealthNote) -> NoteMessage {
+fn note_message(now: ClockTime, id: u32, note: &HealthNote) -> NoteMessage {
     let kind = match note.kind {
         NoteKind::Suspect => 1,
         NoteKind::Ejected => 2,
         NoteKind::Alive => 3,
     };
-    let age = now.since(note.at).as_millis();
-    NoteMessage { number: note.number, kind, age_ms: u32::try_from(age).unwrap_or(u32::MAX) }
+    NoteMessage { id, number: note.number, kind, age_ms: age_ms(now, note.at) }
 }
--- a/crates/foxledge-gossip/src/messages.rs
+++ b/crates/foxledge-gossip/src/messages.rs
@@ -67,9 +67,6 @@
     /// Revision up to which the sender knows the list in full.
     #[prost(uint64, tag = "2")]
     pub head: u64,
-    /// Time since the store confirmed that nothing newer exists, in milliseconds.
-    #[prost(uint32, optional, tag = "3")]
-    pub confirmed_ms: Option<u32>,
     /// Revision after which `rows` hold every change up to `head`.
     #[prost(uint64, optional, tag = "4")]
     pub base: Option<u64>,
@@ -82,9 +79,9 @@
     /// Some instances that the sender knows.
     #[prost(message, repeated, tag = "7")]
     pub peers: Vec<HeardPeer>,
-    /// Instances that read the store.
+    /// The last answers of the store that are known, by reader.
     #[prost(message, repeated, tag = "8")]
-    pub readers: Vec<HeardPeer>,
+    pub claims: Vec<ClaimMessage>,
     /// The sender has just started and asks for an answer.
     #[prost(bool, tag = "9")]
     pub wants_answer: bool,
@@ -101,9 +98,32 @@
     pub age_ms: u32,
 }
 
+/// `ClaimMessage` is a reader's last answer from the store.
+///
+/// What is told of time is told as an age, which shrinks by the way at every
+/// hop. The serial number tells what is new from what only seems so.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct ClaimMessage {
+    /// The reader.
+    #[prost(message, optional, tag = "1")]
+    pub card: Option<PeerCard>,
+    /// Counts the reader's answers.
+    #[prost(uint32, tag = "2")]
+    pub serial: u32,
+    /// Time since the answer in milliseconds.
+    #[prost(uint32, tag = "3")]
+    pub age_ms: u32,
+    /// The store's revision.
+    #[prost(uint64, tag = "4")]
+    pub head: u64,
+}
+
 /// `NoteMessage` is an observation of a backend server.
 #[derive(Clone, PartialEq, Eq, Message)]
 pub struct NoteMessage {
+    /// Chosen at random by the observer: copies that come by several ways are one.
+    #[prost(fixed32, tag = "4")]
+    pub id: u32,
     /// The backend server's number.
     #[prost(fixed64, tag = "1")]
     pub number: u64,
@@ -150,7 +170,7 @@
     /// Revision up to which the sender knows the list in full.
     #[prost(uint64, tag = "5")]
     pub head: u64,
-    /// Time since the store confirmed it, in milliseconds.
-    #[prost(uint32, optional, tag = "6")]
-    pub confirmed_ms: Option<u32>,
+    /// The last answers of the store that are known, by reader.
+    #[prost(message, repeated, tag = "6")]
+    pub claims: Vec<ClaimMessage>,
 }
--- a/crates/foxledge-gossip/src/peers.rs
+++ b/crates/foxledge-gossip/src/peers.rs
@@ -142,7 +142,7 @@
 }
 
 /// An instance as it is told to others.
-pub fn heard(card: &PeerCard, heard_at: ClockTime, now: ClockTime) -> HeardPeer {
+fn heard(card: &PeerCard, heard_at: ClockTime, now: ClockTime) -> HeardPeer {
     let age = now.since(heard_at).as_millis();
     HeardPeer { card: Some(card.clone()), age_ms: u32::try_from(age).unwrap_or(u32::MAX) }
 }
