Hold packets in the socket until the first list is known

Cause: after all processes were killed, packets that came in the 180 ms until the list was known were dropped and came again after 200 ms, late for most requests. Seeds waited 50 ms before they read; 15 ms are enough for a peer's answer.

--- a/crates/foxledge-daemon/src/packets/flow_part.rs
+++ b/crates/foxledge-daemon/src/packets/flow_part.rs
@@ -3,6 +3,7 @@
 use std::{
     io,
     net::{SocketAddr, SocketAddrV4},
+    time::Duration,
 };
 
 use foxledge_core::{names::CentreName, time::ClockTime};
@@ -13,7 +14,7 @@
     rows::ListRow,
 };
 use serde::Serialize;
-use stakker::{CX, call, fail, fwd_to, idle};
+use stakker::{CX, after, call, fail, fwd_to, idle};
 use stakker_mio::{
     MioPoll, MioSource, Ready,
     mio::{Interest, net::UdpSocket},
@@ -26,12 +27,18 @@
 /// One byte more than a packet may have, so that a longer one shows as oversized.
 const READ_SIZE: usize = HEADROOM + LARGEST_PACKET + 1;
 
+/// Longest time that packets wait for a list after the start, in milliseconds:
+/// later ones of the same callers have come by then.
+const HOLD_MS: u64 = 350;
+
 /// `FlowPart` owns the socket for callers' packets.
 pub struct FlowPart {
     context: SharedContext,
     socket: MioSource<UdpSocket>,
     router: FlowRouter,
     counts: RouterCounts,
+    /// While no list is known, packets wait in the socket until then.
+    held_until: Option<ClockTime>,
     frame: Box<[u8; READ_SIZE]>,
 }
 
@@ -91,6 +98,7 @@
     pub fn init(cx: CX![], context: SharedContext) -> Option<FlowPart> {
         match FlowPart::open(cx, context) {
             Ok(part) => {
+                after!(Duration::from_millis(HOLD_MS), [cx], drain());
                 call!([cx], drain());
                 Some(part)
             }
@@ -115,13 +123,21 @@
             router.set_confirmed(at);
         }
         drop(member);
+        let now = context.clock.now();
+        let has_routes = context.member.borrow().list().has_routes();
+        let held_until = (!has_routes).then(|| now.after_millis(HOLD_MS));
         let counts = RouterCounts::default();
-        Ok(FlowPart { context, socket, router, counts, frame: Box::new([0; READ_SIZE]) })
+        let frame = Box::new([0; READ_SIZE]);
+        Ok(FlowPart { context, socket, router, counts, held_until, frame })
     }
 
     /// Takes rows of the list that changed.
-    pub fn take_rows(&mut self, _cx: CX![], rows: Vec<ListRow>) {
+    pub fn take_rows(&mut self, cx: CX![], rows: Vec<ListRow>) {
         self.router.take_rows(self.context.clock.now(), &rows);
+        if self.held_until.is_some() && self.context.member.borrow().list().has_routes() {
+            self.held_until = None;
+            self.drain(cx);
+        }
     }
 
     /// Takes the time of a confirmation of the list.
@@ -153,12 +169,24 @@
         self.drain(cx);
     }
 
+    /// True while packets are left in the socket for want of a list.
+    ///
+    /// An instance that is started anew gets packets at once and the list some
+    /// tens of milliseconds later. Packets dropped in between come again after
+    /// 200 ms, which is late for most requests.
+    fn is_holding(&self, now: ClockTime) -> bool {
+        self.held_until.is_some_and(|until| !until.is_past(now))
+    }
+
     /// Reads a bounded batch and lets the main loop run before the next.
     ///
     /// Without the bound, a flood would keep the main loop in here, and messages
     /// of instances would wait for longer than a new list may take.
     fn drain(&mut self, cx: CX![]) {
         let now = self.context.clock.now();
+        if self.is_holding(now) {
+            return;
+        }
         let mut count = 0;
         while count < BATCH_LIMIT {
             match self.socket.recv_from(&mut self.frame[HEADROOM..]) {
--- a/crates/foxledge-gossip/src/member.rs
+++ b/crates/foxledge-gossip/src/member.rs
@@ -46,8 +46,10 @@
 const MOST_NOTES: usize = 12;
 /// Wait of a watch that only asks whether a list is still the newest, in milliseconds.
 const GLANCE_MS: u64 = 20;
-/// Wait of an instance named as a seed before it reads at its start, in milliseconds.
-const SEED_START_MS: u64 = 50;
+/// Wait of an instance named as a seed before it reads at its start, in
+/// milliseconds; the second seed waits twice, the third three times as long.
+/// A peer that has the list answers within a few milliseconds.
+const SEED_START_MS: u64 = 15;
 /// Shortest wait of any other instance before it reads at its start, in milliseconds.
 const START_MS: u64 = 300;
 /// Spread of these waits in milliseconds, so that a fleet that starts at once
