Read a first list by oneself, in the way that is cheap for the store

Cause: after a loss of power, instances that aren't named as seeds waited 300 to 900 ms for one that was, and seeds came up last; a first list that may be old waited 1.5 s for its confirmation.

--- a/crates/foxledge-daemon/src/packets/life_part.rs
+++ b/crates/foxledge-daemon/src/packets/life_part.rs
@@ -14,9 +14,12 @@
 
 use super::context::SharedContext;
 
-/// Longest wait for the store's word that the list is the newest, in
-/// milliseconds, once a list is known: an old list serves better than none.
-const UNSURE_MS: u64 = 1_500;
+/// Longest wait for somebody's word that the list is the newest, in
+/// milliseconds, once a list is known.
+///
+/// The first list may be some seconds old. That serves callers better than no
+/// answer, and a newer list is in force a moment after.
+const UNSURE_MS: u64 = 30;
 /// Shortest time from the begin of a planned stop to its end, in milliseconds.
 ///
 /// Routers ask twice a second whether an instance is ready and take it out after
--- a/crates/foxledge-gossip/src/election.rs
+++ b/crates/foxledge-gossip/src/election.rs
@@ -118,6 +118,11 @@
         (self.is_reading && !self.is_waiting).then_some(self.next_at)
     }
 
+    /// True while a call is out.
+    pub fn is_waiting(&self) -> bool {
+        self.is_waiting
+    }
+
     /// Notes that a call went out.
     pub fn called(&mut self) {
         self.is_waiting = true;
--- a/crates/foxledge-gossip/src/member.rs
+++ b/crates/foxledge-gossip/src/member.rs
@@ -51,12 +51,16 @@
 /// A peer that has the list answers within a few milliseconds.
 const SEED_START_MS: u64 = 15;
 /// Shortest wait of any other instance before it reads at its start, in milliseconds.
-const START_MS: u64 = 300;
+const START_MS: u64 = 25;
 /// Spread of these waits in milliseconds, so that a fleet that starts at once
-/// doesn't read the store at once.
-const START_SPREAD_MS: u64 = 600;
+/// doesn't read the store at once: the first that have the list serve the others.
+const START_SPREAD_MS: u64 = 100;
+/// Wait after a first reading that failed, in milliseconds.
+const START_RETRY_MS: u64 = 250;
+/// Wait for somebody's word that a first list is the newest, in milliseconds.
+const UNSURE_MS: u64 = 100;
 /// Time between two questions to the seeds while no list is known, in milliseconds.
-const ASK_MS: u64 = 150;
+const ASK_MS: u64 = 100;
 
 /// `FleetMember` is what one instance knows of list and fleet, and what it does about it.
 pub struct FleetMember {
@@ -107,7 +111,7 @@
             told_at: ClockTime::ZERO,
             serial: 0,
             called_at: now,
-            needs_copy: true,
+            needs_copy: false,
             beat_at: now.after_millis(BEAT_MS),
             ask_at: now,
             start_at: now.after_millis(wait),
@@ -158,7 +162,13 @@
         if let Some(at) = self.election.call_at() {
             next = next.min(at);
         }
-        if !self.election.is_reading() && !self.card.is_leaving {
+        if self.card.is_leaving {
+            return next;
+        }
+        if self.list.head() == 0 && !self.election.is_waiting() {
+            next = next.min(self.start_at);
+        }
+        if self.list.head() > 0 && !self.election.is_reading() {
             next = next.min(self.read_at(now));
         }
         next
@@ -198,7 +208,7 @@
     ) {
         match answer {
             Ok(reading) => self.take_reading(now, order, reading),
-            Err(error) => self.take_failure(now, order, &error),
+            Err(error) => self.take_failure(now, &error),
         }
         self.consider_reading(now);
     }
@@ -374,7 +384,6 @@
                     true => self.list.take_copy(now, rows, head),
                     false => self.list.take_changes(now, rows, head),
                 };
-                self.needs_copy = self.list.head() == 0;
                 self.rows_taken(now, taken, known, from.to_string());
                 self.confirm();
             }
@@ -403,6 +412,9 @@
         if self.card.is_leaving {
             return;
         }
+        if self.list.head() == 0 {
+            return self.read_first(now);
+        }
         if !self.election.is_reading() {
             if !self.read_at(now).is_past(now) {
                 return;
@@ -421,19 +433,32 @@
         }
     }
 
+    /// Reads a first list, in the way that is cheap for the store and may be old.
+    ///
+    /// That doesn't make this instance a reader: whether the list is the newest
+    /// is heard from peers.
+    fn read_first(&mut self, now: ClockTime) {
+        if self.election.is_waiting() || !self.start_at.is_past(now) {
+            return;
+        }
+        self.election.called();
+        self.called_at = now;
+        self.effects.push(FleetEffect::Read(ReadOrder::All(ReadMode::MaybeOld)));
+    }
+
     /// When this instance begins to read unless it hears of a confirmation before.
     fn read_at(&self, now: ClockTime) -> ClockTime {
-        let Some(at) = self.confirmed_at else { return self.start_at };
         let rank = self.election.rank_among(self.peers.live(now));
-        at.after_millis(self.options.takeover_ms + ReaderElection::patience_ms(rank))
+        let patience = ReaderElection::patience_ms(rank);
+        match self.confirmed_at {
+            Some(at) => at.after_millis(self.options.takeover_ms + patience),
+            None => self.start_at.after_millis(UNSURE_MS + patience),
+        }
     }
 
     fn next_order(&self, now: ClockTime) -> ReadOrder {
         if self.needs_copy {
-            // The cheap way is enough for a first copy: the watch that follows
-            // brings what it lacks.
-            let mode = if self.list.head() == 0 { ReadMode::MaybeOld } else { ReadMode::Newest };
-            return ReadOrder::All(mode);
+            return ReadOrder::All(ReadMode::Newest);
         }
         let is_sure = self
             .confirmed_at
@@ -470,6 +495,10 @@
         }
         self.confirm();
         self.rows_taken(now, rows, former, "store".to_owned());
+        if self.confirmed_at.is_none() {
+            // A first list: peers' word whether it is the newest is waited for.
+            self.start_at = now;
+        }
         if self.election.is_reading() && self.election.is_needless(now) {
             let readers = self.election.other_readers(now).count();
             self.election.end();
@@ -490,7 +519,7 @@
         self.election.take_claim(ReaderClaim { card, serial: self.serial, at, head });
     }
 
-    fn take_failure(&mut self, now: ClockTime, order: ReadOrder, error: &SourceError) {
+    fn take_failure(&mut self, now: ClockTime, error: &SourceError) {
         if *error == SourceError::HistoryGone {
             self.needs_copy = true;
             self.election.succeeded(now);
@@ -502,11 +531,8 @@
             self.effects
                 .push(FleetEffect::Event(FleetEvent::StoreLost { error, confirmed_age_ms }));
         }
-        if matches!(order, ReadOrder::All(_)) && self.list.has_routes() {
-            // What a peer brought meanwhile may make the copy needless.
-            self.needs_copy = self.list.head() == 0 || self.needs_copy;
-        }
         self.election.failed(now);
+        self.start_at = now.after_millis(START_RETRY_MS);
         let is_confirmed = self
             .confirmed_at
             .is_some_and(|at| !at.after_millis(self.options.takeover_ms).is_past(now));
