Judge unanswered openings only after the socket was read empty

Cause: after a pause of the process (a used-up processor quota, a freeze) the packets by which callers had gone on waited in the socket, while their openings already counted as unanswered: a false sign of silence against live backend servers. Besides, the wait for a first list's confirmation was looked at too early by the loop's clock and then not again, which cost some 100 ms per start.

--- a/crates/foxledge-daemon/src/packets/flow_part.rs
+++ b/crates/foxledge-daemon/src/packets/flow_part.rs
@@ -201,6 +201,8 @@
         }
         if count == BATCH_LIMIT {
             idle!([cx], drain());
+        } else {
+            self.router.check_overdue(now);
         }
         if count > 0 {
             self.context.packet_at.set(now);
--- a/crates/foxledge-daemon/src/packets/life_part.rs
+++ b/crates/foxledge-daemon/src/packets/life_part.rs
@@ -33,6 +33,9 @@
 /// Time between two looks during a planned stop.
 const LOOK: Duration = Duration::from_millis(100);
 
+/// Shortest wait before another look at a time that has not passed yet.
+const LOOK_AGAIN: Duration = Duration::from_millis(2);
+
 /// `LifePart` sets the phase of the process.
 pub struct LifePart {
     context: SharedContext,
@@ -89,13 +92,12 @@
         }
         let is_sure = member.confirmed_at().is_some();
         drop(member);
-        let until = *self.unsure_until.get_or_insert_with(|| {
-            after!(Duration::from_millis(UNSURE_MS), [cx], consider_serving());
-            now.after_millis(UNSURE_MS)
-        });
+        let until = *self.unsure_until.get_or_insert_with(|| now.after_millis(UNSURE_MS));
         if is_sure || until.is_past(now) {
-            self.begin_serving();
+            return self.begin_serving();
         }
+        // The loop's clock may be behind this one, so the time is looked at again.
+        after!(until.left(now).max(LOOK_AGAIN), [cx], consider_serving());
     }
 
     /// Acts on a signal.
--- a/crates/foxledge-flows/src/router.rs
+++ b/crates/foxledge-flows/src/router.rs
@@ -250,13 +250,27 @@
 
     /// Decides on a packet.
     pub fn on_packet(&mut self, now: ClockTime, packet: &FlowPacket) -> FlowDecision {
-        self.check_overdue(now);
         match packet.kind {
             PacketKind::Open { copy } => self.open(now, packet, copy),
             _ => self.follow(now, packet),
         }
     }
 
+    /// Counts openings that have stayed unanswered against their backend servers.
+    ///
+    /// `read_at` is when the socket was seen to be empty, or earlier. After a
+    /// pause of this process, the packets by which callers went on wait in the
+    /// socket; an opening counted before they are read would speak against a
+    /// backend server that answered long ago.
+    pub fn check_overdue(&mut self, read_at: ClockTime) {
+        while let Some((_, opening)) = self.openings.next_overdue(read_at) {
+            self.counts.overdue += 1;
+            self.note(read_at, opening.backend, |backend| {
+                backend.health.on_suspicion(read_at, opening.sent)
+            });
+        }
+    }
+
     fn open(&mut self, now: ClockTime, packet: &FlowPacket, copy: u32) -> FlowDecision {
         let Some(route) = self.routes.find(&packet.key.service).cloned() else {
             return self.without_route(now);
@@ -409,15 +423,6 @@
         }
     }
 
-    fn check_overdue(&mut self, now: ClockTime) {
-        while let Some((_, opening)) = self.openings.next_overdue(now) {
-            self.counts.overdue += 1;
-            self.note(now, opening.backend, |backend| {
-                backend.health.on_suspicion(now, opening.sent)
-            });
-        }
-    }
-
     /// Changes what is believed of a backend server and keeps the news for others.
     fn note(
         &mut self,
--- a/crates/foxledge-gossip/src/member.rs
+++ b/crates/foxledge-gossip/src/member.rs
@@ -49,12 +49,12 @@
 /// Wait of an instance named as a seed before it reads at its start, in
 /// milliseconds; the second seed waits twice, the third three times as long.
 /// A peer that has the list answers within a few milliseconds.
-const SEED_START_MS: u64 = 15;
+const SEED_START_MS: u64 = 10;
 /// Shortest wait of any other instance before it reads at its start, in milliseconds.
-const START_MS: u64 = 25;
+const START_MS: u64 = 10;
 /// Spread of these waits in milliseconds, so that a fleet that starts at once
 /// doesn't read the store at once: the first that have the list serve the others.
-const START_SPREAD_MS: u64 = 100;
+const START_SPREAD_MS: u64 = 50;
 /// Wait after a first reading that failed, in milliseconds.
 const START_RETRY_MS: u64 = 250;
 /// Wait for somebody's word that a first list is the newest, in milliseconds.
