Run fleets of 7 to 300 instances in virtual time: newest list, start, quiet costs

Tests: readers killed, data centres cut, instances turned away, history dropped, loss, storms of lists, starts at once, calls and messages of a quiet fleet, news that die out, answers that get old.

--- a/crates/foxledge-gossip/src/election.rs
+++ b/crates/foxledge-gossip/src/election.rs
@@ -33,7 +33,7 @@
 const LONGEST_RETRY_MS: u64 = 1_000;
 /// Shortest time from one call's answer to the next call, in milliseconds:
 /// changes that come together are read together.
-const BATCH_MS: u64 = 150;
+const BATCH_MS: u64 = 100;
 
 /// Rank of an instance as a reader: lower is better.
 pub fn reader_rank(address: &SocketAddrV4) -> u64 {
--- a/crates/foxledge-gossip/src/member.rs
+++ b/crates/foxledge-gossip/src/member.rs
@@ -229,7 +229,8 @@
     pub fn leave(&mut self, now: ClockTime) {
         self.card.is_leaving = true;
         self.election.end();
-        self.spread(now, self.list.head(), None);
+        let all = self.peers.all();
+        self.send_beats(now, self.list.head(), all);
     }
 
     fn take_beat(&mut self, now: ClockTime, from: SocketAddrV4, beat: BeatMessage) {
--- a/crates/foxledge-gossip/src/options.rs
+++ b/crates/foxledge-gossip/src/options.rs
@@ -26,7 +26,7 @@
             seeds: Vec::new(),
             seed: 0,
             watch_ms: 1_000,
-            takeover_ms: 1_500,
+            takeover_ms: 1_700,
         }
     }
 
--- a/crates/foxledge-gossip/src/peers.rs
+++ b/crates/foxledge-gossip/src/peers.rs
@@ -89,6 +89,11 @@
         self.records.len()
     }
 
+    /// Every known instance.
+    pub fn all(&self) -> Vec<SocketAddrV4> {
+        self.records.keys().copied().collect()
+    }
+
     /// Instances heard of lately.
     pub fn live(&self, now: ClockTime) -> impl Iterator<Item = SocketAddrV4> + '_ {
         let is_live =
--- /dev/null
+++ b/crates/foxledge-gossip/tests/common/mod.rs
@@ -0,0 +1,457 @@
+//! A fleet in virtual time: members, a store, and links that delay, lose and cut.
+#![allow(dead_code)]
+
+use std::{
+    cmp::Reverse,
+    collections::{BTreeMap, BinaryHeap, HashMap, HashSet},
+    net::{Ipv4Addr, SocketAddrV4},
+};
+
+use foxledge_core::{names::CentreName, time::ClockTime};
+use foxledge_flows::{
+    HealthNote, ItemChange, ListReading, SourceError,
+    rows::{BackendRow, LimitsRow, RouteRow},
+    source::ConfigReading,
+};
+use foxledge_gossip::{FleetEffect, FleetEvent, FleetMember, MemberOptions, ReadOrder};
+use rand::{Rng, SeedableRng, rngs::StdRng};
+
+/// Time that the store takes for an answer, in microseconds.
+const STORE_US: u64 = 4_000;
+const START_US: u64 = 3_600_000_000;
+
+enum Event {
+    Wake { member: usize, due_us: u64 },
+    Datagram { member: usize, from: SocketAddrV4, bytes: Vec<u8> },
+    Answer { member: usize, start: u64, order: ReadOrder, answer: Result<ListReading, SourceError> },
+    WatchEnd { member: usize, start: u64, order: ReadOrder },
+}
+
+/// `StoreState` is how the store answers a member.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StoreState {
+    Serving,
+    Refusing,
+    Silent,
+}
+
+#[derive(Default)]
+pub struct VirtualStore {
+    items: BTreeMap<String, ItemChange>,
+    log: Vec<(u64, ItemChange)>,
+    pub head: u64,
+    pub floor: u64,
+    pub calls: u64,
+    pub cheap_calls: u64,
+}
+
+pub struct Seat {
+    pub member: Option<FleetMember>,
+    pub address: SocketAddrV4,
+    pub centre: String,
+    /// Counts starts, so that answers to a former process are lost.
+    start: u64,
+    pub paused_until: u64,
+    pub events: Vec<(u64, FleetEvent)>,
+    pub notes: Vec<HealthNote>,
+    pub sent: u64,
+    pub sent_bytes: u64,
+    /// Time that messages to it wait before they are read.
+    pub lag_us: u64,
+}
+
+pub struct VirtualFleet {
+    pub now_us: u64,
+    queue: BinaryHeap<Reverse<(u64, u64)>>,
+    events: HashMap<u64, Event>,
+    count: u64,
+    pub seats: Vec<Seat>,
+    by_address: HashMap<SocketAddrV4, usize>,
+    pub store: VirtualStore,
+    pub store_state: HashMap<usize, StoreState>,
+    watches: Vec<(usize, u64, ReadOrder)>,
+    pub cut: HashSet<(usize, usize)>,
+    pub loss: f64,
+    rng: StdRng,
+    seeds: Vec<SocketAddrV4>,
+    pub largest: usize,
+}
+
+pub fn item_revision(item: &ItemChange) -> u64 {
+    match item {
+        ItemChange::Config { revision, .. }
+        | ItemChange::Backend { revision, .. }
+        | ItemChange::BackendGone { revision, .. }
+        | ItemChange::Malformed { revision, .. } => *revision,
+    }
+}
+
+impl VirtualStore {
+    pub fn publish(&mut self, version: u64, routes: usize) {
+        self.head += 1;
+        let routes = (0..routes).map(|index| RouteRow {
+            name: format!("route-{index}"),
+            position: index as u32,
+            port: 1 + index as u32,
+            timeout_ms: version as u32,
+            ..RouteRow::default()
+        });
+        let limits = LimitsRow { version, idle_ms: 15_000 };
+        let config = ConfigReading { limits, routes: routes.collect() };
+        self.put("config".to_owned(), ItemChange::Config { revision: self.head, config });
+    }
+
+    pub fn register(&mut self, number: u64, draining: bool) {
+        self.head += 1;
+        let backend = BackendRow {
+            number,
+            service: "desk".to_owned(),
+            ip: number as u32,
+            port: 80,
+            data_centre: "a".to_owned(),
+            slots: 2,
+            draining,
+            warm_in_ms: 0,
+        };
+        let id = format!("i-{number:x}");
+        let item = ItemChange::Backend { revision: self.head, id: id.clone(), backend };
+        self.put(id, item);
+    }
+
+    pub fn remove(&mut self, number: u64) {
+        self.head += 1;
+        let id = format!("i-{number:x}");
+        self.items.remove(&id);
+        self.log.push((self.head, ItemChange::BackendGone { revision: self.head, id }));
+    }
+
+    /// Forgets the history up to now.
+    pub fn compact(&mut self) {
+        self.floor = self.head;
+        self.log.clear();
+    }
+
+    fn put(&mut self, key: String, item: ItemChange) {
+        self.items.insert(key, item.clone());
+        self.log.push((self.head, item));
+    }
+
+    fn all(&self) -> ListReading {
+        ListReading { items: self.items.values().cloned().collect(), head: self.head }
+    }
+
+    fn after(&self, after: u64) -> Result<ListReading, SourceError> {
+        if after < self.floor {
+            return Err(SourceError::HistoryGone);
+        }
+        let items = self.log.iter().filter(|(revision, _)| *revision > after);
+        Ok(ListReading { items: items.map(|(_, item)| item.clone()).collect(), head: self.head })
+    }
+}
+
+impl VirtualFleet {
+    /// `counts` is the number of members in each data centre; all start at once.
+    pub fn new(counts: &[usize], seed: u64) -> VirtualFleet {
+        let mut fleet = VirtualFleet {
+            now_us: START_US,
+            queue: BinaryHeap::new(),
+            events: HashMap::new(),
+            count: 0,
+            seats: Vec::new(),
+            by_address: HashMap::new(),
+            store: VirtualStore::default(),
+            store_state: HashMap::new(),
+            watches: Vec::new(),
+            cut: HashSet::new(),
+            loss: 0.0,
+            rng: StdRng::seed_from_u64(seed),
+            seeds: Vec::new(),
+            largest: 0,
+        };
+        for (centre, count) in counts.iter().enumerate() {
+            for index in 0..*count {
+                let (high, low) = ((index / 250) as u8, (index % 250) as u8);
+                let ip = Ipv4Addr::new(10, 1 + centre as u8, high, 1 + low);
+                let seat = Seat {
+                    member: None,
+                    address: SocketAddrV4::new(ip, 7_000),
+                    centre: format!("centre-{centre}"),
+                    start: 0,
+                    paused_until: 0,
+                    events: Vec::new(),
+                    notes: Vec::new(),
+                    sent: 0,
+                    sent_bytes: 0,
+                    lag_us: 0,
+                };
+                fleet.by_address.insert(seat.address, fleet.seats.len());
+                fleet.seats.push(seat);
+            }
+        }
+        let first: Vec<_> = counts
+            .iter()
+            .scan(0, |sum, count| {
+                let index = *sum;
+                *sum += count;
+                Some(index)
+            })
+            .collect();
+        fleet.seeds = first.iter().take(3).map(|index| fleet.seats[*index].address).collect();
+        fleet
+    }
+
+    pub fn start_all(&mut self) {
+        for index in 0..self.seats.len() {
+            self.start(index);
+        }
+    }
+
+    pub fn start(&mut self, index: usize) {
+        let seed = self.rng.random();
+        let seat = &mut self.seats[index];
+        seat.start += 1;
+        let options = MemberOptions::new(seat.address, CentreName::new(&seat.centre))
+            .incarnation(self.rng.random())
+            .seeds(self.seeds.clone())
+            .seed(seed);
+        seat.member = Some(FleetMember::new(options, ClockTime::from_micros(self.now_us)));
+        self.wake_at(index, self.now_us);
+    }
+
+    pub fn kill(&mut self, index: usize) {
+        self.seats[index].member = None;
+        self.watches.retain(|(member, ..)| *member != index);
+    }
+
+    pub fn cut_off(&mut self, index: usize) {
+        for other in 0..self.seats.len() {
+            self.cut.insert((index, other));
+            self.cut.insert((other, index));
+        }
+    }
+
+    pub fn now(&self) -> ClockTime {
+        ClockTime::from_micros(self.now_us)
+    }
+
+    /// Runs for some milliseconds.
+    pub fn run(&mut self, millis: u64) {
+        let end = self.now_us + millis * 1_000;
+        while let Some(Reverse((at, id))) = self.queue.peek().copied() {
+            if at > end {
+                break;
+            }
+            self.queue.pop();
+            self.now_us = at;
+            let event = self.events.remove(&id).expect("is queued");
+            self.handle(event);
+        }
+        self.now_us = end;
+    }
+
+    /// Runs until a condition holds; the milliseconds it took, or none after `most`.
+    pub fn run_until(&mut self, most: u64, holds: impl Fn(&VirtualFleet) -> bool) -> Option<u64> {
+        for millis in 0..=most {
+            if holds(self) {
+                return Some(millis);
+            }
+            self.run(1);
+        }
+        None
+    }
+
+    /// True when every living member knows the list up to `head`.
+    pub fn all_know(&self, head: u64) -> bool {
+        self.members().all(|member| member.list().head() >= head)
+    }
+
+    pub fn members(&self) -> impl Iterator<Item = &FleetMember> {
+        self.seats.iter().filter_map(|seat| seat.member.as_ref())
+    }
+
+    pub fn readers(&self) -> usize {
+        self.members().filter(|member| member.is_reading()).count()
+    }
+
+    /// Age of the oldest confirmation in milliseconds; none when one has none.
+    pub fn oldest_confirmation(&self) -> Option<u64> {
+        let ages = self
+            .members()
+            .map(|member| Some(self.now().since(member.confirmed_at()?).as_millis() as u64));
+        ages.collect::<Option<Vec<_>>>()?.into_iter().max()
+    }
+
+    pub fn messages(&self) -> u64 {
+        self.seats.iter().map(|seat| seat.sent).sum()
+    }
+
+    /// Ends watches that wait for a change, as the store does.
+    pub fn store_changed(&mut self) {
+        for (member, start, order) in std::mem::take(&mut self.watches) {
+            self.answer_watch(member, start, order);
+        }
+    }
+
+    pub fn share(&mut self, index: usize, note: HealthNote) {
+        let now = self.now();
+        if let Some(member) = &mut self.seats[index].member {
+            member.share_notes(now, &[note]);
+        }
+        self.carry_out(index);
+    }
+
+    pub fn leave(&mut self, index: usize) {
+        let now = self.now();
+        if let Some(member) = &mut self.seats[index].member {
+            member.leave(now);
+        }
+        self.carry_out(index);
+    }
+
+    fn push(&mut self, at: u64, event: Event) {
+        self.count += 1;
+        self.queue.push(Reverse((at, self.count)));
+        self.events.insert(self.count, event);
+    }
+
+    fn wake_at(&mut self, member: usize, at: u64) {
+        self.push(at.max(self.now_us), Event::Wake { member, due_us: at });
+    }
+
+    fn handle(&mut self, event: Event) {
+        let now = self.now();
+        match event {
+            Event::Wake { member, .. } => {
+                if self.is_paused(member) {
+                    let until = self.seats[member].paused_until;
+                    return self.push(until, Event::Wake { member, due_us: until });
+                }
+                let Some(one) = &mut self.seats[member].member else { return };
+                one.on_time(now);
+                self.carry_out(member);
+                let Some(one) = &self.seats[member].member else { return };
+                let next = one.next_at(now).as_micros().max(self.now_us + 5_000);
+                self.wake_at(member, next);
+            }
+            Event::Datagram { member, from, bytes } => {
+                if self.is_paused(member) {
+                    return;
+                }
+                let Some(one) = &mut self.seats[member].member else { return };
+                assert!(one.on_datagram(now, from, &bytes), "a member's message can't be read");
+                self.carry_out(member);
+            }
+            Event::Answer { member, start, order, answer } => {
+                let seat = &mut self.seats[member];
+                if seat.start != start {
+                    return;
+                }
+                let Some(one) = &mut seat.member else { return };
+                one.on_reading(now, order, answer);
+                self.carry_out(member);
+                // The next call may be due before the timer that was set.
+                let Some(one) = &self.seats[member].member else { return };
+                let next = one.next_at(now).as_micros();
+                self.push(next.max(self.now_us), Event::Wake { member, due_us: next });
+            }
+            Event::WatchEnd { member, start, order } => {
+                let waits = |one: &(usize, u64, ReadOrder)| *one == (member, start, order);
+                if let Some(index) = self.watches.iter().position(waits) {
+                    self.watches.swap_remove(index);
+                    self.answer_watch(member, start, order);
+                }
+            }
+        }
+    }
+
+    fn is_paused(&self, member: usize) -> bool {
+        self.seats[member].paused_until > self.now_us
+    }
+
+    fn carry_out(&mut self, index: usize) {
+        let Some(member) = &mut self.seats[index].member else { return };
+        let effects = member.take_effects();
+        let (start, address) = (self.seats[index].start, self.seats[index].address);
+        for effect in effects {
+            match effect {
+                FleetEffect::Send { to, bytes } => self.send(index, address, to, bytes),
+                FleetEffect::Read(order) => self.call(index, start, order),
+                FleetEffect::Event(event) => {
+                    let at = (self.now_us - START_US) / 1_000;
+                    self.seats[index].events.push((at, event));
+                }
+                FleetEffect::Note(note) => self.seats[index].notes.push(note),
+                FleetEffect::Rows(_) | FleetEffect::Confirmed(_) => {}
+            }
+        }
+    }
+
+    fn send(&mut self, index: usize, from: SocketAddrV4, to: SocketAddrV4, bytes: Vec<u8>) {
+        self.seats[index].sent += 1;
+        self.seats[index].sent_bytes += bytes.len() as u64;
+        self.largest = self.largest.max(bytes.len());
+        let Some(member) = self.by_address.get(&to).copied() else { return };
+        if self.cut.contains(&(index, member)) || self.rng.random_bool(self.loss) {
+            return;
+        }
+        let is_near = self.seats[index].centre == self.seats[member].centre;
+        let way = if is_near { 200 } else { 500 };
+        let at = self.now_us + way + self.seats[member].lag_us;
+        self.push(at, Event::Datagram { member, from, bytes });
+    }
+
+    fn call(&mut self, member: usize, start: u64, order: ReadOrder) {
+        match order {
+            ReadOrder::All(foxledge_flows::source::ReadMode::MaybeOld) => {
+                self.store.cheap_calls += 1
+            }
+            _ => self.store.calls += 1,
+        }
+        let state = self.store_state.get(&member).copied().unwrap_or(StoreState::Serving);
+        let answer = match (state, order) {
+            (StoreState::Silent, _) => {
+                let error = Err(SourceError::Timeout(1_450));
+                return self.push(
+                    self.now_us + 1_450_000,
+                    Event::Answer { member, start, order, answer: error },
+                );
+            }
+            (StoreState::Refusing, _) => Err(SourceError::Refused(503)),
+            (StoreState::Serving, ReadOrder::All(_)) => Ok(self.store.all()),
+            (StoreState::Serving, ReadOrder::Watch { after, wait_ms }) => {
+                if self.store.head <= after && self.store.floor <= after {
+                    self.watches.push((member, start, order));
+                    let end = self.now_us + wait_ms * 1_000;
+                    return self.push(end, Event::WatchEnd { member, start, order });
+                }
+                self.store.after(after)
+            }
+        };
+        self.push(self.now_us + STORE_US, Event::Answer { member, start, order, answer });
+    }
+
+    fn answer_watch(&mut self, member: usize, start: u64, order: ReadOrder) {
+        let ReadOrder::Watch { after, .. } = order else { return };
+        let state = self.store_state.get(&member).copied().unwrap_or(StoreState::Serving);
+        if state == StoreState::Silent {
+            let answer = Err(SourceError::Timeout(1_450));
+            return self
+                .push(self.now_us + 450_000, Event::Answer { member, start, order, answer });
+        }
+        let answer = self.store.after(after);
+        self.push(self.now_us + STORE_US / 2, Event::Answer { member, start, order, answer });
+    }
+}
+
+/// A fleet that has run for some seconds on a list of some routes and backend servers.
+pub fn settled_fleet(counts: &[usize], seed: u64) -> VirtualFleet {
+    let mut fleet = VirtualFleet::new(counts, seed);
+    for number in 1..=18 {
+        fleet.store.register(number, false);
+    }
+    fleet.store.publish(1, 10);
+    fleet.start_all();
+    fleet.run(6_000);
+    assert!(fleet.all_know(fleet.store.head), "the fleet doesn't settle");
+    fleet
+}
--- /dev/null
+++ b/crates/foxledge-gossip/tests/newest_list.rs
@@ -0,0 +1,168 @@
+//! The newest list everywhere within seconds, whatever fails.
+
+mod common;
+
+use common::{StoreState, VirtualFleet, settled_fleet};
+use foxledge_gossip::LARGEST_MESSAGE;
+
+/// A new list must be in force within this time of its acknowledgement, in milliseconds.
+const BOUND_MS: u64 = 3_000;
+
+const SIZES: [&[usize]; 3] = [&[2, 2, 2, 1], &[21, 24, 19, 23], &[75, 75, 75, 75]];
+
+fn publish(fleet: &mut VirtualFleet, version: u64) -> u64 {
+    fleet.store.publish(version, 10);
+    fleet.store_changed();
+    fleet.store.head
+}
+
+#[test]
+fn change_reaches_all() {
+    for counts in SIZES {
+        for seed in 0..5 {
+            let mut fleet = settled_fleet(counts, seed);
+            let head = publish(&mut fleet, 2);
+            let took = fleet.run_until(BOUND_MS, |fleet| fleet.all_know(head));
+            assert!(took.is_some_and(|took| took < 1_500), "{counts:?} seed {seed}: {took:?} ms");
+        }
+    }
+}
+
+// Symptom: instances obey the former list for as long as a reader is dead.
+// Sequence: both readers are killed, and a list is published at that moment.
+// Cause: nobody else reads before the readers' silence is noticed.
+#[test]
+fn readers_killed() {
+    for counts in SIZES {
+        for seed in 0..5 {
+            let mut fleet = settled_fleet(counts, seed);
+            for index in 0..fleet.seats.len() {
+                if fleet.seats[index].member.as_ref().is_some_and(|one| one.is_reading()) {
+                    fleet.kill(index);
+                }
+            }
+            let head = publish(&mut fleet, 2);
+            let took = fleet.run_until(BOUND_MS, |fleet| fleet.all_know(head));
+            assert!(took.is_some(), "{counts:?} seed {seed}: not within {BOUND_MS} ms");
+        }
+    }
+}
+
+// Symptom: one data centre obeys the former list during a cut between data centres.
+// Sequence: the data centres lose each other, each keeps its way to the store.
+// Cause: the readers are in other data centres.
+#[test]
+fn centres_cut() {
+    for seed in 0..5 {
+        let mut fleet = settled_fleet(&[3, 3, 3], seed);
+        for from in 0..9 {
+            for to in 0..9 {
+                if from / 3 != to / 3 {
+                    fleet.cut.insert((from, to));
+                }
+            }
+        }
+        let head = publish(&mut fleet, 2);
+        let took = fleet.run_until(BOUND_MS, |fleet| fleet.all_know(head));
+        assert!(took.is_some(), "seed {seed}: not within {BOUND_MS} ms");
+    }
+}
+
+// Symptom: an instance without peers obeys an old list although the store would answer it.
+#[test]
+fn lone_instance_reads() {
+    for seed in 0..5 {
+        let mut fleet = settled_fleet(&[3, 3], seed);
+        fleet.cut_off(4);
+        let head = publish(&mut fleet, 2);
+        let took = fleet.run_until(BOUND_MS, |fleet| fleet.all_know(head));
+        assert!(took.is_some(), "seed {seed}: not within {BOUND_MS} ms");
+    }
+}
+
+// Symptom: instances that the store turns away obey an old list, or readers that it
+//   turns away keep others from reading.
+// Sequence: the store refuses a third of the instances, the readers among them, or
+//   leaves them without an answer.
+#[test]
+fn some_turned_away() {
+    for state in [StoreState::Refusing, StoreState::Silent] {
+        for seed in 0..5 {
+            let mut fleet = settled_fleet(&[3, 3, 3], seed);
+            let readers: Vec<_> = (0..9)
+                .filter(|i| fleet.seats[*i].member.as_ref().is_some_and(|one| one.is_reading()))
+                .collect();
+            for index in readers.iter().copied().chain([0]) {
+                fleet.store_state.insert(index, state);
+            }
+            fleet.run(2_500);
+            let head = publish(&mut fleet, 2);
+            let took = fleet.run_until(BOUND_MS, |fleet| fleet.all_know(head));
+            assert!(took.is_some(), "{state:?} seed {seed}: not within {BOUND_MS} ms");
+        }
+    }
+}
+
+// Symptom: a backend server that left gets new flows for ever.
+// Sequence: it leaves while the store forgets its history.
+// Cause: its removal is in no answer, and nobody reads the whole list again.
+#[test]
+fn history_dropped() {
+    let mut fleet = settled_fleet(&[2, 2], 1);
+    fleet.store.remove(7);
+    fleet.store.compact();
+    let head = fleet.store.head;
+    let took = fleet.run_until(BOUND_MS, |fleet| fleet.all_know(head));
+    assert!(took.is_some());
+    for member in fleet.members() {
+        let row = member.list().rows().find(|row| row.key == "backend/i-7").expect("is kept");
+        assert!(matches!(row.value, Some(foxledge_flows::rows::RowValue::Removed(_))));
+    }
+}
+
+#[test]
+fn lossy_links() {
+    for seed in 0..5 {
+        let mut fleet = settled_fleet(&[5, 5, 5], seed);
+        fleet.loss = 0.2;
+        let head = publish(&mut fleet, 2);
+        let took = fleet.run_until(BOUND_MS, |fleet| fleet.all_know(head));
+        assert!(took.is_some(), "seed {seed}: not within {BOUND_MS} ms");
+    }
+}
+
+#[test]
+fn storm_of_lists() {
+    let mut fleet = settled_fleet(&[2, 2, 2, 1], 1);
+    for version in 2..14 {
+        publish(&mut fleet, version);
+        fleet.run(330);
+    }
+    let head = fleet.store.head;
+    assert!(fleet.run_until(1_000, |fleet| fleet.all_know(head)).is_some());
+    assert!(fleet.members().all(|member| member.list().version() == 13));
+}
+
+#[test]
+fn large_list() {
+    let mut fleet = settled_fleet(&[4, 4], 1);
+    fleet.store.publish(2, 1_400);
+    fleet.store_changed();
+    let head = fleet.store.head;
+    let took = fleet.run_until(BOUND_MS, |fleet| fleet.all_know(head));
+    assert!(took.is_some_and(|took| took < 1_500), "{took:?} ms");
+    assert!(fleet.largest <= LARGEST_MESSAGE, "{} bytes", fleet.largest);
+}
+
+// Symptom: an instance that wakes from a long pause brings its old list back.
+#[test]
+fn woken_never_back() {
+    let mut fleet = settled_fleet(&[2, 2], 1);
+    fleet.seats[1].paused_until = fleet.now_us + 10_000_000;
+    fleet.run(1_000);
+    let head = publish(&mut fleet, 2);
+    fleet.run(9_500);
+    let took = fleet.run_until(BOUND_MS, |fleet| fleet.all_know(head));
+    assert!(took.is_some());
+    assert!(fleet.members().all(|member| member.list().version() == 2));
+}
--- /dev/null
+++ b/crates/foxledge-gossip/tests/quiet_fleet.rs
@@ -0,0 +1,104 @@
+//! What a fleet costs while nothing happens.
+
+mod common;
+
+use common::{StoreState, settled_fleet};
+use foxledge_flows::{HealthNote, NoteKind};
+
+#[test]
+fn few_calls() {
+    // Two readers, each with a watch of a second.
+    for counts in [&[2, 2, 2, 1][..], &[21, 24, 19, 23], &[75, 75, 75, 75]] {
+        let mut fleet = settled_fleet(counts, 1);
+        let before = fleet.store.calls;
+        fleet.run(30_000);
+        let calls = fleet.store.calls - before;
+        assert!(calls <= 75, "{counts:?}: {calls} calls in 30 s");
+        assert!((1..=4).contains(&fleet.readers()), "{} readers", fleet.readers());
+    }
+}
+
+#[test]
+fn bounded_messages() {
+    // Messages of one instance don't grow with the fleet.
+    for counts in [&[2, 2, 2, 1][..], &[21, 24, 19, 23], &[75, 75, 75, 75]] {
+        let mut fleet = settled_fleet(counts, 1);
+        let before: Vec<_> = fleet.seats.iter().map(|seat| seat.sent_bytes).collect();
+        let messages = fleet.messages();
+        fleet.run(10_000);
+        let rate = (fleet.messages() - messages) as f64 / 10.0 / fleet.seats.len() as f64;
+        assert!(rate <= 14.0, "{counts:?}: {rate} messages a second and instance");
+        for (seat, before) in fleet.seats.iter().zip(before) {
+            let rate = (seat.sent_bytes - before) / 10;
+            assert!(rate <= 12_000, "{counts:?}: {rate} bytes a second");
+        }
+    }
+}
+
+#[test]
+fn fresh_everywhere() {
+    for counts in [&[2, 2, 2, 1][..], &[21, 24, 19, 23], &[75, 75, 75, 75]] {
+        let mut fleet = settled_fleet(counts, 1);
+        let mut worst = 0;
+        for _ in 0..100 {
+            fleet.run(97);
+            worst = worst.max(fleet.oldest_confirmation().expect("all are confirmed"));
+        }
+        assert!(worst <= 2_200, "{counts:?}: {worst} ms");
+    }
+}
+
+// Symptom: bytes between data centres grow a hundredfold after one lost datagram.
+// Sequence: an observation of a backend server is passed on; an instance that reads
+//   its messages late passes it on again, and so round.
+// Cause: an observation that came back late looked newer by the way it had taken,
+//   and so like another one.
+#[test]
+fn news_dies_out() {
+    let mut fleet = settled_fleet(&[3, 3, 3], 1);
+    fleet.seats[4].lag_us = 120_000;
+    fleet.seats[7].lag_us = 80_000;
+    let note = HealthNote { number: 3, kind: NoteKind::Suspect, at: fleet.now() };
+    fleet.share(0, note);
+    fleet.run(3_000);
+    for (index, seat) in fleet.seats.iter().enumerate().skip(1) {
+        assert_eq!(seat.notes.len(), 1, "instance {index}");
+    }
+    let before = fleet.messages();
+    fleet.run(5_000);
+    let rate = (fleet.messages() - before) / 5 / 9;
+    assert!(rate <= 14, "{rate} messages a second and instance");
+}
+
+// Symptom: nobody reads the store, and lists count as confirmed.
+// Sequence: a reader dies; its last answer is told from hop to hop.
+// Cause: each hop makes the answer seem later by the way, so that it never gets old.
+#[test]
+fn dead_reader_fades() {
+    let mut fleet = settled_fleet(&[3, 3, 3], 1);
+    fleet.seats[5].lag_us = 200_000;
+    for index in 0..9 {
+        fleet.store_state.insert(index, StoreState::Refusing);
+    }
+    // Watches that wait end at once.
+    fleet.store_changed();
+    fleet.run(200);
+    let start = fleet.now_us;
+    fleet.run(5_000);
+    let age = fleet.oldest_confirmation().expect("was confirmed");
+    let real = (fleet.now_us - start) / 1_000;
+    assert!(age + 1_500 >= real, "{age} ms told, {real} ms gone by");
+}
+
+#[test]
+fn leaving_told() {
+    let mut fleet = settled_fleet(&[3, 3], 1);
+    let peers = fleet.seats[0].member.as_ref().map(|one| one.peer_count());
+    assert_eq!(peers, Some(5));
+    fleet.leave(5);
+    fleet.kill(5);
+    fleet.run(1_500);
+    for seat in fleet.seats.iter().take(5) {
+        assert_eq!(seat.member.as_ref().map(|one| one.peer_count()), Some(4));
+    }
+}
