Tell changes only from where a whole reading began; ask peers before reading

Who starts anew and reads a whole list doesn't know what was removed before, and gave peers that were behind only the changes it knew. A list now tells changes only after the revision of its last whole reading; who is further behind gets a copy. Ruled out: rows of one version applied in parts (pages are kept aside to the last).

--- a/crates/foxledge-flows/src/list.rs
+++ b/crates/foxledge-flows/src/list.rs
@@ -76,7 +76,8 @@
         self.head
     }
 
-    /// Removals at or below this revision are no longer listed.
+    /// Changes can be told only after this revision: removals at or below it
+    /// aren't known here, or no longer.
     pub fn floor(&self) -> u64 {
         self.floor
     }
@@ -120,8 +121,15 @@
 
     /// Takes a whole copy; rows that it lacks are gone.
     ///
-    /// A copy older than what is known is passed over.
-    pub fn take_copy(&mut self, now: ClockTime, rows: Vec<ListRow>, head: u64) -> Vec<ListRow> {
+    /// A copy older than what is known is passed over. `floor` is that of whoever
+    /// made the copy.
+    pub fn take_copy(
+        &mut self,
+        now: ClockTime,
+        rows: Vec<ListRow>,
+        head: u64,
+        floor: u64,
+    ) -> Vec<ListRow> {
         if head < self.head {
             return Vec::new();
         }
@@ -136,6 +144,7 @@
         let mut taken: Vec<_> = rows.into_iter().filter_map(|row| self.put(now, row)).collect();
         taken.extend(gone.into_iter().filter_map(|row| self.put(now, row)));
         self.head = head;
+        self.floor = self.floor.max(floor);
         taken
     }
 
@@ -157,6 +166,10 @@
         rows.extend(gone);
         let taken = rows.into_iter().filter_map(|row| self.put(now, row)).collect();
         self.head = head;
+        // What came and went since this list was last complete isn't in the
+        // reading. An instance that is further behind may know it, and would
+        // keep it for ever if it were given only the changes known here.
+        self.floor = head;
         taken
     }
 
--- a/crates/foxledge-gossip/src/member.rs
+++ b/crates/foxledge-gossip/src/member.rs
@@ -40,6 +40,11 @@
 const NOTE_MS: u64 = 1_500;
 /// Longest time that an answer takes beside what its watch waits, in milliseconds.
 const SLOWEST_MS: u64 = 1_000;
+/// Age of the last confirmation at which peers are asked for a newer one, in
+/// milliseconds: a reader's period of 1.1 s and some room.
+const DOUBT_MS: u64 = 1_250;
+/// Time between the two questions, in milliseconds.
+const DOUBT_AGAIN_MS: u64 = 250;
 /// Readers told with each message.
 const MOST_CLAIMS: usize = 3;
 /// Most observations in one message.
@@ -76,6 +81,8 @@
     told_at: ClockTime,
     serial: u32,
     called_at: ClockTime,
+    /// When peers are asked for a newer confirmation; none after the second time.
+    doubt_at: Option<ClockTime>,
     needs_copy: bool,
     beat_at: ClockTime,
     ask_at: ClockTime,
@@ -111,6 +118,7 @@
             told_at: ClockTime::ZERO,
             serial: 0,
             called_at: now,
+            doubt_at: None,
             needs_copy: false,
             beat_at: now.after_millis(BEAT_MS),
             ask_at: now,
@@ -165,6 +173,9 @@
         if self.card.is_leaving {
             return next;
         }
+        if let Some(at) = self.doubt_at {
+            next = next.min(at);
+        }
         if self.list.head() == 0 && !self.election.is_waiting() {
             next = next.min(self.start_at);
         }
@@ -181,6 +192,7 @@
             self.ask_seeds(now);
         }
         self.retry_pull(now);
+        self.ask_in_doubt(now);
         self.consider_reading(now);
         if self.beat_at.is_past(now) {
             self.beat(now);
@@ -324,6 +336,7 @@
             return false;
         }
         self.confirmed_at = Some(at);
+        self.doubt_at = Some(at.after_millis(DOUBT_MS));
         self.effects.push(FleetEffect::Confirmed(at));
         self.told_at.after_millis(NEWER_MS).is_past(at)
     }
@@ -364,6 +377,7 @@
             rows: page.rows,
             is_copy,
             head: self.list.head(),
+            floor: self.list.floor(),
             claims: self.claim_messages(now),
         };
         self.send(from, MessageBody::Page(answer));
@@ -372,7 +386,7 @@
     fn take_page(&mut self, now: ClockTime, page: PageMessage) {
         let Some(mut pull) = self.pull.take_if(|pull| pull.ticket == page.ticket) else { return };
         let from = pull.from;
-        let head = page.head;
+        let (head, floor) = (page.head, page.floor);
         self.learn_claims(now, &page.claims);
         match pull.take(now, page) {
             PullStep::Ask(question) => {
@@ -382,7 +396,7 @@
             PullStep::Done { rows, is_copy } => {
                 let known = self.list.head();
                 let taken = match is_copy {
-                    true => self.list.take_copy(now, rows, head),
+                    true => self.list.take_copy(now, rows, head, floor),
                     false => self.list.take_changes(now, rows, head),
                 };
                 self.rows_taken(now, taken, known, from.to_string());
@@ -545,6 +559,26 @@
         }
     }
 
+    /// Asks peers for a newer confirmation than the known one, twice.
+    ///
+    /// One in twenty instances misses an epidemic. Without the question, those
+    /// with good ranks would take the readers for dead every few seconds, and
+    /// each time call the store.
+    fn ask_in_doubt(&mut self, now: ClockTime) {
+        let Some(doubt) = self.doubt_at.filter(|at| at.is_past(now)) else { return };
+        let is_first = self.confirmed_at.is_some_and(|at| doubt <= at.after_millis(DOUBT_MS));
+        self.doubt_at = is_first.then(|| now.after_millis(DOUBT_AGAIN_MS));
+        let near = self.options.data_centre.clone();
+        let mut to = self.peers.pick_near(&mut self.rng, &near, 2);
+        let far = self.peers.pick_far(&mut self.rng, &near, 1);
+        to.extend(far.into_iter().take(1));
+        let mut beat = self.beat_message(now, None);
+        beat.wants_answer = true;
+        for address in to {
+            self.send(address, MessageBody::Beat(beat.clone()));
+        }
+    }
+
     fn ask_seeds(&mut self, now: ClockTime) {
         let mut beat = self.beat_message(now, None);
         beat.wants_answer = true;
--- a/crates/foxledge-gossip/src/messages.rs
+++ b/crates/foxledge-gossip/src/messages.rs
@@ -170,6 +170,9 @@
     /// Revision up to which the sender knows the list in full.
     #[prost(uint64, tag = "5")]
     pub head: u64,
+    /// Revision after which the sender can tell changes.
+    #[prost(uint64, tag = "7")]
+    pub floor: u64,
     /// The last answers of the store that are known, by reader.
     #[prost(message, repeated, tag = "6")]
     pub claims: Vec<ClaimMessage>,
--- a/crates/foxledge-gossip/tests/newest_list.rs
+++ b/crates/foxledge-gossip/tests/newest_list.rs
@@ -166,3 +166,33 @@
     assert!(took.is_some());
     assert!(fleet.members().all(|member| member.list().version() == 2));
 }
+
+// Symptom: an instance serves a route that was removed long ago, and says that it
+//   knows the newest list.
+// Sequence: it stands still while the route is removed; instances around it start
+//   anew; it wakes and asks them for what changed.
+// Cause: who has read a whole list knows what is there, not what went before.
+#[test]
+fn removal_before_start() {
+    for seed in 0..10 {
+        let mut fleet = settled_fleet(&[2, 2], seed);
+        fleet.seats[0].paused_until = fleet.now_us + 4_000_000;
+        fleet.store.remove(7);
+        fleet.store.publish(2, 8);
+        fleet.store_changed();
+        fleet.run(500);
+        for index in 1..4 {
+            fleet.kill(index);
+            fleet.start(index);
+        }
+        fleet.run(8_000);
+        assert!(fleet.all_know(fleet.store.head));
+        for member in fleet.members() {
+            let is_left = |row: &&foxledge_flows::rows::ListRow| {
+                matches!(row.key.as_str(), "backend/i-7" | "route/route-9")
+                    && !matches!(row.value, Some(foxledge_flows::rows::RowValue::Removed(_)))
+            };
+            assert_eq!(member.list().rows().find(is_left), None, "seed {seed}");
+        }
+    }
+}
