--- a/crates/foxledge-daemon/src/packets/daemon.rs
+++ b/crates/foxledge-daemon/src/packets/daemon.rs
@@ -141,7 +141,7 @@
     let clock = BootClock::start();
     let mut rng = StdRng::from_os_rng();
     let incarnation = rng.random();
-    let options = MemberOptions::new(settings.peer, settings.data_centre.clone())
+    let options = MemberOptions::new(settings.peer_public, settings.data_centre.clone())
         .incarnation(incarnation)
         .link_mbps(settings.link_mbps)
         .seeds(settings.seeds.clone())
--- a/crates/foxledge-settings/src/packet_settings.rs
+++ b/crates/foxledge-settings/src/packet_settings.rs
@@ -27,6 +27,9 @@
     pub data: SocketAddrV4,
     /// UDP, other instances.
     pub peer: SocketAddrV4,
+    /// Where other instances are told to send; the address of `peer` unless a
+    /// translation stands in between.
+    pub peer_public: SocketAddrV4,
     /// TCP, HTTP with `/healthz`.
     pub admin: SocketAddr,
     /// TCP, HTTP with `/metrics`, `/status` and more; none serves them with `admin`.
@@ -83,6 +86,7 @@
     let listen = root.table("listen");
     let data = listen.require("data", address_v4(&listen, "data"));
     let peer = listen.require("peer", address_v4(&listen, "peer"));
+    let peer_public = address_v4(&listen, "peer_public").or(peer);
     let admin = listen.require("admin", listen.address("admin"));
     let metrics = listen.has("metrics").then(|| listen.address("metrics"));
     if data.is_some() && data == peer {
@@ -113,6 +117,7 @@
         link_mbps,
         data: data?,
         peer: peer?,
+        peer_public: peer_public?,
         admin: admin?,
         metrics: metrics.flatten(),
         store: address?,
@@ -132,6 +137,7 @@
             ("instance.link_mbps", self.link_mbps.to_string(), newer.link_mbps.to_string()),
             ("listen.data", self.data.to_string(), newer.data.to_string()),
             ("listen.peer", self.peer.to_string(), newer.peer.to_string()),
+            ("listen.peer_public", self.peer_public.to_string(), newer.peer_public.to_string()),
             ("listen.admin", self.admin.to_string(), newer.admin.to_string()),
             ("listen.metrics", format!("{:?}", self.metrics), format!("{:?}", newer.metrics)),
             ("store.address", self.store.to_string(), newer.store.to_string()),
--- /dev/null
+++ b/crates/foxledge-soak/src/backends.rs
@@ -0,0 +1,214 @@
+//! Backend servers, as stand-ins over UDP.
+
+use std::{
+    collections::HashMap,
+    net::{SocketAddr, SocketAddrV4},
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
+
+use anyhow::Result;
+use foxledge_flows::FlowKey;
+use serde_json::json;
+use tokio::{net::UdpSocket, task::JoinHandle};
+
+use crate::{
+    heads::{ACK, FIN, RST, SYN, WirePacket},
+    promises::PromiseLedger,
+    store::StandInStore,
+};
+
+/// Time that a request takes.
+const WORK: Duration = Duration::from_millis(8);
+
+/// `BackendPlace` is where a backend server runs and what it belongs to.
+#[derive(Clone, Debug)]
+pub struct BackendPlace {
+    /// The number by which packets name it.
+    pub number: u64,
+    /// Its service.
+    pub service: String,
+    /// Where it takes packets.
+    pub address: SocketAddrV4,
+    /// Its data centre.
+    pub data_centre: String,
+    /// The port at which callers listen.
+    pub caller_port: u16,
+}
+
+/// `StandInBackend` is one running process of a backend server.
+pub struct StandInBackend {
+    /// Where it runs.
+    pub place: BackendPlace,
+    /// True while it answers nothing.
+    pub is_silent: Arc<AtomicBool>,
+    task: JoinHandle<()>,
+    ledger: Arc<PromiseLedger>,
+}
+
+struct BackendFlow {
+    sequence: u32,
+    is_open: bool,
+    /// Sequence number of the next byte that hasn't come yet.
+    expected: u32,
+}
+
+impl StandInBackend {
+    /// Starts a backend server and registers it.
+    ///
+    /// # Errors
+    ///
+    /// When its address can't be bound.
+    pub async fn start(
+        place: BackendPlace,
+        store: &StandInStore,
+        ledger: Arc<PromiseLedger>,
+    ) -> Result<StandInBackend> {
+        let socket = Arc::new(UdpSocket::bind(place.address).await?);
+        ledger.backend_started(place.number);
+        let is_silent = Arc::new(AtomicBool::new(false));
+        let server = BackendLoop {
+            place: place.clone(),
+            socket,
+            ledger: ledger.clone(),
+            is_silent: is_silent.clone(),
+            flows: HashMap::new(),
+        };
+        let task = tokio::spawn(server.run());
+        let backend = StandInBackend { place, is_silent, task, ledger };
+        backend.register(store, "ready");
+        Ok(backend)
+    }
+
+    /// Writes the backend server's entry.
+    pub fn register(&self, store: &StandInStore, state: &str) {
+        let place = &self.place;
+        let entry = json!({
+            "service": place.service, "address": place.address.to_string(),
+            "zone": place.data_centre, "version": "v1", "slots": 2, "state": state,
+            "warmup_left_ms": 0, "sequence": 1,
+        });
+        store.put(&self.key(), &entry);
+    }
+
+    /// Reports that it leaves.
+    pub fn drain(&self, store: &StandInStore) {
+        self.register(store, "draining");
+        self.ledger.backend_draining(self.place.number);
+    }
+
+    /// The key of its entry.
+    pub fn key(&self) -> String {
+        format!("servers/i-{:x}", self.place.number)
+    }
+
+    /// Ends it; its address is free afterwards.
+    pub async fn end(self) {
+        self.ledger.backend_ended(self.place.number);
+        self.task.abort();
+        // The task was ended on purpose; nothing else is told by its result.
+        let _ = self.task.await;
+    }
+}
+
+struct BackendLoop {
+    place: BackendPlace,
+    socket: Arc<UdpSocket>,
+    ledger: Arc<PromiseLedger>,
+    is_silent: Arc<AtomicBool>,
+    flows: HashMap<FlowKey, BackendFlow>,
+}
+
+impl BackendLoop {
+    async fn run(mut self) {
+        let mut buffer = [0; 2_048];
+        loop {
+            let Ok((size, from)) = self.socket.recv_from(&mut buffer).await else { continue };
+            if self.is_silent.load(Ordering::Relaxed) || size < 8 {
+                continue;
+            }
+            let intended = u64::from_be_bytes(buffer[..8].try_into().unwrap_or_default());
+            // What is meant for another backend server gets no answer.
+            if intended != self.place.number {
+                continue;
+            }
+            if let Some(packet) = WirePacket::decode(&buffer[8..size]) {
+                self.take(packet, instance_of(from));
+            }
+        }
+    }
+
+    fn take(&mut self, packet: WirePacket, instance: usize) {
+        let flow = packet.flow();
+        if packet.flags & SYN != 0 {
+            return self.open(&packet, flow, instance);
+        }
+        let Some(known) = self.flows.get_mut(&flow) else {
+            if packet.flags & RST == 0 {
+                self.ledger.strayed(flow, self.place.number);
+                self.reply(&packet, RST, 0, Vec::new(), Duration::ZERO);
+            }
+            return;
+        };
+        if !known.is_open {
+            if packet.acknowledged != known.sequence.wrapping_add(1) {
+                return;
+            }
+            known.is_open = true;
+            self.ledger.handshake_ended(flow, self.place.number);
+        }
+        let sequence = known.sequence.wrapping_add(1);
+        if packet.flags & (FIN | RST) != 0 {
+            self.flows.remove(&flow);
+            return;
+        }
+        if packet.data.len() < 9 {
+            return;
+        }
+        let id = u64::from_be_bytes(packet.data[..8].try_into().unwrap_or_default());
+        let end = packet.sequence.wrapping_add(packet.data.len() as u32);
+        if packet.sequence == known.expected {
+            known.expected = end;
+            self.ledger.ran(id, packet.data[8] == 1);
+        } else if end != known.expected {
+            // A copy of an earlier request, which waited in a paused instance. Only
+            // the last request's answer may still be missing.
+            return;
+        }
+        self.reply(&packet, ACK, sequence, id.to_be_bytes().to_vec(), WORK);
+    }
+
+    fn open(&mut self, packet: &WirePacket, flow: FlowKey, instance: usize) {
+        self.ledger.opened(flow, self.place.number, &self.place.service, instance);
+        let expected = packet.sequence;
+        let fresh = BackendFlow { sequence: rand::random(), is_open: false, expected };
+        let sequence = self.flows.entry(flow).or_insert(fresh).sequence;
+        self.reply(packet, SYN | ACK, sequence, Vec::new(), Duration::ZERO);
+    }
+
+    fn reply(&self, to: &WirePacket, flags: u8, sequence: u32, data: Vec<u8>, delay: Duration) {
+        let mut reply = WirePacket::new(to.to, to.from, flags);
+        reply.echo = to.echo;
+        reply.sequence = sequence;
+        reply.acknowledged = to.sequence.wrapping_add(to.data.len() as u32);
+        reply.data = data;
+        let socket = self.socket.clone();
+        let caller = SocketAddrV4::new(*to.from.ip(), self.place.caller_port);
+        tokio::spawn(async move {
+            tokio::time::sleep(delay).await;
+            // The caller sends again if this is lost.
+            let _ = socket.send_to(&reply.encode(), SocketAddr::V4(caller)).await;
+        });
+    }
+}
+
+/// Instances have the addresses x.x.1.1 and up.
+fn instance_of(from: SocketAddr) -> usize {
+    match from {
+        SocketAddr::V4(from) => usize::from(from.ip().octets()[3].saturating_sub(1)),
+        SocketAddr::V6(_) => usize::MAX,
+    }
+}
--- /dev/null
+++ b/crates/foxledge-soak/src/callers.rs
@@ -0,0 +1,258 @@
+//! Callers, as stand-ins over UDP.
+
+use std::{
+    collections::HashMap,
+    net::{Ipv4Addr, SocketAddr, SocketAddrV4},
+    sync::{
+        Arc, Mutex, PoisonError,
+        atomic::{AtomicBool, AtomicU16, Ordering},
+    },
+    time::Duration,
+};
+
+use anyhow::Result;
+use foxledge_flows::FlowKey;
+use rand::{Rng, SeedableRng, rngs::StdRng};
+use tokio::{
+    net::UdpSocket,
+    sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel},
+    time::{Instant, sleep, timeout_at},
+};
+
+use crate::{
+    heads::{ACK, FIN, RST, SYN, WirePacket},
+    promises::PromiseLedger,
+    router::PacketRouter,
+};
+
+/// Waits of an opening packet before its first copy, its second and the end.
+const OPENING: [Duration; 3] =
+    [Duration::from_millis(200), Duration::from_millis(400), Duration::from_millis(800)];
+/// First wait before data is sent again; doubles with each.
+const RESEND: Duration = Duration::from_millis(200);
+/// Time for a request.
+const DEADLINE: Duration = Duration::from_millis(1_500);
+
+/// `CallerHost` is one caller's address with all its flows.
+pub struct CallerHost {
+    ip: Ipv4Addr,
+    socket: UdpSocket,
+    flows: Mutex<HashMap<u16, UnboundedSender<WirePacket>>>,
+    next_port: AtomicU16,
+    router: Arc<PacketRouter>,
+    ledger: Arc<PromiseLedger>,
+    /// Callers begin nothing new once it is set.
+    pub is_stopping: AtomicBool,
+}
+
+/// `CallerFlow` is one open flow of a caller.
+struct CallerFlow {
+    host: Arc<CallerHost>,
+    key: FlowKey,
+    /// The instance that all packets go to; the router's choice when none.
+    instance: Option<usize>,
+    packets: UnboundedReceiver<WirePacket>,
+    echo: u32,
+    acknowledged: u32,
+    sequence: u32,
+}
+
+/// `OpenResult` is how an opening ended.
+enum OpenResult {
+    Opened(CallerFlow),
+    Refused,
+    Silent,
+}
+
+impl CallerHost {
+    /// Starts a caller's address; callers listen at the port at which packets reach instances.
+    ///
+    /// # Errors
+    ///
+    /// When the address can't be bound.
+    pub async fn start(
+        address: SocketAddrV4,
+        router: Arc<PacketRouter>,
+        ledger: Arc<PromiseLedger>,
+    ) -> Result<Arc<CallerHost>> {
+        let host = Arc::new(CallerHost {
+            ip: *address.ip(),
+            socket: UdpSocket::bind(address).await?,
+            flows: Mutex::default(),
+            next_port: AtomicU16::new(1_024),
+            router,
+            ledger,
+            is_stopping: AtomicBool::new(false),
+        });
+        tokio::spawn(host.clone().receive());
+        Ok(host)
+    }
+
+    /// Makes requests until the host stops: feeds that stay open, bids with a flow each.
+    pub async fn run(self: Arc<CallerHost>, ports: Vec<(u16, bool)>, seed: u64) {
+        let mut rng = StdRng::seed_from_u64(seed);
+        while !self.is_stopping.load(Ordering::Relaxed) {
+            let (port, is_idempotent) = ports[rng.random_range(0..ports.len())];
+            let count = if is_idempotent { rng.random_range(5..60) } else { 1 };
+            self.clone().talk(port, is_idempotent, count, &mut rng).await;
+            sleep(Duration::from_millis(rng.random_range(5..60))).await;
+        }
+    }
+
+    /// Opens a flow to a route at one instance, and tells whether it was answered.
+    pub async fn probe(self: Arc<CallerHost>, port: u16, instance: usize) -> bool {
+        let key = self.next_key(port);
+        match self.open(key, Some(instance)).await {
+            OpenResult::Opened(mut flow) => {
+                flow.send(FIN | ACK, Vec::new()).await;
+                true
+            }
+            OpenResult::Refused | OpenResult::Silent => false,
+        }
+    }
+
+    async fn talk(
+        self: Arc<CallerHost>,
+        port: u16,
+        is_idempotent: bool,
+        count: u32,
+        rng: &mut StdRng,
+    ) {
+        let key = self.next_key(port);
+        let opened = match self.clone().open(key, None).await {
+            OpenResult::Opened(flow) => Some(flow),
+            OpenResult::Refused | OpenResult::Silent => None,
+        };
+        let Some(mut flow) = opened else { return self.ledger.ended(false) };
+        for _ in 0..count {
+            let is_served = flow.request(rng.random(), is_idempotent).await;
+            self.ledger.ended(is_served);
+            if !is_served || self.is_stopping.load(Ordering::Relaxed) {
+                break;
+            }
+            sleep(Duration::from_millis(rng.random_range(5..80))).await;
+        }
+        flow.send(FIN | ACK, Vec::new()).await;
+    }
+
+    fn next_key(&self, port: u16) -> FlowKey {
+        let own = self.next_port.fetch_add(1, Ordering::Relaxed).max(1_024);
+        FlowKey {
+            caller: SocketAddrV4::new(self.ip, own),
+            service: SocketAddrV4::new(Ipv4Addr::new(198, 18, 0, 1), port),
+        }
+    }
+
+    async fn open(self: Arc<CallerHost>, key: FlowKey, instance: Option<usize>) -> OpenResult {
+        let (sender, packets) = unbounded_channel();
+        self.flows().insert(key.caller.port(), sender);
+        let sequence = rand::random();
+        let host = self.clone();
+        let mut flow =
+            CallerFlow { host, key, instance, packets, echo: 0, acknowledged: 0, sequence };
+        for (copy, wait) in OPENING.into_iter().enumerate() {
+            flow.acknowledged = copy as u32;
+            let asked = flow.send(SYN, Vec::new()).await;
+            let until = Instant::now() + wait;
+            while let Ok(Some(packet)) = timeout_at(until, flow.packets.recv()).await {
+                if packet.flags & RST != 0 {
+                    if packet.sum == 0 {
+                        self.ledger.refused(key, asked);
+                    }
+                    return OpenResult::Refused;
+                }
+                if packet.flags & SYN != 0 {
+                    flow.echo = packet.echo;
+                    flow.acknowledged = packet.sequence.wrapping_add(1);
+                    flow.send(ACK, Vec::new()).await;
+                    return OpenResult::Opened(flow);
+                }
+            }
+        }
+        OpenResult::Silent
+    }
+
+    async fn receive(self: Arc<CallerHost>) {
+        let mut buffer = [0; 2_048];
+        loop {
+            let Ok((size, _)) = self.socket.recv_from(&mut buffer).await else { continue };
+            let Some(packet) = WirePacket::decode(&buffer[..size]) else { continue };
+            let port = packet.to.port();
+            let sender = self.flows().get(&port).cloned();
+            if let Some(sender) = sender {
+                // A flow that has ended takes no more.
+                let _ = sender.send(packet);
+            }
+        }
+    }
+
+    fn flows(&self) -> std::sync::MutexGuard<'_, HashMap<u16, UnboundedSender<WirePacket>>> {
+        self.flows.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl CallerFlow {
+    /// Makes one request; true when its own answer came in time.
+    async fn request(&mut self, id: u64, is_idempotent: bool) -> bool {
+        let mut data = id.to_be_bytes().to_vec();
+        data.push(u8::from(is_idempotent));
+        let deadline = Instant::now() + DEADLINE;
+        let mut wait = RESEND;
+        while Instant::now() < deadline {
+            self.send(ACK, data.clone()).await;
+            let until = (Instant::now() + wait).min(deadline);
+            wait *= 2;
+            while let Ok(Some(packet)) = timeout_at(until, self.packets.recv()).await {
+                if packet.flags & RST != 0 {
+                    if packet.sum == 0 {
+                        self.host.ledger.reset_by_instance(self.key);
+                    }
+                    return false;
+                }
+                if self.takes_answer(&packet, id) {
+                    self.sequence = self.sequence.wrapping_add(data.len() as u32);
+                    return true;
+                }
+            }
+        }
+        false
+    }
+
+    /// True for the answer to the request `id`; answers to others break a promise.
+    fn takes_answer(&mut self, packet: &WirePacket, id: u64) -> bool {
+        if packet.data.len() != 8 {
+            return false;
+        }
+        self.echo = packet.echo;
+        let answered = u64::from_be_bytes(packet.data[..].try_into().unwrap_or_default());
+        // A copy of an earlier answer has an older acknowledgement.
+        let is_copy = packet.acknowledged == self.sequence;
+        if answered != id && !is_copy {
+            let text = format!("{} got the answer to {answered:x}, not {id:x}", self.key);
+            self.host.ledger.breach(text);
+        }
+        answered == id
+    }
+
+    /// Sends a packet; returns the instance it went to.
+    async fn send(&mut self, flags: u8, data: Vec<u8>) -> usize {
+        let mut packet = WirePacket::new(self.key.caller, self.key.service, flags);
+        packet.echo = if flags & SYN != 0 { 0 } else { self.echo };
+        packet.sequence = self.sequence;
+        packet.acknowledged = self.acknowledged;
+        packet.data = data;
+        let (index, address) = match self.instance {
+            Some(index) => (index, self.host.router.address(index)),
+            None => self.host.router.pick(&self.key),
+        };
+        // What a dead instance doesn't take is sent again.
+        let _ = self.host.socket.send_to(&packet.encode(), SocketAddr::V4(address)).await;
+        index
+    }
+}
+
+impl Drop for CallerFlow {
+    fn drop(&mut self) {
+        self.host.flows().remove(&self.key.caller.port());
+    }
+}
--- /dev/null
+++ b/crates/foxledge-soak/src/faults.rs
@@ -0,0 +1,187 @@
+//! Faults carried out.
+
+use std::{sync::Arc, time::Duration};
+
+use nix::sys::signal::Signal;
+use tokio::time::sleep;
+
+use crate::{
+    links::{LinkFault, PeerFault},
+    plan::SoakFault,
+    soak::SoakWorld,
+    store::StoreMode,
+};
+
+/// Time in which a planned stop of a backend server goes on after its report.
+const DRAIN: Duration = Duration::from_millis(3_500);
+/// Time from the store's return until lapsed entries are back.
+const LAPSE_BACK: Duration = Duration::from_millis(1_500);
+/// Time after a death until the entry lapses.
+const ENTRY_LAPSES: Duration = Duration::from_millis(3_600);
+/// Time after a death until its address is given to another.
+const ADDRESS_REUSED: Duration = Duration::from_millis(2_000);
+/// Time between two lists of a series.
+const SERIES: Duration = Duration::from_millis(300);
+
+/// Carries out a fault from its begin to its end.
+pub async fn carry_out(world: Arc<SoakWorld>, fault: SoakFault) {
+    match fault {
+        SoakFault::Kill { instance, down_ms } => kill(&world, instance, down_ms).await,
+        SoakFault::KillAll { down_ms } => {
+            let all = (0..world.size()).map(|instance| {
+                let world = world.clone();
+                tokio::spawn(async move { kill(&world, instance, down_ms).await })
+            });
+            for task in all.collect::<Vec<_>>() {
+                world.join(task).await;
+            }
+        }
+        SoakFault::Stop { instance, times } => stop(&world, instance, times).await,
+        SoakFault::Pause { instance, for_ms } => pause(&world, instance, for_ms).await,
+        SoakFault::Reload { instance } => world.signal(instance, Signal::SIGHUP),
+        SoakFault::StoreDown { how, for_ms } => {
+            let mode = match how {
+                0 => StoreMode::Refusing,
+                1 => StoreMode::Silent,
+                _ => StoreMode::Slow(250),
+            };
+            store_away(&world, mode, for_ms).await;
+        }
+        SoakFault::StoreCompact => world.store.compact(),
+        SoakFault::StoreLapse { for_ms } => store_lapse(&world, for_ms).await,
+        SoakFault::StoreLink { instance, how, for_ms } => {
+            store_link(&world, instance, how, for_ms).await;
+        }
+        SoakFault::PeerLink { instance, how, for_ms } => {
+            peer_link(&world, instance, how, for_ms).await;
+        }
+        SoakFault::BackendDies { backend } => backend_dies(&world, backend).await,
+        SoakFault::BackendReused { backend } => backend_reused(&world, backend).await,
+        SoakFault::BackendReplaced { backend } => backend_replaced(&world, backend).await,
+        SoakFault::Publish { times } => {
+            for _ in 0..times {
+                world.publish_next();
+                sleep(SERIES).await;
+            }
+        }
+    }
+}
+
+async fn kill(world: &Arc<SoakWorld>, instance: usize, down_ms: u64) {
+    world.ledger.disturb(instance);
+    world.with_instance(instance, |running| running.kill());
+    sleep(Duration::from_millis(down_ms)).await;
+    world.start_instance(instance);
+}
+
+async fn stop(world: &Arc<SoakWorld>, instance: usize, times: u32) {
+    for _ in 0..times {
+        world.ledger.disturb(instance);
+        world.signal(instance, Signal::SIGTERM);
+        sleep(SERIES).await;
+    }
+    // The watch over processes starts it anew when it has ended.
+}
+
+async fn pause(world: &Arc<SoakWorld>, instance: usize, for_ms: u64) {
+    world.signal(instance, Signal::SIGSTOP);
+    let is_stopping = world.with_instance(instance, |running| running.is_stopping());
+    // A stop that is paused would count as too slow.
+    let for_ms = if is_stopping { for_ms.min(100) } else { for_ms };
+    for _ in 0..for_ms.div_ceil(100) {
+        world.ledger.disturb(instance);
+        sleep(Duration::from_millis(100)).await;
+    }
+    world.ledger.disturb(instance);
+    world.signal(instance, Signal::SIGCONT);
+}
+
+async fn store_away(world: &Arc<SoakWorld>, mode: StoreMode, for_ms: u64) {
+    world.store.set_mode(mode);
+    for _ in 0..for_ms.div_ceil(100) {
+        world.ledger.disturb_store();
+        sleep(Duration::from_millis(100)).await;
+    }
+    world.store.set_mode(StoreMode::Serving);
+    world.ledger.disturb_store();
+}
+
+async fn store_lapse(world: &Arc<SoakWorld>, for_ms: u64) {
+    world.store.set_mode(StoreMode::Refusing);
+    let keys = world.live_keys();
+    for key in &keys {
+        world.store.remove(key);
+    }
+    store_away(world, StoreMode::Refusing, for_ms).await;
+    sleep(LAPSE_BACK).await;
+    world.ledger.disturb_store();
+    world.register_live();
+}
+
+async fn store_link(world: &Arc<SoakWorld>, instance: usize, how: u32, for_ms: u64) {
+    let fault = match how {
+        0 => LinkFault::Cut,
+        1 => LinkFault::CutBack,
+        2 => LinkFault::Delay(200),
+        3 => LinkFault::Reset,
+        _ => LinkFault::Silence,
+    };
+    let link = world.store_link(instance);
+    link.set(fault);
+    for _ in 0..for_ms.div_ceil(100) {
+        world.ledger.disturb(instance);
+        sleep(Duration::from_millis(100)).await;
+    }
+    link.set(LinkFault::None);
+    world.ledger.disturb(instance);
+}
+
+async fn peer_link(world: &Arc<SoakWorld>, instance: usize, how: u32, for_ms: u64) {
+    let fault = match how {
+        0 | 1 => PeerFault { loss: 1.0, delay_ms: 0 },
+        2 => PeerFault { loss: 0.0, delay_ms: 150 },
+        _ => PeerFault { loss: 0.3, delay_ms: 20 },
+    };
+    let others = (0..world.size()).filter(|other| *other != instance);
+    for other in others.clone() {
+        world.peers.set(instance, other, Some(fault));
+        if how == 0 {
+            world.peers.set(other, instance, Some(fault));
+        }
+    }
+    sleep(Duration::from_millis(for_ms)).await;
+    for other in others {
+        world.peers.set(instance, other, None);
+        world.peers.set(other, instance, None);
+    }
+}
+
+async fn backend_dies(world: &Arc<SoakWorld>, backend: usize) {
+    let Some(dead) = world.take_backend(backend) else { return };
+    let (key, place) = (dead.key(), dead.place.clone());
+    dead.end().await;
+    sleep(ENTRY_LAPSES).await;
+    world.store.remove(&key);
+    world.start_backend(&place.service, None).await;
+}
+
+async fn backend_reused(world: &Arc<SoakWorld>, backend: usize) {
+    let Some(dead) = world.take_backend(backend) else { return };
+    let (key, place) = (dead.key(), dead.place.clone());
+    dead.end().await;
+    sleep(ADDRESS_REUSED).await;
+    let other = world.other_service(&place.service);
+    world.start_backend(&other, Some(place.address)).await;
+    sleep(ENTRY_LAPSES - ADDRESS_REUSED).await;
+    world.store.remove(&key);
+    world.start_backend(&place.service, None).await;
+}
+
+async fn backend_replaced(world: &Arc<SoakWorld>, backend: usize) {
+    let Some(leaving) = world.take_backend(backend) else { return };
+    world.start_backend(&leaving.place.service, None).await;
+    leaving.drain(&world.store);
+    sleep(DRAIN).await;
+    world.store.remove(&leaving.key());
+    leaving.end().await;
+}
--- /dev/null
+++ b/crates/foxledge-soak/src/instances.rs
@@ -0,0 +1,158 @@
+//! Real instances as processes.
+
+use std::{
+    fs::{self, File},
+    net::SocketAddrV4,
+    path::{Path, PathBuf},
+    process::{Child, Command, Stdio},
+    time::{Duration, Instant},
+};
+
+use anyhow::{Context, Result};
+use nix::{
+    sys::signal::{Signal, kill},
+    unistd::Pid,
+};
+
+/// Time in which a planned stop must end.
+pub const STOP_LIMIT: Duration = Duration::from_secs(6);
+
+/// `InstancePlace` is where an instance listens and whom it knows.
+#[derive(Clone, Debug)]
+pub struct InstancePlace {
+    /// Its name.
+    pub name: String,
+    /// Its data centre.
+    pub data_centre: String,
+    /// Packets of callers.
+    pub data: SocketAddrV4,
+    /// Messages of instances, bound.
+    pub peer: SocketAddrV4,
+    /// Messages of instances, as others are told.
+    pub public: SocketAddrV4,
+    /// HTTP.
+    pub admin: SocketAddrV4,
+    /// Its way to the store.
+    pub store: SocketAddrV4,
+    /// Instances that it asks first.
+    pub seeds: Vec<SocketAddrV4>,
+}
+
+/// `RunningInstance` is an instance that may be running.
+pub struct RunningInstance {
+    place: InstancePlace,
+    binary: PathBuf,
+    settings: PathBuf,
+    log: PathBuf,
+    child: Option<Child>,
+    /// When the planned stop must have ended.
+    stop_by: Option<Instant>,
+}
+
+impl RunningInstance {
+    /// Writes the settings; nothing runs yet.
+    ///
+    /// # Errors
+    ///
+    /// When the folder can't be written.
+    pub fn prepare(place: InstancePlace, binary: &Path, folder: &Path) -> Result<RunningInstance> {
+        let settings = folder.join(format!("{}.toml", place.name));
+        let log = folder.join(format!("{}.log", place.name));
+        fs::write(&settings, settings_text(&place))?;
+        let binary = binary.to_owned();
+        Ok(RunningInstance { place, binary, settings, log, child: None, stop_by: None })
+    }
+
+    /// Starts the process; its log goes on where the last one's ended.
+    ///
+    /// # Errors
+    ///
+    /// When the program can't be started.
+    pub fn start(&mut self) -> Result<()> {
+        let log = File::options().create(true).append(true).open(&self.log)?;
+        let child = Command::new(&self.binary)
+            .arg("packets")
+            .arg("--config")
+            .arg(&self.settings)
+            .stdin(Stdio::null())
+            .stderr(log.try_clone()?)
+            .stdout(log)
+            .spawn()
+            .with_context(|| format!("can't start {}", self.binary.display()))?;
+        self.child = Some(child);
+        self.stop_by = None;
+        Ok(())
+    }
+
+    /// True while a process is there.
+    pub fn is_running(&self) -> bool {
+        self.child.is_some()
+    }
+
+    /// True while a planned stop goes on.
+    pub fn is_stopping(&self) -> bool {
+        self.stop_by.is_some()
+    }
+
+    /// Sends a signal to the process, if there is one.
+    pub fn signal(&mut self, signal: Signal) {
+        let Some(child) = &self.child else { return };
+        if signal == Signal::SIGTERM && self.stop_by.is_none() {
+            self.stop_by = Some(Instant::now() + STOP_LIMIT);
+        }
+        // A process that has ended in between takes no signal.
+        let _ = kill(Pid::from_raw(child.id() as i32), signal);
+    }
+
+    /// Ends the process at once.
+    pub fn kill(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            // A process that has ended in between needs no signal; waiting frees its number.
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+        self.stop_by = None;
+    }
+
+    /// Looks whether the process has ended; what is wrong, if it has ended by itself or too late.
+    pub fn check(&mut self) -> Option<String> {
+        let name = &self.place.name;
+        let status = match self.child.as_mut()?.try_wait() {
+            Ok(status) => status,
+            Err(error) => return Some(format!("{name} can't be looked at: {error}")),
+        };
+        let Some(status) = status else {
+            let is_late = self.stop_by.is_some_and(|by| Instant::now() > by);
+            return is_late.then(|| format!("{name} takes longer to stop than {STOP_LIMIT:?}"));
+        };
+        self.child = None;
+        match self.stop_by.take() {
+            Some(_) if status.success() => None,
+            Some(_) => Some(format!("{name} stopped with {status}")),
+            None => Some(format!("{name} ended by itself with {status}")),
+        }
+    }
+}
+
+impl Drop for RunningInstance {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+fn settings_text(place: &InstancePlace) -> String {
+    let seeds: Vec<_> = place.seeds.iter().map(|seed| format!("\"{seed}\"")).collect();
+    format!(
+        "[instance]\nname = \"{}\"\ndata_centre = \"{}\"\n\n\
+         [listen]\ndata = \"{}\"\npeer = \"{}\"\npeer_public = \"{}\"\nadmin = \"{}\"\n\n\
+         [store]\naddress = \"{}\"\n\n[peers]\nseeds = [{}]\n\n[stop]\nlimit_s = 6\n",
+        place.name,
+        place.data_centre,
+        place.data,
+        place.peer,
+        place.public,
+        place.admin,
+        place.store,
+        seeds.join(", "),
+    )
+}
--- /dev/null
+++ b/crates/foxledge-soak/src/main.rs
@@ -0,0 +1,68 @@
+//! `foxledge-soak`: runs seeds one after the other and tells which broke a promise.
+
+use std::{path::PathBuf, process::ExitCode};
+
+use anyhow::{Context, Result};
+use clap::{Arg, Command, value_parser};
+use foxledge_soak::{SoakOptions, run_soak};
+
+fn main() -> ExitCode {
+    match run() {
+        Ok(0) => ExitCode::SUCCESS,
+        Ok(broken) => {
+            println!("{broken} seeds broke a promise");
+            ExitCode::FAILURE
+        }
+        Err(error) => {
+            eprintln!("foxledge-soak: {error:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn run() -> Result<usize> {
+    let matches = command().get_matches();
+    let number = |name: &str| matches.get_one::<u64>(name).copied().unwrap_or_default();
+    let binary = match matches.get_one::<PathBuf>("binary") {
+        Some(binary) => binary.clone(),
+        None => std::env::current_exe()?.with_file_name("foxledged"),
+    };
+    let mut broken = 0;
+    for seed in number("seed")..number("seed") + number("seeds") {
+        let options = SoakOptions::new(seed)
+            .seconds(number("seconds"))
+            .instances(number("instances") as usize)
+            .fault_every_ms(number("every"));
+        let report = run_soak(options, &binary).with_context(|| format!("seed {seed}"))?;
+        println!("{report}");
+        broken += usize::from(!report.breaches.is_empty());
+    }
+    Ok(broken)
+}
+
+fn command() -> Command {
+    Command::new("foxledge-soak")
+        .version(clap::crate_version!())
+        .about("Runs real instances among stand-ins and faults, and checks the promises")
+        .arg(number_argument("seed", "First seed", "1"))
+        .arg(number_argument("seeds", "Number of seeds", "1"))
+        .arg(number_argument("seconds", "Time with faults for each seed", "20"))
+        .arg(number_argument("instances", "Instances in each of the two data centres", "3"))
+        .arg(number_argument("every", "Mean milliseconds between faults, 0 for none", "700"))
+        .arg(
+            Arg::new("binary")
+                .long("binary")
+                .value_name("FILE")
+                .help("The daemon; by default foxledged beside this program")
+                .value_parser(value_parser!(PathBuf)),
+        )
+}
+
+fn number_argument(name: &'static str, help: &'static str, default: &'static str) -> Arg {
+    Arg::new(name)
+        .long(name)
+        .value_name("N")
+        .help(help)
+        .default_value(default)
+        .value_parser(value_parser!(u64))
+}
--- /dev/null
+++ b/crates/foxledge-soak/src/plan.rs
@@ -0,0 +1,181 @@
+//! Which faults come when: a pure function of the seed.
+
+use rand::{Rng, SeedableRng, rngs::StdRng};
+
+/// `SoakOptions` is how large and long a run is.
+#[derive(Clone, Copy, Debug)]
+pub struct SoakOptions {
+    /// Decides everything that is left to chance.
+    pub seed: u64,
+    /// Time with faults, in seconds.
+    pub seconds: u64,
+    /// Instances in each of the two data centres.
+    pub instances: usize,
+    /// Callers' addresses in each data centre.
+    pub callers: usize,
+    /// Mean time between two faults, in milliseconds; 0 for a calm run.
+    pub fault_every_ms: u64,
+}
+
+impl SoakOptions {
+    /// Options of a run of usual size.
+    pub fn new(seed: u64) -> SoakOptions {
+        SoakOptions { seed, seconds: 20, instances: 3, callers: 4, fault_every_ms: 700 }
+    }
+
+    /// Sets the time with faults, in seconds.
+    pub fn seconds(mut self, seconds: u64) -> SoakOptions {
+        self.seconds = seconds;
+        self
+    }
+
+    /// Sets the number of instances in each data centre.
+    pub fn instances(mut self, instances: usize) -> SoakOptions {
+        self.instances = instances;
+        self
+    }
+
+    /// Sets the mean time between two faults, in milliseconds; 0 for a calm run.
+    pub fn fault_every_ms(mut self, millis: u64) -> SoakOptions {
+        self.fault_every_ms = millis;
+        self
+    }
+}
+
+/// `SoakFault` is one thing done to the system.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SoakFault {
+    /// SIGKILL, and a start after some time.
+    Kill {
+        /// Which instance.
+        instance: usize,
+        /// Time until the start, in milliseconds.
+        down_ms: u64,
+    },
+    /// SIGKILL to all, and a start of each after some time.
+    KillAll {
+        /// Time until the start, in milliseconds.
+        down_ms: u64,
+    },
+    /// SIGTERM, perhaps twice, and a start after the end.
+    Stop {
+        /// Which instance.
+        instance: usize,
+        /// Signals.
+        times: u32,
+    },
+    /// SIGSTOP, and SIGCONT after some time.
+    Pause {
+        /// Which instance.
+        instance: usize,
+        /// Time in milliseconds.
+        for_ms: u64,
+    },
+    /// SIGHUP.
+    Reload {
+        /// Which instance.
+        instance: usize,
+    },
+    /// The store answers nobody, or with 503, or slowly.
+    StoreDown {
+        /// 0 refuses, 1 is silent, 2 is slow.
+        how: u32,
+        /// Time in milliseconds.
+        for_ms: u64,
+    },
+    /// The store drops its history.
+    StoreCompact,
+    /// Entries lapse while the store is away, and come back.
+    StoreLapse {
+        /// Time in milliseconds that the store is away.
+        for_ms: u64,
+    },
+    /// An instance's way to the store is harmed.
+    StoreLink {
+        /// Which instance.
+        instance: usize,
+        /// 0 cut, 1 cut one way, 2 delayed, 3 reset, 4 silenced.
+        how: u32,
+        /// Time in milliseconds.
+        for_ms: u64,
+    },
+    /// Messages between instances are harmed.
+    PeerLink {
+        /// From which instance; to all others.
+        instance: usize,
+        /// 0 cut both ways, 1 cut one way, 2 delayed, 3 lossy.
+        how: u32,
+        /// Time in milliseconds.
+        for_ms: u64,
+    },
+    /// A backend server falls silent and doesn't come back.
+    BackendDies {
+        /// Which, of all.
+        backend: usize,
+    },
+    /// A backend server dies and its address goes to one of the other service.
+    BackendReused {
+        /// Which, of all.
+        backend: usize,
+    },
+    /// A backend server is replaced in order.
+    BackendReplaced {
+        /// Which, of all.
+        backend: usize,
+    },
+    /// New lists are published.
+    Publish {
+        /// How many, one each 300 ms.
+        times: u32,
+    },
+}
+
+/// `FaultPlan` is the faults of a run with their times in milliseconds.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct FaultPlan {
+    /// Times and faults, in order.
+    pub faults: Vec<(u64, SoakFault)>,
+}
+
+impl FaultPlan {
+    /// Makes the plan of a run.
+    pub fn new(options: &SoakOptions) -> FaultPlan {
+        let mut rng = StdRng::seed_from_u64(options.seed);
+        let mut faults = Vec::new();
+        if options.fault_every_ms == 0 {
+            return FaultPlan { faults };
+        }
+        let end = options.seconds * 1_000;
+        let mut at = 500;
+        while at < end {
+            faults.push((at, any_fault(&mut rng, options)));
+            // Some come together, others with a pause.
+            let is_together = rng.random_bool(0.25);
+            let pause = rng.random_range(0..options.fault_every_ms * 2);
+            at += if is_together { 5 } else { pause };
+        }
+        FaultPlan { faults }
+    }
+}
+
+fn any_fault(rng: &mut StdRng, options: &SoakOptions) -> SoakFault {
+    let instance = rng.random_range(0..options.instances * 2);
+    let backend = rng.random_range(0..1_000);
+    let for_ms = rng.random_range(300..6_000);
+    match rng.random_range(0..20) {
+        0..3 => SoakFault::Kill { instance, down_ms: rng.random_range(100..2_500) },
+        3..5 => SoakFault::Stop { instance, times: rng.random_range(1..3) },
+        5..7 => SoakFault::Pause { instance, for_ms },
+        7 => SoakFault::Reload { instance },
+        8 => SoakFault::StoreDown { how: rng.random_range(0..3), for_ms },
+        9 => SoakFault::StoreCompact,
+        10..12 => SoakFault::StoreLink { instance, how: rng.random_range(0..5), for_ms },
+        12..14 => SoakFault::PeerLink { instance, how: rng.random_range(0..4), for_ms },
+        14 => SoakFault::BackendDies { backend },
+        15 => SoakFault::BackendReused { backend },
+        16 => SoakFault::BackendReplaced { backend },
+        17 => SoakFault::StoreLapse { for_ms },
+        18 if rng.random_bool(0.3) => SoakFault::KillAll { down_ms: rng.random_range(200..1_500) },
+        _ => SoakFault::Publish { times: rng.random_range(1..6) },
+    }
+}
--- /dev/null
+++ b/crates/foxledge-soak/src/promises.rs
@@ -0,0 +1,214 @@
+//! What callers and backend servers have seen, held against the promises.
+
+use std::{
+    collections::HashMap,
+    sync::{Mutex, MutexGuard, PoisonError},
+    time::{Duration, Instant},
+};
+
+use foxledge_flows::FlowKey;
+
+/// A machine that was disturbed counts again after this.
+const IN_TOUCH: Duration = Duration::from_secs(4);
+/// A leaving backend server gets no new flow, and a new list is obeyed, after this.
+const BOUND: Duration = Duration::from_secs(3);
+
+/// `FlowHolder` is the backend server that holds a flow.
+#[derive(Clone, Copy, Debug)]
+struct FlowHolder {
+    backend: u64,
+    is_open: bool,
+}
+
+/// `BackendLife` is one process of a backend server.
+#[derive(Clone, Copy, Debug)]
+struct BackendLife {
+    is_alive: bool,
+    draining_since: Option<Instant>,
+}
+
+/// `RouteTruth` is what a probed route has led to, and since when.
+#[derive(Clone, Debug)]
+struct RouteTruth {
+    service: Option<String>,
+    former: Option<String>,
+    since: Instant,
+}
+
+#[derive(Default)]
+struct LedgerState {
+    holders: HashMap<FlowKey, FlowHolder>,
+    backends: HashMap<u64, BackendLife>,
+    runs: HashMap<u64, u32>,
+    routes: HashMap<u16, RouteTruth>,
+    disturbed: HashMap<usize, Instant>,
+    store_disturbed: Option<Instant>,
+    breaches: Vec<String>,
+    /// Requests served and failed since the last reset of the counts.
+    served: u64,
+    failed: u64,
+}
+
+/// `PromiseLedger` is shared by all stand-ins.
+#[derive(Default)]
+pub struct PromiseLedger {
+    state: Mutex<LedgerState>,
+}
+
+impl PromiseLedger {
+    /// Notes a broken promise.
+    pub fn breach(&self, text: String) {
+        self.lock().breaches.push(text);
+    }
+
+    /// Every broken promise so far.
+    pub fn breaches(&self) -> Vec<String> {
+        self.lock().breaches.clone()
+    }
+
+    /// Notes that a fault at an instance has just ended or goes on.
+    pub fn disturb(&self, instance: usize) {
+        self.lock().disturbed.insert(instance, Instant::now());
+    }
+
+    /// Notes that a fault at the store has just ended or goes on.
+    pub fn disturb_store(&self) {
+        self.lock().store_disturbed = Some(Instant::now());
+    }
+
+    /// Notes the start of a backend server.
+    pub fn backend_started(&self, number: u64) {
+        let life = BackendLife { is_alive: true, draining_since: None };
+        self.lock().backends.insert(number, life);
+    }
+
+    /// Notes that a backend server's report of leaving was taken by the store.
+    pub fn backend_draining(&self, number: u64) {
+        if let Some(life) = self.lock().backends.get_mut(&number) {
+            life.draining_since = Some(Instant::now());
+        }
+    }
+
+    /// Notes the end of a backend server.
+    pub fn backend_ended(&self, number: u64) {
+        if let Some(life) = self.lock().backends.get_mut(&number) {
+            life.is_alive = false;
+        }
+    }
+
+    /// Notes that a route leads elsewhere from now on; none when it is gone.
+    pub fn route_published(&self, port: u16, service: Option<String>) {
+        let mut state = self.lock();
+        let known = state.routes.get(&port);
+        if known.is_some_and(|truth| truth.service == service) {
+            return;
+        }
+        let former = known.and_then(|truth| truth.service.clone());
+        state.routes.insert(port, RouteTruth { service, former, since: Instant::now() });
+    }
+
+    /// Checks an opening packet that reached a backend server through an instance.
+    pub fn opened(&self, flow: FlowKey, backend: u64, service: &str, instance: usize) {
+        let mut state = self.lock();
+        let now = Instant::now();
+        let holder = FlowHolder { backend, is_open: false };
+        if !state.holders.get(&flow).is_some_and(|known| known.is_open) {
+            state.holders.insert(flow, holder);
+        }
+        if !state.is_in_touch(instance, now) {
+            return;
+        }
+        let leaving = state.backends.get(&backend).and_then(|life| life.draining_since);
+        if leaving.is_some_and(|since| now - since > BOUND) {
+            let text = format!("{flow} reached leaving backend server {backend:x} by {instance}");
+            state.breaches.push(text);
+        }
+        let truth = state.routes.get(&flow.service.port()).cloned();
+        let Some(truth) = truth.filter(|truth| now - truth.since > BOUND) else { return };
+        if truth.service.as_deref() != Some(service) {
+            let text = format!(
+                "{flow} reached {service} by {instance}, {:?} is right, {:?} was before, for {:?}",
+                truth.service,
+                truth.former,
+                now - truth.since
+            );
+            state.breaches.push(text);
+        }
+    }
+
+    /// Notes that the handshake of a flow ended at a backend server.
+    pub fn handshake_ended(&self, flow: FlowKey, backend: u64) {
+        self.lock().holders.insert(flow, FlowHolder { backend, is_open: true });
+    }
+
+    /// Checks data that reached a backend server that doesn't hold the flow.
+    pub fn strayed(&self, flow: FlowKey, backend: u64) {
+        let mut state = self.lock();
+        let Some(holder) = state.holders.get(&flow).copied() else { return };
+        let lives = state.backends.get(&holder.backend).is_some_and(|life| life.is_alive);
+        if holder.is_open && lives && holder.backend != backend {
+            let text = format!("{flow} held by {:x} reached {backend:x}", holder.backend);
+            state.breaches.push(text);
+        }
+    }
+
+    /// Counts a run of a request; false when it has run before.
+    pub fn ran(&self, id: u64, is_idempotent: bool) {
+        let mut state = self.lock();
+        let runs = state.runs.entry(id).or_default();
+        *runs += 1;
+        if *runs > 1 && !is_idempotent {
+            let text = format!("request {id:x} ran {runs} times");
+            state.breaches.push(text);
+        }
+    }
+
+    /// Checks a reset that an instance sent to a caller whose flow is open.
+    pub fn reset_by_instance(&self, flow: FlowKey) {
+        let mut state = self.lock();
+        let Some(holder) = state.holders.get(&flow).copied() else { return };
+        let lives = state.backends.get(&holder.backend).is_some_and(|life| life.is_alive);
+        if holder.is_open && lives {
+            let text = format!("{flow} was reset by an instance while {:x} lives", holder.backend);
+            state.breaches.push(text);
+        }
+    }
+
+    /// Checks a refusal of an opening packet to a route by an instance.
+    pub fn refused(&self, flow: FlowKey, instance: usize) {
+        let mut state = self.lock();
+        let now = Instant::now();
+        let truth = state.routes.get(&flow.service.port()).cloned();
+        let Some(truth) = truth.filter(|truth| now - truth.since > BOUND) else { return };
+        if truth.service.is_some() && state.is_in_touch(instance, now) {
+            let text = format!("{flow} was refused by {instance} though its route is published");
+            state.breaches.push(text);
+        }
+    }
+
+    /// Counts the end of a request.
+    pub fn ended(&self, is_served: bool) {
+        let mut state = self.lock();
+        match is_served {
+            true => state.served += 1,
+            false => state.failed += 1,
+        }
+    }
+
+    /// Requests served and failed since the last call.
+    pub fn take_counts(&self) -> (u64, u64) {
+        let mut state = self.lock();
+        (std::mem::take(&mut state.served), std::mem::take(&mut state.failed))
+    }
+
+    fn lock(&self) -> MutexGuard<'_, LedgerState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl LedgerState {
+    fn is_in_touch(&self, instance: usize, now: Instant) -> bool {
+        let is_calm = |since: Option<&Instant>| since.is_none_or(|since| now - *since > IN_TOUCH);
+        is_calm(self.disturbed.get(&instance)) && is_calm(self.store_disturbed.as_ref())
+    }
+}
--- /dev/null
+++ b/crates/foxledge-soak/src/router.rs
@@ -0,0 +1,87 @@
+//! The platform's routers: which instance a caller's packet goes to.
+
+use std::{
+    collections::HashSet,
+    net::SocketAddrV4,
+    sync::{Arc, Mutex, PoisonError},
+    time::Duration,
+};
+
+use foxledge_flows::{FlowKey, flow_hash};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+    time::{interval, timeout},
+};
+
+/// Time between two questions whether an instance is ready.
+const PROBE: Duration = Duration::from_millis(500);
+
+/// `PacketRouter` spreads flows over the instances that are ready.
+pub struct PacketRouter {
+    data: Vec<SocketAddrV4>,
+    ready: Mutex<HashSet<usize>>,
+}
+
+impl PacketRouter {
+    /// Starts to ask the instances.
+    pub fn start(data: Vec<SocketAddrV4>, admin: Vec<SocketAddrV4>) -> Arc<PacketRouter> {
+        let router = Arc::new(PacketRouter { data, ready: Mutex::default() });
+        for (index, address) in admin.into_iter().enumerate() {
+            tokio::spawn(router.clone().probe(index, address));
+        }
+        router
+    }
+
+    /// Where a flow's packet goes now, by a hash that moves only what it must.
+    pub fn pick(&self, flow: &FlowKey) -> (usize, SocketAddrV4) {
+        let ready = self.ready.lock().unwrap_or_else(PoisonError::into_inner);
+        let all: Vec<usize> = (0..self.data.len()).collect();
+        let used: Vec<usize> = match ready.len() * 2 < all.len() {
+            true => all,
+            false => ready.iter().copied().collect(),
+        };
+        let weight = |index: &usize| {
+            let mixed = flow_hash(flow) ^ (*index as u64 + 1).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+            mixed.wrapping_mul(0xff51_afd7_ed55_8ccd) >> 7
+        };
+        let index = used.into_iter().max_by_key(weight).unwrap_or(0);
+        (index, self.data[index])
+    }
+
+    /// Where an instance takes packets.
+    pub fn address(&self, index: usize) -> SocketAddrV4 {
+        self.data[index]
+    }
+
+    /// Number of instances that are ready.
+    pub fn ready_count(&self) -> usize {
+        self.ready.lock().unwrap_or_else(PoisonError::into_inner).len()
+    }
+
+    async fn probe(self: Arc<PacketRouter>, index: usize, address: SocketAddrV4) {
+        let mut ticks = interval(PROBE);
+        let mut misses = 0;
+        loop {
+            ticks.tick().await;
+            let is_ready = timeout(PROBE, is_healthy(address)).await.unwrap_or(false);
+            misses = if is_ready { 0 } else { misses + 1 };
+            let mut ready = self.ready.lock().unwrap_or_else(PoisonError::into_inner);
+            if is_ready {
+                ready.insert(index);
+            } else if misses >= 2 {
+                ready.remove(&index);
+            }
+        }
+    }
+}
+
+async fn is_healthy(address: SocketAddrV4) -> bool {
+    let Ok(mut stream) = TcpStream::connect(address).await else { return false };
+    let question = b"GET /healthz HTTP/1.1\r\nhost: instance\r\nconnection: close\r\n\r\n";
+    if stream.write_all(question).await.is_err() {
+        return false;
+    }
+    let mut start = [0; 12];
+    stream.read_exact(&mut start).await.is_ok() && &start[9..] == b"200"
+}
--- /dev/null
+++ b/crates/foxledge-soak/src/soak.rs
@@ -0,0 +1,481 @@
+//! One run from its start to its report.
+
+use std::{
+    fmt,
+    net::{Ipv4Addr, SocketAddrV4},
+    path::{Path, PathBuf},
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicBool, AtomicU8, AtomicU64, Ordering},
+    },
+    time::{Duration, Instant},
+};
+
+use anyhow::{Context, Result, bail};
+use nix::sys::signal::Signal;
+use rand::{Rng, SeedableRng, rngs::StdRng};
+use serde_json::{Value, json};
+use tokio::{runtime, task::JoinHandle, time::sleep};
+
+use crate::{
+    backends::{BackendPlace, StandInBackend},
+    callers::CallerHost,
+    faults::carry_out,
+    instances::{InstancePlace, RunningInstance},
+    links::{PeerLinks, StoreLink},
+    plan::{FaultPlan, SoakOptions},
+    promises::PromiseLedger,
+    router::PacketRouter,
+    store::StandInStore,
+};
+
+/// Services, the first for feeds and bids.
+const SERVICES: [&str; 2] = ["desk", "intake"];
+/// Backend servers of each service and data centre.
+const BACKENDS: usize = 3;
+/// Ports of routes: feeds, bids, uploads.
+const FEED_PORT: u16 = 8_443;
+const BID_PORT: u16 = 8_080;
+const UPLOAD_PORT: u16 = 9_443;
+/// First port of the routes that come, move and go.
+const MOVING_PORT: u16 = 500;
+/// Number of those routes.
+const MOVING: u16 = 6;
+/// Time for the start, and for the calm after the faults.
+const SETTLE: Duration = Duration::from_secs(20);
+/// Time after the last fault until requests are counted again.
+const CALM: Duration = Duration::from_secs(7);
+/// Time that requests are counted for at the end.
+const COUNTED: Duration = Duration::from_secs(3);
+/// Share of requests that must be served in the calm at the end.
+const SERVED_SHARE: f64 = 0.98;
+/// Network that a run uses, of 127.N.x.x; another for each run of a process.
+static NEXT_NET: AtomicU8 = AtomicU8::new(0);
+
+/// `SoakReport` is what a run showed.
+#[derive(Clone, Debug)]
+pub struct SoakReport {
+    /// Its seed.
+    pub seed: u64,
+    /// Faults that were carried out.
+    pub faults: usize,
+    /// Requests served and failed while faults came.
+    pub during: (u64, u64),
+    /// Requests served and failed in the calm at the end.
+    pub after: (u64, u64),
+    /// Calls of the store.
+    pub store_calls: u64,
+    /// Promises that were broken.
+    pub breaches: Vec<String>,
+    /// Where logs and settings lie.
+    pub folder: PathBuf,
+}
+
+impl fmt::Display for SoakReport {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let SoakReport { seed, faults, during, after, store_calls, .. } = self;
+        write!(
+            f,
+            "seed {seed}: {faults} faults, {} served and {} not during, {} and {} after, \
+             {store_calls} store calls, {} broken",
+            during.0,
+            during.1,
+            after.0,
+            after.1,
+            self.breaches.len()
+        )?;
+        for breach in self.breaches.iter().take(5) {
+            write!(f, "\n  {breach}")?;
+        }
+        if !self.breaches.is_empty() {
+            write!(f, "\n  logs in {}", self.folder.display())?;
+        }
+        Ok(())
+    }
+}
+
+/// `SoakWorld` is everything that runs.
+pub struct SoakWorld {
+    options: SoakOptions,
+    net: u8,
+    /// What was seen.
+    pub ledger: Arc<PromiseLedger>,
+    /// The store.
+    pub store: StandInStore,
+    /// Links between instances.
+    pub peers: Arc<PeerLinks>,
+    router: Arc<PacketRouter>,
+    store_links: Vec<StoreLink>,
+    instances: Mutex<Vec<RunningInstance>>,
+    backends: Mutex<Vec<StandInBackend>>,
+    next_backend: AtomicU64,
+    version: AtomicU64,
+    moving: Mutex<Vec<Option<usize>>>,
+    is_ending: AtomicBool,
+}
+
+/// Runs one seed with `binary` as the daemon.
+///
+/// # Errors
+///
+/// When something couldn't be started; a broken promise is no error but in the report.
+pub fn run_soak(options: SoakOptions, binary: &Path) -> Result<SoakReport> {
+    let runtime = runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build()?;
+    let folder =
+        std::env::temp_dir().join(format!("foxledge-soak-{}-{}", std::process::id(), options.seed));
+    std::fs::create_dir_all(&folder)?;
+    let report = runtime.block_on(run(options, binary, &folder))?;
+    if report.breaches.is_empty() {
+        std::fs::remove_dir_all(&folder)?;
+    }
+    Ok(report)
+}
+
+async fn run(options: SoakOptions, binary: &Path, folder: &Path) -> Result<SoakReport> {
+    let world = SoakWorld::start(options, binary, folder).await?;
+    let hosts = start_callers(&world).await?;
+    wait_ready(&world).await?;
+    tokio::spawn(watch_processes(world.clone()));
+    tokio::spawn(probe_routes(world.clone(), hosts[0].clone()));
+    world.ledger.take_counts();
+    let faults = play(&world).await;
+    let during = world.ledger.take_counts();
+    sleep(CALM).await;
+    world.ledger.take_counts();
+    sleep(COUNTED).await;
+    let after = world.ledger.take_counts();
+    check_recovery(&world, after);
+    world.is_ending.store(true, Ordering::Relaxed);
+    for host in &hosts {
+        host.is_stopping.store(true, Ordering::Relaxed);
+    }
+    world.lock_instances().clear();
+    Ok(SoakReport {
+        seed: options.seed,
+        faults,
+        during,
+        after,
+        store_calls: world.store.calls(),
+        breaches: world.ledger.breaches(),
+        folder: folder.to_owned(),
+    })
+}
+
+/// Carries the plan out; faults overlap, and all have ended when it returns.
+async fn play(world: &Arc<SoakWorld>) -> usize {
+    let plan = FaultPlan::new(&world.options);
+    let start = Instant::now();
+    let mut tasks = Vec::new();
+    for (at, fault) in &plan.faults {
+        let due = start + Duration::from_millis(*at);
+        sleep(due.saturating_duration_since(Instant::now())).await;
+        tasks.push(tokio::spawn(carry_out(world.clone(), *fault)));
+    }
+    let end = start + Duration::from_secs(world.options.seconds);
+    sleep(end.saturating_duration_since(Instant::now())).await;
+    for task in tasks {
+        world.join(task).await;
+    }
+    plan.faults.len()
+}
+
+fn check_recovery(world: &SoakWorld, (served, failed): (u64, u64)) {
+    let share = served as f64 / (served + failed).max(1) as f64;
+    if served == 0 || share < SERVED_SHARE {
+        world.ledger.breach(format!("after the faults {served} were served, {failed} not"));
+    }
+}
+
+async fn start_callers(world: &Arc<SoakWorld>) -> Result<Vec<Arc<CallerHost>>> {
+    let mut rng = StdRng::seed_from_u64(world.options.seed ^ 0xca11);
+    let mut hosts = Vec::new();
+    for index in 0..world.options.callers * 2 {
+        let address = world.address(4, index, DATA_PORT);
+        let host = CallerHost::start(address, world.router.clone(), world.ledger.clone()).await?;
+        let ports = vec![(FEED_PORT, true), (BID_PORT, false), (UPLOAD_PORT, false)];
+        for _ in 0..3 {
+            tokio::spawn(host.clone().run(ports.clone(), rng.random()));
+        }
+        hosts.push(host);
+    }
+    Ok(hosts)
+}
+
+async fn wait_ready(world: &SoakWorld) -> Result<()> {
+    let end = Instant::now() + SETTLE;
+    while world.router.ready_count() < world.size() {
+        if Instant::now() > end {
+            bail!("{} of {} are ready", world.router.ready_count(), world.size());
+        }
+        sleep(Duration::from_millis(50)).await;
+    }
+    Ok(())
+}
+
+/// Starts instances anew that were stopped, and tells of those that ended by themselves.
+async fn watch_processes(world: Arc<SoakWorld>) {
+    while !world.is_ending.load(Ordering::Relaxed) {
+        for index in 0..world.size() {
+            let (found, has_ended) = world.with_instance(index, |running| {
+                let was_running = running.is_running();
+                (running.check(), was_running && !running.is_running())
+            });
+            if let Some(found) = found {
+                world.ledger.breach(found);
+            }
+            if has_ended {
+                world.ledger.disturb(index);
+                world.start_instance(index);
+            }
+        }
+        sleep(Duration::from_millis(100)).await;
+    }
+}
+
+/// Opens flows to the moving routes at each instance.
+async fn probe_routes(world: Arc<SoakWorld>, host: Arc<CallerHost>) {
+    while !world.is_ending.load(Ordering::Relaxed) {
+        for instance in 0..world.size() {
+            for port in MOVING_PORT..MOVING_PORT + MOVING {
+                let host = host.clone();
+                tokio::spawn(async move { host.probe(port, instance).await });
+            }
+            sleep(Duration::from_millis(40)).await;
+        }
+    }
+}
+
+const DATA_PORT: u16 = 7_100;
+const PEER_PORT: u16 = 7_101;
+const ADMIN_PORT: u16 = 7_102;
+const STORE_PORT: u16 = 7_103;
+const BACKEND_PORT: u16 = 7_104;
+
+impl SoakWorld {
+    async fn start(options: SoakOptions, binary: &Path, folder: &Path) -> Result<Arc<SoakWorld>> {
+        // Runs of several processes mustn't meet on an address.
+        let offset = NEXT_NET.fetch_add(1, Ordering::Relaxed);
+        let net = 10 + ((std::process::id() as u8).wrapping_add(offset) % 200);
+        let address = |block: u8, index: usize, port: u16| {
+            SocketAddrV4::new(Ipv4Addr::new(127, net, block, 1 + index as u8), port)
+        };
+        let size = options.instances * 2;
+        let all = |block: u8, port: u16| -> Vec<_> {
+            (0..size).map(|index| address(block, index, port)).collect()
+        };
+        let store_address = address(6, 0, STORE_PORT);
+        let store = StandInStore::start(store_address).await.context("the store")?;
+        let mut store_links = Vec::new();
+        for own in all(5, STORE_PORT) {
+            store_links.push(StoreLink::start(own, store_address).await?);
+        }
+        let (own, public) = (all(1, PEER_PORT), all(2, PEER_PORT));
+        let peers = PeerLinks::start(&public, &own).await?;
+        let router = PacketRouter::start(all(1, DATA_PORT), all(1, ADMIN_PORT));
+        let mut instances = Vec::new();
+        for index in 0..size {
+            let place = InstancePlace {
+                name: format!("instance-{index}"),
+                data_centre: centre_of(index).to_owned(),
+                data: address(1, index, DATA_PORT),
+                peer: own[index],
+                public: public[index],
+                admin: address(1, index, ADMIN_PORT),
+                store: address(5, index, STORE_PORT),
+                seeds: public.iter().take(3).copied().collect(),
+            };
+            instances.push(RunningInstance::prepare(place, binary, folder)?);
+        }
+        let world = Arc::new(SoakWorld {
+            options,
+            net,
+            ledger: Arc::default(),
+            store,
+            peers,
+            router,
+            store_links,
+            instances: Mutex::new(instances),
+            backends: Mutex::default(),
+            next_backend: AtomicU64::new(0),
+            version: AtomicU64::new(0),
+            moving: Mutex::new(vec![Some(0); usize::from(MOVING)]),
+            is_ending: AtomicBool::new(false),
+        });
+        for service in SERVICES {
+            for _ in 0..BACKENDS * 2 {
+                world.start_backend(service, None).await;
+            }
+        }
+        world.publish_list();
+        for index in 0..size {
+            world.lock_instances()[index].start()?;
+        }
+        Ok(world)
+    }
+
+    /// Number of instances.
+    pub fn size(&self) -> usize {
+        self.options.instances * 2
+    }
+
+    /// An instance's way to the store.
+    pub fn store_link(&self, instance: usize) -> &StoreLink {
+        &self.store_links[instance]
+    }
+
+    /// Does something with an instance.
+    pub fn with_instance<T>(
+        &self,
+        index: usize,
+        action: impl FnOnce(&mut RunningInstance) -> T,
+    ) -> T {
+        action(&mut self.lock_instances()[index])
+    }
+
+    /// Sends a signal to an instance.
+    pub fn signal(&self, index: usize, signal: Signal) {
+        self.with_instance(index, |running| running.signal(signal));
+    }
+
+    /// Starts an instance that isn't running.
+    pub fn start_instance(&self, index: usize) {
+        self.ledger.disturb(index);
+        if self.is_ending.load(Ordering::Relaxed) {
+            return;
+        }
+        let started = self.with_instance(index, |running| match running.is_running() {
+            true => Ok(()),
+            false => running.start(),
+        });
+        if let Err(error) = started {
+            self.ledger.breach(format!("instance {index}: {error:#}"));
+        }
+    }
+
+    /// Waits for a task of this run; its panic is a fault of the run.
+    pub async fn join(&self, task: JoinHandle<()>) {
+        if let Err(error) = task.await {
+            self.ledger.breach(format!("the soak itself failed: {error}"));
+        }
+    }
+
+    /// Starts a backend server, at a given address or a new one.
+    pub async fn start_backend(&self, service: &str, address: Option<SocketAddrV4>) {
+        let count = self.next_backend.fetch_add(1, Ordering::Relaxed);
+        let own = self.address(10 + (count / 200) as u8, (count % 200) as usize, BACKEND_PORT);
+        let place = BackendPlace {
+            number: 0x1_0000 + count,
+            service: service.to_owned(),
+            address: address.unwrap_or(own),
+            data_centre: centre_of(count as usize).to_owned(),
+            caller_port: DATA_PORT,
+        };
+        match StandInBackend::start(place, &self.store, self.ledger.clone()).await {
+            Ok(backend) => self.lock_backends().push(backend),
+            Err(error) => self.ledger.breach(format!("the soak itself failed: {error:#}")),
+        }
+    }
+
+    /// Takes a running backend server out, unless too few would be left of its service.
+    pub fn take_backend(&self, choice: usize) -> Option<StandInBackend> {
+        let mut backends = self.lock_backends();
+        let index = choice % backends.len().max(1);
+        let service = backends.get(index)?.place.service.clone();
+        let left = backends.iter().filter(|one| one.place.service == service).count();
+        (left > BACKENDS).then(|| backends.swap_remove(index))
+    }
+
+    /// Keys of the entries of all running backend servers.
+    pub fn live_keys(&self) -> Vec<String> {
+        self.lock_backends().iter().map(StandInBackend::key).collect()
+    }
+
+    /// Writes the entries of all running backend servers.
+    pub fn register_live(&self) {
+        for backend in self.lock_backends().iter() {
+            backend.register(&self.store, "ready");
+        }
+    }
+
+    /// The service that isn't `service`.
+    pub fn other_service(&self, service: &str) -> String {
+        let other = SERVICES.iter().find(|name| **name != service);
+        other.copied().unwrap_or(SERVICES[0]).to_owned()
+    }
+
+    /// Publishes a list in which one route has moved, gone or come.
+    pub fn publish_next(&self) {
+        let version = self.version.load(Ordering::Relaxed) as usize;
+        {
+            let mut moving = self.lock_moving();
+            let place = version * 7 % moving.len();
+            moving[place] = match moving[place] {
+                Some(0) => Some(1),
+                Some(_) => None,
+                None => Some(0),
+            };
+        }
+        self.publish_list();
+    }
+
+    fn publish_list(&self) {
+        let version = self.version.fetch_add(3, Ordering::Relaxed) + 3;
+        let fixed = [
+            ("feed", FEED_PORT, SERVICES[0], "idempotent"),
+            ("bid", BID_PORT, SERVICES[0], "non_idempotent"),
+            ("upload", UPLOAD_PORT, SERVICES[1], "upload"),
+        ];
+        let mut routes: Vec<Value> = fixed
+            .iter()
+            .map(|(name, port, service, kind)| route(name, *port, service, kind))
+            .collect();
+        let moving = self.lock_moving().clone();
+        for (index, service) in moving.iter().enumerate() {
+            let port = MOVING_PORT + index as u16;
+            let service = service.map(|index| SERVICES[index]);
+            if let Some(service) = service {
+                routes.push(route(&format!("moving-{index}"), port, service, "idempotent"));
+            }
+        }
+        let config = json!({
+            "version": version, "routes": routes, "services": [],
+            "limits": {"idle_timeout_ms": 15_000},
+        });
+        self.store.put("op/config", &config);
+        for (index, service) in moving.iter().enumerate() {
+            let service = service.map(|index| SERVICES[index].to_owned());
+            self.note_route(MOVING_PORT + index as u16, service);
+        }
+    }
+
+    fn note_route(&self, port: u16, service: Option<String>) {
+        self.ledger.route_published(port, service);
+    }
+
+    fn address(&self, block: u8, index: usize, port: u16) -> SocketAddrV4 {
+        SocketAddrV4::new(Ipv4Addr::new(127, self.net, block, 1 + index as u8), port)
+    }
+
+    fn lock_instances(&self) -> MutexGuard<'_, Vec<RunningInstance>> {
+        self.instances.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn lock_backends(&self) -> MutexGuard<'_, Vec<StandInBackend>> {
+        self.backends.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn lock_moving(&self) -> MutexGuard<'_, Vec<Option<usize>>> {
+        self.moving.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+fn centre_of(index: usize) -> &'static str {
+    ["toledo", "erie"][index % 2]
+}
+
+fn route(name: &str, port: u16, service: &str, kind: &str) -> Value {
+    json!({
+        "name": name, "host": "198.18.0.1", "prefix": format!("/{port}/"), "type": kind,
+        "timeout_ms": 1_500, "aim_ms": 100, "priority": 1, "service": service, "attempts": 2,
+    })
+}
--- /dev/null
+++ b/crates/foxledge-soak/src/store.rs
@@ -0,0 +1,217 @@
+//! The platform's store, as a stand-in over HTTP.
+
+use std::{
+    collections::BTreeMap,
+    net::SocketAddrV4,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+
+use anyhow::Result;
+use axum::{
+    Json, Router,
+    extract::{Query, State},
+    http::StatusCode,
+    response::{IntoResponse, Response},
+    routing::get,
+};
+use base64::{Engine, prelude::BASE64_STANDARD};
+use serde::Deserialize;
+use serde_json::{Value, json};
+use tokio::{net::TcpListener, sync::Notify, time::timeout};
+
+/// `StoreMode` is how the store answers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StoreMode {
+    /// As it should.
+    Serving,
+    /// With status 503.
+    Refusing,
+    /// Not at all.
+    Silent,
+    /// After this many milliseconds more.
+    Slow(u64),
+}
+
+struct StoreState {
+    items: BTreeMap<String, Value>,
+    log: Vec<(u64, Value)>,
+    revision: u64,
+    floor: u64,
+    mode: StoreMode,
+    calls: u64,
+}
+
+/// `StandInStore` holds items under revisions, and their history.
+#[derive(Clone)]
+pub struct StandInStore {
+    state: Arc<Mutex<StoreState>>,
+    changed: Arc<Notify>,
+}
+
+#[derive(Deserialize)]
+struct RangeQuery {
+    #[serde(default)]
+    prefix: String,
+    #[serde(default)]
+    after: String,
+}
+
+#[derive(Deserialize)]
+struct WatchQuery {
+    #[serde(default)]
+    prefix: String,
+    after: u64,
+    wait_ms: u64,
+}
+
+/// Items of one page; few, so that even small lists have several pages.
+const PAGE: usize = 12;
+
+impl StandInStore {
+    /// Starts to serve.
+    ///
+    /// # Errors
+    ///
+    /// When the address can't be bound.
+    pub async fn start(address: SocketAddrV4) -> Result<StandInStore> {
+        let state = StoreState {
+            items: BTreeMap::new(),
+            log: Vec::new(),
+            revision: 100,
+            floor: 100,
+            mode: StoreMode::Serving,
+            calls: 0,
+        };
+        let store = StandInStore { state: Arc::new(Mutex::new(state)), changed: Arc::default() };
+        let listener = TcpListener::bind(address).await?;
+        let router = Router::new()
+            .route("/foxledge/kv-range", get(range))
+            .route("/foxledge/kv-watch", get(watch))
+            .with_state(store.clone());
+        tokio::spawn(async move { axum::serve(listener, router).await });
+        Ok(store)
+    }
+
+    /// Writes an item.
+    pub fn put(&self, key: &str, value: &Value) {
+        let mut state = self.lock();
+        state.revision += 1;
+        let revision = state.revision;
+        let text = BASE64_STANDARD.encode(value.to_string());
+        let item =
+            json!({"key": key, "value": text, "revision": revision, "created": 1, "lease": 0});
+        state.items.insert(key.to_owned(), item.clone());
+        state.log.push((revision, item));
+        drop(state);
+        self.changed.notify_waiters();
+    }
+
+    /// Removes an item.
+    pub fn remove(&self, key: &str) {
+        let mut state = self.lock();
+        if state.items.remove(key).is_none() {
+            return;
+        }
+        state.revision += 1;
+        let revision = state.revision;
+        state.log.push((revision, json!({"key": key, "revision": revision, "tombstone": true})));
+        drop(state);
+        self.changed.notify_waiters();
+    }
+
+    /// Drops the history.
+    pub fn compact(&self) {
+        let mut state = self.lock();
+        state.floor = state.revision;
+        state.log.clear();
+    }
+
+    /// Changes how the store answers.
+    pub fn set_mode(&self, mode: StoreMode) {
+        self.lock().mode = mode;
+        self.changed.notify_waiters();
+    }
+
+    /// Calls so far.
+    pub fn calls(&self) -> u64 {
+        self.lock().calls
+    }
+
+    /// Waits as the mode asks; an answer when the call is turned away.
+    async fn admit(&self) -> Option<Response> {
+        let mode = {
+            let mut state = self.lock();
+            state.calls += 1;
+            state.mode
+        };
+        match mode {
+            StoreMode::Serving => None,
+            StoreMode::Refusing => Some(StatusCode::SERVICE_UNAVAILABLE.into_response()),
+            StoreMode::Slow(millis) => {
+                tokio::time::sleep(Duration::from_millis(millis)).await;
+                None
+            }
+            StoreMode::Silent => {
+                tokio::time::sleep(Duration::from_secs(600)).await;
+                Some(StatusCode::SERVICE_UNAVAILABLE.into_response())
+            }
+        }
+    }
+
+    fn events_after(&self, prefix: &str, after: u64) -> Result<(Vec<Value>, u64), StatusCode> {
+        let state = self.lock();
+        if after < state.floor {
+            return Err(StatusCode::GONE);
+        }
+        let is_wanted = |(revision, item): &&(u64, Value)| {
+            *revision > after && item["key"].as_str().is_some_and(|key| key.starts_with(prefix))
+        };
+        let events = state.log.iter().filter(is_wanted).map(|(_, item)| item.clone()).collect();
+        Ok((events, state.revision))
+    }
+
+    fn lock(&self) -> MutexGuard<'_, StoreState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+async fn range(State(store): State<StandInStore>, Query(query): Query<RangeQuery>) -> Response {
+    if let Some(refusal) = store.admit().await {
+        return refusal;
+    }
+    let state = store.lock();
+    let is_wanted = |(key, _): &(&String, &Value)| {
+        key.starts_with(&query.prefix) && (query.after.is_empty() || **key > query.after)
+    };
+    let mut items: Vec<_> =
+        state.items.iter().filter(is_wanted).map(|(_, item)| item.clone()).collect();
+    let truncated = items.len() > PAGE;
+    items.truncate(PAGE);
+    let body = json!({"items": items, "truncated": truncated, "as_of": state.revision});
+    Json(body).into_response()
+}
+
+async fn watch(State(store): State<StandInStore>, Query(query): Query<WatchQuery>) -> Response {
+    if let Some(refusal) = store.admit().await {
+        return refusal;
+    }
+    let wait = Duration::from_millis(query.wait_ms);
+    let found = timeout(wait, async {
+        loop {
+            let changed = store.changed.notified();
+            match store.events_after(&query.prefix, query.after) {
+                Ok((events, _)) if events.is_empty() => changed.await,
+                other => return other,
+            }
+        }
+    });
+    let answer = match found.await {
+        Ok(answer) => answer,
+        Err(_) => store.events_after(&query.prefix, query.after),
+    };
+    match answer {
+        Ok((events, as_of)) => Json(json!({"events": events, "as_of": as_of})).into_response(),
+        Err(status) => status.into_response(),
+    }
+}
--- /dev/null
+++ b/crates/foxledge-soak/tests/short_soak.rs
@@ -0,0 +1,46 @@
+//! Short runs of the soak with fixed seeds, over real processes.
+
+use std::path::PathBuf;
+
+use foxledge_soak::{FaultPlan, SoakOptions, run_soak};
+
+/// The daemon beside the test's folder; `cargo test --workspace` builds it.
+fn daemon() -> PathBuf {
+    let mut path = std::env::current_exe().expect("has a path");
+    path.pop();
+    if path.ends_with("deps") {
+        path.pop();
+    }
+    path.join("foxledged")
+}
+
+fn assert_kept(options: SoakOptions) {
+    let report = run_soak(options, &daemon()).expect("runs");
+    println!("{report}");
+    assert!(report.breaches.is_empty(), "{report}");
+}
+
+#[test]
+fn calm_serves_all() {
+    let report = run_soak(SoakOptions::new(1).seconds(4).fault_every_ms(0), &daemon());
+    let report = report.expect("runs");
+    assert!(report.breaches.is_empty(), "{report}");
+    assert_eq!(report.during.1, 0, "{report}");
+}
+
+#[test]
+fn seeded_faults() {
+    assert_kept(SoakOptions::new(1).seconds(12));
+}
+
+#[test]
+fn dense_faults() {
+    assert_kept(SoakOptions::new(2).seconds(8).fault_every_ms(200));
+}
+
+#[test]
+fn plan_by_seed() {
+    let options = SoakOptions::new(7);
+    assert_eq!(FaultPlan::new(&options), FaultPlan::new(&options));
+    assert_ne!(FaultPlan::new(&options), FaultPlan::new(&SoakOptions::new(8)));
+}
--- /dev/null
+++ b/crates/foxledge-soak/tests/store_client.rs
@@ -0,0 +1,151 @@
+//! The store's client against the stand-in of the store.
+
+use std::{
+    net::{Ipv4Addr, SocketAddrV4},
+    sync::atomic::{AtomicU16, Ordering},
+    time::Duration,
+};
+
+use foxledge_flows::{ItemChange, ListSource, SourceError, source::ReadMode};
+use foxledge_platform::StoreClient;
+use foxledge_soak::{
+    links::{LinkFault, StoreLink},
+    store::{StandInStore, StoreMode},
+};
+use serde_json::json;
+use tokio::{runtime, time::sleep};
+
+/// Addresses of the tests: one port each, on a network of their own.
+fn next_address() -> SocketAddrV4 {
+    static NEXT: AtomicU16 = AtomicU16::new(7_300);
+    let low = (std::process::id() % 250) as u8;
+    SocketAddrV4::new(Ipv4Addr::new(127, 250, low, 1), NEXT.fetch_add(1, Ordering::Relaxed))
+}
+
+fn run<F: Future<Output = ()>>(test: F) {
+    runtime::Builder::new_current_thread().enable_all().build().expect("runs").block_on(test);
+}
+
+async fn store_with_entries(count: u64) -> (StandInStore, SocketAddrV4) {
+    let address = next_address();
+    let store = StandInStore::start(address).await.expect("starts");
+    let config = json!({
+        "version": 7, "limits": {"idle_timeout_ms": 9_000}, "services": [],
+        "routes": [{"name": "r", "host": "198.18.0.1", "prefix": "/443/", "type": "idempotent",
+            "timeout_ms": 1, "aim_ms": 1, "priority": 2, "service": "desk", "attempts": 2}],
+    });
+    store.put("op/config", &config);
+    for number in 1..=count {
+        store.put(&format!("servers/i-{number:08x}"), &server(number, "ready"));
+    }
+    (store, address)
+}
+
+fn server(number: u64, state: &str) -> serde_json::Value {
+    json!({
+        "service": "desk", "address": format!("10.128.0.{number}:8080"), "zone": "toledo",
+        "version": "v1", "slots": 2, "state": state, "warmup_left_ms": 5, "sequence": 4,
+    })
+}
+
+#[test]
+fn reads_all_pages() {
+    run(async {
+        // The stand-in's pages hold twelve items.
+        let (_store, address) = store_with_entries(40).await;
+        let mut client = StoreClient::new(address);
+        for mode in [ReadMode::Newest, ReadMode::MaybeOld] {
+            let reading = client.read_all(mode).await.expect("is read");
+            assert_eq!(reading.items.len(), 41);
+            assert_eq!(reading.head, 141);
+        }
+    });
+}
+
+#[test]
+fn watch_brings_changes() {
+    run(async {
+        let (store, address) = store_with_entries(2).await;
+        let mut client = StoreClient::new(address);
+        let head = client.read_all(ReadMode::Newest).await.expect("is read").head;
+        let quiet = client.watch(head, 20).await.expect("is answered");
+        assert_eq!((quiet.items.len(), quiet.head), (0, head));
+        store.put("servers/i-00000001", &server(1, "draining"));
+        store.remove("servers/i-00000002");
+        let reading = client.watch(head, 1_000).await.expect("is answered");
+        assert_eq!(reading.head, head + 2);
+        let ItemChange::Backend { backend, .. } = &reading.items[0] else { panic!("no entry") };
+        assert!(backend.draining);
+        let gone = ItemChange::BackendGone { revision: head + 2, id: "i-00000002".to_owned() };
+        assert_eq!(reading.items[1], gone);
+    });
+}
+
+#[test]
+fn dropped_history_told() {
+    run(async {
+        let (store, address) = store_with_entries(2).await;
+        let mut client = StoreClient::new(address);
+        let head = client.read_all(ReadMode::Newest).await.expect("is read").head;
+        store.remove("servers/i-00000002");
+        store.compact();
+        assert_eq!(client.watch(head, 50).await, Err(SourceError::HistoryGone));
+    });
+}
+
+#[test]
+fn refusals_told() {
+    run(async {
+        let (store, address) = store_with_entries(1).await;
+        let mut client = StoreClient::new(address);
+        store.set_mode(StoreMode::Refusing);
+        assert_eq!(client.watch(0, 10).await, Err(SourceError::Refused(503)));
+        store.set_mode(StoreMode::Serving);
+        assert!(client.read_all(ReadMode::Newest).await.is_ok());
+    });
+}
+
+// Symptom: an instance stays on its old list although the store is back.
+// Sequence: the connection goes silent for good; new connections work.
+// Cause: the call waits on the silent connection without a limit.
+#[test]
+fn silent_connection_left() {
+    run(async {
+        let (_store, address) = store_with_entries(1).await;
+        let near = next_address();
+        let link = StoreLink::start(near, address).await.expect("starts");
+        let mut client = StoreClient::new(near);
+        assert!(client.read_all(ReadMode::Newest).await.is_ok());
+        link.set(LinkFault::Silence);
+        sleep(Duration::from_millis(50)).await;
+        assert!(matches!(client.watch(101, 20).await, Err(SourceError::Timeout(_))));
+        assert!(client.watch(101, 20).await.is_ok());
+    });
+}
+
+#[test]
+fn reset_connection_left() {
+    run(async {
+        let (_store, address) = store_with_entries(1).await;
+        let near = next_address();
+        let link = StoreLink::start(near, address).await.expect("starts");
+        let mut client = StoreClient::new(near);
+        assert!(client.read_all(ReadMode::Newest).await.is_ok());
+        link.set(LinkFault::Reset);
+        sleep(Duration::from_millis(50)).await;
+        link.set(LinkFault::None);
+        // The first call may meet the closed connection; the next is on a new one.
+        let first = client.watch(101, 20).await;
+        assert!(first.is_ok() || matches!(first, Err(SourceError::Connection(_))), "{first:?}");
+        assert!(client.watch(101, 20).await.is_ok());
+    });
+}
+
+#[test]
+fn nobody_there() {
+    run(async {
+        let mut client = StoreClient::new(next_address());
+        let answer = client.read_all(ReadMode::Newest).await;
+        assert!(matches!(answer, Err(SourceError::Connection(_))), "{answer:?}");
+    });
+}
