Place new flows by answer times too

Answer times are seen from callers' acknowledgements; those of bids come with the packet that ends the flow.

--- a/crates/foxledge-daemon/src/packets/reports.rs
+++ b/crates/foxledge-daemon/src/packets/reports.rs
@@ -113,6 +113,8 @@
     pub running: u32,
     /// Openings that wait for its answer.
     pub waiting: u32,
+    /// How many times as long as usual its answers take, in hundredths.
+    pub slowness: u32,
     /// True while it is slow after its start.
     pub is_cold: bool,
 }
@@ -155,6 +157,7 @@
             is_stuck: candidate.is_stuck,
             running: candidate.running,
             waiting: candidate.waiting,
+            slowness: candidate.slowness,
             is_cold: candidate.is_cold,
         });
         ExplainReport {
--- a/crates/foxledge-flows/src/backends.rs
+++ b/crates/foxledge-flows/src/backends.rs
@@ -9,6 +9,7 @@
 
 use crate::{
     health::HealthState,
+    latency::LatencyGauge,
     rows::{BackendRow, ListRow, RowValue},
 };
 
@@ -53,6 +54,8 @@
     pub revision: u64,
     /// What packets tell of its health.
     pub health: HealthState,
+    /// How long it takes for an answer, as far as this instance sees.
+    pub latency: LatencyGauge,
     /// Requests that run there, as far as this instance sees.
     pub running: u32,
     /// Flows open there, as far as this instance sees.
@@ -216,6 +219,7 @@
             gone_at: gone,
             revision: row.revision,
             health: HealthState::default(),
+            latency: LatencyGauge::default(),
             running: 0,
             flows: 0,
             picked: 0,
--- a/crates/foxledge-flows/src/lib.rs
+++ b/crates/foxledge-flows/src/lib.rs
@@ -12,6 +12,7 @@
 
 mod backends;
 mod health;
+mod latency;
 mod openings;
 mod router;
 mod routes;
@@ -25,6 +26,7 @@
 
 pub use backends::{Backend, BackendTable};
 pub use health::{HealthClass, HealthNote, HealthState, NoteKind};
+pub use latency::LatencyGauge;
 pub use list::FleetList;
 pub use packet::{FlowKey, FlowPacket, PacketCodec, PacketKind};
 pub use placement::{LeastLoaded, PlacementPolicy};
--- a/crates/foxledge-flows/src/placement.rs
+++ b/crates/foxledge-flows/src/placement.rs
@@ -22,6 +22,8 @@
     pub running: u32,
     /// Requests that it runs at once.
     pub slots: u32,
+    /// How many times as long as usual its answers take, in hundredths from 100 up.
+    pub slowness: u32,
     /// True while it has just started and is slow.
     pub is_cold: bool,
     /// Open flows there.
@@ -55,6 +57,11 @@
 
 /// Cost of one request that runs, per slot.
 const REQUEST_COST: u32 = 100;
+/// Slowness in hundredths from which it counts. Work times of one service differ
+/// by half of their mean, and so does a mean of some ten of them by a fifth.
+const SLOW: u32 = 150;
+/// Slowness in hundredths that counts at most.
+const SLOWEST: u32 = 1_000;
 /// Cost of a backend server that is cold: it takes 1.6 times as long, so one
 /// request there is as slow as one that waits behind half a request.
 const COLD_COST: u32 = 40;
@@ -66,7 +73,9 @@
 
 /// `LeastLoaded` places on the healthiest, nearest, least loaded backend server.
 ///
-/// The number of running requests is this instance's own view. Two choices among
+/// A backend server that takes five times as long gets a flow only when the others
+/// run five times as many requests. The number of running requests is this
+/// instance's own view. Two choices among
 /// random ones would do with less knowledge; with every count at hand the least
 /// of all is as cheap.
 #[derive(Clone, Copy, Debug, Default)]
@@ -84,7 +93,10 @@
 }
 
 fn rank(candidate: &PlacementCandidate) -> PlacementRank {
-    let busy = (candidate.running + candidate.waiting) * REQUEST_COST / candidate.slots.max(1);
+    // The flow itself is counted, so that a slow backend server costs more also when idle.
+    let requests = candidate.running + candidate.waiting + 1;
+    let slowness = if candidate.slowness < SLOW { 100 } else { candidate.slowness.min(SLOWEST) };
+    let busy = requests * REQUEST_COST / candidate.slots.max(1) * slowness / 100;
     let cold = if candidate.is_cold { COLD_COST } else { 0 };
     let far = if candidate.is_near { 0 } else { FAR_COST };
     PlacementRank {
--- a/crates/foxledge-flows/src/router.rs
+++ b/crates/foxledge-flows/src/router.rs
@@ -11,6 +11,7 @@
 use crate::{
     backends::{Backend, BackendTable},
     health::{HealthNote, NoteKind},
+    latency::usual_us,
     openings::OpeningTable,
     packet::{FlowKey, FlowPacket, PacketKind},
     placement::{LeastLoaded, PlacementCandidate, PlacementPolicy, PlacementRank},
@@ -392,6 +393,8 @@
         // Each flow starts its look elsewhere, so that instances that know
         // nothing yet don't all begin with the same backend server.
         let shift = flow_hash(key);
+        let known = indexes.iter().filter_map(|index| self.backends.get(*index));
+        let usual = usual_us(known.filter_map(|backend| backend.latency.mean_us()));
         let candidate = |index: usize| {
             let backend = self.backends.get(index)?;
             if !backend.takes_flows(now, self.confirmed_at) {
@@ -409,6 +412,7 @@
                 is_near: backend.data_centre == self.options.data_centre,
                 running: backend.running,
                 slots: backend.slots,
+                slowness: (backend.latency.slowness(now, usual) * 100.0) as u32,
                 is_cold: !backend.warm_at.is_past(now),
                 flows: backend.flows,
                 picked: tie,
@@ -443,6 +447,9 @@
             self.settle(index, was_running);
         }
         if matches!(packet.kind, PacketKind::Finish | PacketKind::Abort) {
+            if let TrackNews::Answered(latency) = self.tracks.finish(now, packet) {
+                self.answered(now, index, latency);
+            }
             return self.end_track(&packet.key);
         }
         let before = self.tracks.len();
@@ -456,8 +463,7 @@
             TrackNews::Asked => backend.running += 1,
             TrackNews::Answered(latency) => {
                 backend.running = backend.running.saturating_sub(1);
-                self.latencies.push(latency);
-                self.note(now, index, |backend| backend.health.on_alive(now));
+                self.answered(now, index, latency);
             }
             TrackNews::Resent(sent) => {
                 self.counts.resent += 1;
@@ -466,6 +472,14 @@
         }
     }
 
+    fn answered(&mut self, now: ClockTime, index: usize, latency: Duration) {
+        self.latencies.push(latency);
+        if let Some(backend) = self.backends.get_mut(index) {
+            backend.latency.take(now, latency);
+        }
+        self.note(now, index, |backend| backend.health.on_alive(now));
+    }
+
     fn end_track(&mut self, key: &FlowKey) {
         if let Some((index, was_running)) = self.tracks.end(key) {
             self.settle(index, was_running);
--- a/crates/foxledge-flows/src/tracks.rs
+++ b/crates/foxledge-flows/src/tracks.rs
@@ -81,6 +81,18 @@
         if was_asked { TrackNews::Nothing } else { TrackNews::Asked }
     }
 
+    /// Takes the last packet of a flow: callers that have had their answer often
+    /// acknowledge it with the packet that ends the flow.
+    pub fn finish(&self, now: ClockTime, packet: &FlowPacket) -> TrackNews {
+        let Some(track) = self.tracks.get(&packet.key) else { return TrackNews::Nothing };
+        match track.asked_at {
+            Some(asked) if is_after(packet.acknowledged, track.acknowledged) => {
+                TrackNews::Answered(now.since(asked))
+            }
+            _ => TrackNews::Nothing,
+        }
+    }
+
     /// Ends a track; true when a request was running.
     pub fn end(&mut self, key: &FlowKey) -> Option<(usize, bool)> {
         let track = self.tracks.remove(key)?;
--- /dev/null
+++ b/crates/foxledge-flows/tests/slow_backend.rs
@@ -0,0 +1,69 @@
+//! Backend servers that answer, but slowly.
+//!
+//! The load: bids, a flow each, at a rate that leaves most slots free, and one of
+//! four backend servers that takes five times as long. Evenly spread, a quarter of
+//! the bids would be late.
+
+mod common;
+
+use common::*;
+use foxledge_flows::{FlowRouter, PacketKind};
+
+/// Time of an answer in milliseconds, of a usual and of a slow backend server.
+const USUAL_MS: u64 = 20;
+const SLOW_MS: u64 = 100;
+
+/// Runs bids one after the other, `gap` milliseconds apart; counts those at each backend server.
+fn run_bids(router: &mut FlowRouter, start: u64, count: u16, gap: u64, slow: u64) -> Vec<u64> {
+    let mut ends: Vec<(u64, u16, u64)> = Vec::new();
+    let mut counts = vec![0; 5];
+    for index in 0..count {
+        let now = start + u64::from(index) * gap;
+        ends.sort_unstable();
+        while let Some((end, port, number)) = ends.first().copied().filter(|end| end.0 <= now) {
+            let mut finish = packet(key(1, port), PacketKind::Finish, number as u32);
+            finish.acknowledged = 700;
+            router.on_packet(at(end), &finish);
+            ends.remove(0);
+        }
+        let port = 1_024 + (start as u16) + index;
+        let number = open_flow(router, now, key(1, port)).expect("is placed");
+        router.on_packet(at(now + 7), &data(key(1, port), number as u32, 1, 1));
+        let work = if number == slow { SLOW_MS } else { USUAL_MS };
+        ends.push((now + 7 + work, port, number));
+        counts[number as usize] += 1;
+    }
+    counts
+}
+
+fn four_backends() -> FlowRouter {
+    let backends: Vec<_> = (1..=4).map(|number| backend(number, "desk", NEAR, 2)).collect();
+    desk_router(&backends)
+}
+
+// Symptom: a quarter of the bids is late while three backend servers are nearly idle.
+// Sequence: one of four backend servers takes five times as long.
+// Cause: it is chosen whenever it runs no more requests than the others.
+#[test]
+fn slow_gets_few() {
+    let mut router = four_backends();
+    let counts = run_bids(&mut router, 0, 400, 10, 3);
+    assert!(counts[3] <= 30, "{counts:?}");
+    assert!(counts[1] >= 100 && counts[2] >= 100 && counts[4] >= 100, "{counts:?}");
+}
+
+#[test]
+fn usual_stays_even() {
+    let mut router = four_backends();
+    let counts = run_bids(&mut router, 0, 400, 10, 0);
+    assert!(counts[1..].iter().all(|count| (90..=110).contains(count)), "{counts:?}");
+}
+
+#[test]
+fn recovered_comes_back() {
+    let mut router = four_backends();
+    run_bids(&mut router, 0, 400, 10, 3);
+    // It is as fast as the others again; after some seconds it has its part.
+    let counts = run_bids(&mut router, 8_000, 800, 10, 0);
+    assert!(counts[3] >= 150, "{counts:?}");
+}
--- a/crates/foxledge-soak/src/soak.rs
+++ b/crates/foxledge-soak/src/soak.rs
@@ -153,7 +153,7 @@
     for host in &hosts {
         host.is_stopping.store(true, Ordering::Relaxed);
     }
-    world.lock_instances().clear();
+    world.lock_instances().iter_mut().for_each(RunningInstance::kill);
     Ok(SoakReport {
         seed: options.seed,
         faults,
