--- a/crates/foxledge-gossip/src/member.rs
+++ b/crates/foxledge-gossip/src/member.rs
@@ -46,8 +46,9 @@
 const SERVED_MS: u64 = 120;
 /// Shortest wait before another question after one was turned away, in milliseconds.
 const BUSY_MS: u64 = 20;
-/// Wait before an instance reads a first list by itself when it has heard of others
-/// that start too, in milliseconds, and its spread: the seeds' copies come first.
+/// Instances that a seed must have heard of for others to leave the first reading to it.
+const MANY: u32 = 24;
+/// Wait before an instance reads a first list by itself when many start together, in milliseconds, and its spread: the seeds' copies come first.
 const TOGETHER_MS: u64 = 150;
 const TOGETHER_SPREAD_MS: u64 = 450;
 /// Age of the last confirmation at which peers are asked for a newer one, in
@@ -278,7 +279,7 @@
     fn take_beat(&mut self, now: ClockTime, from: SocketAddrV4, beat: BeatMessage) {
         self.learn_peers(now, &beat);
         self.learn_claims(now, &beat.claims);
-        self.leave_reading_to_seeds(now, from, beat.head);
+        self.leave_reading_to_seeds(now, from, &beat);
         let has_notes = self.learn_notes(now, &beat);
         let former = self.list.head();
         self.learn_rows(now, from, &beat);
@@ -295,11 +296,13 @@
     /// Waits longer before a first reading, once a seed that starts too has answered.
     ///
     /// The whole store is 750 KB at 3,000 backend servers: three hundred instances
-    /// that all read it fill the store's link for two seconds.
-    fn leave_reading_to_seeds(&mut self, now: ClockTime, from: SocketAddrV4, head: u64) {
+    /// that all read it fill the store's link for two seconds. A few read it sooner
+    /// than a seed can hand it on.
+    fn leave_reading_to_seeds(&mut self, now: ClockTime, from: SocketAddrV4, beat: &BeatMessage) {
         let is_seed = |address: &SocketAddrV4| self.options.seeds.contains(address);
         let is_waiting = self.list.head() == 0 && !self.is_together;
-        if !is_waiting || head > 0 || !is_seed(&from) || is_seed(&self.options.address) {
+        let are_many = beat.head == 0 && beat.peer_count >= MANY;
+        if !is_waiting || !are_many || !is_seed(&from) || is_seed(&self.options.address) {
             return;
         }
         self.is_together = true;
@@ -784,6 +787,7 @@
             peers: self.peers.sample(&mut self.rng, now, SAMPLE),
             claims: self.claim_messages(now),
             wants_answer: false,
+            peer_count: self.peers.len() as u32,
         }
     }
 
--- a/crates/foxledge-gossip/src/messages.rs
+++ b/crates/foxledge-gossip/src/messages.rs
@@ -88,6 +88,9 @@
     /// The sender has just started and asks for an answer.
     #[prost(bool, tag = "9")]
     pub wants_answer: bool,
+    /// Number of instances that the sender knows.
+    #[prost(uint32, tag = "10")]
+    pub peer_count: u32,
 }
 
 /// `HeardPeer` is an instance and how long ago somebody last heard from it.
