--- a/crates/foxledge-settings/src/packet_settings.rs
+++ b/crates/foxledge-settings/src/packet_settings.rs
@@ -12,6 +12,10 @@
 /// Largest settings file, in bytes.
 const LARGEST_FILE: usize = 1_000_000;
 
+/// Longest planned stop when the settings name none, in seconds, as on the users'
+/// platform.
+const STOP_LIMIT_S: f64 = 6.0;
+
 /// `PacketSettings` is everything that an instance reads at its start.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct PacketSettings {
@@ -99,7 +103,8 @@
     peers.finish();
 
     let stop = root.table("stop");
-    let stop_ms = 1_000 * stop.number_or("limit_s", 1..=3_600, 6);
+    let limit_s = stop.decimal("limit_s", 1.0..=3_600.0).unwrap_or(STOP_LIMIT_S);
+    let stop_ms = (limit_s * 1_000.0) as u64;
     stop.finish();
 
     let log = root.table("log");
--- a/crates/foxledge-settings/tests/packet_settings.rs
+++ b/crates/foxledge-settings/tests/packet_settings.rs
@@ -51,6 +51,12 @@
     assert!(findings.to_string().contains("listen.peer: must differ from data"), "{findings}");
 }
 
+#[test]
+fn decimals_taken() {
+    let text = format!("{LEAST}[stop]\nlimit_s = 2.5\n");
+    assert_eq!(parse_packet_settings("s", &text).expect("is good").stop_ms, 2_500);
+}
+
 #[test]
 fn repeated_seeds_merged() {
     let text = format!("{LEAST}[peers]\nseeds = [\"127.0.0.1:9\", \"127.0.0.1:9\"]\n");
