Give each supervisor tree its own kinds of parts; set virtual timers as the daemon does

The supervisor is generic over the parts of its tree, in place of one list of kinds with arms that can't be reached.

--- a/crates/foxledge-daemon/src/context.rs
+++ b/crates/foxledge-daemon/src/context.rs
@@ -19,8 +19,8 @@
 use crate::{
     choices::route_table, clock::ProcessClock, control_link::ControlLink, engine_part::EnginePart,
     life_cycle::LifeCycle, list_keeper::ListKeeper, listener::DatagramListener,
-    member_keeper::MemberKeeper, metrics::MetricSet, phase::PhaseCell, routes::RouteTable,
-    sockets::ListenSockets, supervisor::Supervisor,
+    member_keeper::MemberKeeper, metrics::MetricSet, parts::DaemonSupervisor, phase::PhaseCell,
+    routes::RouteTable, sockets::ListenSockets,
 };
 
 /// `DaemonContext` is what every part can reach, and what outlives a failed part.
@@ -61,7 +61,7 @@
 #[derive(Default)]
 pub struct PartDirectory {
     /// The root supervisor.
-    pub root: PartEntry<Supervisor>,
+    pub root: PartEntry<DaemonSupervisor>,
     /// Data and peer sockets.
     pub listener: PartEntry<DatagramListener>,
     /// Decisions on datagrams.
--- a/crates/foxledge-daemon/src/daemon.rs
+++ b/crates/foxledge-daemon/src/daemon.rs
@@ -23,10 +23,10 @@
     clock::{ProcessClock, new_incarnation},
     context::DaemonContext,
     listener::POLL_PRIORITY,
-    parts::DaemonParts,
+    parts::{DaemonParts, DaemonSupervisor},
     signals::watch_signals,
     sockets::{ListenAddresses, ListenSockets},
-    supervisor::{Supervisor, SupervisorOptions},
+    supervisor::SupervisorOptions,
 };
 
 const EVENT_LIMIT: usize = 1024;
@@ -39,7 +39,7 @@
     context: Rc<DaemonContext>,
     waiting: PendingWork,
     _signals: ChannelGuard,
-    _root: ActorOwn<Supervisor>,
+    _root: ActorOwn<DaemonSupervisor>,
 }
 
 /// `PendingWork` is what is left to do without waiting.
@@ -103,11 +103,11 @@
     }
 }
 
-fn start_root(stakker: &mut Stakker, context: &Rc<DaemonContext>) -> ActorOwn<Supervisor> {
+fn start_root(stakker: &mut Stakker, context: &Rc<DaemonContext>) -> ActorOwn<DaemonSupervisor> {
     let options = SupervisorOptions::new(context.clock, context.next_seed())
         .audit_limit(context.settings.audit.entries);
     let starter = Box::new(DaemonParts::new(context.clone()));
-    let root = actor!(stakker, Supervisor::init(options, starter), ret_shutdown!(stakker));
+    let root = actor!(stakker, DaemonSupervisor::init(options, starter), ret_shutdown!(stakker));
     context.directory.root.set(&root);
     context.set_audit(fwd_to!([root], record() as (AuditChange)));
     context.record(
--- a/crates/foxledge-daemon/src/packets/context.rs
+++ b/crates/foxledge-daemon/src/packets/context.rs
@@ -17,11 +17,11 @@
 use stakker::Fwd;
 use tokio::sync::mpsc::UnboundedSender;
 
-use crate::{context::PartEntry, phase::PhaseCell, supervisor::Supervisor};
+use crate::{context::PartEntry, phase::PhaseCell};
 
 use super::{
     clock::BootClock, event_log::EventLog, fleet_part::FleetPart, flow_part::FlowPart,
-    life_part::LifePart, metrics::PacketMetrics, side::SideOrder,
+    life_part::LifePart, metrics::PacketMetrics, parts::PacketSupervisor, side::SideOrder,
 };
 
 /// Delay of a timer that shows that the process stood still, in milliseconds.
@@ -80,7 +80,7 @@
 #[derive(Default)]
 pub struct PacketDirectory {
     /// The root supervisor.
-    pub root: PartEntry<Supervisor>,
+    pub root: PartEntry<PacketSupervisor>,
     /// Packets.
     pub flows: PartEntry<FlowPart>,
     /// List and peers.
--- a/crates/foxledge-daemon/src/packets/daemon.rs
+++ b/crates/foxledge-daemon/src/packets/daemon.rs
@@ -37,7 +37,7 @@
     listener::POLL_PRIORITY,
     phase::PhaseCell,
     sockets::{bind_tcp, bind_udp},
-    supervisor::{Supervisor, SupervisorOptions},
+    supervisor::SupervisorOptions,
 };
 
 use super::{
@@ -45,7 +45,7 @@
     context::{PacketAdapters, PacketContext, PacketDirectory, SharedContext},
     event_log::EventLog,
     metrics::PacketMetrics,
-    parts::PacketParts,
+    parts::{PacketParts, PacketSupervisor},
     reports::{MemberReport, StatusReport},
     side::{OperatorQuestion, SideEvent, SideThread},
 };
@@ -76,7 +76,7 @@
     is_idle_pending: bool,
     is_io_pending: bool,
     _guards: Vec<ChannelGuard>,
-    _root: ActorOwn<Supervisor>,
+    _root: ActorOwn<PacketSupervisor>,
 }
 
 impl PacketDaemon {
@@ -181,11 +181,11 @@
     }))
 }
 
-fn start_root(stakker: &mut Stakker, context: &SharedContext) -> ActorOwn<Supervisor> {
+fn start_root(stakker: &mut Stakker, context: &SharedContext) -> ActorOwn<PacketSupervisor> {
     let seed = StdRng::from_os_rng().random();
     let options = SupervisorOptions::new(ProcessClock::start(), seed).audit_limit(AUDIT_ENTRIES);
     let starter = Box::new(PacketParts::new(context.clone()));
-    let root = actor!(stakker, Supervisor::init(options, starter), ret_shutdown!(stakker));
+    let root = actor!(stakker, PacketSupervisor::init(options, starter), ret_shutdown!(stakker));
     context.directory.root.set(&root);
     // The root supervisor is made once, so the cell is empty.
     let _ = context.audit.set(fwd_to!([root], record() as (AuditChange)));
--- a/crates/foxledge-daemon/src/packets/parts.rs
+++ b/crates/foxledge-daemon/src/packets/parts.rs
@@ -3,15 +3,36 @@
 use serde::Serialize;
 use stakker::{ActorOwnAnon, CX, Ret, StopCause, actor};
 
-use crate::{
-    parts::PartKind,
-    supervisor::{PartStarter, Supervisor},
-};
+use crate::supervisor::{PartName, PartStarter, Supervisor};
 
 use super::{
     context::SharedContext, fleet_part::FleetPart, flow_part::FlowPart, life_part::LifePart,
 };
 
+/// `PacketPart` is one part of the packets' tree.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PacketPart {
+    /// Packets of callers.
+    Flows,
+    /// Start and planned stop.
+    Life,
+    /// List and peers.
+    Fleet,
+}
+
+impl PartName for PacketPart {
+    fn as_str(self) -> &'static str {
+        match self {
+            PacketPart::Flows => "flows",
+            PacketPart::Life => "life",
+            PacketPart::Fleet => "fleet",
+        }
+    }
+}
+
+/// `PacketSupervisor` is the root of the packets' tree.
+pub type PacketSupervisor = Supervisor<PacketPart>;
+
 /// `PacketParts` starts the parts and enters each in the directory.
 pub struct PacketParts {
     context: SharedContext,
@@ -31,32 +52,31 @@
     }
 }
 
-impl PartStarter for PacketParts {
-    fn parts(&self) -> Vec<PartKind> {
-        vec![PartKind::Flows, PartKind::Life, PartKind::Fleet]
+impl PartStarter<PacketPart> for PacketParts {
+    fn parts(&self) -> Vec<PacketPart> {
+        vec![PacketPart::Flows, PacketPart::Life, PacketPart::Fleet]
     }
 
     fn start(
         &mut self,
-        cx: CX![Supervisor],
-        part: PartKind,
+        cx: CX![PacketSupervisor],
+        part: PacketPart,
         notify: Ret<StopCause>,
     ) -> ActorOwnAnon {
         let context = self.context.clone();
         let directory = &self.context.directory;
         match part {
-            PartKind::Flows => {
+            PacketPart::Flows => {
                 let owner = actor!(cx, FlowPart::init(context), notify);
                 directory.flows.set(&owner);
                 owner.anon()
             }
-            PartKind::Fleet => {
+            PacketPart::Fleet => {
                 let owner = actor!(cx, FleetPart::init(context), notify);
                 directory.fleet.set(&owner);
                 owner.anon()
             }
-            // `parts` names no others.
-            _ => {
+            PacketPart::Life => {
                 let owner = actor!(cx, LifePart::init(context), notify);
                 directory.life.set(&owner);
                 owner.anon()
@@ -64,11 +84,11 @@
         }
     }
 
-    fn companions(&self, _part: PartKind) -> &'static [PartKind] {
+    fn companions(&self, _part: PacketPart) -> &'static [PacketPart] {
         &[]
     }
 
-    fn note_restart(&mut self, part: PartKind) {
+    fn note_restart(&mut self, part: PacketPart) {
         let part = part.as_str();
         self.context.metrics.part_restarts.with_label_values(&[part]).inc();
         self.context.note("part_restarted", &RestartLine { event: "part_restarted", part });
--- a/crates/foxledge-daemon/src/parts.rs
+++ b/crates/foxledge-daemon/src/parts.rs
@@ -6,10 +6,15 @@
 use stakker::{ActorOwnAnon, CX, Ret, StopCause, actor};
 
 use crate::{
-    clock::new_incarnation, context::DaemonContext, control_link::ControlLink,
-    engine_part::EnginePart, life_cycle::LifeCycle, list_keeper::ListKeeper,
-    listener::DatagramListener, member_keeper::MemberKeeper, supervisor::PartStarter,
-    supervisor::Supervisor,
+    clock::new_incarnation,
+    context::DaemonContext,
+    control_link::ControlLink,
+    engine_part::EnginePart,
+    life_cycle::LifeCycle,
+    list_keeper::ListKeeper,
+    listener::DatagramListener,
+    member_keeper::MemberKeeper,
+    supervisor::{PartName, PartStarter, Supervisor},
 };
 
 /// `PartKind` is one part of the daemon.
@@ -27,15 +32,10 @@
     Link,
     /// Start and planned stop.
     Life,
-    /// Packets of callers, where packets are routed.
-    Flows,
-    /// List and peers, where packets are routed.
-    Fleet,
 }
 
-impl PartKind {
-    /// The prefix of the part's log lines.
-    pub fn as_str(self) -> &'static str {
+impl PartName for PartKind {
+    fn as_str(self) -> &'static str {
         match self {
             PartKind::Listener => "listener",
             PartKind::Engine => "engine",
@@ -43,12 +43,13 @@
             PartKind::Members => "members",
             PartKind::Link => "link",
             PartKind::Life => "life",
-            PartKind::Flows => "flows",
-            PartKind::Fleet => "fleet",
         }
     }
 }
 
+/// `DaemonSupervisor` is the root of the request path's tree.
+pub type DaemonSupervisor = Supervisor<PartKind>;
+
 /// `DaemonParts` starts the daemon's parts and enters each in the directory.
 pub struct DaemonParts {
     context: Rc<DaemonContext>,
@@ -61,7 +62,7 @@
     }
 }
 
-impl PartStarter for DaemonParts {
+impl PartStarter<PartKind> for DaemonParts {
     fn parts(&self) -> Vec<PartKind> {
         vec![
             PartKind::Link,
@@ -75,7 +76,7 @@
 
     fn start(
         &mut self,
-        cx: CX![Supervisor],
+        cx: CX![DaemonSupervisor],
         part: PartKind,
         notify: Ret<StopCause>,
     ) -> ActorOwnAnon {
@@ -112,8 +113,6 @@
                 directory.life.set(&owner);
                 owner.anon()
             }
-            // `parts` names neither; they belong to the tree of packets.
-            PartKind::Flows | PartKind::Fleet => unreachable!("no part of this tree"),
         }
     }
 
--- a/crates/foxledge-daemon/src/supervisor.rs
+++ b/crates/foxledge-daemon/src/supervisor.rs
@@ -12,28 +12,28 @@
 
 use crate::{
     clock::ProcessClock,
-    parts::PartKind,
     restarts::{RestartLimits, RestartPlan},
 };
 
+/// `PartName` is one part of a tree.
+pub trait PartName: Copy + PartialEq + 'static {
+    /// The prefix of the part's log lines.
+    fn as_str(self) -> &'static str;
+}
+
 /// `PartStarter` makes the parts that a [`Supervisor`] looks after.
-pub trait PartStarter {
+pub trait PartStarter<P: PartName> {
     /// The parts, in the order of their start.
-    fn parts(&self) -> Vec<PartKind>;
+    fn parts(&self) -> Vec<P>;
 
     /// Starts `part`; `notify` is told when it ends.
-    fn start(
-        &mut self,
-        cx: CX![Supervisor],
-        part: PartKind,
-        notify: Ret<StopCause>,
-    ) -> ActorOwnAnon;
+    fn start(&mut self, cx: CX![Supervisor<P>], part: P, notify: Ret<StopCause>) -> ActorOwnAnon;
 
     /// Parts that can't go on with what they know when `part` was started anew.
-    fn companions(&self, part: PartKind) -> &'static [PartKind];
+    fn companions(&self, part: P) -> &'static [P];
 
     /// Takes note of a restart, before the part is started again.
-    fn note_restart(&mut self, part: PartKind);
+    fn note_restart(&mut self, part: P);
 }
 
 /// `SupervisorOptions` is what a supervisor starts with.
@@ -75,8 +75,8 @@
     pub restarts: u64,
 }
 
-struct PartSlot {
-    part: PartKind,
+struct PartSlot<P> {
+    part: P,
     owner: Option<ActorOwnAnon>,
     plan: RestartPlan,
     /// Counts starts, so that the end of an earlier start isn't taken for the present one's.
@@ -84,22 +84,22 @@
 }
 
 /// `Supervisor` is the actor at the root of the tree.
-pub struct Supervisor {
-    starter: Box<dyn PartStarter>,
-    slots: Vec<PartSlot>,
+pub struct Supervisor<P: PartName> {
+    starter: Box<dyn PartStarter<P>>,
+    slots: Vec<PartSlot<P>>,
     clock: ProcessClock,
     rng: StdRng,
     trail: AuditTrail,
     revision: u64,
 }
 
-impl Supervisor {
+impl<P: PartName> Supervisor<P> {
     /// Starts every part.
     pub fn init(
         cx: CX![],
         options: SupervisorOptions,
-        starter: Box<dyn PartStarter>,
-    ) -> Option<Supervisor> {
+        starter: Box<dyn PartStarter<P>>,
+    ) -> Option<Supervisor<P>> {
         let now = options.clock.now();
         let slots = starter
             .parts()
@@ -221,7 +221,7 @@
     }
 }
 
-impl PartSlot {
+impl<P: PartName> PartSlot<P> {
     fn report(&self) -> PartReport {
         PartReport {
             part: self.part.as_str(),
--- a/crates/foxledge-gossip/tests/common/mod.rs
+++ b/crates/foxledge-gossip/tests/common/mod.rs
@@ -21,7 +21,7 @@
 const START_US: u64 = 3_600_000_000;
 
 enum Event {
-    Wake { member: usize, due_us: u64 },
+    Wake { member: usize, timer: u64 },
     Datagram { member: usize, from: SocketAddrV4, bytes: Vec<u8> },
     Answer { member: usize, start: u64, order: ReadOrder, answer: Result<ListReading, SourceError> },
     WatchEnd { member: usize, start: u64, order: ReadOrder },
@@ -61,6 +61,8 @@
     pub link_mbps: u32,
     /// Until when it works on what it has read.
     busy_until: u64,
+    /// The timer that counts; a member sets it anew after everything it does.
+    timer: u64,
 }
 
 pub struct VirtualFleet {
@@ -200,6 +202,7 @@
                     lag_us: 0,
                     link_mbps: 100,
                     busy_until: 0,
+                    timer: 0,
                 };
                 fleet.by_address.insert(seat.address, fleet.seats.len());
                 fleet.seats.push(seat);
@@ -333,23 +336,33 @@
     }
 
     fn wake_at(&mut self, member: usize, at: u64) {
-        self.push(at.max(self.now_us), Event::Wake { member, due_us: at });
+        self.seats[member].timer += 1;
+        let timer = self.seats[member].timer;
+        self.push(at.max(self.now_us), Event::Wake { member, timer });
+    }
+
+    /// Sets the timer to when the member is due next, as the daemon does.
+    fn set_timer(&mut self, member: usize) {
+        let now = self.now();
+        let Some(one) = &self.seats[member].member else { return };
+        let next = one.next_at(now).as_micros().max(self.now_us + 5_000);
+        self.wake_at(member, next);
     }
 
     fn handle(&mut self, event: Event) {
         let now = self.now();
         match event {
-            Event::Wake { member, .. } => {
+            Event::Wake { member, timer } => {
+                if self.seats[member].timer != timer {
+                    return;
+                }
                 if self.is_paused(member) {
-                    let until = self.seats[member].paused_until;
-                    return self.push(until, Event::Wake { member, due_us: until });
+                    return self.wake_at(member, self.seats[member].paused_until);
                 }
                 let Some(one) = &mut self.seats[member].member else { return };
                 one.on_time(now);
                 self.carry_out(member);
-                let Some(one) = &self.seats[member].member else { return };
-                let next = one.next_at(now).as_micros().max(self.now_us + 5_000);
-                self.wake_at(member, next);
+                self.set_timer(member);
             }
             Event::Datagram { member, from, bytes } => {
                 if self.is_paused(member) {
@@ -363,6 +376,7 @@
                 let Some(one) = &mut self.seats[member].member else { return };
                 assert!(one.on_datagram(now, from, &bytes), "a member's message can't be read");
                 self.carry_out(member);
+                self.set_timer(member);
             }
             Event::Answer { member, start, order, answer } => {
                 let seat = &mut self.seats[member];
@@ -372,10 +386,7 @@
                 let Some(one) = &mut seat.member else { return };
                 one.on_reading(now, order, answer);
                 self.carry_out(member);
-                // The next call may be due before the timer that was set.
-                let Some(one) = &self.seats[member].member else { return };
-                let next = one.next_at(now).as_micros();
-                self.push(next.max(self.now_us), Event::Wake { member, due_us: next });
+                self.set_timer(member);
             }
             Event::WatchEnd { member, start, order } => {
                 let waits = |one: &(usize, u64, ReadOrder)| *one == (member, start, order);
