--- /dev/null
+++ b/crates/foxledge-flows/src/decisions.rs
@@ -0,0 +1,109 @@
+//! What a router decides, and why.
+
+use std::sync::Arc;
+
+use foxledge_core::names::ServiceName;
+use serde::Serialize;
+
+use crate::{
+    placement::{PlacementCandidate, PlacementRank},
+    routes::FlowRoute,
+};
+
+/// `FlowDecision` is what to do with a packet.
+#[derive(Clone, Debug, PartialEq)]
+pub enum FlowDecision {
+    /// Send it on to a backend server.
+    Forward {
+        /// Index of the backend server.
+        backend: usize,
+    },
+    /// Send the opening packet of a flow on, with a token.
+    Open {
+        /// Index of the backend server.
+        backend: usize,
+        /// Why this one.
+        reason: OpenReason,
+    },
+    /// Tell the caller at once that the flow can't be served.
+    Refuse(RefuseReason),
+    /// Do nothing.
+    Drop(DropReason),
+}
+
+/// `OpenReason` is by what an opening packet was placed.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct OpenReason {
+    /// The route that decided.
+    pub route: Arc<str>,
+    /// Its revision.
+    pub route_revision: u64,
+    /// Which copy of the opening packet, from 0.
+    pub copy: u32,
+    /// The rank that won; none when a copy follows the first packet.
+    pub rank: Option<PlacementRank>,
+    /// How many backend servers could be chosen from.
+    pub candidates: usize,
+}
+
+/// `RefuseReason` is why a caller is told that a flow can't be served.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum RefuseReason {
+    /// No route leads from the address.
+    NoRoute,
+    /// The service has no backend server that takes flows.
+    NoBackend,
+}
+
+/// `DropReason` is why a packet is dropped without an answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum DropReason {
+    /// Nothing serves the flow by a list that may be old.
+    MaybeStale,
+    /// The token names no backend server that is known here.
+    UnknownToken,
+    /// The route of the open flow is gone.
+    RouteRemoved,
+    /// No list is known yet.
+    NoList,
+}
+
+impl DropReason {
+    /// The reason's word in metrics and logs.
+    pub fn word(self) -> &'static str {
+        match self {
+            DropReason::MaybeStale => "maybe_stale",
+            DropReason::UnknownToken => "unknown_token",
+            DropReason::RouteRemoved => "route_removed",
+            DropReason::NoList => "no_list",
+        }
+    }
+}
+
+/// `FlowExplanation` is where a flow would go and why.
+#[derive(Clone, Debug)]
+pub struct FlowExplanation {
+    /// The route that decides.
+    pub route: Option<Arc<FlowRoute>>,
+    /// The service of this flow.
+    pub service: Option<ServiceName>,
+    /// What could be chosen from.
+    pub candidates: Vec<PlacementCandidate>,
+    /// The choice among them, with its rank.
+    pub choice: Option<(usize, PlacementRank)>,
+    /// The backend server that the token names.
+    pub token_holder: Option<usize>,
+}
+
+/// `RouterCounts` is what a router counted since its start.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct RouterCounts {
+    /// Openings that stayed unanswered for too long.
+    pub overdue: u64,
+    /// Copies of opening packets.
+    pub copies: u64,
+    /// Data that callers sent again.
+    pub resent: u64,
+}
--- a/crates/foxledge-flows/src/lib.rs
+++ b/crates/foxledge-flows/src/lib.rs
@@ -11,6 +11,7 @@
 //! decisions come out.
 
 mod backends;
+mod decisions;
 mod health;
 mod latency;
 mod openings;
@@ -25,14 +26,14 @@
 pub mod source;
 
 pub use backends::{Backend, BackendTable};
+pub use decisions::{
+    DropReason, FlowDecision, FlowExplanation, OpenReason, RefuseReason, RouterCounts,
+};
 pub use health::{HealthClass, HealthNote, HealthState, NoteKind};
 pub use latency::LatencyGauge;
 pub use list::FleetList;
 pub use packet::{FlowKey, FlowPacket, PacketCodec, PacketKind};
 pub use placement::{LeastLoaded, PlacementPolicy};
-pub use router::{
-    DropReason, FlowDecision, FlowExplanation, FlowRouter, OpenReason, RefuseReason, RouterCounts,
-    RouterOptions,
-};
+pub use router::{FlowRouter, RouterOptions};
 pub use routes::{FlowRoute, flow_hash};
 pub use source::{ConfigReading, ItemChange, ListReading, ListSource, SourceError};
