--- a/crates/foxledge-gossip/src/copies.rs
+++ b/crates/foxledge-gossip/src/copies.rs
@@ -46,6 +46,7 @@
         }
     }
 
+    /// Asks again when a page hasn't come in time, or gives the peer up.
     pub(crate) fn retry_pull(&mut self, now: ClockTime) {
         let Some(mut pull) = self.pull.take() else { return };
         if !pull.retry_at.is_past(now) {
@@ -58,6 +59,7 @@
         }
     }
 
+    /// Answers a question for rows with pages, or turns it away.
     pub(crate) fn answer_pull(&mut self, now: ClockTime, from: SocketAddrV4, pull: &PullMessage) {
         if !self.admit_pull(now, from) {
             return self.send_busy(now, from, pull.ticket);
@@ -75,7 +77,7 @@
     /// When a fleet starts at once, hundreds ask the seeds for a whole copy. Served
     /// all together, none gets it in time; served a few at a time, each of those
     /// serves others a moment later.
-    pub(crate) fn admit_pull(&mut self, now: ClockTime, from: SocketAddrV4) -> bool {
+    fn admit_pull(&mut self, now: ClockTime, from: SocketAddrV4) -> bool {
         self.served.retain(|_, until| !until.is_past(now));
         if !self.served.contains_key(&from) && self.served.len() >= MOST_SERVED {
             return false;
@@ -84,14 +86,16 @@
         true
     }
 
-    pub(crate) fn send_busy(&mut self, now: ClockTime, to: SocketAddrV4, ticket: u32) {
+    /// Turns a question away, and names others that may answer it.
+    fn send_busy(&mut self, now: ClockTime, to: SocketAddrV4, ticket: u32) {
         let near = self.options.data_centre.clone();
         let peers = self.peers.holders(&mut self.rng, now, &near, 0, SAMPLE);
         let page = PageMessage { ticket, is_busy: true, peers, ..PageMessage::default() };
         self.send(to, MessageBody::Page(page));
     }
 
-    pub(crate) fn send_pages(
+    /// Sends as many pages as one question is answered with.
+    fn send_pages(
         &mut self,
         now: ClockTime,
         to: SocketAddrV4,
@@ -122,6 +126,7 @@
         }
     }
 
+    /// Takes a page of the transfer that goes on; the last puts all of it in force.
     pub(crate) fn take_page(&mut self, now: ClockTime, page: PageMessage) {
         let Some(mut pull) = self.pull.take_if(|pull| pull.ticket == page.ticket) else { return };
         let from = pull.from;
--- a/crates/foxledge-gossip/src/learning.rs
+++ b/crates/foxledge-gossip/src/learning.rs
@@ -20,11 +20,14 @@
 const NEWER_MS: u64 = 300;
 /// Instances that a seed must have heard of for others to leave the first reading to it.
 const MANY: u32 = 24;
-/// Wait before an instance reads a first list by itself when many start together, in milliseconds, and its spread: the seeds' copies come first.
+/// Wait before an instance reads a first list by itself when many start together, in
+/// milliseconds: the seeds' copies come first.
 const TOGETHER_MS: u64 = 150;
+/// Spread of that wait in milliseconds.
 const TOGETHER_SPREAD_MS: u64 = 450;
 
 impl FleetMember {
+    /// Takes a heartbeat with its news, and passes on what is new here.
     pub(crate) fn take_beat(&mut self, now: ClockTime, from: SocketAddrV4, beat: BeatMessage) {
         self.learn_peers(now, &beat);
         self.learn_claims(now, &beat.claims);
@@ -47,12 +50,7 @@
     /// The whole store is 750 KB at 3,000 backend servers: three hundred instances
     /// that all read it fill the store's link for two seconds. A few read it sooner
     /// than a seed can hand it on.
-    pub(crate) fn leave_reading_to_seeds(
-        &mut self,
-        now: ClockTime,
-        from: SocketAddrV4,
-        beat: &BeatMessage,
-    ) {
+    fn leave_reading_to_seeds(&mut self, now: ClockTime, from: SocketAddrV4, beat: &BeatMessage) {
         let is_seed = |address: &SocketAddrV4| self.options.seeds.contains(address);
         let is_waiting = self.list.head() == 0 && !self.is_together;
         let are_many = beat.head == 0 && beat.peer_count >= MANY;
@@ -64,7 +62,8 @@
         self.start_at = self.start_at.max(now.after_millis(TOGETHER_MS + spread));
     }
 
-    pub(crate) fn learn_peers(&mut self, now: ClockTime, beat: &BeatMessage) {
+    /// Takes the sender of a heartbeat and the instances that it tells of.
+    fn learn_peers(&mut self, now: ClockTime, beat: &BeatMessage) {
         let sender = beat.from.clone().map(|card| HeardPeer {
             card: Some(card),
             age_ms: 0,
@@ -74,6 +73,7 @@
         self.learn_peer_list(now, &beat.peers);
     }
 
+    /// Takes instances that others tell of.
     pub(crate) fn learn_peer_list(&mut self, now: ClockTime, peers: &[HeardPeer]) {
         for peer in peers {
             let Some(card) = &peer.card else { continue };
@@ -97,6 +97,7 @@
         }
     }
 
+    /// Takes readers' last answers from the store; what is told of this instance is known.
     pub(crate) fn learn_claims(&mut self, now: ClockTime, claims: &[ClaimMessage]) {
         for message in claims {
             let Some(card) = message.card.clone() else { continue };
@@ -109,7 +110,8 @@
         }
     }
 
-    pub(crate) fn learn_notes(&mut self, now: ClockTime, beat: &BeatMessage) -> bool {
+    /// Takes observations of backend servers; true when one is new here.
+    fn learn_notes(&mut self, now: ClockTime, beat: &BeatMessage) -> bool {
         let mut is_news = false;
         for message in &beat.notes {
             let Some(kind) = note_kind(message.kind) else { continue };
@@ -125,7 +127,8 @@
         is_news
     }
 
-    pub(crate) fn learn_rows(&mut self, now: ClockTime, from: SocketAddrV4, beat: &BeatMessage) {
+    /// Takes changed rows, or asks for them when the heartbeat has too few.
+    fn learn_rows(&mut self, now: ClockTime, from: SocketAddrV4, beat: &BeatMessage) {
         let known = self.list.head();
         if beat.head <= known {
             return;
@@ -151,6 +154,7 @@
         self.told_at.after_millis(NEWER_MS).is_past(at)
     }
 
+    /// Hands on rows that changed here, and forgets old removals.
     pub(crate) fn rows_taken(
         &mut self,
         now: ClockTime,
@@ -174,10 +178,12 @@
     }
 }
 
+/// The point that lies so long before now.
 fn earlier(now: ClockTime, age_ms: u32) -> ClockTime {
     ClockTime::from_micros(now.as_micros().saturating_sub(u64::from(age_ms) * 1_000))
 }
 
+/// What a code in a message says of a backend server; none for codes of later versions.
 fn note_kind(code: u32) -> Option<NoteKind> {
     match code {
         1 => Some(NoteKind::Suspect),
--- a/crates/foxledge-gossip/src/reading.rs
+++ b/crates/foxledge-gossip/src/reading.rs
@@ -57,7 +57,7 @@
     ///
     /// That doesn't make this instance a reader: whether the list is the newest
     /// is heard from peers.
-    pub(crate) fn read_first(&mut self, now: ClockTime) {
+    fn read_first(&mut self, now: ClockTime) {
         if self.election.is_waiting() || !self.start_at.is_past(now) {
             return;
         }
@@ -78,7 +78,8 @@
         }
     }
 
-    pub(crate) fn next_order(&self, now: ClockTime) -> ReadOrder {
+    /// The next call of the store: everything, or what changed.
+    fn next_order(&self, now: ClockTime) -> ReadOrder {
         let is_far_behind =
             self.confirmed_at.is_some_and(|at| at.after_millis(FAR_BEHIND_MS).is_past(now));
         if self.needs_copy || is_far_behind {
@@ -91,6 +92,7 @@
         ReadOrder::Watch { after: self.list.head(), wait_ms }
     }
 
+    /// Takes an answer of the store, and tells everybody what it brought.
     pub(crate) fn take_reading(&mut self, now: ClockTime, order: ReadOrder, reading: ListReading) {
         let failures = self.election.succeeded(now);
         if failures > 0 {
@@ -135,7 +137,7 @@
     ///
     /// An answer that comes later than any can came before a pause of this
     /// process, nobody knows when; it counts from the call.
-    pub(crate) fn claim(&mut self, now: ClockTime, head: u64) {
+    fn claim(&mut self, now: ClockTime, head: u64) {
         self.serial += 1;
         let is_late = self.called_at.after_millis(self.options.watch_ms + SLOWEST_MS).is_past(now);
         let at = if is_late { self.called_at } else { now };
@@ -143,6 +145,7 @@
         self.election.take_claim(ReaderClaim { card, serial: self.serial, at, head });
     }
 
+    /// Takes the failure of a call, and leaves reading to others if they are served.
     pub(crate) fn take_failure(&mut self, now: ClockTime, error: &SourceError) {
         if *error == SourceError::HistoryGone {
             self.needs_copy = true;
--- a/crates/foxledge-gossip/src/spreading.rs
+++ b/crates/foxledge-gossip/src/spreading.rs
@@ -60,6 +60,7 @@
         }
     }
 
+    /// Asks the seeds for an answer, as no list or no peer is known.
     pub(crate) fn ask_seeds(&mut self, now: ClockTime) {
         let mut beat = self.beat_message(now, None);
         beat.wants_answer = true;
@@ -104,6 +105,7 @@
         self.send_beats(now, base, to);
     }
 
+    /// Sends a heartbeat with the rows after `base` to some instances.
     pub(crate) fn send_beats(&mut self, now: ClockTime, base: u64, to: Vec<SocketAddrV4>) {
         self.beat_at = now.after_millis(BEAT_MS);
         self.told_at = self.confirmed_at.unwrap_or(ClockTime::ZERO);
@@ -113,6 +115,7 @@
         }
     }
 
+    /// Answers an instance that asks, or that is behind at `base`.
     pub(crate) fn tell(&mut self, now: ClockTime, to: SocketAddrV4, base: u64) {
         let mut beat = self.beat_message(now, Some(base));
         if beat.rows.is_empty() {
@@ -121,6 +124,7 @@
         self.send(to, MessageBody::Beat(beat));
     }
 
+    /// A heartbeat; with `base`, with the rows that changed after it.
     pub(crate) fn beat_message(&mut self, now: ClockTime, base: Option<u64>) -> BeatMessage {
         let (base, rows) = self.rows_since(now, base);
         let recent =
@@ -139,11 +143,7 @@
     }
 
     /// The rows that changed after `base`, if one message holds them.
-    pub(crate) fn rows_since(
-        &self,
-        now: ClockTime,
-        base: Option<u64>,
-    ) -> (Option<u64>, Vec<ListRow>) {
+    fn rows_since(&self, now: ClockTime, base: Option<u64>) -> (Option<u64>, Vec<ListRow>) {
         let Some(base) = base.filter(|base| *base > 0 && *base >= self.list.floor()) else {
             return (None, Vec::new());
         };
@@ -157,6 +157,7 @@
         }
     }
 
+    /// Readers' last answers, the newest first.
     pub(crate) fn claim_messages(&self, now: ClockTime) -> Vec<ClaimMessage> {
         let claims = self.election.claims().iter().take(MOST_CLAIMS);
         let message = |claim: &ReaderClaim| ClaimMessage {
@@ -168,6 +169,7 @@
         claims.map(message).collect()
     }
 
+    /// Sends a message.
     pub(crate) fn send(&mut self, to: SocketAddrV4, body: MessageBody) {
         let bytes = FleetMessage { body: Some(body) }.encode_to_vec();
         debug_assert!(bytes.len() <= LARGEST_MESSAGE, "{} bytes", bytes.len());
