Take several lists of one answer one after the other; let a copy undo a removal

The instances' list_taken lines show revisions 163 to 172 in one step: one watch brought a list without the route and one with it again. Each was compared with what was known before both, so the second changed nothing. Besides, a whole copy from an instance that had never seen the route go was passed over row by row. Red before: two_lists_in_one_answer, copy_over_removal.

--- a/crates/foxledge-flows/src/list.rs
+++ b/crates/foxledge-flows/src/list.rs
@@ -141,6 +141,7 @@
             .filter(|row| !listed.contains(row.key.as_str()))
             .map(|row| removal(row, head))
             .collect();
+        let rows: Vec<_> = rows.into_iter().map(|row| self.overriding(row, head)).collect();
         let mut taken: Vec<_> = rows.into_iter().filter_map(|row| self.put(now, row)).collect();
         taken.extend(gone.into_iter().filter_map(|row| self.put(now, row)));
         self.head = head;
@@ -162,9 +163,8 @@
             .filter(|row| row.revision <= head && !backends.contains(&row.key))
             .map(|row| removal(row, head))
             .collect();
-        let mut rows = self.rows_of(reading.items);
-        rows.extend(gone);
-        let taken = rows.into_iter().filter_map(|row| self.put(now, row)).collect();
+        let mut taken = self.put_items(now, reading.items);
+        taken.extend(gone.into_iter().filter_map(|row| self.put(now, row)));
         self.head = head;
         // What came and went since this list was last complete isn't in the
         // reading. An instance that is further behind may know it, and would
@@ -175,9 +175,12 @@
 
     /// Turns changes of the store into rows and takes them.
     pub fn take_watch(&mut self, now: ClockTime, reading: ListReading) -> Vec<ListRow> {
-        let head = reading.head;
-        let rows = self.rows_of(reading.items);
-        self.take_changes(now, rows, head)
+        let known = self.head;
+        let is_news = |item: &ItemChange| item.revision() > known;
+        let news = reading.items.into_iter().filter(is_news).collect();
+        let taken = self.put_items(now, news);
+        self.head = self.head.max(reading.head);
+        taken
     }
 
     /// Rows after a cursor, in order of changes, up to `budget` encoded bytes but one at least.
@@ -216,27 +219,49 @@
         }
     }
 
-    fn rows_of(&self, items: Vec<ItemChange>) -> Vec<ListRow> {
-        let mut rows = Vec::new();
+    /// A row of a copy of revision `head`, under a revision at which it counts.
+    ///
+    /// Who reads a whole list doesn't see a route that went and came back: its row is
+    /// as old as the route. An instance that saw it go knows a newer row, and yet the
+    /// copy is right, as it is newer as a whole.
+    fn overriding(&self, mut row: ListRow, head: u64) -> ListRow {
+        let Some(known) = self.rows.get(row.key.as_str()) else { return row };
+        let is_passed_over = known.revision >= row.revision && known.revision < head;
+        let are_removed = is_removed(known) && is_removed(&row);
+        if is_passed_over && !are_removed && known.value != row.value {
+            row.revision = head;
+        }
+        row
+    }
+
+    /// Takes items one after the other.
+    ///
+    /// One answer may hold several lists. Each is compared with the one before it: a
+    /// route that goes and comes back within one answer would else stay gone, as it
+    /// comes back just as it had been known.
+    fn put_items(&mut self, now: ClockTime, items: Vec<ItemChange>) -> Vec<ListRow> {
+        let mut taken = Vec::new();
         for item in items {
-            match item {
-                ItemChange::Config { revision, config } => {
-                    rows.extend(self.config_rows(revision, config));
-                }
-                ItemChange::Backend { revision, id, backend } => rows.push(ListRow {
-                    key: backend_key(&id),
-                    revision,
-                    value: Some(RowValue::Backend(backend)),
-                }),
-                ItemChange::BackendGone { revision, id } => {
-                    let key = backend_key(&id);
-                    let Some(row) = self.rows.get(key.as_str()) else { continue };
-                    rows.push(removal(row, revision));
-                }
-                ItemChange::Malformed { .. } => {}
+            let rows = self.rows_of(item);
+            taken.extend(rows.into_iter().filter_map(|row| self.put(now, row)));
+        }
+        taken
+    }
+
+    fn rows_of(&self, item: ItemChange) -> Vec<ListRow> {
+        match item {
+            ItemChange::Config { revision, config } => self.config_rows(revision, config),
+            ItemChange::Backend { revision, id, backend } => vec![ListRow {
+                key: backend_key(&id),
+                revision,
+                value: Some(RowValue::Backend(backend)),
+            }],
+            ItemChange::BackendGone { revision, id } => {
+                let known = self.rows.get(backend_key(&id).as_str());
+                known.map(|row| removal(row, revision)).into_iter().collect()
             }
+            ItemChange::Malformed { .. } => Vec::new(),
         }
-        rows
     }
 
     /// The rows that differ from the operators' list in force.
--- a/crates/foxledge-flows/src/source.rs
+++ b/crates/foxledge-flows/src/source.rs
@@ -52,6 +52,18 @@
     },
 }
 
+impl ItemChange {
+    /// The revision of the change.
+    pub fn revision(&self) -> u64 {
+        match self {
+            ItemChange::Config { revision, .. }
+            | ItemChange::Backend { revision, .. }
+            | ItemChange::BackendGone { revision, .. }
+            | ItemChange::Malformed { revision, .. } => *revision,
+        }
+    }
+}
+
 /// `ListReading` is an answer of the store: items, and the revision up to which they are complete.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct ListReading {
--- a/crates/foxledge-flows/tests/list_order.rs
+++ b/crates/foxledge-flows/tests/list_order.rs
@@ -197,3 +197,50 @@
     read(&mut list, vec![config(2, 9, &["c", "a"])], 9);
     assert_eq!(["c", "a"].map(|name| place(&list, name)), [0, 1]);
 }
+
+// Symptom: flows are refused though their route is published, for as long as the list
+//   doesn't change again.
+// Sequence: a route is removed and comes back as it was; one watch brings both lists.
+// Cause: the second list is compared with what was known before the first.
+#[test]
+fn two_lists_in_one_answer() {
+    let mut list = FleetList::new();
+    read(&mut list, vec![config(1, 5, &["a", "b"])], 5);
+    let items = vec![config(2, 7, &["a"]), config(3, 9, &["a", "b"])];
+    let taken = list.take_watch(at(10), ListReading { items, head: 9 });
+    assert_eq!(live_keys(&list), ["limits", "route/a", "route/b"]);
+    // Who takes the rows in order ends with the route in force.
+    let last = taken.iter().rfind(|row| row.key == "route/b").expect("has changed");
+    assert!(matches!(last.value, Some(RowValue::Route(_))));
+    assert_eq!(last.revision, 9);
+}
+
+#[test]
+fn entry_back_in_one_answer() {
+    let mut list = FleetList::new();
+    read(&mut list, vec![config(1, 5, &["a"]), server(1, 3)], 5);
+    let gone = ItemChange::BackendGone { revision: 7, id: "i-1".to_owned() };
+    list.take_watch(at(10), ListReading { items: vec![gone, server(1, 8)], head: 8 });
+    assert_eq!(live_keys(&list), ["backend/i-1", "limits", "route/a"]);
+}
+
+// Symptom: as before, at an instance that got a whole copy from a peer.
+// Sequence: it saw the route go; the peer read the whole store once the route was back,
+//   and never saw it go, so its row is as old as the route.
+// Cause: the older row of the newer copy is passed over.
+#[test]
+fn copy_over_removal() {
+    let mut peer = FleetList::new();
+    read(&mut peer, vec![config(1, 5, &["a", "b"])], 5);
+    read(&mut peer, vec![config(3, 9, &["a", "b"])], 9);
+    let mut list = FleetList::new();
+    read(&mut list, vec![config(1, 5, &["a", "b"])], 5);
+    let items = vec![config(2, 7, &["a"])];
+    list.take_watch(at(10), ListReading { items, head: 8 });
+    assert_eq!(live_keys(&list), ["limits", "route/a"]);
+    let rows = peer.rows().cloned().collect();
+    let taken = list.take_copy(at(20), rows, peer.head(), peer.floor());
+    assert_eq!(live_keys(&list), ["limits", "route/a", "route/b"]);
+    // Whoever asks for what is new after the removal is told of it.
+    assert!(taken.iter().any(|row| row.key == "route/b" && row.revision > 8));
+}
--- a/crates/foxledge-soak/tests/short_soak.rs
+++ b/crates/foxledge-soak/tests/short_soak.rs
@@ -58,7 +58,8 @@
     (707, 15),
     // The signal came before the process had taken signals over, and ended it.
     (702, 15),
-    // The soak published two lists at once, and the older one came last in the store.
+    // One watch brought two lists: a route gone in the first and back in the second
+    // stayed gone.
     (1003, 15),
 ];
 
