Take the newest of each row of a copy, and no copy of a revision that is known

Traced by one line: list_taken version 16, revision 383, former_revision 383, at an instance that had version 21: a copy in pages held a row as it was and as it is, since it had changed at the peer between two pages; with the rule that a copy undoes removals the first was put under the copy's revision, and the second passed over. Red before: row_twice_in_copy.

--- a/crates/foxledge-flows/src/list.rs
+++ b/crates/foxledge-flows/src/list.rs
@@ -121,7 +121,7 @@
 
     /// Takes a whole copy; rows that it lacks are gone.
     ///
-    /// A copy older than what is known is passed over. `floor` is that of whoever
+    /// A copy that isn't newer than what is known is passed over. `floor` is that of whoever
     /// made the copy.
     pub fn take_copy(
         &mut self,
@@ -130,9 +130,10 @@
         head: u64,
         floor: u64,
     ) -> Vec<ListRow> {
-        if head < self.head {
+        if head <= self.head {
             return Vec::new();
         }
+        let rows = newest_of_each(rows);
         let listed: BTreeSet<&str> = rows.iter().map(|row| row.key.as_str()).collect();
         let gone: Vec<_> = self
             .rows
@@ -342,6 +343,19 @@
     routes
 }
 
+/// Each row once, the newest: one that changed while a copy was sent page by page is
+/// in it as it was and as it is.
+fn newest_of_each(rows: Vec<ListRow>) -> Vec<ListRow> {
+    let mut newest: HashMap<String, ListRow> = HashMap::new();
+    for row in rows {
+        match newest.get(&row.key) {
+            Some(known) if known.revision >= row.revision => {}
+            _ => drop(newest.insert(row.key.clone(), row)),
+        }
+    }
+    newest.into_values().collect()
+}
+
 /// Bytes that a row takes in a message beside its own: a tag and a length.
 const ROW_FRAME: usize = 4;
 
--- a/crates/foxledge-flows/tests/list_order.rs
+++ b/crates/foxledge-flows/tests/list_order.rs
@@ -244,3 +244,20 @@
     // Whoever asks for what is new after the removal is told of it.
     assert!(taken.iter().any(|row| row.key == "route/b" && row.revision > 8));
 }
+
+// Symptom: an instance goes back to a former list at the revision of the newest.
+// Sequence: it gets a copy in pages; a row changes at the peer between two of them, so
+//   that the copy holds the row twice, as it was and as it is.
+// Cause: the first of the two is taken for what the copy says.
+#[test]
+fn row_twice_in_copy() {
+    let mut list = FleetList::new();
+    read(&mut list, vec![config(1, 5, &["a"]), server(1, 3)], 5);
+    list.take_watch(at(10), ListReading { items: vec![config(3, 9, &["a"])], head: 9 });
+    let copy = vec![limits(1, 5), route("a", 443, "desk", 5), limits(3, 9), limits(4, 11)];
+    list.take_copy(at(20), copy, 12, 2);
+    assert_eq!((list.version(), list.head()), (4, 12));
+    // A copy of the same revision brings nothing.
+    assert!(list.take_copy(at(30), vec![limits(1, 5)], 12, 2).is_empty());
+    assert_eq!(list.version(), 4);
+}
