--- a/crates/foxledge-gossip/src/member.rs
+++ b/crates/foxledge-gossip/src/member.rs
@@ -1,6 +1,9 @@
 //! One instance as a member of the fleet.
 
-use std::{collections::HashMap, net::SocketAddrV4};
+use std::{
+    collections::{BTreeMap, HashMap},
+    net::SocketAddrV4,
+};
 
 use foxledge_core::time::ClockTime;
 use foxledge_flows::{FleetList, HealthNote, ListReading, SourceError};
@@ -50,7 +53,7 @@
     /// Instances that are being served with rows, and until when they count.
     pub(crate) served: HashMap<SocketAddrV4, ClockTime>,
     /// Observations of backend servers that are still told, by their identity.
-    pub(crate) notes: HashMap<u32, HealthNote>,
+    pub(crate) notes: BTreeMap<u32, HealthNote>,
     /// When the store last confirmed the list, as far as is known.
     pub(crate) confirmed_at: Option<ClockTime>,
     /// The confirmation that others were last told.
@@ -101,7 +104,7 @@
             pull: None,
             pull_at: None,
             served: HashMap::new(),
-            notes: HashMap::new(),
+            notes: BTreeMap::new(),
             confirmed_at: None,
             told_at: ClockTime::ZERO,
             serial: 0,
--- a/crates/foxledge-gossip/src/peers.rs
+++ b/crates/foxledge-gossip/src/peers.rs
@@ -1,6 +1,9 @@
 //! The instances that this one knows.
 
-use std::{collections::HashMap, net::SocketAddrV4};
+use std::{
+    collections::{BTreeMap, HashMap},
+    net::SocketAddrV4,
+};
 
 use foxledge_core::time::ClockTime;
 use rand::{Rng, rngs::StdRng};
@@ -99,7 +102,9 @@
 
     /// Every known instance.
     pub fn all(&self) -> Vec<SocketAddrV4> {
-        self.records.keys().copied().collect()
+        let mut all: Vec<_> = self.records.keys().copied().collect();
+        all.sort_unstable();
+        all
     }
 
     /// Instances heard of lately.
@@ -117,7 +122,7 @@
 
     /// Up to `count` random instances of each other data centre.
     pub fn pick_far(&self, rng: &mut StdRng, near: &str, count: usize) -> Vec<SocketAddrV4> {
-        let mut centres: HashMap<&str, Vec<SocketAddrV4>> = HashMap::new();
+        let mut centres: BTreeMap<&str, Vec<SocketAddrV4>> = BTreeMap::new();
         for record in self.records.values().filter(|record| record.card.data_centre != near) {
             let Some(address) = record.card.address() else { continue };
             centres.entry(record.card.data_centre.as_str()).or_default().push(address);
