Write log lines whole, and tell of stalled flows

Writes were as long as what waited (up to 128 KB), and a pipe keeps only 4,096 bytes together. Test: lines_stay_whole, red before.

Cause, of the second: a request lost on a long open flow left no line but the flow's opening, minutes before. Test: stalled_flow_told.

--- a/crates/foxledge-daemon/src/packets/event_log.rs
+++ b/crates/foxledge-daemon/src/packets/event_log.rs
@@ -17,7 +17,8 @@
 
 /// Bytes of lines kept while standard output takes none; more are lost.
 const MOST_WAITING: usize = 128 * 1024;
-/// Bytes that are written at once rather than at the next turn.
+/// Most bytes of one write. A pipe takes so many together or not at all: with more,
+/// a pipe that several processes share, or that is nearly full, splits lines.
 const WRITE_AT: usize = 4 * 1024;
 /// Longest time that a line waits to be written together with others, in milliseconds.
 const WAIT_MS: u64 = 200;
@@ -137,7 +138,8 @@
     /// Writes what waits.
     pub fn write(&mut self) {
         while !self.waiting.is_empty() {
-            match self.output.write(&self.waiting) {
+            let size = whole_lines(&self.waiting);
+            match self.output.write(&self.waiting[..size]) {
                 Ok(0) => return,
                 Ok(count) => drop(self.waiting.drain(..count)),
                 Err(error) if error.kind() == ErrorKind::Interrupted => {}
@@ -205,6 +207,14 @@
     since.map_or(0, |span| span.as_millis() as u64)
 }
 
+/// Length of the lines that one write takes; a longer line goes by itself.
+fn whole_lines(bytes: &[u8]) -> usize {
+    let is_end = |byte: &u8| *byte == b'\n';
+    let room = &bytes[..bytes.len().min(WRITE_AT)];
+    let last = room.iter().rposition(is_end).or_else(|| bytes.iter().position(is_end));
+    last.map_or(bytes.len(), |end| end + 1)
+}
+
 fn count_lines(bytes: &[u8]) -> u64 {
     bytes.iter().filter(|byte| **byte == b'\n').count() as u64
 }
--- a/crates/foxledge-daemon/src/packets/flow_part.rs
+++ b/crates/foxledge-daemon/src/packets/flow_part.rs
@@ -8,8 +8,8 @@
 
 use foxledge_core::{names::CentreName, time::ClockTime};
 use foxledge_flows::{
-    Backend, DropReason, FlowDecision, FlowKey, FlowPacket, FlowRouter, HealthClass, HealthNote,
-    NoteKind, OpenReason, RefuseReason, RouterCounts, RouterOptions, flow_hash,
+    Backend, DropReason, FlowDecision, FlowKey, FlowPacket, FlowRouter, FlowStall, HealthClass,
+    HealthNote, NoteKind, OpenReason, RefuseReason, RouterCounts, RouterOptions, flow_hash,
     packet::{HEADROOM, LARGEST_PACKET},
     rows::ListRow,
 };
@@ -61,6 +61,16 @@
         list_revision: u64,
         list_age_ms: Option<u64>,
     },
+    /// A caller sent data of an open flow again, and it was sent on again.
+    FlowStalled {
+        flow: String,
+        sequence: u32,
+        backend: &'a str,
+        #[serde(flatten)]
+        stall: FlowStall,
+        list_revision: u64,
+        list_age_ms: Option<u64>,
+    },
     /// An opening packet was refused.
     FlowRefused {
         flow: String,
@@ -244,7 +254,12 @@
             }
         };
         match self.router.on_packet(now, &packet) {
-            FlowDecision::Forward { backend } => self.forward(size, backend),
+            FlowDecision::Forward { backend, stall } => {
+                if let Some(stall) = stall {
+                    self.log_stall(now, &packet, backend, stall);
+                }
+                self.forward(size, backend);
+            }
             FlowDecision::Open { backend, reason } => {
                 self.log_opening(now, &packet, backend, &reason);
                 self.open_flow(size, backend);
@@ -329,6 +344,19 @@
         });
     }
 
+    fn log_stall(&self, now: ClockTime, packet: &FlowPacket, index: usize, stall: FlowStall) {
+        let Some(backend) = self.router.backend(index) else { return };
+        let (list_revision, list_age_ms) = self.list_state();
+        self.log_decision(now, "flow_stalled", packet, || FlowLine::FlowStalled {
+            flow: packet.key.to_string(),
+            sequence: packet.sequence,
+            backend: &backend.key,
+            stall,
+            list_revision,
+            list_age_ms,
+        });
+    }
+
     fn log_decision<'a>(
         &self,
         now: ClockTime,
--- a/crates/foxledge-daemon/tests/event_log.rs
+++ b/crates/foxledge-daemon/tests/event_log.rs
@@ -109,3 +109,39 @@
     log.write();
     assert_eq!(output.lines().len() as u64 + lost, 20_000);
 }
+
+/// An output that keeps each write apart.
+#[derive(Clone, Default)]
+struct WriteKeeper {
+    writes: Arc<Mutex<Vec<Vec<u8>>>>,
+}
+
+impl Write for WriteKeeper {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        self.writes.lock().expect("no panic").push(bytes.to_vec());
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+// Symptom: a collector finds halves of lines, with a line of another instance between them.
+// Sequence: several instances write to one pipe, each several kilobytes at once.
+// Cause: a pipe keeps a write together only up to 4,096 bytes.
+#[test]
+fn lines_stay_whole() {
+    let output = WriteKeeper::default();
+    let mut log = EventLog::on(Box::new(output.clone()), 100_000);
+    for flow in 0..2_000 {
+        log.note(at(0), "flow_opened", &Line { event: "flow_opened", flow });
+    }
+    log.write();
+    let writes = output.writes.lock().expect("no panic");
+    assert!(writes.len() > 10);
+    for write in writes.iter() {
+        assert!(write.len() <= 4_096, "{} bytes", write.len());
+        assert_eq!(write.last(), Some(&b'\n'));
+    }
+}
--- a/crates/foxledge-flows/src/decisions.rs
+++ b/crates/foxledge-flows/src/decisions.rs
@@ -6,6 +6,7 @@
 use serde::Serialize;
 
 use crate::{
+    health::HealthClass,
     placement::{PlacementCandidate, PlacementRank},
     routes::FlowRoute,
 };
@@ -17,6 +18,8 @@
     Forward {
         /// Index of the backend server.
         backend: usize,
+        /// Set when the caller sent its data again.
+        stall: Option<FlowStall>,
     },
     /// Send the opening packet of a flow on, with a token.
     Open {
@@ -31,6 +34,15 @@
     Drop(DropReason),
 }
 
+/// `FlowStall` is a caller's wait on an open flow: it sent data again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+pub struct FlowStall {
+    /// Time since the data was sent on first, in milliseconds.
+    pub waited_ms: u64,
+    /// What is believed of the flow's backend server now.
+    pub class: HealthClass,
+}
+
 /// `OpenReason` is by what an opening packet was placed.
 #[derive(Clone, Debug, PartialEq, Serialize)]
 pub struct OpenReason {
--- a/crates/foxledge-flows/src/router.rs
+++ b/crates/foxledge-flows/src/router.rs
@@ -10,7 +10,8 @@
 use crate::{
     backends::{Backend, BackendTable},
     decisions::{
-        DropReason, FlowDecision, FlowExplanation, OpenReason, RefuseReason, RouterCounts,
+        DropReason, FlowDecision, FlowExplanation, FlowStall, OpenReason, RefuseReason,
+        RouterCounts,
     },
     health::{HealthNote, NoteKind},
     latency::usual_us,
@@ -337,11 +338,12 @@
         {
             self.note(now, index, |backend| backend.health.on_alive(now));
         }
-        self.track(now, packet, index);
-        FlowDecision::Forward { backend: index }
+        let stall = self.track(now, packet, index);
+        FlowDecision::Forward { backend: index, stall }
     }
 
-    fn track(&mut self, now: ClockTime, packet: &FlowPacket, index: usize) {
+    /// Takes a packet into its flow's track; tells when the caller waits in vain.
+    fn track(&mut self, now: ClockTime, packet: &FlowPacket, index: usize) -> Option<FlowStall> {
         for (index, was_running) in self.tracks.sweep(now, self.idle_ms) {
             self.settle(index, was_running);
         }
@@ -349,11 +351,12 @@
             if let TrackNews::Answered(latency) = self.tracks.finish(now, packet) {
                 self.answered(now, index, latency);
             }
-            return self.end_track(&packet.key);
+            self.end_track(&packet.key);
+            return None;
         }
         let before = self.tracks.len();
         let news = self.tracks.take(now, packet, index);
-        let Some(backend) = self.backends.get_mut(index) else { return };
+        let backend = self.backends.get_mut(index)?;
         if self.tracks.len() > before {
             backend.flows += 1;
         }
@@ -367,8 +370,12 @@
             TrackNews::Resent(sent) => {
                 self.counts.resent += 1;
                 self.note(now, index, |backend| backend.health.on_suspicion(now, sent));
+                let class = self.backends.get(index)?.health.class(now);
+                let waited_ms = now.since(sent).as_millis() as u64;
+                return Some(FlowStall { waited_ms, class });
             }
         }
+        None
     }
 
     fn answered(&mut self, now: ClockTime, index: usize, latency: Duration) {
--- a/crates/foxledge-flows/tests/common/mod.rs
+++ b/crates/foxledge-flows/tests/common/mod.rs
@@ -119,7 +119,7 @@
 /// The number of the backend server that a decision leads to; none for other decisions.
 pub fn number_of(router: &FlowRouter, decision: &FlowDecision) -> Option<u64> {
     let index = match decision {
-        FlowDecision::Open { backend, .. } | FlowDecision::Forward { backend } => *backend,
+        FlowDecision::Open { backend, .. } | FlowDecision::Forward { backend, .. } => *backend,
         FlowDecision::Refuse(_) | FlowDecision::Drop(_) => return None,
     };
     router.backend(index).map(|backend| backend.number)
--- a/crates/foxledge-flows/tests/silent_backend.rs
+++ b/crates/foxledge-flows/tests/silent_backend.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::*;
-use foxledge_flows::{HealthClass, HealthNote, NoteKind};
+use foxledge_flows::{FlowDecision, HealthClass, HealthNote, NoteKind};
 
 fn two_backends() -> foxledge_flows::FlowRouter {
     desk_router(&[backend(1, "desk", NEAR, 2), backend(2, "desk", NEAR, 2)])
@@ -148,3 +148,28 @@
     let decision = router.on_packet(at(14), &opening(key(9, 2), 0));
     assert_ne!(number_of(&router, &decision), Some(refusing));
 }
+
+// Symptom: an operator finds a flow's opening in the log, and nothing of the request
+//   that was lost on it a minute later.
+// Sequence: the flow's backend server falls silent while the flow is open; the caller
+//   sends its request again.
+// Cause: packets of open flows are sent on without a word.
+#[test]
+fn stalled_flow_told() {
+    let mut router = two_backends();
+    let number = open_flow(&mut router, 0, key(1, 1)).expect("is placed");
+    let asked = data(key(1, 1), number as u32, 1_000, 0);
+    let decision = router.on_packet(at(100), &asked);
+    assert!(matches!(decision, FlowDecision::Forward { stall: None, .. }));
+    let decision = router.on_packet(at(300), &asked);
+    let FlowDecision::Forward { stall: Some(stall), .. } = decision else {
+        panic!("{decision:?} tells no stall");
+    };
+    assert_eq!(stall.waited_ms, 200);
+    assert_eq!(stall.class, HealthClass::Suspect);
+    // The network's own copy says nothing.
+    let decision = router.on_packet(at(100), &data(key(2, 1), number as u32, 1_000, 0));
+    assert!(matches!(decision, FlowDecision::Forward { stall: None, .. }));
+    let decision = router.on_packet(at(101), &data(key(2, 1), number as u32, 1_000, 0));
+    assert!(matches!(decision, FlowDecision::Forward { stall: None, .. }));
+}
