Trace: show which instances came and went when a request failed

Change: trace --at MILLISECONDS adds the lines of instances' lives within ten seconds. Test: absence_in_story, red before.

--- a/crates/foxledge-ctl/src/command.rs
+++ b/crates/foxledge-ctl/src/command.rs
@@ -195,6 +195,13 @@
                 .help("The caller's IP:PORT, or CALLER>SERVICE as in the log lines")
                 .required(true),
         )
+        .arg(
+            Arg::new("at")
+                .long("at")
+                .value_name("MILLISECONDS")
+                .help("When the request failed, as in at_ms; adds which instances came and went")
+                .value_parser(value_parser!(u64)),
+        )
         .arg(
             Arg::new("files")
                 .value_name("FILE")
--- a/crates/foxledge-ctl/src/trace.rs
+++ b/crates/foxledge-ctl/src/trace.rs
@@ -21,6 +21,18 @@
 /// the story, in milliseconds: the longest ejection and some room.
 const AROUND_MS: u64 = 10_000;
 
+/// Events of an instance's life: while it is away, packets sent to it leave no line.
+const LIFE_EVENTS: [&str; 7] =
+    ["started", "serving", "stop_begun", "stopped", "paused", "store_lost", "store_regained"];
+
+/// `StoryQuery` is what a story is asked for.
+struct StoryQuery<'a> {
+    /// The caller's address, or the whole flow.
+    flow: &'a str,
+    /// When the request failed; none asks for the flow's own lines only.
+    at_ms: Option<u64>,
+}
+
 /// `TraceLine` is one log line.
 struct TraceLine {
     at_ms: u64,
@@ -31,7 +43,10 @@
 
 /// Carries out `trace`.
 pub fn run(matches: &ArgMatches) -> Result<Outcome> {
-    let flow = matches.get_one::<String>("flow").context("no flow")?;
+    let query = StoryQuery {
+        flow: matches.get_one::<String>("flow").context("no flow")?,
+        at_ms: matches.get_one("at").copied(),
+    };
     let files: Vec<&PathBuf> = matches.get_many("files").into_iter().flatten().collect();
     let mut lines = Vec::new();
     if files.is_empty() {
@@ -42,12 +57,12 @@
         let open = File::open(file).with_context(|| format!("can't read {}", file.display()))?;
         read_lines(BufReader::new(open), &name, &mut lines)?;
     }
-    let story = story_of(flow, lines);
+    let story = query.story_of(lines);
     let format = output_format(matches);
     for line in &story {
         write_out(&line_text(line, format))?;
     }
-    if story.is_empty() {
+    if !story.iter().any(|line| query.names_flow(line)) {
         write_out("no line names the flow: it was sampled out, or never reached an instance\n")?;
         return Ok(Outcome::Declined);
     }
@@ -68,39 +83,56 @@
     Ok(())
 }
 
-/// The flow's own lines, and what instances observed meanwhile of its backend servers.
-fn story_of(flow: &str, lines: Vec<TraceLine>) -> Vec<TraceLine> {
-    let names_flow = |line: &TraceLine| {
-        let text = line.fields.get("flow").and_then(Value::as_str).unwrap_or_default();
-        text == flow || text.split('>').next() == Some(flow)
-    };
-    let own: Vec<&TraceLine> = lines.iter().filter(|line| names_flow(line)).collect();
-    let Some(first) = own.iter().map(|line| line.at_ms).min() else { return Vec::new() };
-    let last = own.iter().map(|line| line.at_ms).max().unwrap_or(first);
-    let backend =
-        |line: &TraceLine| line.fields.get("backend").and_then(Value::as_str).map(str::to_owned);
-    let backends: BTreeSet<String> = own.iter().filter_map(|line| backend(line)).collect();
-    let span = first.saturating_sub(AROUND_MS)..=last + AROUND_MS;
-    let has = |line: &TraceLine, key: &str, value: &str| {
-        line.fields.get(key).and_then(Value::as_str) == Some(value)
-    };
-    let belongs = |line: &TraceLine| {
-        // What peers repeat of an observation tells nothing more.
-        let is_about = has(line, "event", "backend_observed")
-            && has(line, "observer", "self")
-            && backend(line).is_some_and(|name| backends.contains(&name));
-        names_flow(line) || (is_about && span.contains(&line.at_ms))
-    };
-    let mut story: Vec<TraceLine> = lines.into_iter().filter(belongs).collect();
-    story.sort_by_key(|line| line.at_ms);
-    story
+impl StoryQuery<'_> {
+    /// The flow's own lines, what instances observed meanwhile of its backend servers,
+    /// and which instances came and went when the request failed.
+    fn story_of(&self, lines: Vec<TraceLine>) -> Vec<TraceLine> {
+        let own = || lines.iter().filter(|line| self.names_flow(line));
+        let backends: BTreeSet<String> =
+            own().filter_map(|line| line.text("backend")).map(str::to_owned).collect();
+        let times = own().map(|line| line.at_ms).chain(self.at_ms);
+        let (Some(first), Some(last)) = (times.clone().min(), times.max()) else {
+            return Vec::new();
+        };
+        let span = first.saturating_sub(AROUND_MS)..=last + AROUND_MS;
+        let belongs = |line: &TraceLine| {
+            let is_about = line.is_observation_of(&backends) && span.contains(&line.at_ms);
+            self.names_flow(line) || is_about || self.is_life_then(line)
+        };
+        let mut story: Vec<TraceLine> = lines.into_iter().filter(belongs).collect();
+        story.sort_by_key(|line| line.at_ms);
+        story
+    }
+
+    fn names_flow(&self, line: &TraceLine) -> bool {
+        let text = line.text("flow").unwrap_or_default();
+        text == self.flow || text.split('>').next() == Some(self.flow)
+    }
+
+    fn is_life_then(&self, line: &TraceLine) -> bool {
+        let is_near = self.at_ms.is_some_and(|at| line.at_ms.abs_diff(at) <= AROUND_MS);
+        is_near && line.text("event").is_some_and(|event| LIFE_EVENTS.contains(&event))
+    }
+}
+
+impl TraceLine {
+    fn text(&self, key: &str) -> Option<&str> {
+        self.fields.get(key).and_then(Value::as_str)
+    }
+
+    /// True for an instance's own observation; what peers repeat of it tells nothing more.
+    fn is_observation_of(&self, backends: &BTreeSet<String>) -> bool {
+        self.text("event") == Some("backend_observed")
+            && self.text("observer") == Some("self")
+            && self.text("backend").is_some_and(|name| backends.contains(name))
+    }
 }
 
 fn line_text(line: &TraceLine, format: OutputFormat) -> String {
     if format == OutputFormat::Json {
         return format!("{}\n", Value::Object(line.fields.clone()));
     }
-    let event = line.fields.get("event").and_then(Value::as_str).unwrap_or("?");
+    let event = line.text("event").unwrap_or("?");
     let shown = line.fields.iter().filter(|(key, _)| !matches!(key.as_str(), "at_ms" | "event"));
     let shown: Vec<String> = shown.map(|(key, value)| format!("{key}={value}")).collect();
     format!("{} {} {event} {}\n", line.at_ms, line.source, shown.join(" "))
--- a/crates/foxledge-ctl/tests/flow_trace.rs
+++ b/crates/foxledge-ctl/tests/flow_trace.rs
@@ -17,13 +17,26 @@
 {"at_ms":99000,"event":"backend_observed","backend":"backend/i-1","kind":"alive","observer":"self"}
 "#;
 
+/// What an instance wrote that had lost power and started again.
+const DULUTH: &str = r#"{"at_ms":900,"event":"stop_begun","signal":15}
+{"at_ms":61000,"event":"started","instance":"duluth-1"}
+{"at_ms":61060,"event":"list_taken","revision":7}
+{"at_ms":61070,"event":"serving","list_age_ms":12}
+"#;
+
 fn trace(flow: &str) -> Result<(String, Option<i32>)> {
+    trace_with(&[flow])
+}
+
+fn trace_with(arguments: &[&str]) -> Result<(String, Option<i32>)> {
     let folder = make_directory()?;
-    let (erie, toledo) = (folder.join("erie-1.log"), folder.join("toledo-1.log"));
-    fs::write(&erie, ERIE)?;
-    fs::write(&toledo, TOLEDO)?;
+    let logs = [("erie-1", ERIE), ("toledo-1", TOLEDO), ("duluth-1", DULUTH)];
+    let files = logs.map(|(name, _)| folder.join(name).with_extension("log"));
+    for (file, (_, lines)) in files.iter().zip(logs) {
+        fs::write(file, lines)?;
+    }
     let program = binary_path("foxledgectl")?;
-    let output = Command::new(program).arg("trace").arg(flow).arg(erie).arg(toledo).output()?;
+    let output = Command::new(program).arg("trace").args(arguments).args(files).output()?;
     Ok((String::from_utf8(output.stdout)?, output.status.code()))
 }
 
@@ -54,3 +67,26 @@
     assert_eq!(code, Some(1));
     Ok(())
 }
+
+// Symptom: a caller's request failed, and no line names its flow at that time.
+// Sequence: the instance to which its packets went loses power; they reach nobody.
+// Cause: a flow's story held what was decided, not which instance was away.
+#[test]
+fn absence_in_story() -> Result<()> {
+    let (text, code) = trace_with(&["100.65.0.19:1042", "--at", "60000"])?;
+    expect![[r#"
+        10 erie-1 flow_opened backend="backend/i-1" copy=0 flow="100.65.0.19:1042>198.18.0.1:8080"
+        52 toledo-1 backend_observed backend="backend/i-1" kind="suspect" observer="self"
+        250 erie-1 flow_opened backend="backend/i-2" copy=1 flow="100.65.0.19:1042>198.18.0.1:8080"
+        61000 duluth-1 started instance="duluth-1"
+        61070 duluth-1 serving list_age_ms=12
+    "#]]
+    .assert_eq(&text);
+    assert_eq!(code, Some(0));
+    // The time alone tells something too.
+    let (text, code) = trace_with(&["100.65.0.99:1", "--at", "60000"])?;
+    assert!(text.contains("61000 duluth-1 started"), "{text}");
+    assert!(text.contains("no line names the flow"), "{text}");
+    assert_eq!(code, Some(1));
+    Ok(())
+}
