End open flows of a backend server that is surely dead

Change: the third copy of the same data, 600 ms after the first, ends the flow, if the route's requests may be repeated and a new flow there stayed unanswered until its caller's copy, with no sign of life since. Ruled out: suspicions alone as evidence (a slow request is sent again as well), the first copy at 200 ms (a request that takes 200 ms looks the same), flows whose requests may not be repeated (a bid that arrived would be lost). An acknowledged answer that came before the silence doesn't count as life; one asked for after it does.

trace refuses an empty flow, which matched every line without one.

--- a/crates/foxledge-ctl/src/command.rs
+++ b/crates/foxledge-ctl/src/command.rs
@@ -5,7 +5,11 @@
     path::PathBuf,
 };
 
-use clap::{Arg, ArgAction, ArgMatches, Command, builder::PossibleValuesParser, value_parser};
+use clap::{
+    Arg, ArgAction, ArgMatches, Command,
+    builder::{NonEmptyStringValueParser, PossibleValuesParser},
+    value_parser,
+};
 use foxledge_core::traffic::TrafficKind;
 
 const EXIT_CODES: &str = "Exit codes:
@@ -193,6 +197,7 @@
             Arg::new("flow")
                 .value_name("FLOW")
                 .help("The caller's IP:PORT, or CALLER>SERVICE as in the log lines")
+                .value_parser(NonEmptyStringValueParser::new())
                 .required(true),
         )
         .arg(
--- a/crates/foxledge-ctl/tests/flow_trace.rs
+++ b/crates/foxledge-ctl/tests/flow_trace.rs
@@ -90,3 +90,13 @@
     assert_eq!(code, Some(1));
     Ok(())
 }
+
+// Symptom: a story of a thousand lines about nothing.
+// Sequence: a script passes a variable that is empty.
+// Cause: lines without a flow are taken for lines of the flow without a name.
+#[test]
+fn empty_flow_refused() -> Result<()> {
+    let (text, code) = trace("")?;
+    assert_eq!((text.as_str(), code), ("", Some(2)));
+    Ok(())
+}
--- a/crates/foxledge-daemon/src/packets/flow_part.rs
+++ b/crates/foxledge-daemon/src/packets/flow_part.rs
@@ -8,8 +8,9 @@
 
 use foxledge_core::{names::CentreName, time::ClockTime};
 use foxledge_flows::{
-    Backend, DropReason, FlowDecision, FlowKey, FlowPacket, FlowRouter, FlowStall, HealthClass,
-    HealthNote, NoteKind, OpenReason, RefuseReason, RouterCounts, RouterOptions, flow_hash,
+    Backend, DropReason, EndReason, FlowDecision, FlowKey, FlowPacket, FlowRouter, FlowStall,
+    HealthClass, HealthNote, NoteKind, OpenReason, RefuseReason, RouterCounts, RouterOptions,
+    flow_hash,
     packet::{HEADROOM, LARGEST_PACKET},
     rows::ListRow,
 };
@@ -79,6 +80,16 @@
         list_revision: u64,
         list_age_ms: Option<u64>,
     },
+    /// An open flow was reset, as its backend server is dead.
+    FlowEnded {
+        flow: String,
+        sequence: u32,
+        backend: &'a str,
+        #[serde(flatten)]
+        reason: EndReason,
+        list_revision: u64,
+        list_age_ms: Option<u64>,
+    },
     /// A packet was dropped.
     PacketDropped {
         flow: String,
@@ -265,6 +276,7 @@
                 self.open_flow(size, backend);
             }
             FlowDecision::Refuse(reason) => self.refuse(now, &packet, reason),
+            FlowDecision::End { backend, reason } => self.end_flow(now, &packet, backend, reason),
             FlowDecision::Drop(reason) => self.drop_packet(now, &packet, reason),
         }
     }
@@ -306,6 +318,25 @@
             list_revision,
             list_age_ms,
         });
+        self.send_refusal(packet);
+    }
+
+    fn end_flow(&mut self, now: ClockTime, packet: &FlowPacket, index: usize, reason: EndReason) {
+        let Some(backend) = self.router.backend(index) else { return };
+        self.context.metrics.packets.with_label_values(&["end"]).inc();
+        let (list_revision, list_age_ms) = self.list_state();
+        self.log_decision(now, "flow_ended", packet, || FlowLine::FlowEnded {
+            flow: packet.key.to_string(),
+            sequence: packet.sequence,
+            backend: &backend.key,
+            reason,
+            list_revision,
+            list_age_ms,
+        });
+        self.send_refusal(packet);
+    }
+
+    fn send_refusal(&mut self, packet: &FlowPacket) {
         let refusal = self.context.adapters.codec.refusal(packet);
         // Callers listen at the port at which packets arrive here.
         let port = self.context.settings.borrow().data.port();
@@ -400,6 +431,7 @@
         let kind = match note.kind {
             NoteKind::Suspect => "suspect",
             NoteKind::Ejected => "ejected",
+            NoteKind::Silent => "silent",
             NoteKind::Alive => "alive",
         };
         self.context.metrics.health_notes.with_label_values(&[kind, observer]).inc();
--- a/crates/foxledge-flows/src/decisions.rs
+++ b/crates/foxledge-flows/src/decisions.rs
@@ -30,6 +30,13 @@
     },
     /// Tell the caller at once that the flow can't be served.
     Refuse(RefuseReason),
+    /// Tell the caller that its open flow is lost.
+    End {
+        /// Index of the backend server that held it.
+        backend: usize,
+        /// Why.
+        reason: EndReason,
+    },
     /// Do nothing.
     Drop(DropReason),
 }
@@ -68,6 +75,19 @@
     NoBackend,
 }
 
+/// `EndReason` is why an open flow is ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(tag = "reason", rename_all = "snake_case")]
+pub enum EndReason {
+    /// Its backend server answers neither it nor new flows.
+    BackendSilent {
+        /// Time since the unanswered data was sent on first, in milliseconds.
+        waited_ms: u64,
+        /// Time since a new flow there was found unanswered, in milliseconds.
+        silent_ms: u64,
+    },
+}
+
 /// `DropReason` is why a packet is dropped without an answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize)]
 #[serde(rename_all = "snake_case")]
--- a/crates/foxledge-flows/src/health.rs
+++ b/crates/foxledge-flows/src/health.rs
@@ -26,8 +26,10 @@
 pub enum NoteKind {
     /// A new flow wasn't answered as fast as others are.
     Suspect,
-    /// Silence is confirmed.
+    /// Several signs of silence.
     Ejected,
+    /// A new flow stayed unanswered until its caller asked again.
+    Silent,
     /// It answers again.
     Alive,
 }
@@ -51,6 +53,8 @@
     ejections: u32,
     alive_at: ClockTime,
     strikes: u32,
+    /// When a new flow was last found unanswered, since the last sign of life.
+    silent_at: Option<ClockTime>,
 }
 
 /// `HealthClass` orders backend servers for new flows, the best first.
@@ -89,6 +93,11 @@
         was_ejected.then_some(NoteKind::Alive)
     }
 
+    /// Takes an answer to something asked at `asked`, which came nobody knows when.
+    pub fn on_life_since(&mut self, asked: ClockTime) {
+        self.silent_at = self.silent_at.filter(|silent| *silent >= asked);
+    }
+
     /// Takes a first sign of silence about something sent at `sent`.
     ///
     /// A second one in a row, or one while the backend server is on probation,
@@ -99,16 +108,30 @@
         }
         self.strikes += 1;
         if self.strikes > 1 || self.ejections > 0 {
-            return self.on_silence(now, sent);
+            return self.confirm(now);
         }
         self.suspect_until = now.after_millis(SUSPECT_MS);
         Some(NoteKind::Suspect)
     }
 
-    /// Takes confirmed silence about something sent at `sent`.
+    /// Takes the copy of an opening packet that was sent at `sent` and not answered.
     pub fn on_silence(&mut self, now: ClockTime, sent: ClockTime) -> Option<NoteKind> {
-        let is_ejected = !self.ejected_until.is_past(now);
-        if self.alive_at > sent || is_ejected {
+        if self.alive_at > sent {
+            return None;
+        }
+        let is_news = self.silent_at.replace(now).is_none();
+        let is_ejected = self.confirm(now).is_some();
+        (is_news || is_ejected).then_some(NoteKind::Silent)
+    }
+
+    /// When a new flow was found unanswered, if nothing was heard of it since.
+    pub fn silent_at(&self) -> Option<ClockTime> {
+        self.silent_at
+    }
+
+    /// Ejects it unless it is.
+    fn confirm(&mut self, now: ClockTime) -> Option<NoteKind> {
+        if !self.ejected_until.is_past(now) {
             return None;
         }
         self.eject(now);
@@ -127,8 +150,11 @@
             NoteKind::Suspect => {
                 self.suspect_until = self.suspect_until.max(note.at.after_millis(SUSPECT_MS));
             }
-            NoteKind::Ejected if self.ejected_until.is_past(now) => self.eject(now),
-            NoteKind::Ejected => {}
+            NoteKind::Silent => {
+                self.silent_at = self.silent_at.max(Some(note.at));
+                self.confirm(now);
+            }
+            NoteKind::Ejected => drop(self.confirm(now)),
         }
     }
 
--- a/crates/foxledge-flows/src/lib.rs
+++ b/crates/foxledge-flows/src/lib.rs
@@ -27,7 +27,8 @@
 
 pub use backends::{Backend, BackendTable};
 pub use decisions::{
-    DropReason, FlowDecision, FlowExplanation, FlowStall, OpenReason, RefuseReason, RouterCounts,
+    DropReason, EndReason, FlowDecision, FlowExplanation, FlowStall, OpenReason, RefuseReason,
+    RouterCounts,
 };
 pub use health::{HealthClass, HealthNote, HealthState, NoteKind};
 pub use latency::LatencyGauge;
--- a/crates/foxledge-flows/src/packet.rs
+++ b/crates/foxledge-flows/src/packet.rs
@@ -103,6 +103,6 @@
     /// Writes the token into a frame whose packet starts at [`HEADROOM`].
     fn set_token(&self, frame: &mut [u8], token: u32);
 
-    /// The packet that refuses the opening packet `packet`.
+    /// The packet that refuses the opening packet `packet`, or ends its open flow.
     fn refusal(&self, packet: &FlowPacket) -> Vec<u8>;
 }
--- a/crates/foxledge-flows/src/router.rs
+++ b/crates/foxledge-flows/src/router.rs
@@ -10,7 +10,7 @@
 use crate::{
     backends::{Backend, BackendTable},
     decisions::{
-        DropReason, FlowDecision, FlowExplanation, FlowStall, OpenReason, RefuseReason,
+        DropReason, EndReason, FlowDecision, FlowExplanation, FlowStall, OpenReason, RefuseReason,
         RouterCounts,
     },
     health::{HealthNote, NoteKind},
@@ -41,6 +41,13 @@
 /// How long it counts, in milliseconds: after the caller's copy at 200 ms the
 /// backend server's own state tells more.
 const STUCK_KEPT_MS: u64 = 250;
+/// How long data of an open flow must stay unanswered for the flow to be ended, in
+/// milliseconds, while its backend server leaves new flows unanswered too.
+///
+/// Callers send data again after 200 ms and after 400 ms more. A backend server that
+/// lives acknowledges the first copy, so the second shows that nothing gets there.
+/// Its caller, which may ask again, has some 400 ms of its second left for that.
+const LOST_MS: u64 = 500;
 /// Idle time of flows while no list says another, in milliseconds.
 const DEFAULT_IDLE_MS: u64 = 15_000;
 
@@ -333,15 +340,36 @@
         let Some(index) = self.backends.by_token(packet.token, fits) else {
             return FlowDecision::Drop(DropReason::UnknownToken);
         };
+        let may_repeat = route.is_some_and(|route| route.idempotent);
         if let Some(opening) = self.openings.remove(&packet.key)
             && opening.backend == index
         {
             self.note(now, index, |backend| backend.health.on_alive(now));
         }
         let stall = self.track(now, packet, index);
+        let lost = stall.filter(|_| may_repeat).and_then(|stall| self.loss(now, index, stall));
+        if let Some(reason) = lost {
+            self.end_track(&packet.key);
+            return FlowDecision::End { backend: index, reason };
+        }
         FlowDecision::Forward { backend: index, stall }
     }
 
+    /// Why a flow that stalls is lost, if that is sure.
+    ///
+    /// Without this, requests on flows to a dead backend server fail at their deadline,
+    /// though others could answer them. A false alarm breaks a flow that lives. It takes
+    /// the loss of an opening packet and its caller's copy, of three copies of this
+    /// flow's data, and of every sign of life in between.
+    fn loss(&self, now: ClockTime, index: usize, stall: FlowStall) -> Option<EndReason> {
+        if stall.waited_ms < LOST_MS {
+            return None;
+        }
+        let silent_at = self.backends.get(index)?.health.silent_at()?;
+        let silent_ms = now.since(silent_at).as_millis() as u64;
+        Some(EndReason::BackendSilent { waited_ms: stall.waited_ms, silent_ms })
+    }
+
     /// Takes a packet into its flow's track; tells when the caller waits in vain.
     fn track(&mut self, now: ClockTime, packet: &FlowPacket, index: usize) -> Option<FlowStall> {
         for (index, was_running) in self.tracks.sweep(now, self.idle_ms) {
@@ -363,6 +391,7 @@
         match news {
             TrackNews::Nothing => {}
             TrackNews::Asked => backend.running += 1,
+            TrackNews::AskedAgain(asked) => backend.health.on_life_since(asked),
             TrackNews::Answered(latency) => {
                 backend.running = backend.running.saturating_sub(1);
                 self.answered(now, index, latency);
--- a/crates/foxledge-flows/src/tracks.rs
+++ b/crates/foxledge-flows/src/tracks.rs
@@ -25,6 +25,8 @@
     asked_at: Option<ClockTime>,
     /// End of the data sent on so far.
     sent_to: u32,
+    /// When the last of it was sent on first.
+    sent_at: ClockTime,
     /// What the caller had received when it asked.
     acknowledged: u32,
 }
@@ -38,7 +40,9 @@
     Asked,
     /// The answer to a request has begun to arrive, so long after it was asked.
     Answered(Duration),
-    /// Data was sent again, first sent at this time.
+    /// A request began, and the one before, asked at this time, had been answered.
+    AskedAgain(ClockTime),
+    /// Data was sent again; the newest of the flow was first sent at this time.
     Resent(ClockTime),
 }
 
@@ -64,21 +68,20 @@
         }
         let end = packet.sequence.wrapping_add(u32::from(packet.length));
         if !is_after(end, track.sent_to) {
+            let is_resent = track.sent_at.after_millis(RESEND_MS).is_past(now);
             return match track.asked_at {
-                Some(asked) if asked.after_millis(RESEND_MS).is_past(now) => {
-                    TrackNews::Resent(asked)
-                }
+                Some(_) if is_resent => TrackNews::Resent(track.sent_at),
                 _ => TrackNews::Nothing,
             };
         }
-        track.sent_to = end;
+        (track.sent_to, track.sent_at) = (end, now);
         if track.asked_at.is_some() && !is_answered {
             return TrackNews::Nothing;
         }
-        let was_asked = track.asked_at.replace(now).is_some();
+        let last_asked = track.asked_at.replace(now);
         track.acknowledged = packet.acknowledged;
         // The last answer was seen only now, with the next request: one begins as one ends.
-        if was_asked { TrackNews::Nothing } else { TrackNews::Asked }
+        last_asked.map_or(TrackNews::Asked, TrackNews::AskedAgain)
     }
 
     /// Takes the last packet of a flow: callers that have had their answer often
@@ -131,6 +134,7 @@
             last_at: now,
             asked_at: Some(now),
             sent_to: packet.sequence.wrapping_add(u32::from(packet.length)),
+            sent_at: now,
             acknowledged: packet.acknowledged,
         };
         self.tracks.insert(packet.key, track);
--- /dev/null
+++ b/crates/foxledge-flows/tests/dead_backend.rs
@@ -0,0 +1,165 @@
+//! Open flows at a backend server that is surely dead.
+
+mod common;
+
+use common::*;
+use foxledge_flows::{
+    EndReason, FlowDecision, FlowKey, FlowRouter, HealthNote, NoteKind, rows::RowValue,
+};
+
+/// When the callers of these tests ask on their open flows.
+const ASKED: u64 = 1_010;
+
+/// A router whose backend server 1 holds the flow that is returned; 2 is there as well.
+fn flow_at_first() -> (FlowRouter, FlowKey) {
+    let mut router = desk_router(&[backend(1, "desk", NEAR, 2), backend(2, "desk", NEAR, 2)]);
+    for port in 1..10 {
+        if open_flow(&mut router, 0, key(1, port)) == Some(1) {
+            return (router, key(1, port));
+        }
+    }
+    panic!("no flow was placed at the first backend server");
+}
+
+/// Opens flows at `sent` until one goes to backend server 1, and sends that one's copy.
+fn unanswered_opening(router: &mut FlowRouter, sent: u64) {
+    for port in 100..120 {
+        let decision = router.on_packet(at(sent), &opening(key(7, port), 0));
+        if number_of(router, &decision) == Some(1) {
+            router.check_overdue(at(sent + 41));
+            router.on_packet(at(sent + 200), &opening(key(7, port), 1));
+            return;
+        }
+        let number = number_of(router, &decision).expect("is placed");
+        router.on_packet(at(sent + 7), &data(key(7, port), number as u32, 1_000, 1));
+    }
+    panic!("no flow was placed at the first backend server");
+}
+
+/// Sends a request on a flow that backend server 1 holds, and what its caller sends
+/// again while no answer comes; tells what was done with the last.
+fn unanswered_request(router: &mut FlowRouter, key: FlowKey) -> FlowDecision {
+    let request = data(key, 1, 2_000, 1);
+    let mut last = router.on_packet(at(ASKED), &request);
+    for wait in [200, 600] {
+        assert!(matches!(last, FlowDecision::Forward { .. }), "ended too early: {last:?}");
+        last = router.on_packet(at(ASKED + wait), &request);
+    }
+    last
+}
+
+// Symptom: price feeds fail after a second although other backend servers are idle.
+// Sequence: a backend server dies; callers with an open flow there send their request
+//   again and again.
+// Cause: packets of open flows are sent on to it, whatever is known of it.
+#[test]
+fn dead_flow_ended() {
+    let (mut router, key) = flow_at_first();
+    unanswered_opening(&mut router, 1_000);
+    let decision = unanswered_request(&mut router, key);
+    let FlowDecision::End { reason: EndReason::BackendSilent { waited_ms, silent_ms }, .. } =
+        decision
+    else {
+        panic!("{decision:?} ends no flow");
+    };
+    assert_eq!((waited_ms, silent_ms), (600, 410));
+    assert_eq!(router.tracked_flows(), router.backends().map(|one| one.flows as usize).sum());
+}
+
+// Symptom: a flow is broken off while its backend server works on the request.
+// Sequence: requests there take a second; callers send them again meanwhile.
+// Cause: a request that is slow is taken for one that is lost.
+#[test]
+fn slow_flow_kept() {
+    let (mut router, key) = flow_at_first();
+    let decision = unanswered_request(&mut router, key);
+    assert!(matches!(decision, FlowDecision::Forward { stall: Some(_), .. }));
+}
+
+// Symptom: a flow is broken off at a backend server that serves others.
+// Sequence: one opening packet is lost on the way; the next flows there are answered.
+// Cause: old evidence is kept although the backend server has shown that it lives.
+#[test]
+fn life_clears_silence() {
+    let (mut router, key) = flow_at_first();
+    let other = FlowKey { caller: common::key(2, 1).caller, ..key };
+    router.on_packet(at(990), &data(other, 1, 1_000, 1));
+    unanswered_opening(&mut router, 1_000);
+    // A request that acknowledges an answer shows life since that was asked for, and
+    // the second of these was asked for after the silence.
+    for (now, sequence, acknowledged) in [(1_250, 1_100, 500), (1_400, 1_200, 900)] {
+        router.on_packet(at(now), &data(other, 1, sequence, acknowledged));
+    }
+    let decision = unanswered_request(&mut router, key);
+    assert!(matches!(decision, FlowDecision::Forward { .. }), "{decision:?}");
+}
+
+// Symptom: a bid is lost that its backend server had received.
+// Sequence: the backend server falls silent while the bid is under way.
+// Cause: the flow is reset, and its caller may not ask again.
+#[test]
+fn unsafe_flow_kept() {
+    let (mut router, key) = flow_at_first();
+    let mut row = route("r", 443, "desk", 9);
+    if let Some(RowValue::Route(route)) = &mut row.value {
+        route.idempotent = false;
+    }
+    router.take_rows(at(500), &[row]);
+    unanswered_opening(&mut router, 1_000);
+    let decision = unanswered_request(&mut router, key);
+    assert!(matches!(decision, FlowDecision::Forward { .. }), "{decision:?}");
+}
+
+// Symptom: flows to a dead backend server go on for as long as other callers send.
+// Sequence: a caller got its answer before the silence, and asks again after it.
+// Cause: the acknowledgement of an old answer is taken for a sign of life now.
+#[test]
+fn old_answer_says_nothing() {
+    let (mut router, key) = flow_at_first();
+    let other = FlowKey { caller: common::key(2, 1).caller, ..key };
+    router.on_packet(at(990), &data(other, 1, 1_000, 1));
+    unanswered_opening(&mut router, 1_000);
+    router.on_packet(at(1_250), &data(other, 1, 1_100, 500));
+    let decision = unanswered_request(&mut router, key);
+    assert!(matches!(decision, FlowDecision::End { .. }), "{decision:?}");
+}
+
+#[test]
+fn silence_told_counts() {
+    // What another instance saw of an unanswered opening counts; its suspicions don't.
+    for (kind, ends) in [(NoteKind::Silent, true), (NoteKind::Ejected, false)] {
+        let (mut router, key) = flow_at_first();
+        router.take_note(at(1_205), &HealthNote { number: 1, kind, at: at(1_200) });
+        let decision = unanswered_request(&mut router, key);
+        assert_eq!(matches!(decision, FlowDecision::End { .. }), ends, "{kind:?}: {decision:?}");
+    }
+}
+
+// Symptom: an upload is broken off 200 ms after its last part was sent.
+// Sequence: parts of a request are sent for half a second; one of them is lost.
+// Cause: the wait is counted from the first part, though the last was sent just now.
+#[test]
+fn last_part_counts() {
+    let (mut router, key) = flow_at_first();
+    unanswered_opening(&mut router, 1_000);
+    router.on_packet(at(1_010), &data(key, 1, 2_000, 1));
+    let last_part = data(key, 1, 2_100, 1);
+    for now in [1_400, 1_600] {
+        let decision = router.on_packet(at(now), &last_part);
+        assert!(matches!(decision, FlowDecision::Forward { .. }), "{decision:?}");
+    }
+}
+
+// Symptom: flows are broken off after a pause of the instance.
+// Sequence: the instance stands still for a second; a request and what its caller sent
+//   again are read within a millisecond.
+// Cause: the time at which a packet is read is taken for that at which it was sent.
+#[test]
+fn pause_ends_nothing() {
+    let (mut router, key) = flow_at_first();
+    unanswered_opening(&mut router, 1_000);
+    for step in 0..3 {
+        let decision = router.on_packet(at(3_000 + step), &data(key, 1, 2_000, 1));
+        assert!(matches!(decision, FlowDecision::Forward { .. }), "{decision:?}");
+    }
+}
--- a/crates/foxledge-flows/tests/flow_sweep.rs
+++ b/crates/foxledge-flows/tests/flow_sweep.rs
@@ -2,16 +2,17 @@
 
 mod common;
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 
 use common::*;
-use foxledge_flows::{FlowDecision, FlowRouter, PacketKind};
+use foxledge_flows::{FlowDecision, FlowPacket, FlowRouter, PacketKind};
 use proptest::prelude::*;
 
 #[derive(Clone, Debug)]
 enum Step {
     Open { router: usize, flow: u16, copy: u32 },
     Data { router: usize, flow: u16 },
+    Resend { router: usize, flow: u16 },
     Finish { router: usize, flow: u16 },
     Drain { router: usize, backend: u64 },
     Remove { router: usize, backend: u64 },
@@ -29,6 +30,7 @@
         4 => (router.clone(), 0..4_u16, 0..3_u32)
             .prop_map(|(router, flow, copy)| Step::Open { router, flow, copy }),
         6 => (router.clone(), 0..4_u16).prop_map(|(router, flow)| Step::Data { router, flow }),
+        4 => (router.clone(), 0..4_u16).prop_map(|(router, flow)| Step::Resend { router, flow }),
         1 => (router.clone(), 0..4_u16).prop_map(|(router, flow)| Step::Finish { router, flow }),
         1 => (router.clone(), backend.clone())
             .prop_map(|(router, backend)| Step::Drain { router, backend }),
@@ -50,6 +52,10 @@
     holders: HashMap<u16, u64>,
     /// When and where each flow's opening packet was sent last.
     openings: HashMap<u16, (u64, u64)>,
+    /// What was last sent on each open flow.
+    last_data: HashMap<u16, FlowPacket>,
+    /// Backend servers that left an opening unanswered until its caller asked again.
+    unanswered: HashSet<u64>,
     now: u64,
 }
 
@@ -62,6 +68,8 @@
             drained: Default::default(),
             holders: HashMap::new(),
             openings: HashMap::new(),
+            last_data: HashMap::new(),
+            unanswered: HashSet::new(),
             now: 0,
         }
     }
@@ -104,6 +112,7 @@
             }
             Step::Open { router, flow, copy } => self.open(router, flow, copy),
             Step::Data { router, flow } => self.follow(router, flow, PacketKind::Continue),
+            Step::Resend { router, flow } => self.resend(router, flow),
             Step::Finish { router, flow } => self.follow(router, flow, PacketKind::Finish),
         }
     }
@@ -120,6 +129,9 @@
         // went, also when that backend server has begun to leave in between: it may
         // have taken the flow already, and another would take it a second time.
         let last = self.openings.get(&flow).copied();
+        if let Some((_, to)) = last.filter(|(sent, _)| self.now > sent + 150) {
+            self.unanswered.insert(to);
+        }
         let is_copy = last.is_some_and(|(sent, to)| to == number && self.now <= sent + 150);
         let is_leaving = self.drained[index].contains(&number);
         assert!(!is_leaving || is_copy, "a leaving backend server got a new flow");
@@ -132,15 +144,34 @@
         self.holders.insert(flow, holder);
         let mut sent = data(key(1, flow), holder as u32, self.now as u32, 1);
         sent.kind = kind;
+        self.last_data.insert(flow, sent);
+        self.send(index, flow, holder, &sent);
+        if kind == PacketKind::Finish {
+            self.holders.remove(&flow);
+        }
+    }
+
+    /// Sends once more what the flow's caller sent last.
+    fn resend(&mut self, index: usize, flow: u16) {
+        let Some(holder) = self.holders.get(&flow).copied() else { return };
+        let Some(sent) = self.last_data.get(&flow).copied() else { return };
+        self.send(index, flow, holder, &sent);
+    }
+
+    fn send(&mut self, index: usize, flow: u16, holder: u64, sent: &FlowPacket) {
         let router = &mut self.routers[index];
-        let decision = router.on_packet(at(self.now), &sent);
+        let decision = router.on_packet(at(self.now), sent);
         assert!(!matches!(decision, FlowDecision::Refuse(_)), "an open flow was reset");
+        if matches!(decision, FlowDecision::End { .. }) {
+            let first_sent = u64::from(sent.sequence);
+            assert!(self.now >= first_sent + 500, "ended while its caller may get an answer");
+            assert!(self.unanswered.contains(&holder), "ended though new flows are answered");
+            self.holders.remove(&flow);
+            self.openings.remove(&flow);
+        }
         if let Some(number) = number_of(router, &decision) {
             assert_eq!(number, holder, "an open flow reached another backend server");
         }
-        if kind == PacketKind::Finish {
-            self.holders.remove(&flow);
-        }
     }
 }
 
@@ -154,8 +185,9 @@
     })]
 
     /// Whatever the two instances know and in whatever order packets come: an open
-    /// flow's packets reach the backend server that holds it or none, it is never
-    /// reset, and a leaving backend server gets no new flow.
+    /// flow's packets reach the backend server that holds it or none, it is reset only
+    /// when that answers neither it nor new flows, and a leaving backend server gets no
+    /// new flow.
     #[test]
     fn one_flow_one_backend(steps in prop::collection::vec(any_step(), 1..120)) {
         let mut run = Run::new();
--- a/crates/foxledge-gossip/src/learning.rs
+++ b/crates/foxledge-gossip/src/learning.rs
@@ -10,7 +10,7 @@
     effects::{FleetEffect, FleetEvent},
     election::ReaderClaim,
     member::FleetMember,
-    messages::{BeatMessage, ClaimMessage, HeardPeer},
+    messages::{BeatMessage, ClaimMessage, HeardPeer, NoteMessage},
     peers::PeerChange,
     spreading::{DOUBT_MS, NOTE_MS},
 };
@@ -114,7 +114,7 @@
     fn learn_notes(&mut self, now: ClockTime, beat: &BeatMessage) -> bool {
         let mut is_news = false;
         for message in &beat.notes {
-            let Some(kind) = note_kind(message.kind) else { continue };
+            let Some(kind) = note_kind(message) else { continue };
             let at = earlier(now, message.age_ms);
             if self.notes.contains_key(&message.id) || at.after_millis(NOTE_MS).is_past(now) {
                 continue;
@@ -183,10 +183,11 @@
     ClockTime::from_micros(now.as_micros().saturating_sub(u64::from(age_ms) * 1_000))
 }
 
-/// What a code in a message says of a backend server; none for codes of later versions.
-fn note_kind(code: u32) -> Option<NoteKind> {
-    match code {
+/// What a message says of a backend server; none for codes of later versions.
+fn note_kind(message: &NoteMessage) -> Option<NoteKind> {
+    match message.kind {
         1 => Some(NoteKind::Suspect),
+        2 if message.is_silent => Some(NoteKind::Silent),
         2 => Some(NoteKind::Ejected),
         3 => Some(NoteKind::Alive),
         _ => None,
--- a/crates/foxledge-gossip/src/messages.rs
+++ b/crates/foxledge-gossip/src/messages.rs
@@ -139,6 +139,10 @@
     /// 1 suspect, 2 ejected, 3 alive.
     #[prost(uint32, tag = "2")]
     pub kind: u32,
+    /// An ejection of one that left a new flow unanswered. Instances of versions that
+    /// don't know the field take it for any ejection.
+    #[prost(bool, tag = "5")]
+    pub is_silent: bool,
     /// Time since the observation in milliseconds.
     #[prost(uint32, tag = "3")]
     pub age_ms: u32,
--- a/crates/foxledge-gossip/src/spreading.rs
+++ b/crates/foxledge-gossip/src/spreading.rs
@@ -185,8 +185,14 @@
 fn note_message(now: ClockTime, id: u32, note: &HealthNote) -> NoteMessage {
     let kind = match note.kind {
         NoteKind::Suspect => 1,
-        NoteKind::Ejected => 2,
+        NoteKind::Ejected | NoteKind::Silent => 2,
         NoteKind::Alive => 3,
     };
-    NoteMessage { id, number: note.number, kind, age_ms: age_ms(now, note.at) }
+    NoteMessage {
+        id,
+        number: note.number,
+        kind,
+        is_silent: note.kind == NoteKind::Silent,
+        age_ms: age_ms(now, note.at),
+    }
 }
