Measure placement in virtual time; let stalled flows speak for a backend server's death

Cause, found by the new model (foxledge-bench flows): with three of 14 backend servers dead, 2% of feeds still failed. What stays unanswered counts as load, so the least loaded policy places no new flow there, and without an unanswered new flow nothing was ended. Change: a flow whose data was sent three times without an answer is evidence for the other flows there, and is told to peers. Ruled out: counting resends alone (a loss of one packet), and the flow's own resends as evidence for itself.

Second cause, found by the model: an instance that woke suspected live backend servers. Opening packets that had waited were sent on, their callers had given up, nobody went on. Openings after a pause aren't judged until the list is confirmed again.

--- /dev/null
+++ b/crates/foxledge-bench/src/flows/routing.rs
@@ -0,0 +1,119 @@
+//! The instances' side of a run: routers, and what they tell each other.
+
+use std::time::Duration;
+
+use foxledge_flows::{FlowDecision, FlowPacket, HealthClass, HealthNote, PacketKind};
+use rand::Rng;
+
+use crate::flows::{
+    plan::RUN_TIME,
+    world::{CALLER_WAY, FlowEvent, FlowWorld, start},
+};
+
+/// One way inside a data centre.
+const NEAR_WAY: Duration = Duration::from_micros(100);
+/// One way between data centres.
+const FAR_WAY: Duration = Duration::from_micros(500);
+/// Time until an observation has gone round.
+const NOTE_TIME: Duration = Duration::from_millis(2);
+/// Period at which an instance looks for unanswered openings.
+pub(super) const TICK: Duration = Duration::from_millis(10);
+/// Share of packets that are lost where some are.
+const LOSS: f64 = 0.3;
+
+impl FlowWorld {
+    pub(super) fn at_instance(&mut self, instance: usize, flow: u64, packet: FlowPacket) {
+        if !self.instances[instance].frozen_until.is_past(self.now) {
+            let until = self.instances[instance].frozen_until;
+            let event = FlowEvent::ToInstance { instance, flow, packet };
+            return self.events.push(until, event);
+        }
+        let decision = self.instances[instance].router.on_packet(self.now, &packet);
+        match decision {
+            FlowDecision::Open { backend, .. } => self.place(instance, flow, backend, &packet),
+            FlowDecision::Forward { backend, .. } => self.pass_on(instance, flow, backend, &packet),
+            FlowDecision::Refuse(_) => self.push_after(CALLER_WAY, FlowEvent::Reset { flow }),
+            FlowDecision::End { backend, .. } => {
+                let is_silent = self
+                    .server_at(instance, backend)
+                    .is_some_and(|server| self.servers[server].is_silent());
+                self.tally.ended += 1;
+                self.tally.ended_falsely += u64::from(!is_silent);
+                self.push_after(CALLER_WAY, FlowEvent::Reset { flow });
+            }
+            FlowDecision::Drop(_) => {}
+        }
+        self.share_notes(instance);
+    }
+
+    pub(super) fn place(
+        &mut self,
+        instance: usize,
+        flow: u64,
+        backend: usize,
+        packet: &FlowPacket,
+    ) {
+        let Some(server) = self.server_at(instance, backend) else { return };
+        let router = &self.instances[instance].router;
+        let class = router.backend(backend).map(|backend| backend.health.class(self.now));
+        // Once ejected, one flow at a time tries it on purpose.
+        let silent = self.servers[server].silent_at.filter(|_| class == Some(HealthClass::Healthy));
+        if packet.kind == (PacketKind::Open { copy: 0 }) {
+            self.tally.add_opening(self.now, silent);
+            let is_far = self.server_centres[server] != self.instances[instance].centre;
+            self.tally.opened_far += u64::from(is_far);
+        }
+        self.pass_on(instance, flow, backend, packet);
+    }
+
+    pub(super) fn pass_on(
+        &mut self,
+        instance: usize,
+        flow: u64,
+        backend: usize,
+        packet: &FlowPacket,
+    ) {
+        let Some(server) = self.server_at(instance, backend) else { return };
+        if self.is_lossy && self.random.random_bool(LOSS) {
+            return;
+        }
+        let is_near = self.server_centres[server] == self.instances[instance].centre;
+        let way = if is_near { NEAR_WAY } else { FAR_WAY };
+        let request = self.flows.get(&flow).and_then(|opened| opened.request);
+        self.push_after(way, FlowEvent::ToServer { flow, server, kind: packet.kind, request });
+    }
+
+    pub(super) fn server_at(&self, instance: usize, backend: usize) -> Option<usize> {
+        let backend = self.instances[instance].router.backend(backend)?;
+        Some(backend.number as usize - 1)
+    }
+
+    pub(super) fn tick(&mut self, instance: usize) {
+        if self.now < start().after(RUN_TIME) {
+            self.push_after(TICK, FlowEvent::Tick { instance });
+        }
+        // As in the daemon, openings are judged only after everything that came was
+        // read; what waited out a pause is read at its end.
+        if !self.instances[instance].frozen_until.after(TICK).is_past(self.now) {
+            return;
+        }
+        self.instances[instance].router.set_confirmed(self.now);
+        self.instances[instance].router.check_overdue(self.now);
+        self.share_notes(instance);
+    }
+
+    pub(super) fn share_notes(&mut self, from: usize) {
+        for note in self.instances[from].router.take_notes() {
+            let is_alive = !self.servers[note.number as usize - 1].is_silent();
+            self.tally.add_note(&note, is_alive);
+            for instance in (0..self.instances.len()).filter(|other| *other != from) {
+                let at = self.now.after(NOTE_TIME).max(self.instances[instance].frozen_until);
+                self.events.push(at, FlowEvent::Note { instance, note });
+            }
+        }
+    }
+
+    pub(super) fn note(&mut self, instance: usize, note: HealthNote) {
+        self.instances[instance].router.take_note(self.now, &note);
+    }
+}
--- /dev/null
+++ b/crates/foxledge-bench/src/flows/world.rs
@@ -0,0 +1,208 @@
+//! One run in virtual time.
+
+use std::{collections::HashMap, time::Duration};
+
+use foxledge_core::{names::CentreName, time::ClockTime};
+use foxledge_flows::{FlowPacket, FlowRouter, HealthNote, PacketKind, RouterOptions};
+use rand::{SeedableRng, rngs::StdRng};
+
+use crate::{
+    events::EventQueue,
+    flows::{
+        callers::{FlowRequest, SimFlow},
+        plan::{CENTRES, FlowPlan, RUN_TIME, SERVERS, SITE_LEVEL, TROUBLE_AT, TROUBLE_END},
+        published::published_rows,
+        report::FlowResult,
+        routing::TICK,
+        servers::{ServerRun, SimServer},
+        tally::FlowTally,
+    },
+};
+
+/// One way between a caller and an instance or a backend server.
+pub(super) const CALLER_WAY: Duration = Duration::from_millis(3);
+/// What comes before isn't measured.
+const WARM_UP: Duration = Duration::from_secs(2);
+
+/// `FlowEvent` is what happens at a point of virtual time.
+pub(super) enum FlowEvent {
+    /// A caller of a data centre asks.
+    Arrive { centre: usize },
+    /// A packet reaches its instance.
+    ToInstance { instance: usize, flow: u64, packet: FlowPacket },
+    /// A packet reaches a backend server.
+    ToServer { flow: u64, server: usize, kind: PacketKind, request: Option<usize> },
+    /// A backend server has taken the flow, as its caller learns.
+    Accepted { flow: u64, server: usize },
+    /// A backend server's answer reaches the caller.
+    Answered { flow: u64, request: usize, has_run: bool },
+    /// An instance's reset reaches the caller.
+    Reset { flow: u64 },
+    /// The opening packet is sent, or again, if nothing has come.
+    OpeningDue { flow: u64, copy: u32 },
+    /// The request is sent again, if nothing has come.
+    RequestDue { flow: u64, request: usize },
+    /// A request's time is over.
+    Deadline { request: usize },
+    /// A backend server has done a request.
+    RunDone { server: usize, run: ServerRun },
+    /// An instance looks for unanswered openings.
+    Tick { instance: usize },
+    /// An observation reaches another instance.
+    Note { instance: usize, note: HealthNote },
+    /// The variant's trouble begins.
+    TroubleBegins,
+    /// It ends, if it does.
+    TroubleEnds,
+}
+
+/// `SimInstance` is an instance: its router, and whether it stands still.
+pub(super) struct SimInstance {
+    pub(super) router: FlowRouter,
+    pub(super) centre: usize,
+    pub(super) frozen_until: ClockTime,
+}
+
+/// `FlowWorld` is everything in one run.
+pub(super) struct FlowWorld {
+    pub(super) plan: FlowPlan,
+    pub(super) now: ClockTime,
+    pub(super) events: EventQueue<FlowEvent>,
+    pub(super) random: StdRng,
+    pub(super) instances: Vec<SimInstance>,
+    pub(super) servers: Vec<SimServer>,
+    pub(super) server_centres: Vec<usize>,
+    pub(super) flows: HashMap<u64, SimFlow>,
+    pub(super) flow_count: u64,
+    pub(super) requests: Vec<FlowRequest>,
+    /// The flows that callers keep, by data centre.
+    pub(super) users: Vec<Vec<KeptFlow>>,
+    pub(super) is_lossy: bool,
+    pub(super) is_shifted: bool,
+    pub(super) tally: FlowTally,
+}
+
+/// `KeptFlow` is the flow that one caller keeps open.
+#[derive(Clone, Copy, Default)]
+pub(super) struct KeptFlow {
+    pub(super) flow: Option<u64>,
+    /// A request is under way on it.
+    pub(super) is_busy: bool,
+}
+
+/// Makes the runs, several at a time; results come in the order of the plans.
+pub fn run_flows(plans: &[FlowPlan], threads: usize) -> Vec<FlowResult> {
+    let share = plans.len().div_ceil(threads.max(1)).max(1);
+    std::thread::scope(|scope| {
+        let parts: Vec<_> = plans
+            .chunks(share)
+            .map(|part| scope.spawn(|| part.iter().map(|plan| run_one(*plan)).collect::<Vec<_>>()))
+            .collect();
+        parts.into_iter().flat_map(|part| part.join().expect("no run panics")).collect()
+    })
+}
+
+fn run_one(plan: FlowPlan) -> FlowResult {
+    let mut world = FlowWorld::new(plan);
+    while let Some((at, event)) = world.events.pop() {
+        if at > start().after(RUN_TIME + Duration::from_secs(2)) {
+            break;
+        }
+        world.now = at;
+        world.handle(event);
+    }
+    for request in &world.requests {
+        if request.asked_at >= start().after(WARM_UP) {
+            world.tally.add_request(request);
+        }
+    }
+    FlowResult::new(plan, &world.tally)
+}
+
+/// The begin of every run, an hour into the clock.
+pub(super) fn start() -> ClockTime {
+    ClockTime::from_micros(3_600_000_000)
+}
+
+impl FlowWorld {
+    fn new(plan: FlowPlan) -> FlowWorld {
+        let server_centres = spread_over(|centre| CENTRES[centre].servers);
+        let rows = published_rows(&server_centres);
+        let instances = spread_over(|centre| CENTRES[centre].instances).into_iter().enumerate();
+        let instances = instances.map(|(index, centre)| {
+            let options = RouterOptions::new(CentreName::new(CENTRES[centre].name));
+            let policy = plan.policy.make(plan.seed ^ index as u64);
+            let mut router = FlowRouter::new(options).policy(policy);
+            router.take_rows(start(), &rows);
+            router.set_confirmed(start());
+            SimInstance { router, centre, frozen_until: ClockTime::ZERO }
+        });
+        // With few callers a high load would wait for them and not for slots.
+        let crowd = (plan.level / SITE_LEVEL).max(1.0);
+        let users = CENTRES.iter().map(|centre| (centre.users as f64 * crowd) as usize);
+        let mut world = FlowWorld {
+            plan,
+            now: start(),
+            events: EventQueue::new(),
+            random: StdRng::seed_from_u64(plan.seed),
+            instances: instances.collect(),
+            servers: (0..SERVERS).map(|_| SimServer::new()).collect(),
+            server_centres,
+            flows: HashMap::new(),
+            flow_count: 0,
+            requests: Vec::new(),
+            users: users.map(|count| vec![KeptFlow::default(); count]).collect(),
+            is_lossy: false,
+            is_shifted: false,
+            tally: FlowTally::new(),
+        };
+        world.begin();
+        world
+    }
+
+    fn begin(&mut self) {
+        for centre in 0..CENTRES.len() {
+            self.next_arrival(centre);
+        }
+        for instance in 0..self.instances.len() {
+            self.push_after(TICK, FlowEvent::Tick { instance });
+        }
+        self.push_after(TROUBLE_AT, FlowEvent::TroubleBegins);
+        self.push_after(TROUBLE_END, FlowEvent::TroubleEnds);
+    }
+
+    pub(super) fn push_after(&mut self, span: Duration, event: FlowEvent) {
+        self.events.push(self.now.after(span), event);
+    }
+
+    fn handle(&mut self, event: FlowEvent) {
+        match event {
+            FlowEvent::Arrive { centre } => self.arrive(centre),
+            FlowEvent::ToInstance { instance, flow, packet } => {
+                self.at_instance(instance, flow, packet);
+            }
+            FlowEvent::ToServer { flow, server, kind, request } => {
+                self.at_server(flow, server, kind, request);
+            }
+            FlowEvent::Accepted { flow, server } => self.accepted(flow, server),
+            FlowEvent::Answered { flow, request, has_run } => self.answered(flow, request, has_run),
+            FlowEvent::Reset { flow } => self.reset(flow),
+            FlowEvent::OpeningDue { flow, copy } => self.opening_due(flow, copy),
+            FlowEvent::RequestDue { flow, request } => self.request_due(flow, request),
+            FlowEvent::Deadline { request } => self.requests[request].is_over = true,
+            FlowEvent::RunDone { server, run } => self.run_done(server, run),
+            FlowEvent::Tick { instance } => self.tick(instance),
+            FlowEvent::Note { instance, note } => self.note(instance, note),
+            FlowEvent::TroubleBegins => self.begin_trouble(),
+            FlowEvent::TroubleEnds => {
+                self.is_lossy = false;
+                self.is_shifted = false;
+            }
+        }
+    }
+}
+
+/// The data centre of each of some things, from how many each data centre has.
+fn spread_over(count: impl Fn(usize) -> usize) -> Vec<usize> {
+    (0..CENTRES.len()).flat_map(|centre| vec![centre; count(centre)]).collect()
+}
--- a/crates/foxledge-bench/src/lib.rs
+++ b/crates/foxledge-bench/src/lib.rs
@@ -1,4 +1,4 @@
-//! The measuring tool: the desk's policy in virtual time, and its cost.
+//! The measuring tool: the desk and the placement of flows in virtual time, and costs.
 
 pub mod arrivals;
 mod backends;
@@ -8,6 +8,7 @@
 pub mod faults;
 pub mod figures;
 pub mod fleet;
+pub mod flows;
 pub mod places;
 pub mod report;
 pub mod sweep;
--- a/crates/foxledge-bench/src/main.rs
+++ b/crates/foxledge-bench/src/main.rs
@@ -8,6 +8,7 @@
     cost::{cost_figures, cost_table, memory_figures, memory_table},
     figures::figure_line,
     fleet::{FleetChoice, fleet_table, load_by_name, mishap_by_name, run_fleet},
+    flows::{FlowChoice, flow_plans, flow_table, run_flows},
     sweep::{SweepChoice, run_sweep, sweep_plans, sweep_table},
 };
 
@@ -17,6 +18,7 @@
         Some(("sweep", matches)) => sweep(matches),
         Some(("cost", matches)) => cost(matches),
         Some(("fleet", matches)) => fleet(matches),
+        Some(("flows", matches)) => flows(matches),
         _ => Ok(()),
     }
 }
@@ -30,6 +32,7 @@
         .subcommand(sweep_command())
         .subcommand(cost_command())
         .subcommand(fleet_command())
+        .subcommand(flows_command())
 }
 
 fn sweep_command() -> Command {
@@ -77,6 +80,20 @@
         .arg(json_arg())
 }
 
+fn flows_command() -> Command {
+    Command::new("flows")
+        .about("Places flows in virtual time, by the product's policy and by others")
+        .arg(choice_arg("policy", "Policy, such as least-loaded; all without"))
+        .arg(choice_arg("variant", "What goes wrong, such as silent-servers; all without"))
+        .arg(
+            choice_arg("level", "Load relative to what the slots can carry; 0.22 and 0.9 without")
+                .value_parser(value_parser!(f64)),
+        )
+        .arg(number_arg("seed", "1", "Seed of arrivals and choices"))
+        .arg(number_arg("threads", "4", "Runs made at the same time"))
+        .arg(json_arg())
+}
+
 fn text_arg(name: &'static str, default: &'static str, help: &'static str) -> Arg {
     Arg::new(name).long(name).help(help).default_value(default)
 }
@@ -135,6 +152,18 @@
     write_lines(matches, std::iter::once(figure_line(choice.seed, &figure)))
 }
 
+fn flows(matches: &ArgMatches) -> Result<()> {
+    let choice = FlowChoice {
+        policies: words(matches, "policy"),
+        variants: words(matches, "variant"),
+        levels: matches.get_many("level").unwrap_or_default().copied().collect(),
+        seed: number(matches, "seed"),
+    };
+    let results = run_flows(&flow_plans(&choice), number(matches, "threads") as usize);
+    print!("{}", flow_table(&results));
+    write_lines(matches, results.iter().map(|result| figure_line(choice.seed, result)))
+}
+
 fn text(matches: &ArgMatches, name: &str) -> String {
     matches.get_one::<String>(name).cloned().unwrap_or_default()
 }
--- a/crates/foxledge-bench/src/world.rs
+++ b/crates/foxledge-bench/src/world.rs
@@ -58,7 +58,7 @@
 pub struct SimWorld {
     pub(crate) plan: RunPlan,
     pub(crate) now: ClockTime,
-    pub(crate) events: EventQueue,
+    pub(crate) events: EventQueue<SimEvent>,
     pub(crate) arrivals: ArrivalSource,
     pub(crate) random: StdRng,
     pub(crate) desks: Vec<SimDesk>,
--- a/crates/foxledge-flows/src/decisions.rs
+++ b/crates/foxledge-flows/src/decisions.rs
@@ -79,11 +79,11 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
 #[serde(tag = "reason", rename_all = "snake_case")]
 pub enum EndReason {
-    /// Its backend server answers neither it nor new flows.
+    /// Its backend server answers neither it nor others.
     BackendSilent {
         /// Time since the unanswered data was sent on first, in milliseconds.
         waited_ms: u64,
-        /// Time since a new flow there was found unanswered, in milliseconds.
+        /// Time since another flow there was found unanswered, in milliseconds.
         silent_ms: u64,
     },
 }
--- a/crates/foxledge-flows/src/health.rs
+++ b/crates/foxledge-flows/src/health.rs
@@ -28,7 +28,7 @@
     Suspect,
     /// Several signs of silence.
     Ejected,
-    /// A new flow stayed unanswered until its caller asked again.
+    /// A new flow or a flow's data stayed unanswered though the caller sent it again.
     Silent,
     /// It answers again.
     Alive,
@@ -53,7 +53,7 @@
     ejections: u32,
     alive_at: ClockTime,
     strikes: u32,
-    /// When a new flow was last found unanswered, since the last sign of life.
+    /// When something was last found unanswered, since the last sign of life.
     silent_at: Option<ClockTime>,
 }
 
@@ -114,7 +114,7 @@
         Some(NoteKind::Suspect)
     }
 
-    /// Takes the copy of an opening packet that was sent at `sent` and not answered.
+    /// Takes what was sent at `sent` and not answered although its caller sent it again.
     pub fn on_silence(&mut self, now: ClockTime, sent: ClockTime) -> Option<NoteKind> {
         if self.alive_at > sent {
             return None;
@@ -124,7 +124,7 @@
         (is_news || is_ejected).then_some(NoteKind::Silent)
     }
 
-    /// When a new flow was found unanswered, if nothing was heard of it since.
+    /// When something was found unanswered, if nothing was heard of it since.
     pub fn silent_at(&self) -> Option<ClockTime> {
         self.silent_at
     }
--- a/crates/foxledge-flows/src/openings.rs
+++ b/crates/foxledge-flows/src/openings.rs
@@ -30,7 +30,7 @@
     pub backend: usize,
     /// When the packet was sent there first.
     pub sent: ClockTime,
-    /// True once its silence was counted against the backend server.
+    /// True once its silence was counted against the backend server, or must not be.
     pub is_overdue: bool,
 }
 
@@ -47,14 +47,29 @@
 impl OpeningTable {
     /// Notes that an opening packet was sent to a backend server.
     pub fn add(&mut self, now: ClockTime, key: FlowKey, backend: usize) {
+        if self.put(now, key, Opening { backend, sent: now, is_overdue: false }) {
+            *self.fresh.entry(backend).or_default() += 1;
+            self.by_age.push_back((now, key));
+        }
+    }
+
+    /// Notes an opening packet that was sent on so late that its caller may have given
+    /// up: that nobody goes on says nothing of the backend server.
+    pub fn add_unjudged(&mut self, now: ClockTime, key: FlowKey, backend: usize) {
+        if self.put(now, key, Opening { backend, sent: now, is_overdue: true }) {
+            self.overdue.push_back((now, key));
+        }
+    }
+
+    /// Puts an opening in place; false when there is no room.
+    fn put(&mut self, now: ClockTime, key: FlowKey, opening: Opening) -> bool {
         self.remove(&key);
         if self.waiting.len() >= MOST_OPENINGS {
-            return;
+            return false;
         }
-        self.waiting.insert(key, Opening { backend, sent: now, is_overdue: false });
-        self.by_caller.entry(*key.caller.ip()).or_default().push((backend, now));
-        *self.fresh.entry(backend).or_default() += 1;
-        self.by_age.push_back((now, key));
+        self.waiting.insert(key, opening);
+        self.by_caller.entry(*key.caller.ip()).or_default().push((opening.backend, now));
+        true
     }
 
     /// The opening of a flow.
--- a/crates/foxledge-flows/src/router.rs
+++ b/crates/foxledge-flows/src/router.rs
@@ -41,8 +41,8 @@
 /// How long it counts, in milliseconds: after the caller's copy at 200 ms the
 /// backend server's own state tells more.
 const STUCK_KEPT_MS: u64 = 250;
-/// How long data of an open flow must stay unanswered for the flow to be ended, in
-/// milliseconds, while its backend server leaves new flows unanswered too.
+/// How long data of an open flow must stay unanswered, in milliseconds, to speak for
+/// the death of its backend server.
 ///
 /// Callers send data again after 200 ms and after 400 ms more. A backend server that
 /// lives acknowledges the first copy, so the second shows that nothing gets there.
@@ -135,7 +135,7 @@
     }
 
     /// Notes that this process stood still: until the next confirmation nothing
-    /// is refused.
+    /// is refused, and no unanswered opening speaks against a backend server.
     ///
     /// Opening packets that waited meanwhile are old. Their callers may have
     /// opened the flow at another instance since, and would take the refusal for
@@ -266,7 +266,10 @@
         if let Some(backend) = self.backends.get_mut(index) {
             backend.picked = self.picks;
         }
-        self.openings.add(now, packet.key, index);
+        match self.is_in_doubt {
+            true => self.openings.add_unjudged(now, packet.key, index),
+            false => self.openings.add(now, packet.key, index),
+        }
         FlowDecision::Open { backend: index, reason: reason(Some(rank), candidates.len()) }
     }
 
@@ -346,8 +349,10 @@
         {
             self.note(now, index, |backend| backend.health.on_alive(now));
         }
+        // What this packet itself tells is no evidence beside it.
+        let silent_at = self.backends.get(index).and_then(|one| one.health.silent_at());
         let stall = self.track(now, packet, index);
-        let lost = stall.filter(|_| may_repeat).and_then(|stall| self.loss(now, index, stall));
+        let lost = stall.filter(|_| may_repeat).and_then(|stall| loss(now, stall, silent_at));
         if let Some(reason) = lost {
             self.end_track(&packet.key);
             return FlowDecision::End { backend: index, reason };
@@ -355,21 +360,6 @@
         FlowDecision::Forward { backend: index, stall }
     }
 
-    /// Why a flow that stalls is lost, if that is sure.
-    ///
-    /// Without this, requests on flows to a dead backend server fail at their deadline,
-    /// though others could answer them. A false alarm breaks a flow that lives. It takes
-    /// the loss of an opening packet and its caller's copy, of three copies of this
-    /// flow's data, and of every sign of life in between.
-    fn loss(&self, now: ClockTime, index: usize, stall: FlowStall) -> Option<EndReason> {
-        if stall.waited_ms < LOST_MS {
-            return None;
-        }
-        let silent_at = self.backends.get(index)?.health.silent_at()?;
-        let silent_ms = now.since(silent_at).as_millis() as u64;
-        Some(EndReason::BackendSilent { waited_ms: stall.waited_ms, silent_ms })
-    }
-
     /// Takes a packet into its flow's track; tells when the caller waits in vain.
     fn track(&mut self, now: ClockTime, packet: &FlowPacket, index: usize) -> Option<FlowStall> {
         for (index, was_running) in self.tracks.sweep(now, self.idle_ms) {
@@ -398,7 +388,11 @@
             }
             TrackNews::Resent(sent) => {
                 self.counts.resent += 1;
-                self.note(now, index, |backend| backend.health.on_suspicion(now, sent));
+                let is_lost = sent.after_millis(LOST_MS).is_past(now);
+                self.note(now, index, |backend| match is_lost {
+                    true => backend.health.on_silence(now, sent),
+                    false => backend.health.on_suspicion(now, sent),
+                });
                 let class = self.backends.get(index)?.health.class(now);
                 let waited_ms = now.since(sent).as_millis() as u64;
                 return Some(FlowStall { waited_ms, class });
@@ -442,3 +436,16 @@
         self.notes.push(HealthNote { number, kind, at: now });
     }
 }
+
+/// Why a flow that stalls is lost, if that is sure; `silent_at` is when something else
+/// was found unanswered by its backend server.
+///
+/// Without this, requests on flows to a dead backend server fail at their deadline,
+/// though others could answer them. A false alarm breaks a flow that lives. It takes the
+/// loss of three copies of this flow's data, of an opening packet and its caller's copy
+/// or of three copies of another flow's data, and of every sign of life in between.
+fn loss(now: ClockTime, stall: FlowStall, silent_at: Option<ClockTime>) -> Option<EndReason> {
+    let silent_at = silent_at.filter(|_| stall.waited_ms >= LOST_MS)?;
+    let silent_ms = now.since(silent_at).as_millis() as u64;
+    Some(EndReason::BackendSilent { waited_ms: stall.waited_ms, silent_ms })
+}
--- a/crates/foxledge-flows/tests/dead_backend.rs
+++ b/crates/foxledge-flows/tests/dead_backend.rs
@@ -66,6 +66,25 @@
     assert_eq!(router.tracked_flows(), router.backends().map(|one| one.flows as usize).sum());
 }
 
+// Symptom: every feed at a dead backend server fails, though none of its flows is new.
+// Sequence: it dies with flows open; as requests there stay unanswered it counts as
+//   busy, and no new flow is placed there.
+// Cause: only an unanswered new flow counts as evidence.
+#[test]
+fn stalled_flows_suffice() {
+    let (mut router, key) = flow_at_first();
+    let others = [8, 9].map(|caller| FlowKey { caller: common::key(caller, 1).caller, ..key });
+    for (wait, ends) in [(0, [false; 3]), (200, [false; 3]), (600, [false, true, true])] {
+        for (index, flow) in [key, others[0], others[1]].into_iter().enumerate() {
+            let now = ASKED + wait + index as u64;
+            let decision = router.on_packet(at(now), &data(flow, 1, 2_000, 1));
+            let is_end = matches!(decision, FlowDecision::End { .. });
+            assert_eq!(is_end, ends[index], "flow {index} after {wait} ms: {decision:?}");
+        }
+    }
+    assert!(router.take_notes().iter().any(|note| note.kind == NoteKind::Silent));
+}
+
 // Symptom: a flow is broken off while its backend server works on the request.
 // Sequence: requests there take a second; callers send them again meanwhile.
 // Cause: a request that is slow is taken for one that is lost.
--- a/crates/foxledge-flows/tests/silent_backend.rs
+++ b/crates/foxledge-flows/tests/silent_backend.rs
@@ -173,3 +173,23 @@
     let decision = router.on_packet(at(101), &data(key(2, 1), number as u32, 1_000, 0));
     assert!(matches!(decision, FlowDecision::Forward { stall: None, .. }));
 }
+
+// Symptom: an instance that wakes accuses backend servers that answered in time.
+// Sequence: it stands still for two seconds; opening packets wait in its socket, and
+//   some of their callers give up meanwhile; it wakes and sends them on.
+// Cause: the backend server's answer finds nobody, so no caller goes on, and that is
+//   taken for the backend server's silence.
+#[test]
+fn late_openings_unjudged() {
+    let mut router = two_backends();
+    router.note_pause();
+    let backend = lost_opening(&mut router, 7_000, 1);
+    router.check_overdue(at(7_050));
+    assert_eq!(class_of(&router, backend, 7_050), HealthClass::Healthy);
+    assert!(router.take_notes().is_empty());
+    // Once the list is confirmed again, the pause is over.
+    router.set_confirmed(at(7_060));
+    let backend = lost_opening(&mut router, 7_070, 2);
+    router.check_overdue(at(7_120));
+    assert_eq!(class_of(&router, backend, 7_120), HealthClass::Suspect);
+}
