Let parts know only the parts that they call

Cause: context.rs named every part in its directory, and every part imports context.rs: nine files in a circle, so that each part could reach all others without saying so. Both trees had a directory of their own. Change: one PartDirectory that finds an actor by its type and names no part; a part imports those that it calls. The names of parts have a module of their own, so that parts can reach the supervisor without the starter's imports. Left: parts that call each other still import each other (lists and link, members and lists). Nothing is decided differently; the daemon's tests are as they were but for the look-up.

--- a/crates/foxledge-daemon/src/context.rs
+++ b/crates/foxledge-daemon/src/context.rs
@@ -14,13 +14,11 @@
 use foxledge_members::ListSnapshot;
 use foxledge_settings::DaemonSettings;
 use rand::{RngCore, rngs::StdRng};
-use stakker::{Actor, Fwd};
+use stakker::Fwd;
 
 use crate::{
-    choices::route_table, clock::ProcessClock, control_link::ControlLink, engine_part::EnginePart,
-    life_cycle::LifeCycle, list_keeper::ListKeeper, listener::DatagramListener,
-    member_keeper::MemberKeeper, metrics::MetricSet, parts::DaemonSupervisor, phase::PhaseCell,
-    routes::RouteTable, sockets::ListenSockets,
+    choices::route_table, clock::ProcessClock, directory::PartDirectory, metrics::MetricSet,
+    phase::PhaseCell, routes::RouteTable, sockets::ListenSockets,
 };
 
 /// `DaemonContext` is what every part can reach, and what outlives a failed part.
@@ -57,51 +55,6 @@
     audit: OnceCell<Fwd<AuditChange>>,
 }
 
-/// `PartDirectory` is the present actor of each part.
-#[derive(Default)]
-pub struct PartDirectory {
-    /// The root supervisor.
-    pub root: PartEntry<DaemonSupervisor>,
-    /// Data and peer sockets.
-    pub listener: PartEntry<DatagramListener>,
-    /// Decisions on datagrams.
-    pub engine: PartEntry<EnginePart>,
-    /// The newest accepted list.
-    pub lists: PartEntry<ListKeeper>,
-    /// Which instances live.
-    pub members: PartEntry<MemberKeeper>,
-    /// Control calls.
-    pub link: PartEntry<ControlLink>,
-    /// Start and planned stop.
-    pub life: PartEntry<LifeCycle>,
-}
-
-/// `PartEntry` is the entry of one part in the directory.
-///
-/// Parts look each other up for each call. A reference kept from earlier would
-/// lead to an actor that has failed, and the calls would vanish.
-pub struct PartEntry<A: 'static> {
-    actor: RefCell<Option<Actor<A>>>,
-}
-
-impl<A> Default for PartEntry<A> {
-    fn default() -> PartEntry<A> {
-        PartEntry { actor: RefCell::new(None) }
-    }
-}
-
-impl<A> PartEntry<A> {
-    /// Enters the part's new actor.
-    pub fn set(&self, actor: &Actor<A>) {
-        *self.actor.borrow_mut() = Some(actor.clone());
-    }
-
-    /// The part's actor; none while it isn't running.
-    pub fn get(&self) -> Option<Actor<A>> {
-        self.actor.borrow().clone().filter(|actor| !actor.is_zombie())
-    }
-}
-
 impl DaemonContext {
     /// Makes the context of a process that starts.
     pub fn new(
--- a/crates/foxledge-daemon/src/control_link.rs
+++ b/crates/foxledge-daemon/src/control_link.rs
@@ -14,6 +14,11 @@
 
 use crate::{
     context::DaemonContext,
+    engine_part::EnginePart,
+    life_cycle::LifeCycle,
+    list_keeper::ListKeeper,
+    member_keeper::MemberKeeper,
+    part_kind::DaemonSupervisor,
     side::{
         SideOptions,
         messages::{FlowQuestion, LinkCommand, LinkEvent},
@@ -39,7 +44,7 @@
         let (channel, guard) = Channel::new(cx, events);
         match side_options(&context).and_then(|options| start_side(options, channel)) {
             Ok(commands) => {
-                if let Some(lists) = context.directory.lists.get() {
+                if let Some(lists) = context.directory.get::<ListKeeper>() {
                     call!([lists], link_started());
                 }
                 Some(ControlLink { context, commands, _guard: guard })
@@ -69,7 +74,7 @@
             | LinkEvent::ManifestFetched(..)
             | LinkEvent::PartsFetched(..) => self.tell_lists(event),
             LinkEvent::PlatformAsked => {
-                if let Some(life) = self.context.directory.life.get() {
+                if let Some(life) = self.context.directory.get::<LifeCycle>() {
                     call!([life], platform_done());
                 }
             }
@@ -87,7 +92,7 @@
             LinkEvent::AuditAsked { after, limit, answer } => self.read_audit(after, limit, answer),
             LinkEvent::DrainAsked(answer) => self.drain(answer),
             LinkEvent::CountsAsked(answer) => {
-                if let Some(engine) = self.context.directory.engine.get() {
+                if let Some(engine) = self.context.directory.get::<EnginePart>() {
                     call!([engine], count_metrics(answer));
                 }
             }
@@ -95,13 +100,13 @@
     }
 
     fn tell_members(&self, event: LinkEvent) {
-        let Some(members) = self.context.directory.members.get() else { return };
+        let Some(members) = self.context.directory.get::<MemberKeeper>() else { return };
         match event {
             LinkEvent::BeatArrived(beat, answer) => call!([members], beat_arrived(beat, answer)),
             LinkEvent::BeatEnded(to, outcome) => call!([members], beat_ended(to, outcome)),
             LinkEvent::ProbeEnded(name, result) => call!([members], probe_ended(name, result)),
             LinkEvent::ListingRead(listing) => {
-                if let Some(life) = self.context.directory.life.get() {
+                if let Some(life) = self.context.directory.get::<LifeCycle>() {
                     call!([life], listing_read(control_addresses(&listing)));
                 }
                 call!([members], listing_read(listing));
@@ -111,7 +116,7 @@
     }
 
     fn tell_lists(&self, event: LinkEvent) {
-        let Some(lists) = self.context.directory.lists.get() else { return };
+        let Some(lists) = self.context.directory.get::<ListKeeper>() else { return };
         match event {
             LinkEvent::ManifestAsked(answer) => call!([lists], manifest_asked(answer)),
             LinkEvent::PartsAsked(digests, answer) => call!([lists], parts_asked(digests, answer)),
@@ -124,7 +129,7 @@
     }
 
     fn report_status(&self, answer: oneshot::Sender<String>) {
-        let Some(root) = self.context.directory.root.get() else { return };
+        let Some(root) = self.context.directory.get::<DaemonSupervisor>() else { return };
         let context = self.context.clone();
         let with_parts = move |parts: Vec<PartReport>| {
             let report = json!({
@@ -136,7 +141,7 @@
                 "view": &**context.view.borrow(),
                 "parts": parts,
             });
-            match context.directory.engine.get() {
+            match context.directory.get::<EnginePart>() {
                 Some(engine) => call!([engine], report_status(report, answer)),
                 None => drop(answer.send(report.to_string())),
             }
@@ -145,13 +150,13 @@
     }
 
     fn explain(&self, question: FlowQuestion, answer: oneshot::Sender<Result<String, String>>) {
-        if let Some(engine) = self.context.directory.engine.get() {
+        if let Some(engine) = self.context.directory.get::<EnginePart>() {
             call!([engine], explain(question, answer));
         }
     }
 
     fn read_audit(&self, after: u64, limit: usize, answer: oneshot::Sender<String>) {
-        let Some(root) = self.context.directory.root.get() else { return };
+        let Some(root) = self.context.directory.get::<DaemonSupervisor>() else { return };
         let with_entries = move |entries: Vec<AuditEntry>| {
             let _ = answer.send(json!(entries).to_string());
         };
@@ -159,7 +164,7 @@
     }
 
     fn drain(&self, answer: oneshot::Sender<bool>) {
-        let Some(life) = self.context.directory.life.get() else { return };
+        let Some(life) = self.context.directory.get::<LifeCycle>() else { return };
         let leave = move |accepted: bool| {
             let _ = answer.send(accepted);
         };
--- a/crates/foxledge-daemon/src/daemon.rs
+++ b/crates/foxledge-daemon/src/daemon.rs
@@ -23,7 +23,8 @@
     clock::{ProcessClock, new_incarnation},
     context::DaemonContext,
     listener::POLL_PRIORITY,
-    parts::{DaemonParts, DaemonSupervisor},
+    part_kind::DaemonSupervisor,
+    parts::DaemonParts,
     signals::watch_signals,
     sockets::{ListenAddresses, ListenSockets},
     supervisor::SupervisorOptions,
@@ -108,7 +109,7 @@
         .audit_limit(context.settings.audit.entries);
     let starter = Box::new(DaemonParts::new(context.clone()));
     let root = actor!(stakker, DaemonSupervisor::init(options, starter), ret_shutdown!(stakker));
-    context.directory.root.set(&root);
+    context.directory.set(&root);
     context.set_audit(fwd_to!([root], record() as (AuditChange)));
     context.record(
         AuditChange::new(AuditKind::ProcessChanged, context.me.borrow().name.as_str())
--- a/crates/foxledge-daemon/src/engine_part.rs
+++ b/crates/foxledge-daemon/src/engine_part.rs
@@ -17,7 +17,7 @@
 use crate::{
     choices::engine_options,
     context::DaemonContext,
-    listener::{DatagramBatch, OutgoingDatagram, SocketKind},
+    listener::{DatagramBatch, DatagramListener, OutgoingDatagram, SocketKind},
     side::messages::FlowQuestion,
 };
 
@@ -205,7 +205,7 @@
         if outgoing.is_empty() {
             return;
         }
-        match self.context.directory.listener.get() {
+        match self.context.directory.get::<DatagramListener>() {
             Some(listener) => call!([listener], send(outgoing)),
             None => warn!("engine: {} datagrams dropped, no listener", outgoing.len()),
         }
--- a/crates/foxledge-daemon/src/life_cycle.rs
+++ b/crates/foxledge-daemon/src/life_cycle.rs
@@ -13,6 +13,9 @@
 
 use crate::{
     context::DaemonContext,
+    engine_part::EnginePart,
+    list_keeper::ListKeeper,
+    member_keeper::MemberKeeper,
     start_gate::{PlatformAsked, StartGate},
 };
 
@@ -110,7 +113,7 @@
     }
 
     fn ask_versions(&mut self, cx: CX![]) {
-        let Some(lists) = self.context.directory.lists.get() else { return };
+        let Some(lists) = self.context.directory.get::<ListKeeper>() else { return };
         let answer = ret_some_to!([cx], versions_known() as (ListVersion, ListVersion));
         call!([lists], newest_heard(answer));
     }
@@ -124,7 +127,7 @@
     }
 
     fn ask_unfinished(&mut self, cx: CX![]) {
-        let Some(engine) = self.context.directory.engine.get() else {
+        let Some(engine) = self.context.directory.get::<EnginePart>() else {
             return self.check_left(cx, 0);
         };
         let answer = ret_some_to!([cx], check_left() as (usize));
@@ -165,10 +168,10 @@
         let after = self.context.phase.word();
         info!("life: {after}");
         let directory = &self.context.directory;
-        if let Some(engine) = directory.engine.get() {
+        if let Some(engine) = directory.get::<EnginePart>() {
             call!([engine], take_phase(phase));
         }
-        if let Some(members) = directory.members.get() {
+        if let Some(members) = directory.get::<MemberKeeper>() {
             call!([members], set_state(self.context.phase.peer_state()));
         }
         self.context.record(
--- a/crates/foxledge-daemon/src/list_keeper.rs
+++ b/crates/foxledge-daemon/src/list_keeper.rs
@@ -13,6 +13,10 @@
 use crate::{
     choices::list_options,
     context::DaemonContext,
+    control_link::ControlLink,
+    engine_part::EnginePart,
+    member_keeper::MemberKeeper,
+    part_kind::DaemonSupervisor,
     side::messages::{CallError, LinkCommand, WatchOrder},
 };
 
@@ -156,20 +160,20 @@
         *self.context.kept_list.borrow_mut() = self.store.snapshot();
         self.context.metrics.list_revision.set(version.revision as i64);
         let directory = &self.context.directory;
-        if let Some(root) = directory.root.get() {
+        if let Some(root) = directory.get::<DaemonSupervisor>() {
             call!([root], set_revision(version.revision));
         }
-        if let Some(engine) = directory.engine.get() {
+        if let Some(engine) = directory.get::<EnginePart>() {
             call!([engine], take_list(list));
         }
-        if let Some(members) = directory.members.get() {
+        if let Some(members) = directory.get::<MemberKeeper>() {
             call!([members], set_version(version));
         }
         self.order_watch();
     }
 
     fn send(&self, command: LinkCommand) {
-        if let Some(link) = self.context.directory.link.get() {
+        if let Some(link) = self.context.directory.get::<ControlLink>() {
             call!([link], command(command));
         }
     }
--- a/crates/foxledge-daemon/src/listener.rs
+++ b/crates/foxledge-daemon/src/listener.rs
@@ -10,7 +10,7 @@
     mio::{Interest, net::UdpSocket},
 };
 
-use crate::context::DaemonContext;
+use crate::{context::DaemonContext, engine_part::EnginePart};
 
 /// Most datagrams read from one socket before the main loop gets its turn.
 pub const BATCH_LIMIT: usize = 64;
@@ -145,7 +145,7 @@
         }
         let counter = self.context.metrics.datagrams.with_label_values(&[socket.as_str(), "in"]);
         counter.inc_by(datagrams.len() as u64);
-        if let Some(engine) = self.context.directory.engine.get() {
+        if let Some(engine) = self.context.directory.get::<EnginePart>() {
             call!([engine], take_batch(DatagramBatch { socket, datagrams }));
         }
     }
--- a/crates/foxledge-daemon/src/member_keeper.rs
+++ b/crates/foxledge-daemon/src/member_keeper.rs
@@ -16,6 +16,10 @@
 use crate::{
     choices::stale_lists,
     context::DaemonContext,
+    control_link::ControlLink,
+    engine_part::EnginePart,
+    life_cycle::LifeCycle,
+    list_keeper::ListKeeper,
     side::messages::{CallError, LinkCommand},
 };
 
@@ -55,7 +59,7 @@
     ) {
         let now = self.context.clock.now();
         let from = beat.sender.as_ref().and_then(|sender| sender.control_address.parse().ok());
-        if let (Some(from), Some(life)) = (from, self.context.directory.life.get()) {
+        if let (Some(from), Some(life)) = (from, self.context.directory.get::<LifeCycle>()) {
             call!([life], peer_answered(from));
         }
         let (reply, effects) = self.membership.on_heartbeat(now, beat);
@@ -71,7 +75,7 @@
         outcome: Result<HeartbeatReply, CallError>,
     ) {
         let now = self.context.clock.now();
-        let life = self.context.directory.life.get();
+        let life = self.context.directory.get::<LifeCycle>();
         let effects = match outcome {
             Ok(reply) => {
                 let name = reply.sender.as_ref().map_or("", |sender| sender.name.as_str());
@@ -132,7 +136,7 @@
                 }
                 MemberEffect::ViewChanged(_) => self.share_view(),
                 MemberEffect::PeerVersion { from, version } => {
-                    if let Some(lists) = self.context.directory.lists.get() {
+                    if let Some(lists) = self.context.directory.get::<ListKeeper>() {
                         call!([lists], peer_version(from, version));
                     }
                 }
@@ -142,7 +146,7 @@
     }
 
     fn send(&self, command: LinkCommand) {
-        if let Some(link) = self.context.directory.link.get() {
+        if let Some(link) = self.context.directory.get::<ControlLink>() {
             call!([link], command(command));
         }
     }
@@ -155,7 +159,7 @@
             let state = peer.state.word();
             self.context.metrics.peers.with_label_values(&[state]).inc();
         }
-        if let Some(engine) = self.context.directory.engine.get() {
+        if let Some(engine) = self.context.directory.get::<EnginePart>() {
             call!([engine], take_view(view));
         }
     }
--- a/crates/foxledge-daemon/src/packets/context.rs
+++ b/crates/foxledge-daemon/src/packets/context.rs
@@ -17,12 +17,9 @@
 use stakker::Fwd;
 use tokio::sync::mpsc::UnboundedSender;
 
-use crate::{context::PartEntry, phase::PhaseCell};
+use crate::{directory::PartDirectory, phase::PhaseCell};
 
-use super::{
-    clock::BootClock, event_log::EventLog, fleet_part::FleetPart, flow_part::FlowPart,
-    life_part::LifePart, metrics::PacketMetrics, parts::PacketSupervisor, side::SideOrder,
-};
+use super::{clock::BootClock, event_log::EventLog, metrics::PacketMetrics, side::SideOrder};
 
 /// Delay of a timer that shows that the process stood still, in milliseconds.
 const PAUSE_MS: u64 = 400;
@@ -71,24 +68,11 @@
     /// Orders for the side thread.
     pub side: UnboundedSender<SideOrder>,
     /// The present actor of each part.
-    pub directory: PacketDirectory,
+    pub directory: PartDirectory,
     /// Where audit entries go.
     pub audit: OnceCell<Fwd<AuditChange>>,
 }
 
-/// `PacketDirectory` is the present actor of each part.
-#[derive(Default)]
-pub struct PacketDirectory {
-    /// The root supervisor.
-    pub root: PartEntry<PacketSupervisor>,
-    /// Packets.
-    pub flows: PartEntry<FlowPart>,
-    /// List and peers.
-    pub fleet: PartEntry<FleetPart>,
-    /// Start and stop.
-    pub life: PartEntry<LifePart>,
-}
-
 impl PacketContext {
     /// Logs a change of what the process is or believes.
     pub fn note<T: Serialize>(&self, kind: &'static str, event: &T) {
--- a/crates/foxledge-daemon/src/packets/daemon.rs
+++ b/crates/foxledge-daemon/src/packets/daemon.rs
@@ -34,6 +34,7 @@
 
 use crate::{
     clock::ProcessClock,
+    directory::PartDirectory,
     listener::POLL_PRIORITY,
     phase::PhaseCell,
     sockets::{bind_tcp, bind_udp},
@@ -42,10 +43,14 @@
 
 use super::{
     clock::BootClock,
-    context::{PacketAdapters, PacketContext, PacketDirectory, SharedContext},
+    context::{PacketAdapters, PacketContext, SharedContext},
     event_log::EventLog,
+    fleet_part::FleetPart,
+    flow_part::FlowPart,
+    life_part::LifePart,
     metrics::PacketMetrics,
-    parts::{PacketParts, PacketSupervisor},
+    part_kind::PacketSupervisor,
+    parts::PacketParts,
     reports::{MemberReport, StatusReport},
     side::{OperatorQuestion, SideEvent, SideThread},
 };
@@ -176,7 +181,7 @@
         last_pause: Cell::new((ClockTime::ZERO, Duration::ZERO)),
         packet_at: Cell::new(ClockTime::ZERO),
         side,
-        directory: PacketDirectory::default(),
+        directory: PartDirectory::default(),
         audit: OnceCell::new(),
     }))
 }
@@ -186,7 +191,7 @@
     let options = SupervisorOptions::new(ProcessClock::start(), seed).audit_limit(AUDIT_ENTRIES);
     let starter = Box::new(PacketParts::new(context.clone()));
     let root = actor!(stakker, PacketSupervisor::init(options, starter), ret_shutdown!(stakker));
-    context.directory.root.set(&root);
+    context.directory.set(&root);
     // The root supervisor is made once, so the cell is empty.
     let _ = context.audit.set(fwd_to!([root], record() as (AuditChange)));
     root
@@ -219,7 +224,7 @@
 fn take_event(context: &SharedContext, event: SideEvent) {
     match event {
         SideEvent::Reading(order, answer) => {
-            if let Some(fleet) = context.directory.fleet.get() {
+            if let Some(fleet) = context.directory.get::<FleetPart>() {
                 call!([fleet], take_reading(order, answer));
             }
         }
@@ -229,7 +234,7 @@
         SideEvent::Ended(why) => {
             context.note("side_ended", &serde_json::json!({ "event": "side_ended", "why": why }));
             context.log.borrow_mut().write();
-            if let Some(root) = context.directory.root.get() {
+            if let Some(root) = context.directory.get::<PacketSupervisor>() {
                 call!([root], give_up(why));
             }
         }
@@ -248,7 +253,7 @@
             let _ = sender.send(Value::Null);
         }
         OperatorQuestion::Status => {
-            let Some(flows) = context.directory.flows.get() else { return };
+            let Some(flows) = context.directory.get::<FlowPart>() else { return };
             let shared = context.clone();
             let answer = Box::new(move |routing| {
                 let report = status_report(&shared, routing);
@@ -257,14 +262,14 @@
             call!([flows], report(answer));
         }
         OperatorQuestion::Explain(key, token) => {
-            let Some(flows) = context.directory.flows.get() else { return };
+            let Some(flows) = context.directory.get::<FlowPart>() else { return };
             let answer = Box::new(move |report| {
                 let _ = sender.send(serde_json::to_value(report).unwrap_or_default());
             });
             call!([flows], explain(key, token, answer));
         }
         OperatorQuestion::Audit => {
-            let Some(root) = context.directory.root.get() else { return };
+            let Some(root) = context.directory.get::<PacketSupervisor>() else { return };
             let answer = Box::new(move |entries| {
                 let _ = sender.send(serde_json::to_value(entries).unwrap_or_default());
             });
@@ -292,7 +297,7 @@
     metrics.list_age_ms.set(context.confirmed_age_ms().map_or(-1, |age| age as i64));
     metrics.lines_suppressed.set(context.log.borrow().suppressed() as i64);
     drop(member);
-    if let Some(flows) = context.directory.flows.get() {
+    if let Some(flows) = context.directory.get::<FlowPart>() {
         call!([flows], set_gauges());
     }
 }
@@ -305,7 +310,7 @@
 ) -> Result<ChannelGuard> {
     let shared = context.clone();
     let hand_over = fwd_do!(move |signal: i32| {
-        if let Some(life) = shared.directory.life.get() {
+        if let Some(life) = shared.directory.get::<LifePart>() {
             call!([life], on_signal(signal));
         }
     });
--- a/crates/foxledge-daemon/src/packets/fleet_part.rs
+++ b/crates/foxledge-daemon/src/packets/fleet_part.rs
@@ -17,7 +17,7 @@
 
 use crate::listener::{BATCH_LIMIT, POLL_PRIORITY};
 
-use super::{context::SharedContext, side::SideOrder};
+use super::{context::SharedContext, flow_part::FlowPart, life_part::LifePart, side::SideOrder};
 
 /// Larger than any message, so that one that is too long shows as cut.
 const READ_SIZE: usize = 2 * LARGEST_MESSAGE;
@@ -120,7 +120,7 @@
         let late_ms = pause.as_millis() as u64;
         let line = PauseLine { event: "paused", late_ms, discarded_messages };
         self.context.note("paused", &line);
-        if let Some(flows) = self.context.directory.flows.get() {
+        if let Some(flows) = self.context.directory.get::<FlowPart>() {
             call!([flows], note_pause());
         }
         self.context.last_pause.set((self.context.clock.now(), pause));
@@ -174,23 +174,23 @@
             }
             FleetEffect::Rows(rows) => {
                 self.set_list_metrics();
-                if let Some(flows) = directory.flows.get() {
+                if let Some(flows) = directory.get::<FlowPart>() {
                     call!([flows], take_rows(rows));
                 }
-                if let Some(life) = directory.life.get() {
+                if let Some(life) = directory.get::<LifePart>() {
                     call!([life], consider_serving());
                 }
             }
             FleetEffect::Confirmed(at) => {
-                if let Some(flows) = directory.flows.get() {
+                if let Some(flows) = directory.get::<FlowPart>() {
                     call!([flows], take_confirmation(at));
                 }
-                if let Some(life) = directory.life.get() {
+                if let Some(life) = directory.get::<LifePart>() {
                     call!([life], consider_serving());
                 }
             }
             FleetEffect::Note(note) => {
-                if let Some(flows) = directory.flows.get() {
+                if let Some(flows) = directory.get::<FlowPart>() {
                     call!([flows], take_note(note));
                 }
             }
--- a/crates/foxledge-daemon/src/packets/flow_part.rs
+++ b/crates/foxledge-daemon/src/packets/flow_part.rs
@@ -25,6 +25,7 @@
 
 use super::{
     context::SharedContext,
+    fleet_part::FleetPart,
     reports::{ExplainReport, RouteReport},
 };
 
@@ -420,7 +421,7 @@
         for note in &notes {
             self.log_note(note, "self");
         }
-        if let Some(fleet) = self.context.directory.fleet.get() {
+        if let Some(fleet) = self.context.directory.get::<FleetPart>() {
             call!([fleet], share_notes(notes));
         }
     }
--- a/crates/foxledge-daemon/src/packets/life_part.rs
+++ b/crates/foxledge-daemon/src/packets/life_part.rs
@@ -12,7 +12,7 @@
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use stakker::{CX, StopCause, after, call};
 
-use super::context::SharedContext;
+use super::{context::SharedContext, fleet_part::FleetPart};
 
 /// Longest wait for somebody's word that the list is the newest, in
 /// milliseconds, once a list is known.
@@ -112,7 +112,7 @@
                 let limit_ms = self.context.settings.borrow().stop_ms;
                 self.context.note("stop_begun", &LifeLine::StopBegun { signal, limit_ms });
                 self.set_phase(EnginePhase::Leaving, "planned stop");
-                if let Some(fleet) = self.context.directory.fleet.get() {
+                if let Some(fleet) = self.context.directory.get::<FleetPart>() {
                     call!([fleet], leave());
                 }
                 self.begin_leaving(cx);
--- a/crates/foxledge-daemon/src/packets/mod.rs
+++ b/crates/foxledge-daemon/src/packets/mod.rs
@@ -13,6 +13,7 @@
 pub mod flow_part;
 pub mod life_part;
 pub mod metrics;
+pub mod part_kind;
 pub mod parts;
 pub mod reports;
 pub mod side;
--- a/crates/foxledge-daemon/src/packets/parts.rs
+++ b/crates/foxledge-daemon/src/packets/parts.rs
@@ -3,36 +3,16 @@
 use serde::Serialize;
 use stakker::{ActorOwnAnon, CX, Ret, StopCause, actor};
 
-use crate::supervisor::{PartName, PartStarter, Supervisor};
+use crate::supervisor::{PartName, PartStarter};
 
 use super::{
-    context::SharedContext, fleet_part::FleetPart, flow_part::FlowPart, life_part::LifePart,
+    context::SharedContext,
+    fleet_part::FleetPart,
+    flow_part::FlowPart,
+    life_part::LifePart,
+    part_kind::{PacketPart, PacketSupervisor},
 };
 
-/// `PacketPart` is one part of the packets' tree.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum PacketPart {
-    /// Packets of callers.
-    Flows,
-    /// Start and planned stop.
-    Life,
-    /// List and peers.
-    Fleet,
-}
-
-impl PartName for PacketPart {
-    fn as_str(self) -> &'static str {
-        match self {
-            PacketPart::Flows => "flows",
-            PacketPart::Life => "life",
-            PacketPart::Fleet => "fleet",
-        }
-    }
-}
-
-/// `PacketSupervisor` is the root of the packets' tree.
-pub type PacketSupervisor = Supervisor<PacketPart>;
-
 /// `PacketParts` starts the parts and enters each in the directory.
 pub struct PacketParts {
     context: SharedContext,
@@ -68,17 +48,17 @@
         match part {
             PacketPart::Flows => {
                 let owner = actor!(cx, FlowPart::init(context), notify);
-                directory.flows.set(&owner);
+                directory.set(&owner);
                 owner.anon()
             }
             PacketPart::Fleet => {
                 let owner = actor!(cx, FleetPart::init(context), notify);
-                directory.fleet.set(&owner);
+                directory.set(&owner);
                 owner.anon()
             }
             PacketPart::Life => {
                 let owner = actor!(cx, LifePart::init(context), notify);
-                directory.life.set(&owner);
+                directory.set(&owner);
                 owner.anon()
             }
         }
--- a/crates/foxledge-daemon/src/parts.rs
+++ b/crates/foxledge-daemon/src/parts.rs
@@ -14,42 +14,10 @@
     list_keeper::ListKeeper,
     listener::DatagramListener,
     member_keeper::MemberKeeper,
-    supervisor::{PartName, PartStarter, Supervisor},
+    part_kind::{DaemonSupervisor, PartKind},
+    supervisor::{PartName, PartStarter},
 };
 
-/// `PartKind` is one part of the daemon.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum PartKind {
-    /// Data and peer sockets.
-    Listener,
-    /// Decisions on datagrams.
-    Engine,
-    /// The newest accepted list.
-    Lists,
-    /// Which instances live.
-    Members,
-    /// Control calls, the platform's watch, metrics and health.
-    Link,
-    /// Start and planned stop.
-    Life,
-}
-
-impl PartName for PartKind {
-    fn as_str(self) -> &'static str {
-        match self {
-            PartKind::Listener => "listener",
-            PartKind::Engine => "engine",
-            PartKind::Lists => "lists",
-            PartKind::Members => "members",
-            PartKind::Link => "link",
-            PartKind::Life => "life",
-        }
-    }
-}
-
-/// `DaemonSupervisor` is the root of the request path's tree.
-pub type DaemonSupervisor = Supervisor<PartKind>;
-
 /// `DaemonParts` starts the daemon's parts and enters each in the directory.
 pub struct DaemonParts {
     context: Rc<DaemonContext>,
@@ -85,32 +53,32 @@
         match part {
             PartKind::Listener => {
                 let owner = actor!(cx, DatagramListener::init(context), notify);
-                directory.listener.set(&owner);
+                directory.set(&owner);
                 owner.anon()
             }
             PartKind::Engine => {
                 let owner = actor!(cx, EnginePart::init(context), notify);
-                directory.engine.set(&owner);
+                directory.set(&owner);
                 owner.anon()
             }
             PartKind::Lists => {
                 let owner = actor!(cx, ListKeeper::init(context), notify);
-                directory.lists.set(&owner);
+                directory.set(&owner);
                 owner.anon()
             }
             PartKind::Members => {
                 let owner = actor!(cx, MemberKeeper::init(context), notify);
-                directory.members.set(&owner);
+                directory.set(&owner);
                 owner.anon()
             }
             PartKind::Link => {
                 let owner = actor!(cx, ControlLink::init(context), notify);
-                directory.link.set(&owner);
+                directory.set(&owner);
                 owner.anon()
             }
             PartKind::Life => {
                 let owner = actor!(cx, LifeCycle::init(context), notify);
-                directory.life.set(&owner);
+                directory.set(&owner);
                 owner.anon()
             }
         }
--- a/crates/foxledge-daemon/tests/list_restart.rs
+++ b/crates/foxledge-daemon/tests/list_restart.rs
@@ -6,7 +6,7 @@
 
 use anyhow::{Context, Result};
 use common::run_until;
-use foxledge_daemon::daemon::Daemon;
+use foxledge_daemon::{daemon::Daemon, part_kind::DaemonSupervisor};
 use foxledge_engine::EnginePhase;
 use foxledge_fakes::{
     harness::{InstanceAddresses, TestPlatform, free_address, make_directory},
@@ -87,7 +87,7 @@
 
     platform.client.set_health(PlatformHealth::Down)?;
     for part in ["lists", "engine", "members", "life"] {
-        let root = daemon.context().directory.root.get().context("no root")?;
+        let root = daemon.context().directory.get::<DaemonSupervisor>().context("no root")?;
         call!([root], fail_part(part.to_owned(), Box::new(|found: bool| assert!(found))));
         run_until(&mut daemon, part, |context| {
             context.metrics.part_restarts.with_label_values(&[part]).get() == 1
--- a/crates/foxledge-daemon/tests/part_restart.rs
+++ b/crates/foxledge-daemon/tests/part_restart.rs
@@ -5,13 +5,16 @@
 use std::{rc::Rc, thread};
 
 use common::run_until;
-use foxledge_daemon::{context::DaemonContext, daemon::Daemon};
+use foxledge_daemon::{
+    context::DaemonContext, daemon::Daemon, life_cycle::LifeCycle, member_keeper::MemberKeeper,
+    part_kind::DaemonSupervisor,
+};
 use foxledge_fakes::harness::{InstanceAddresses, free_address, http};
 use foxledge_settings::parse_settings;
 use stakker::call;
 
 fn fail_part(context: &Rc<DaemonContext>, name: &str) {
-    let root = context.directory.root.get().unwrap();
+    let root = context.directory.get::<DaemonSupervisor>().unwrap();
     call!([root], fail_part(name.to_owned(), Box::new(|found: bool| assert!(found))));
 }
 
@@ -50,11 +53,11 @@
 
     // The new engine has forgotten what ran under its predecessor's tickets.
     assert!(context.me.borrow().incarnation > first_incarnation);
-    assert!(context.directory.members.get().is_some());
+    assert!(context.directory.get::<MemberKeeper>().is_some());
 
     // A stop that was asked for while the life cycle is down isn't lost.
     fail_part(&context, "life");
-    run_until(&mut daemon, "life ends", |context| context.directory.life.get().is_none());
+    run_until(&mut daemon, "life ends", |context| context.directory.get::<LifeCycle>().is_none());
     context.stop_wanted.set(true);
     daemon.run().unwrap();
 }
