--- a/crates/foxledge-daemon/src/packets/daemon.rs
+++ b/crates/foxledge-daemon/src/packets/daemon.rs
@@ -204,8 +204,7 @@
 ) -> Result<ChannelGuard> {
     let settings = context.settings.borrow();
     let admin = bind_tcp("listen.admin", settings.admin)?;
-    let metrics_listener: Option<TcpListener> =
-        settings.metrics.map(|address| bind_tcp("listen.metrics", address)).transpose()?;
+    let metrics_listener = settings.metrics.and_then(|address| bind_metrics(context, address));
     let shared = context.clone();
     let (events, guard) = Channel::new(stakker, fwd_do!(move |event| take_event(&shared, event)));
     let side = SideThread {
@@ -221,6 +220,22 @@
     Ok(guard)
 }
 
+/// Opens the metrics' own port, if it is free.
+///
+/// Callers can be served without it, and operators find the metrics at the admin
+/// address too.
+fn bind_metrics(context: &SharedContext, address: SocketAddr) -> Option<TcpListener> {
+    match bind_tcp("listen.metrics", address) {
+        Ok(listener) => Some(listener),
+        Err(error) => {
+            let event = "metrics_unavailable";
+            let error = format!("{error:#}");
+            context.note(event, &serde_json::json!({ "event": event, "error": error }));
+            None
+        }
+    }
+}
+
 fn take_event(context: &SharedContext, event: SideEvent) {
     match event {
         SideEvent::Reading(order, answer) => {
--- a/crates/foxledge-daemon/tests/packet_daemon.rs
+++ b/crates/foxledge-daemon/tests/packet_daemon.rs
@@ -2,7 +2,7 @@
 
 use std::{
     fs,
-    net::{Ipv4Addr, SocketAddr, SocketAddrV4, UdpSocket},
+    net::{Ipv4Addr, SocketAddr, SocketAddrV4, TcpListener, UdpSocket},
     path::PathBuf,
     process::{Child, Command, Stdio},
     time::{Duration, Instant},
@@ -26,13 +26,18 @@
 impl PacketProcess {
     /// Starts an instance whose store isn't there.
     fn start() -> Result<PacketProcess> {
+        PacketProcess::start_with("")
+    }
+
+    /// Starts one with more lines in the section of addresses.
+    fn start_with(listen: &str) -> Result<PacketProcess> {
         let directory = make_directory()?;
         let [admin, data, peer, store] = [(); 4].map(|()| free_address());
         let (admin, data) = (admin?, data?);
         let settings = directory.join("packets.toml");
         let text = format!(
             "[instance]\nname = \"one\"\ndata_centre = \"toledo\"\n[listen]\ndata = \"{data}\"\n\
-             peer = \"{}\"\nadmin = \"{admin}\"\n[store]\naddress = \"{}\"\n[stop]\nlimit_s = 4\n",
+             peer = \"{}\"\nadmin = \"{admin}\"\n{listen}\n[store]\naddress = \"{}\"\n[stop]\nlimit_s = 4\n",
             peer?, store?
         );
         fs::write(&settings, text)?;
@@ -153,3 +158,21 @@
     assert!(process.has_event("stopped"));
     Ok(())
 }
+
+// Symptom: an instance doesn't start, and its callers are served by nobody.
+// Sequence: another program has the port for metrics.
+// Cause: what only operators need is taken for what callers need.
+#[test]
+fn taken_metrics_port() -> Result<()> {
+    let taken = TcpListener::bind(SocketAddrV4::new(Ipv4Addr::LOCALHOST, 0))?;
+    let address = taken.local_addr()?;
+    let process = PacketProcess::start_with(&format!("metrics = \"{address}\""))?;
+    wait_until("the port is named", START_LIMIT, || process.has_event("metrics_unavailable"))?;
+    let events = process.events()?;
+    let line = events.iter().find(|event| event["event"] == "metrics_unavailable");
+    let error = line.and_then(|line| line["error"].as_str()).unwrap_or_default();
+    assert!(error.contains(&format!("{address} (listen.metrics)")), "{error}");
+    // They are still served where operators ask.
+    assert!(process.get("/metrics").is_some_and(|text| text.contains("foxledge_")));
+    Ok(())
+}
