End flows to a long silent backend server at the first resend

Change: when the silence had lasted half a second before the data was sent, its first resend suffices. Silence now counts from its first sign, not the last. Ruled out: ending at the first resend whatever is known (one lost copy would do). Test: long_silence_ends_sooner, red before; one_flow_one_backend holds both rules against a model.

--- a/crates/foxledge-flows/src/health.rs
+++ b/crates/foxledge-flows/src/health.rs
@@ -53,7 +53,7 @@
     ejections: u32,
     alive_at: ClockTime,
     strikes: u32,
-    /// When something was last found unanswered, since the last sign of life.
+    /// When something was first found unanswered since the last sign of life.
     silent_at: Option<ClockTime>,
 }
 
@@ -119,12 +119,13 @@
         if self.alive_at > sent {
             return None;
         }
-        let is_news = self.silent_at.replace(now).is_none();
+        let is_news = self.silent_at.is_none();
+        self.silent_at.get_or_insert(now);
         let is_ejected = self.confirm(now).is_some();
         (is_news || is_ejected).then_some(NoteKind::Silent)
     }
 
-    /// When something was found unanswered, if nothing was heard of it since.
+    /// When something was first found unanswered, if nothing was heard of it since.
     pub fn silent_at(&self) -> Option<ClockTime> {
         self.silent_at
     }
@@ -151,7 +152,7 @@
                 self.suspect_until = self.suspect_until.max(note.at.after_millis(SUSPECT_MS));
             }
             NoteKind::Silent => {
-                self.silent_at = self.silent_at.max(Some(note.at));
+                self.silent_at = Some(self.silent_at.map_or(note.at, |at| at.min(note.at)));
                 self.confirm(now);
             }
             NoteKind::Ejected => drop(self.confirm(now)),
--- a/crates/foxledge-flows/src/router.rs
+++ b/crates/foxledge-flows/src/router.rs
@@ -442,10 +442,14 @@
 ///
 /// Without this, requests on flows to a dead backend server fail at their deadline,
 /// though others could answer them. A false alarm breaks a flow that lives. It takes the
-/// loss of three copies of this flow's data, of an opening packet and its caller's copy
-/// or of three copies of another flow's data, and of every sign of life in between.
+/// loss of an opening packet and its caller's copy, or of three copies of another flow's
+/// data, of every sign of life in between, and of this flow's data: of three copies, or
+/// of two if the silence had lasted for [`LOST_MS`] before.
 fn loss(now: ClockTime, stall: FlowStall, silent_at: Option<ClockTime>) -> Option<EndReason> {
-    let silent_at = silent_at.filter(|_| stall.waited_ms >= LOST_MS)?;
-    let silent_ms = now.since(silent_at).as_millis() as u64;
+    let silent_ms = now.since(silent_at?).as_millis() as u64;
+    let is_old_silence = silent_ms >= stall.waited_ms + LOST_MS;
+    if stall.waited_ms < LOST_MS && !is_old_silence {
+        return None;
+    }
     Some(EndReason::BackendSilent { waited_ms: stall.waited_ms, silent_ms })
 }
--- a/crates/foxledge-flows/tests/dead_backend.rs
+++ b/crates/foxledge-flows/tests/dead_backend.rs
@@ -154,6 +154,24 @@
     }
 }
 
+// Symptom: seconds after a backend server died, callers still wait 600 ms on flows there.
+// Sequence: flows that were idle ask one after the other; each must find out by itself.
+// Cause: what is known for long counts no more than what was seen just now.
+#[test]
+fn long_silence_ends_sooner() {
+    let (mut router, key) = flow_at_first();
+    unanswered_opening(&mut router, 1_000);
+    let request = data(key, 1, 2_000, 1);
+    let decision = router.on_packet(at(1_690), &request);
+    assert!(matches!(decision, FlowDecision::Forward { stall: None, .. }), "{decision:?}");
+    let decision = router.on_packet(at(1_890), &request);
+    assert!(matches!(decision, FlowDecision::Forward { stall: Some(_), .. }), "{decision:?}");
+    let other = FlowKey { caller: common::key(8, 1).caller, ..key };
+    router.on_packet(at(1_701), &data(other, 1, 2_000, 1));
+    let decision = router.on_packet(at(1_901), &data(other, 1, 2_000, 1));
+    assert!(matches!(decision, FlowDecision::End { .. }), "{decision:?}");
+}
+
 // Symptom: an upload is broken off 200 ms after its last part was sent.
 // Sequence: parts of a request are sent for half a second; one of them is lost.
 // Cause: the wait is counted from the first part, though the last was sent just now.
