--- a/crates/foxledge-bench/src/flows/routing.rs
+++ b/crates/foxledge-bench/src/flows/routing.rs
@@ -30,7 +30,10 @@
         }
         let decision = self.instances[instance].router.on_packet(self.now, &packet);
         match decision {
-            FlowDecision::Open { backend, .. } => self.place(instance, flow, backend, &packet),
+            FlowDecision::Open { backend, .. } => {
+                self.count_opening(instance, backend, &packet);
+                self.pass_on(instance, flow, backend, &packet);
+            }
             FlowDecision::Forward { backend, .. } => self.pass_on(instance, flow, backend, &packet),
             FlowDecision::Refuse(_) => self.push_after(CALLER_WAY, FlowEvent::Reset { flow }),
             FlowDecision::End { backend, .. } => {
@@ -46,24 +49,19 @@
         self.share_notes(instance);
     }
 
-    pub(super) fn place(
-        &mut self,
-        instance: usize,
-        flow: u64,
-        backend: usize,
-        packet: &FlowPacket,
-    ) {
+    /// Counts a new flow, and whether a silent backend server got it unawares.
+    fn count_opening(&mut self, instance: usize, backend: usize, packet: &FlowPacket) {
+        if packet.kind != (PacketKind::Open { copy: 0 }) {
+            return;
+        }
         let Some(server) = self.server_at(instance, backend) else { return };
         let router = &self.instances[instance].router;
         let class = router.backend(backend).map(|backend| backend.health.class(self.now));
         // Once ejected, one flow at a time tries it on purpose.
         let silent = self.servers[server].silent_at.filter(|_| class == Some(HealthClass::Healthy));
-        if packet.kind == (PacketKind::Open { copy: 0 }) {
-            self.tally.add_opening(self.now, silent);
-            let is_far = self.server_centres[server] != self.instances[instance].centre;
-            self.tally.opened_far += u64::from(is_far);
-        }
-        self.pass_on(instance, flow, backend, packet);
+        self.tally.add_opening(self.now, silent);
+        let is_far = self.server_centres[server] != self.instances[instance].centre;
+        self.tally.opened_far += u64::from(is_far);
     }
 
     pub(super) fn pass_on(
--- a/crates/foxledge-policy/tests/slot_leases.rs
+++ b/crates/foxledge-policy/tests/slot_leases.rs
@@ -22,6 +22,18 @@
     trial.desk.status(trial.now).targets.iter().map(|target| target.busy).sum()
 }
 
+/// A bid that its target accepted and that is past its deadline, and its dispatch.
+fn overdue_bid() -> (DeskTrial, u64) {
+    let mut trial = DeskTrial::new(DeskOptions::new(), 1);
+    let mut item = bid(&trial, 1, "m");
+    item.deadline = trial.now.after_millis(1000);
+    trial.offer(item);
+    let dispatch = trial.dispatch_of(1);
+    trial.signal(dispatch, TargetSignal::Accepted);
+    trial.pass(1000);
+    (trial, dispatch)
+}
+
 #[test]
 fn a_slot_is_held_from_dispatch_to_end() {
     let mut trial = DeskTrial::new(DeskOptions::new(), 2);
@@ -54,13 +66,7 @@
 // Cause: a slot without a lease waits for an end for ever.
 #[test]
 fn a_lease_gives_the_slot_back() {
-    let mut trial = DeskTrial::new(DeskOptions::new(), 1);
-    let mut item = bid(&trial, 1, "m");
-    item.deadline = trial.now.after_millis(1000);
-    trial.offer(item);
-    let dispatch = trial.dispatch_of(1);
-    trial.signal(dispatch, TargetSignal::Accepted);
-    trial.pass(1000);
+    let (mut trial, dispatch) = overdue_bid();
     assert_eq!(trial.cancelled, [dispatch], "the target is told at the deadline");
     trial.pass(400);
     assert_eq!(busy(&trial), 1);
@@ -171,13 +177,7 @@
 // Cause: nobody told the target that the deadline had passed.
 #[test]
 fn overdue_work_in_a_targets_queue_is_refused_at_once() {
-    let mut trial = DeskTrial::new(DeskOptions::new(), 1);
-    let mut item = bid(&trial, 1, "m");
-    item.deadline = trial.now.after_millis(1000);
-    trial.offer(item);
-    let dispatch = trial.dispatch_of(1);
-    trial.signal(dispatch, TargetSignal::Accepted);
-    trial.pass(1000);
+    let (mut trial, dispatch) = overdue_bid();
     trial.signal(dispatch, TargetSignal::NotRun(RefuseReason::Cancelled));
     let refusal = trial.refused[&1];
     assert_eq!((refusal.ran, refusal.reason), (RunState::NotRun, RefuseReason::DeadlinePassed));
--- a/crates/foxledge-soak/tests/store_client.rs
+++ b/crates/foxledge-soak/tests/store_client.rs
@@ -26,6 +26,16 @@
     runtime::Builder::new_current_thread().enable_all().build().expect("runs").block_on(test);
 }
 
+/// A store, a link to it, and a client that has read through the link.
+async fn linked_client() -> (StandInStore, StoreLink, StoreClient) {
+    let (store, address) = store_with_entries(1).await;
+    let near = next_address();
+    let link = StoreLink::start(near, address).await.expect("starts");
+    let mut client = StoreClient::new(near);
+    assert!(client.read_all(ReadMode::Newest).await.is_ok());
+    (store, link, client)
+}
+
 async fn store_with_entries(count: u64) -> (StandInStore, SocketAddrV4) {
     let address = next_address();
     let store = StandInStore::start(address).await.expect("starts");
@@ -111,11 +121,7 @@
 #[test]
 fn silent_connection_left() {
     run(async {
-        let (_store, address) = store_with_entries(1).await;
-        let near = next_address();
-        let link = StoreLink::start(near, address).await.expect("starts");
-        let mut client = StoreClient::new(near);
-        assert!(client.read_all(ReadMode::Newest).await.is_ok());
+        let (_store, link, mut client) = linked_client().await;
         link.set(LinkFault::Silence);
         sleep(Duration::from_millis(50)).await;
         assert!(matches!(client.watch(101, 20).await, Err(SourceError::Timeout(_))));
@@ -126,11 +132,7 @@
 #[test]
 fn reset_connection_left() {
     run(async {
-        let (_store, address) = store_with_entries(1).await;
-        let near = next_address();
-        let link = StoreLink::start(near, address).await.expect("starts");
-        let mut client = StoreClient::new(near);
-        assert!(client.read_all(ReadMode::Newest).await.is_ok());
+        let (_store, link, mut client) = linked_client().await;
         link.set(LinkFault::Reset);
         sleep(Duration::from_millis(50)).await;
         link.set(LinkFault::None);
