Break circles of imports between modules

Cause: plain types stood in the module that uses them most, so that modules imported each other: a run's plan in the measuring tool's world, the steps of its faults beside what carries them out, a home's work beside the engine's methods. Change: run_plan, fault_plan, fleet choice and the engine's work have modules of their own; constants stand where they are used first. By a look at all imports, circles are left where actors call each other (daemon), where methods of one type stand in several files (rules, soak, harness), and nowhere in engine, bench and gossip. Nothing is decided differently.

--- a/crates/foxledge-bench/src/events.rs
+++ b/crates/foxledge-bench/src/events.rs
@@ -5,7 +5,7 @@
 use foxledge_core::time::ClockTime;
 use foxledge_policy::{TargetLoad, TargetSignal};
 
-use crate::{faults::FaultStep, targets::TargetJob};
+use crate::{fault_plan::FaultStep, targets::TargetJob};
 
 /// `SimEvent` is one thing that happens.
 #[derive(Clone, Copy, Debug, PartialEq)]
--- a/crates/foxledge-bench/src/fleet/run.rs
+++ b/crates/foxledge-bench/src/fleet/run.rs
@@ -10,7 +10,8 @@
 };
 
 use super::{
-    loads::{FleetLoad, MemberFlood},
+    choice::FleetChoice,
+    loads::MemberFlood,
     mishaps::FleetMishap,
     summary::{FleetFigure, summarize},
     usage::{highest_resident, read_fleet},
@@ -21,25 +22,6 @@
 /// How long after the load a caller may take to end.
 const END_LIMIT: Duration = Duration::from_secs(90);
 
-/// `FleetChoice` is what to run.
-#[derive(Clone, Debug)]
-pub struct FleetChoice {
-    /// The workload.
-    pub load: FleetLoad,
-    /// Load relative to what the desk's slots can carry.
-    pub level: f64,
-    /// What goes wrong halfway.
-    pub mishap: FleetMishap,
-    /// Instances in each data centre.
-    pub instances: usize,
-    /// How long callers send.
-    pub seconds: u64,
-    /// Seed of callers, fabrics and backend servers.
-    pub seed: u64,
-    /// TOML laid over the settings of every instance.
-    pub settings: String,
-}
-
 /// Runs one workload and sums it up.
 pub fn run_fleet(choice: &FleetChoice) -> Result<FleetFigure> {
     let mode = match choice.mishap {
--- a/crates/foxledge-bench/src/fleet/summary.rs
+++ b/crates/foxledge-bench/src/fleet/summary.rs
@@ -6,7 +6,7 @@
 use foxledge_fakes::report::{ImbalanceReport, LoadReport, Verdict};
 use serde::Serialize;
 
-use super::{run::FleetChoice, usage::DaemonUsage};
+use super::{choice::FleetChoice, usage::DaemonUsage};
 
 /// `FleetFigure` is one run in figures.
 #[derive(Clone, Debug, Serialize)]
--- a/crates/foxledge-bench/src/flows/plan.rs
+++ b/crates/foxledge-bench/src/flows/plan.rs
@@ -29,6 +29,8 @@
 pub const TROUBLE_AT: Duration = Duration::from_secs(5);
 /// When the troubles that end do so.
 pub const TROUBLE_END: Duration = Duration::from_secs(9);
+/// Period at which an instance looks for unanswered openings.
+pub(super) const TICK: Duration = Duration::from_millis(10);
 /// When callers stop.
 pub const RUN_TIME: Duration = Duration::from_secs(12);
 
--- a/crates/foxledge-bench/src/flows/routing.rs
+++ b/crates/foxledge-bench/src/flows/routing.rs
@@ -6,7 +6,7 @@
 use rand::Rng;
 
 use crate::flows::{
-    plan::RUN_TIME,
+    plan::{RUN_TIME, TICK},
     world::{CALLER_WAY, FlowEvent, FlowWorld, start},
 };
 
@@ -16,8 +16,6 @@
 const FAR_WAY: Duration = Duration::from_micros(500);
 /// Time until an observation has gone round.
 const NOTE_TIME: Duration = Duration::from_millis(2);
-/// Period at which an instance looks for unanswered openings.
-pub(super) const TICK: Duration = Duration::from_millis(10);
 /// Share of packets that are lost where some are.
 const LOSS: f64 = 0.3;
 
--- a/crates/foxledge-bench/src/flows/world.rs
+++ b/crates/foxledge-bench/src/flows/world.rs
@@ -10,10 +10,9 @@
     events::EventQueue,
     flows::{
         callers::{FlowRequest, SimFlow},
-        plan::{CENTRES, FlowPlan, RUN_TIME, SERVERS, SITE_LEVEL, TROUBLE_AT, TROUBLE_END},
+        plan::{CENTRES, FlowPlan, RUN_TIME, SERVERS, SITE_LEVEL, TICK, TROUBLE_AT, TROUBLE_END},
         published::published_rows,
         report::FlowResult,
-        routing::TICK,
         servers::{ServerRun, SimServer},
         tally::FlowTally,
     },
--- a/crates/foxledge-bench/src/sweep.rs
+++ b/crates/foxledge-bench/src/sweep.rs
@@ -9,8 +9,9 @@
 use crate::{
     places::PlaceKind,
     report::RunResult,
+    run_plan::RunPlan,
     workloads::{LOADS, LoadVariant, service_loads},
-    world::{RunPlan, run_plan},
+    world::run_plan,
 };
 
 /// `SweepChoice` narrows a sweep down; what is empty takes all.
--- a/crates/foxledge-bench/src/tally.rs
+++ b/crates/foxledge-bench/src/tally.rs
@@ -5,7 +5,7 @@
 use foxledge_core::time::ClockTime;
 use foxledge_policy::{RefuseReason, status::DeskCounters};
 
-use crate::{arrivals::RequestArrival, world::RunPlan};
+use crate::{arrivals::RequestArrival, run_plan::RunPlan};
 
 /// What comes before isn't measured.
 pub const WARM_UP: Duration = Duration::from_secs(2);
--- a/crates/foxledge-bench/src/world.rs
+++ b/crates/foxledge-bench/src/world.rs
@@ -14,12 +14,13 @@
 use crate::{
     arrivals::ArrivalSource,
     events::{EventQueue, SimEvent},
-    faults::fault_plan,
+    fault_plan::fault_plan,
     places::{INSTANCES, PlaceKind},
     report::RunResult,
+    run_plan::RunPlan,
     tally::{RunTally, WorkOutcome, WorkRecord},
     targets::{SimTarget, TargetJob},
-    workloads::{LoadVariant, ServiceLoad},
+    workloads::ServiceLoad,
 };
 
 /// One way between a caller and an instance.
@@ -39,21 +40,6 @@
 /// What comes before isn't measured.
 const WARM_UP: Duration = Duration::from_secs(2);
 
-/// `RunPlan` says which run to make.
-#[derive(Clone, Copy, Debug)]
-pub struct RunPlan {
-    /// The service with its callers.
-    pub load: ServiceLoad,
-    /// Load relative to what the slots can carry.
-    pub level: f64,
-    /// What else is done.
-    pub variant: LoadVariant,
-    /// Where work is admitted.
-    pub place: PlaceKind,
-    /// The seed.
-    pub seed: u64,
-}
-
 /// `SimWorld` is a data centre's instances, one service and its callers.
 pub struct SimWorld {
     pub(crate) plan: RunPlan,
--- a/crates/foxledge-engine/src/answers.rs
+++ b/crates/foxledge-engine/src/answers.rs
@@ -14,10 +14,11 @@
 use crate::{
     effects::EnginePhase,
     engine::FlowEngine,
-    home::{RunTracking, bare_packet},
+    home::bare_packet,
     ledger::RequestState,
     packets::{refuse_reason, target_load},
     placement::DeskKey,
+    work::RunTracking,
 };
 
 impl FlowEngine {
--- a/crates/foxledge-engine/src/dispatch.rs
+++ b/crates/foxledge-engine/src/dispatch.rs
@@ -12,11 +12,12 @@
     desks::target_subject,
     effects::EngineEffect,
     engine::FlowEngine,
-    home::{RunTracking, bare_packet, wanted_span},
+    home::{bare_packet, wanted_span},
     journal::{FlowEvent, TargetPlace},
     ledger::{RequestKey, RequestState},
     packets::desk_refusal,
     placement::DeskKey,
+    work::RunTracking,
 };
 
 impl FlowEngine {
--- a/crates/foxledge-engine/src/engine.rs
+++ b/crates/foxledge-engine/src/engine.rs
@@ -31,13 +31,13 @@
     desks::DeskSet,
     effects::{EngineEffect, EnginePhase},
     forwards::{ForwardTable, SilentHomes},
-    home::HomeWork,
     journal::{FlowEvent, FlowJournal},
     ledger::{RequestKey, RunLedger},
     options::{EngineOptions, FEED_CHECK, RUN_CHECK},
     packets::reply_to,
     placement::{DeskKey, HomePlacement, placement_of},
     status::{DeskEntry, EngineStatus},
+    work::HomeWork,
 };
 
 /// Shortest time between two audit entries about requests left unknown.
--- a/crates/foxledge-engine/src/home.rs
+++ b/crates/foxledge-engine/src/home.rs
@@ -19,7 +19,7 @@
     engine::FlowEngine,
     ledger::{RequestKey, RequestState},
     packets::{DEFAULT_RETRY, not_run, unknown},
-    placement::DeskKey,
+    work::{HomeWork, RunTracking},
 };
 
 /// Longest deadline that a caller's packet may ask for.
@@ -27,15 +27,6 @@
 /// Deadline of a packet that names none.
 const DEFAULT_DEADLINE: Duration = Duration::from_secs(2);
 
-/// `RunTracking` is what the home can say of a request that it refuses.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum RunTracking {
-    /// Runs through this process only, by ticket: "not run" can be said.
-    ByTicket,
-    /// Idempotent: a copy may run through another home.
-    Untracked,
-}
-
 /// `RunTerms` is on what terms a request may run here.
 #[derive(Clone, Copy, Debug)]
 pub struct RunTerms {
@@ -47,42 +38,6 @@
     pub forget_at: ClockTime,
 }
 
-/// `HomeWork` is one request or feed that was opened at this home.
-#[derive(Debug)]
-pub struct HomeWork {
-    /// Which request.
-    pub key: RequestKey,
-    /// The service address that its caller wants.
-    pub address: ServiceAddress,
-    /// The member it is counted for.
-    pub member: MemberName,
-    /// Its desk.
-    pub desk: DeskKey,
-    /// The opening packet; an open feed keeps none.
-    pub packet: Option<Box<Packet>>,
-    /// Where its caller was last seen.
-    pub caller: SocketAddr,
-    /// Kind of traffic.
-    pub kind: TrafficKind,
-    /// What can be said when it is refused.
-    pub tracking: RunTracking,
-    /// When the caller gives up.
-    pub deadline: ClockTime,
-    /// When it arrived here.
-    pub arrived: ClockTime,
-    /// Until when the ledger has to know it.
-    pub forget_at: ClockTime,
-    /// Its present dispatch; 0 while it waits.
-    pub dispatch: u64,
-}
-
-impl HomeWork {
-    /// True for a long-lived connection.
-    pub fn is_feed(&self) -> bool {
-        self.kind == TrafficKind::Feed
-    }
-}
-
 impl FlowEngine {
     /// Takes a packet as the home of its service.
     pub(crate) fn take_as_home(
--- a/crates/foxledge-engine/src/lib.rs
+++ b/crates/foxledge-engine/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod refresh;
 pub mod status;
 pub mod tickets;
+pub mod work;
 
 pub use counters::EngineCounters;
 pub use effects::{EngineEffect, EnginePhase};
--- a/crates/foxledge-engine/src/tickets.rs
+++ b/crates/foxledge-engine/src/tickets.rs
@@ -10,9 +10,10 @@
 use crate::{
     effects::EnginePhase,
     engine::FlowEngine,
-    home::{RunTerms, RunTracking},
+    home::RunTerms,
     ledger::RequestKey,
     packets::{DEFAULT_RETRY, not_run, reply_to, unknown},
+    work::RunTracking,
 };
 
 impl FlowEngine {
--- a/crates/foxledge-gossip/src/member.rs
+++ b/crates/foxledge-gossip/src/member.rs
@@ -17,9 +17,11 @@
     options::MemberOptions,
     peers::PeerTable,
     pulls::ListPull,
-    spreading::BEAT_MS,
 };
 
+/// Longest time between two heartbeats, in milliseconds.
+pub(crate) const BEAT_MS: u64 = 1_000;
+
 /// Wait of an instance named as a seed before it reads at its start, in
 /// milliseconds; the second seed waits twice, the third three times as long.
 /// A peer that has the list answers within a few milliseconds.
--- a/crates/foxledge-gossip/src/spreading.rs
+++ b/crates/foxledge-gossip/src/spreading.rs
@@ -10,7 +10,7 @@
 use crate::{
     effects::{FleetEffect, FleetEvent},
     election::ReaderClaim,
-    member::FleetMember,
+    member::{BEAT_MS, FleetMember},
     messages::{
         BeatMessage, ClaimMessage, FleetMessage, LARGEST_MESSAGE, MessageBody, NoteMessage,
     },
@@ -25,8 +25,6 @@
 /// Age of the last confirmation at which peers are asked for a newer one, in
 /// milliseconds: a reader's period of 1.1 s and some room.
 pub(crate) const DOUBT_MS: u64 = 1_250;
-/// Longest time between two heartbeats, in milliseconds.
-pub(crate) const BEAT_MS: u64 = 1_000;
 /// Peers of the own data centre that news are passed on to. With three, one
 /// epidemic reaches 94 of 100; the next, a second later, the rest.
 const NEAR_FANOUT: usize = 3;
--- a/crates/foxledge-proofs/src/hand_caller.rs
+++ b/crates/foxledge-proofs/src/hand_caller.rs
@@ -20,10 +20,7 @@
     flow::{Packet, PacketKind, RefusalReason, RunOutcome},
 };
 
-use crate::once::{MEMBER, WIDE_LIMIT};
-
-/// Time between two sendings of a packet that finds no answer.
-pub const SEND_PERIOD: Duration = Duration::from_millis(200);
+use crate::once::{MEMBER, SEND_PERIOD, WIDE_LIMIT};
 
 /// `FinalWord` is what a caller was told last of a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/foxledge-proofs/src/once.rs
+++ b/crates/foxledge-proofs/src/once.rs
@@ -13,9 +13,11 @@
 use foxledge_seal::{KeyRing, seals::open_ticket};
 use foxledge_wire::flow::{Packet, RefusalReason, Ticket};
 
+use crate::gate::GatedFleet;
 pub use crate::hand_caller::{FinalWord, HandCaller};
-use crate::{gate::GatedFleet, hand_caller::SEND_PERIOD};
 
+/// Time between two sendings of a packet that finds no answer.
+pub const SEND_PERIOD: Duration = Duration::from_millis(200);
 /// The data centre of fleets that have one.
 pub const CENTRE: &str = "toledo";
 /// The service that bids go to, and its address.
