--- a/crates/foxledge-gossip/tests/quiet_fleet.rs
+++ b/crates/foxledge-gossip/tests/quiet_fleet.rs
@@ -35,6 +35,29 @@
     }
 }
 
+#[test]
+fn changes_stay_cheap() {
+    // A hundred changes a second, as when all backend servers start: those that come
+    // close together share messages, and an instance's bytes don't grow with the fleet.
+    for counts in [&[2, 2, 2, 1][..], &[21, 24, 19, 23], &[75, 75, 75, 75]] {
+        let mut fleet = settled_fleet(counts, 1);
+        let sent = |fleet: &common::VirtualFleet| {
+            fleet.seats.iter().map(|seat| seat.sent_bytes).sum::<u64>()
+        };
+        let before = sent(&fleet);
+        for number in 0..300 {
+            fleet.store.register(1_000 + number, false);
+            fleet.store_changed();
+            fleet.run(10);
+        }
+        let head = fleet.store.head;
+        assert!(fleet.run_until(1_000, |fleet| fleet.all_know(head)).is_some());
+        let bytes = (sent(&fleet) - before) / 300 / fleet.seats.len() as u64;
+        println!("{counts:?}: {bytes} bytes a change and instance");
+        assert!(bytes <= 400, "{counts:?}: {bytes} bytes a change and instance");
+    }
+}
+
 #[test]
 fn fresh_everywhere() {
     for counts in [&[2, 2, 2, 1][..], &[21, 24, 19, 23], &[75, 75, 75, 75]] {
