--- a/crates/foxledge-bench/src/flows/asking.rs
+++ b/crates/foxledge-bench/src/flows/asking.rs
@@ -18,6 +18,7 @@
 const SHIFT: (f64, usize, usize) = (0.8, 0, 1);
 
 impl FlowWorld {
+    /// Plans the next request of a data centre's callers.
     pub(super) fn next_arrival(&mut self, centre: usize) {
         let mean_run = FEED_RUN.mul_f64(FEED_SHARE) + BID_RUN.mul_f64(1.0 - FEED_SHARE);
         let capacity = f64::from(SLOTS) * SERVERS as f64 / mean_run.as_secs_f64();
@@ -28,6 +29,7 @@
         self.push_after(Duration::from_secs_f64(gap), FlowEvent::Arrive { centre });
     }
 
+    /// Lets a caller ask: a feed on the flow it keeps, or a bid on one of its own.
     pub(super) fn arrive(&mut self, centre: usize) {
         if self.now > start().after(RUN_TIME) {
             return;
@@ -45,7 +47,7 @@
         }
     }
 
-    pub(super) fn ask_feed(&mut self, centre: usize) {
+    fn ask_feed(&mut self, centre: usize) {
         let user = self.random.random_range(0..self.users[centre].len());
         // One request at a time: where one is under way, another caller asks.
         let is_free = |user: &usize| !self.users[centre][*user].is_busy;
@@ -56,7 +58,7 @@
         }
     }
 
-    pub(super) fn ask_feed_of(&mut self, centre: usize, user: usize) {
+    fn ask_feed_of(&mut self, centre: usize, user: usize) {
         self.users[centre][user].is_busy = true;
         let request = self.new_request(RequestClass::Feed, centre, Some(user));
         let kept = self.users[centre][user].flow.filter(|flow| self.flows.contains_key(flow));
@@ -66,12 +68,7 @@
         }
     }
 
-    pub(super) fn new_request(
-        &mut self,
-        class: RequestClass,
-        centre: usize,
-        user: Option<usize>,
-    ) -> usize {
+    fn new_request(&mut self, class: RequestClass, centre: usize, user: Option<usize>) -> usize {
         let mean = if class == RequestClass::Feed { FEED_RUN } else { BID_RUN };
         let run = mean.mul_f64(self.spread());
         let request = self.requests.len();
@@ -90,13 +87,13 @@
     }
 
     /// A factor of mean 1 with the spread of run times.
-    pub(super) fn spread(&mut self) -> f64 {
+    fn spread(&mut self) -> f64 {
         let (first, second): (f64, f64) = (self.random.random(), self.random.random());
         let normal = (-2.0 * first.max(f64::MIN_POSITIVE).ln()).sqrt() * (TAU * second).cos();
         (normal * RUN_SPREAD - RUN_SPREAD * RUN_SPREAD / 2.0).exp().min(LONGEST_RUN)
     }
 
-    pub(super) fn open_flow(&mut self, request: usize) {
+    fn open_flow(&mut self, request: usize) {
         let FlowRequest { class, centre, user, .. } = self.requests[request];
         self.requests[request].tries += 1;
         let flow = self.flow_count;
@@ -113,6 +110,7 @@
         self.opening_due(flow, 0);
     }
 
+    /// Sends an opening packet or its next copy, or gives the flow up.
     pub(super) fn opening_due(&mut self, flow: u64, copy: u32) {
         let Some(opened) = self.flows.get(&flow).copied() else { return };
         if opened.server.is_some() {
@@ -130,6 +128,7 @@
         self.push_after(since_last, FlowEvent::OpeningDue { flow, copy: copy + 1 });
     }
 
+    /// Takes a backend server's word that it has the flow; the first counts.
     pub(super) fn accepted(&mut self, flow: u64, server: usize) {
         let Some(opened) = self.flows.get_mut(&flow) else { return };
         if opened.server.is_some() {
@@ -141,7 +140,7 @@
         }
     }
 
-    pub(super) fn send_request(&mut self, flow: u64, request: usize) {
+    fn send_request(&mut self, flow: u64, request: usize) {
         let Some(opened) = self.flows.get_mut(&flow) else { return };
         opened.request = Some(request);
         let packet = opened.request_packet();
@@ -151,6 +150,7 @@
         }
     }
 
+    /// Sends a request again that is unanswered, or gives its flow up.
     pub(super) fn request_due(&mut self, flow: u64, request: usize) {
         let Some(opened) = self.flows.get(&flow).copied() else { return };
         if opened.request != Some(request) {
@@ -162,6 +162,7 @@
         self.send(flow, opened.request_packet());
     }
 
+    /// Takes the answer to a request, or that it was turned away.
     pub(super) fn answered(&mut self, flow: u64, request: usize, has_run: bool) {
         let Some(opened) = self.flows.get_mut(&flow) else { return };
         if opened.request != Some(request) {
@@ -186,6 +187,7 @@
         }
     }
 
+    /// Takes an instance's reset: what may be repeated is asked on another flow.
     pub(super) fn reset(&mut self, flow: u64) {
         let Some(opened) = self.flows.remove(&flow) else { return };
         let Some(request) = opened.request else { return };
@@ -197,7 +199,7 @@
         }
     }
 
-    pub(super) fn try_again(&mut self, request: usize) {
+    fn try_again(&mut self, request: usize) {
         let FlowRequest { tries, is_over, .. } = self.requests[request];
         if tries >= MOST_TRIES || is_over {
             return self.give_up(request);
@@ -205,7 +207,7 @@
         self.open_flow(request);
     }
 
-    pub(super) fn give_up(&mut self, request: usize) {
+    fn give_up(&mut self, request: usize) {
         let FlowRequest { centre, user, .. } = self.requests[request];
         self.requests[request].is_over = true;
         if let Some(user) = user {
@@ -214,7 +216,7 @@
     }
 
     /// Ends a flow from which nothing came in time.
-    pub(super) fn lose_flow(&mut self, flow: u64) {
+    fn lose_flow(&mut self, flow: u64) {
         let Some(lost) = self.flows.remove(&flow) else { return };
         if lost.server.is_some() {
             self.send_on(flow, lost.instance, lost.empty_packet(PacketKind::Abort));
@@ -227,16 +229,16 @@
         }
     }
 
-    pub(super) fn is_over(&self, request: Option<usize>) -> bool {
+    fn is_over(&self, request: Option<usize>) -> bool {
         request.is_some_and(|request| self.requests[request].is_over)
     }
 
-    pub(super) fn send(&mut self, flow: u64, packet: FlowPacket) {
+    fn send(&mut self, flow: u64, packet: FlowPacket) {
         let Some(instance) = self.flows.get(&flow).map(|opened| opened.instance) else { return };
         self.send_on(flow, instance, packet);
     }
 
-    pub(super) fn send_on(&mut self, flow: u64, instance: usize, packet: FlowPacket) {
+    fn send_on(&mut self, flow: u64, instance: usize, packet: FlowPacket) {
         let at = self.now.after(CALLER_WAY).max(self.instances[instance].frozen_until);
         self.events.push(at, FlowEvent::ToInstance { instance, flow, packet });
     }
--- a/crates/foxledge-bench/src/flows/plan.rs
+++ b/crates/foxledge-bench/src/flows/plan.rs
@@ -17,7 +17,7 @@
 pub const SLOTS: u32 = 2;
 /// Requests that wait at a backend server; more are turned away as "not run".
 pub const QUEUE: usize = 8;
-/// Mean run of a price feed and of a bid.
+/// Mean run of a price feed.
 pub const FEED_RUN: Duration = Duration::from_millis(15);
 /// Mean run of a bid.
 pub const BID_RUN: Duration = Duration::from_millis(20);
--- a/crates/foxledge-bench/src/flows/routing.rs
+++ b/crates/foxledge-bench/src/flows/routing.rs
@@ -20,6 +20,7 @@
 const LOSS: f64 = 0.3;
 
 impl FlowWorld {
+    /// Gives a packet to its instance's router and does what that decides.
     pub(super) fn at_instance(&mut self, instance: usize, flow: u64, packet: FlowPacket) {
         if !self.instances[instance].frozen_until.is_past(self.now) {
             let until = self.instances[instance].frozen_until;
@@ -62,13 +63,7 @@
         self.tally.opened_far += u64::from(is_far);
     }
 
-    pub(super) fn pass_on(
-        &mut self,
-        instance: usize,
-        flow: u64,
-        backend: usize,
-        packet: &FlowPacket,
-    ) {
+    fn pass_on(&mut self, instance: usize, flow: u64, backend: usize, packet: &FlowPacket) {
         let Some(server) = self.server_at(instance, backend) else { return };
         if self.is_lossy && self.random.random_bool(LOSS) {
             return;
@@ -79,11 +74,12 @@
         self.push_after(way, FlowEvent::ToServer { flow, server, kind: packet.kind, request });
     }
 
-    pub(super) fn server_at(&self, instance: usize, backend: usize) -> Option<usize> {
+    fn server_at(&self, instance: usize, backend: usize) -> Option<usize> {
         let backend = self.instances[instance].router.backend(backend)?;
         Some(backend.number as usize - 1)
     }
 
+    /// Lets an instance look for unanswered openings.
     pub(super) fn tick(&mut self, instance: usize) {
         if self.now < start().after(RUN_TIME) {
             self.push_after(TICK, FlowEvent::Tick { instance });
@@ -98,7 +94,7 @@
         self.share_notes(instance);
     }
 
-    pub(super) fn share_notes(&mut self, from: usize) {
+    fn share_notes(&mut self, from: usize) {
         for note in self.instances[from].router.take_notes() {
             let is_alive = !self.servers[note.number as usize - 1].is_silent();
             self.tally.add_note(&note, is_alive);
@@ -109,6 +105,7 @@
         }
     }
 
+    /// Brings an observation to an instance.
     pub(super) fn note(&mut self, instance: usize, note: HealthNote) {
         self.instances[instance].router.take_note(self.now, &note);
     }
--- a/crates/foxledge-bench/src/flows/serving.rs
+++ b/crates/foxledge-bench/src/flows/serving.rs
@@ -20,6 +20,7 @@
 const SLOW_FACTOR: f64 = 5.0;
 
 impl FlowWorld {
+    /// Lets a backend server take a packet.
     pub(super) fn at_server(
         &mut self,
         flow: u64,
@@ -44,7 +45,7 @@
         }
     }
 
-    pub(super) fn offer(&mut self, flow: u64, server: usize, request: usize) {
+    fn offer(&mut self, flow: u64, server: usize, request: usize) {
         let run = ServerRun { flow, request, run: self.requests[request].run };
         // A copy of a request that is there already changes nothing.
         if !self.servers[server].takes(&run) {
@@ -59,6 +60,7 @@
         }
     }
 
+    /// Answers a request that was run, and begins the next.
     pub(super) fn run_done(&mut self, server: usize, run: ServerRun) {
         if self.servers[server].is_silent() {
             return;
@@ -70,6 +72,7 @@
         }
     }
 
+    /// Begins what the variant says.
     pub(super) fn begin_trouble(&mut self) {
         let now = self.now;
         // Backend servers of several data centres each.
--- a/crates/foxledge-flows/src/router.rs
+++ b/crates/foxledge-flows/src/router.rs
@@ -442,9 +442,10 @@
 ///
 /// Without this, requests on flows to a dead backend server fail at their deadline,
 /// though others could answer them. A false alarm breaks a flow that lives. It takes the
-/// loss of an opening packet and its caller's copy, or of three copies of another flow's
-/// data, of every sign of life in between, and of this flow's data: of three copies, or
-/// of two if the silence had lasted for [`LOST_MS`] before.
+/// loss of an opening packet and its caller's copy, or of three copies of a flow's data,
+/// of every sign of life since, and of this flow's data: of three copies, or of two if
+/// the silence had lasted for [`LOST_MS`] before. A flow that is alone with its backend
+/// server ends by the fourth copy, as the third speaks for the silence.
 fn loss(now: ClockTime, stall: FlowStall, silent_at: Option<ClockTime>) -> Option<EndReason> {
     let silent_ms = now.since(silent_at?).as_millis() as u64;
     let is_old_silence = silent_ms >= stall.waited_ms + LOST_MS;
--- a/crates/foxledge-flows/tests/dead_backend.rs
+++ b/crates/foxledge-flows/tests/dead_backend.rs
@@ -200,3 +200,13 @@
         assert!(matches!(decision, FlowDecision::Forward { .. }), "{decision:?}");
     }
 }
+
+#[test]
+fn lone_flow_ends_late() {
+    // Nobody else has a flow there: the third copy speaks for the silence, the fourth ends it.
+    let (mut router, key) = flow_at_first();
+    let decision = unanswered_request(&mut router, key);
+    assert!(matches!(decision, FlowDecision::Forward { .. }), "{decision:?}");
+    let decision = router.on_packet(at(ASKED + 1_400), &data(key, 1, 2_000, 1));
+    assert!(matches!(decision, FlowDecision::End { .. }), "{decision:?}");
+}
