Judge openings again as soon as what waited out a pause is read

Dead backend servers were noticed only by callers' copies. Change: openings are judged again once the socket was seen empty; refusals still wait for the confirmation. Test: read_up_judges_again, red before.

--- a/crates/foxledge-flows/src/router.rs
+++ b/crates/foxledge-flows/src/router.rs
@@ -86,6 +86,7 @@
     counts: RouterCounts,
     confirmed_at: Option<ClockTime>,
     is_in_doubt: bool,
+    is_catching_up: bool,
     idle_ms: u64,
     picks: u64,
 }
@@ -105,6 +106,7 @@
             counts: RouterCounts::default(),
             confirmed_at: None,
             is_in_doubt: false,
+            is_catching_up: false,
             idle_ms: DEFAULT_IDLE_MS,
             picks: 0,
         }
@@ -134,14 +136,15 @@
         self.is_in_doubt = false;
     }
 
-    /// Notes that this process stood still: until the next confirmation nothing
-    /// is refused, and no unanswered opening speaks against a backend server.
+    /// Notes that this process stood still: until the next confirmation nothing is
+    /// refused, and openings that waited meanwhile speak against no backend server.
     ///
     /// Opening packets that waited meanwhile are old. Their callers may have
     /// opened the flow at another instance since, and would take the refusal for
     /// the end of it.
     pub fn note_pause(&mut self) {
         self.is_in_doubt = true;
+        self.is_catching_up = true;
     }
 
     /// When the store last confirmed the list, as far as is known here.
@@ -226,6 +229,7 @@
     /// socket; an opening counted before they are read would speak against a
     /// backend server that answered long ago.
     pub fn check_overdue(&mut self, read_at: ClockTime) {
+        self.is_catching_up = false;
         while let Some(opening) = self.openings.next_overdue(read_at) {
             self.counts.overdue += 1;
             self.note(read_at, opening.backend, |backend| {
@@ -266,7 +270,7 @@
         if let Some(backend) = self.backends.get_mut(index) {
             backend.picked = self.picks;
         }
-        match self.is_in_doubt {
+        match self.is_catching_up {
             true => self.openings.add_unjudged(now, packet.key, index),
             false => self.openings.add(now, packet.key, index),
         }
--- a/crates/foxledge-flows/tests/silent_backend.rs
+++ b/crates/foxledge-flows/tests/silent_backend.rs
@@ -193,3 +193,20 @@
     router.check_overdue(at(7_120));
     assert_eq!(class_of(&router, backend, 7_120), HealthClass::Suspect);
 }
+
+// Symptom: an instance that stood still while the store was away notices dead backend
+//   servers only by callers' copies, for as long as the store is away.
+// Sequence: it wakes; no confirmation of the list comes for minutes.
+// Cause: openings count as late until the list is confirmed, though what had waited was
+//   read long ago.
+#[test]
+fn read_up_judges_again() {
+    let mut router = two_backends();
+    router.note_pause();
+    lost_opening(&mut router, 7_000, 1);
+    // The socket is empty now.
+    router.check_overdue(at(7_001));
+    let backend = lost_opening(&mut router, 7_100, 2);
+    router.check_overdue(at(7_150));
+    assert_eq!(class_of(&router, backend, 7_150), HealthClass::Suspect);
+}
