--- a/crates/foxledge-flows/src/router.rs
+++ b/crates/foxledge-flows/src/router.rs
@@ -86,6 +86,7 @@
     counts: RouterCounts,
     confirmed_at: Option<ClockTime>,
     is_in_doubt: bool,
+    is_catching_up: bool,
     idle_ms: u64,
     picks: u64,
 }
@@ -105,6 +106,7 @@
             counts: RouterCounts::default(),
             confirmed_at: None,
             is_in_doubt: false,
+            is_catching_up: false,
             idle_ms: DEFAULT_IDLE_MS,
             picks: 0,
         }
@@ -134,14 +136,15 @@
         self.is_in_doubt = false;
     }
 
-    /// Notes that this process stood still: until the next confirmation nothing
-    /// is refused, and no unanswered opening speaks against a backend server.
+    /// Notes that this process stood still: until the next confirmation nothing is
+    /// refused, and openings that waited meanwhile speak against no backend server.
     ///
     /// Opening packets that waited meanwhile are old. Their callers may have
     /// opened the flow at another instance since, and would take the refusal for
     /// the end of it.
     pub fn note_pause(&mut self) {
         self.is_in_doubt = true;
+        self.is_catching_up = true;
     }
 
     /// When the store last confirmed the list, as far as is known here.
@@ -226,6 +229,7 @@
     /// socket; an opening counted before they are read would speak against a
     /// backend server that answered long ago.
     pub fn check_overdue(&mut self, read_at: ClockTime) {
+        self.is_catching_up = false;
         while let Some(opening) = self.openings.next_overdue(read_at) {
             self.counts.overdue += 1;
             self.note(read_at, opening.backend, |backend| {
@@ -266,7 +270,7 @@
         if let Some(backend) = self.backends.get_mut(index) {
             backend.picked = self.picks;
         }
-        match self.is_in_doubt {
+        match self.is_catching_up {
             true => self.openings.add_unjudged(now, packet.key, index),
             false => self.openings.add(now, packet.key, index),
         }
@@ -442,9 +446,10 @@
 ///
 /// Without this, requests on flows to a dead backend server fail at their deadline,
 /// though others could answer them. A false alarm breaks a flow that lives. It takes the
-/// loss of an opening packet and its caller's copy, or of three copies of another flow's
-/// data, of every sign of life in between, and of this flow's data: of three copies, or
-/// of two if the silence had lasted for [`LOST_MS`] before.
+/// loss of an opening packet and its caller's copy, or of three copies of a flow's data,
+/// of every sign of life since, and of this flow's data: of three copies, or of two if
+/// the silence had lasted for [`LOST_MS`] before. A flow that is alone with its backend
+/// server ends by the fourth copy, as the third speaks for the silence.
 fn loss(now: ClockTime, stall: FlowStall, silent_at: Option<ClockTime>) -> Option<EndReason> {
     let silent_ms = now.since(silent_at?).as_millis() as u64;
     let is_old_silence = silent_ms >= stall.waited_ms + LOST_MS;
