--- a/crates/foxledge-bench/src/flows/asking.rs
+++ b/crates/foxledge-bench/src/flows/asking.rs
@@ -162,29 +162,49 @@
         self.send(flow, opened.request_packet());
     }
 
-    /// Takes the answer to a request, or that it was turned away.
-    pub(super) fn answered(&mut self, flow: u64, request: usize, has_run: bool) {
-        let Some(opened) = self.flows.get_mut(&flow) else { return };
-        if opened.request != Some(request) {
+    /// Takes the answer to a request; a caller that keeps its flow acknowledges it there.
+    pub(super) fn answered(&mut self, flow: u64, request: usize) {
+        if !self.end_wait(flow, request) {
             return;
         }
-        opened.answered();
-        let keeps_flow = has_run && self.requests[request].user.is_some();
-        let kind = if keeps_flow { PacketKind::Continue } else { PacketKind::Finish };
-        let packet = opened.empty_packet(kind);
         let FlowRequest { centre, user, is_over, .. } = self.requests[request];
-        if has_run && !is_over {
+        if !is_over {
             self.requests[request].answered_at = Some(self.now);
         }
-        self.send(flow, packet);
-        match user.filter(|_| keeps_flow) {
-            Some(user) => self.users[centre][user].is_busy = false,
-            None => drop(self.flows.remove(&flow)),
+        let Some(user) = user else { return self.finish(flow) };
+        self.users[centre][user].is_busy = false;
+        self.send_empty(flow, PacketKind::Continue);
+    }
+
+    /// Takes a backend server's word that it has no room; the request has not run.
+    pub(super) fn turned_away(&mut self, flow: u64, request: usize) {
+        if !self.end_wait(flow, request) {
+            return;
         }
-        if !has_run {
-            self.tally.turned_away += 1;
-            self.try_again(request);
+        self.finish(flow);
+        self.tally.turned_away += 1;
+        self.try_again(request);
+    }
+
+    /// Ends the wait for a request's answer; false when nobody waits for it any more.
+    fn end_wait(&mut self, flow: u64, request: usize) -> bool {
+        let Some(opened) = self.flows.get_mut(&flow) else { return false };
+        if opened.request != Some(request) {
+            return false;
         }
+        opened.answered();
+        true
+    }
+
+    /// Ends a flow on its caller's side.
+    fn finish(&mut self, flow: u64) {
+        self.send_empty(flow, PacketKind::Finish);
+        self.flows.remove(&flow);
+    }
+
+    fn send_empty(&mut self, flow: u64, kind: PacketKind) {
+        let Some(opened) = self.flows.get(&flow).copied() else { return };
+        self.send(flow, opened.empty_packet(kind));
     }
 
     /// Takes an instance's reset: what may be repeated is asked on another flow.
--- a/crates/foxledge-bench/src/flows/routing.rs
+++ b/crates/foxledge-bench/src/flows/routing.rs
@@ -96,8 +96,9 @@
 
     fn share_notes(&mut self, from: usize) {
         for note in self.instances[from].router.take_notes() {
-            let is_alive = !self.servers[note.number as usize - 1].is_silent();
-            self.tally.add_note(&note, is_alive);
+            if !self.servers[note.number as usize - 1].is_silent() {
+                self.tally.add_false_note(&note);
+            }
             for instance in (0..self.instances.len()).filter(|other| *other != from) {
                 let at = self.now.after(NOTE_TIME).max(self.instances[instance].frozen_until);
                 self.events.push(at, FlowEvent::Note { instance, note });
--- a/crates/foxledge-bench/src/flows/serving.rs
+++ b/crates/foxledge-bench/src/flows/serving.rs
@@ -55,7 +55,7 @@
             OfferOutcome::Runs(time) => self.push_after(time, FlowEvent::RunDone { server, run }),
             OfferOutcome::Waits => {}
             OfferOutcome::TurnedAway => {
-                self.push_after(CALLER_WAY, FlowEvent::Answered { flow, request, has_run: false });
+                self.push_after(CALLER_WAY, FlowEvent::TurnedAway { flow, request });
             }
         }
     }
@@ -66,7 +66,7 @@
             return;
         }
         let ServerRun { flow, request, .. } = run;
-        self.push_after(CALLER_WAY, FlowEvent::Answered { flow, request, has_run: true });
+        self.push_after(CALLER_WAY, FlowEvent::Answered { flow, request });
         if let Some((next, time)) = self.servers[server].end_run(self.now) {
             self.push_after(time, FlowEvent::RunDone { server, run: next });
         }
--- a/crates/foxledge-bench/src/flows/tally.rs
+++ b/crates/foxledge-bench/src/flows/tally.rs
@@ -92,10 +92,8 @@
         }
     }
 
-    pub(crate) fn add_note(&mut self, note: &HealthNote, is_alive: bool) {
-        if !is_alive {
-            return;
-        }
+    /// Counts an observation that speaks against a backend server that lives.
+    pub(crate) fn add_false_note(&mut self, note: &HealthNote) {
         match note.kind {
             NoteKind::Suspect => self.false_suspicions += 1,
             NoteKind::Ejected | NoteKind::Silent => self.false_ejections += 1,
--- a/crates/foxledge-bench/src/flows/world.rs
+++ b/crates/foxledge-bench/src/flows/world.rs
@@ -34,7 +34,9 @@
     /// A backend server has taken the flow, as its caller learns.
     Accepted { flow: u64, server: usize },
     /// A backend server's answer reaches the caller.
-    Answered { flow: u64, request: usize, has_run: bool },
+    Answered { flow: u64, request: usize },
+    /// A backend server's word that it has no room reaches the caller.
+    TurnedAway { flow: u64, request: usize },
     /// An instance's reset reaches the caller.
     Reset { flow: u64 },
     /// The opening packet is sent, or again, if nothing has come.
@@ -184,7 +186,8 @@
                 self.at_server(flow, server, kind, request);
             }
             FlowEvent::Accepted { flow, server } => self.accepted(flow, server),
-            FlowEvent::Answered { flow, request, has_run } => self.answered(flow, request, has_run),
+            FlowEvent::Answered { flow, request } => self.answered(flow, request),
+            FlowEvent::TurnedAway { flow, request } => self.turned_away(flow, request),
             FlowEvent::Reset { flow } => self.reset(flow),
             FlowEvent::OpeningDue { flow, copy } => self.opening_due(flow, copy),
             FlowEvent::RequestDue { flow, request } => self.request_due(flow, request),
