--- a/crates/foxledge-gossip/tests/random_lists.rs
+++ b/crates/foxledge-gossip/tests/random_lists.rs
@@ -229,7 +229,7 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig { cases: 200, ..ProptestConfig::default() })]
+    #![proptest_config(ProptestConfig { cases: 200, failure_persistence: None, ..ProptestConfig::default() })]
 
     // Symptom: an instance says that it knows the list of a revision and holds another.
     // Sequence: any; changes, starts, cuts, losses, a store that fails or forgets.
