--- a/crates/foxledge-bench/src/flows/plan.rs
+++ b/crates/foxledge-bench/src/flows/plan.rs
@@ -21,7 +21,7 @@
 pub const FEED_RUN: Duration = Duration::from_millis(15);
 /// Mean run of a bid.
 pub const BID_RUN: Duration = Duration::from_millis(20);
-/// Feeds and bids in nine requests.
+/// Share of feeds: seven of nine requests, the rest are bids.
 pub const FEED_SHARE: f64 = 7.0 / 9.0;
 /// Load of the site itself, relative to what its slots can carry.
 pub const SITE_LEVEL: f64 = 0.22;
