Refuse nothing that waited during a pause, and count the grace from the store's return

It came once in 15 runs of short_soak beside eight busy processes; the log shows it: paused (late 3829 ms), a first batch of waiting packets, store_regained 25 ms later, then flow_refused no_backend, list_age_ms 0, for opening packets that had waited since the pause. The confirmation ended the doubt of the pause before all that waited had been read. Besides, there was nothing to refuse: the entries had lapsed twice, and the woken instance counted the grace from the first lapse, which was over as the store's answer came; all others served. Ruled out: flow_ended (no such line in the log), the soak's own stalls (stopped for 0.7 s again and again: nothing broken).

--- a/crates/foxledge-flows/src/backends.rs
+++ b/crates/foxledge-flows/src/backends.rs
@@ -69,19 +69,25 @@
     ///
     /// One whose entry vanished without a word gets them for [`LAPSE_MS`]. While
     /// nothing is heard of the store (`confirmed` is when it last was), the span
-    /// doesn't run out: the entry can't come back before the store does.
+    /// doesn't run out: the entry can't come back before the store does, and has
+    /// the whole span from then on ([`BackendTable::renew_grace`]).
     pub fn takes_flows(&self, now: ClockTime, confirmed: Option<ClockTime>) -> bool {
         if self.is_draining {
             return false;
         }
         let Some(gone) = self.gone_at else { return true };
         let until = gone.after_millis(LAPSE_MS);
-        let is_store_away = confirmed
-            .is_some_and(|at| at.after_millis(STORE_AWAY_MS).is_past(now) && !until.is_past(at));
+        let is_store_away =
+            confirmed.is_some_and(|at| is_away(at, now) && !until.is_past(at));
         is_store_away || !until.is_past(now)
     }
 }
 
+/// True when the store counts as away at `now`, heard of last at `confirmed`.
+fn is_away(confirmed: ClockTime, now: ClockTime) -> bool {
+    confirmed.after_millis(STORE_AWAY_MS).is_past(now)
+}
+
 /// The token of a backend server's number; never 0, which names none.
 ///
 /// Numbers of 32 bits are their own tokens, so those can't collide. Longer ones
@@ -188,6 +194,24 @@
         old
     }
 
+    /// Lets the grace of entries that vanished begin anew when the store was away between
+    /// two confirmations, and they were in their grace at the first.
+    ///
+    /// Entries that lapse as the store goes away are back some two seconds after its
+    /// return. Counted from the lapse, the grace is over at the return, and an instance
+    /// that missed what happened in between refuses flows that all others serve.
+    pub fn renew_grace(&mut self, former: ClockTime, confirmed: ClockTime) {
+        if !is_away(former, confirmed) {
+            return;
+        }
+        for backend in self.slots.iter_mut().flatten() {
+            let is_in_grace = |gone: &ClockTime| !gone.after_millis(LAPSE_MS).is_past(former);
+            if backend.gone_at.as_ref().is_some_and(is_in_grace) {
+                backend.gone_at = Some(confirmed);
+            }
+        }
+    }
+
     fn mark_gone(&mut self, key: &str, gone: ClockTime) {
         let Some(index) = self.by_key.get(key).copied() else { return };
         if let Some(backend) = self.get_mut(index) {
--- a/crates/foxledge-flows/src/router.rs
+++ b/crates/foxledge-flows/src/router.rs
@@ -132,12 +132,16 @@
 
     /// Notes when the store last confirmed that the list is the newest.
     pub fn set_confirmed(&mut self, at: ClockTime) {
+        if let Some(former) = self.confirmed_at {
+            self.backends.renew_grace(former, at);
+        }
         self.confirmed_at = Some(at);
         self.is_in_doubt = false;
     }
 
-    /// Notes that this process stood still: until the next confirmation nothing is
-    /// refused, and openings that waited meanwhile speak against no backend server.
+    /// Notes that this process stood still: until the next confirmation, and until all
+    /// that waited has been read ([`FlowRouter::check_overdue`]), nothing is refused, and
+    /// openings speak against no backend server.
     ///
     /// Opening packets that waited meanwhile are old. Their callers may have
     /// opened the flow at another instance since, and would take the refusal for
@@ -287,7 +291,7 @@
             return FlowDecision::Drop(DropReason::NoList);
         };
         let is_old = confirmed.after_millis(self.options.fresh_ms).is_past(now);
-        if self.is_in_doubt || is_old {
+        if self.is_in_doubt || self.is_catching_up || is_old {
             return FlowDecision::Drop(DropReason::MaybeStale);
         }
         FlowDecision::Refuse(reason)
