Count copies of data, not time, before a flow is ended

Copies that wait in the socket during a pause counted like copies sent one after the other. Change: two copies besides the first packet, each 150 ms after the one before; none is counted against a backend server, and no flow is ended, while packets that waited during a pause are read. flow_stalled tells the number of copies. Ruled out: ending nothing while most backend servers are silent: in a data centre that is cut off this is right for callers. Tests, red before: late_copies_end_nothing, waiting_copies_count_once.

--- a/crates/foxledge-daemon/src/packets/flow_part.rs
+++ b/crates/foxledge-daemon/src/packets/flow_part.rs
@@ -170,9 +170,10 @@
         self.router.set_confirmed(at);
     }
 
-    /// Takes note that the process stood still.
-    pub fn note_pause(&mut self, _cx: CX![]) {
+    /// Takes note that the process stood still, and reads what has waited meanwhile.
+    pub fn note_pause(&mut self, cx: CX![]) {
         self.router.note_pause();
+        self.drain(cx);
     }
 
     /// Takes what another instance observed of a backend server.
--- a/crates/foxledge-flows/src/backends.rs
+++ b/crates/foxledge-flows/src/backends.rs
@@ -77,8 +77,7 @@
         }
         let Some(gone) = self.gone_at else { return true };
         let until = gone.after_millis(LAPSE_MS);
-        let is_store_away =
-            confirmed.is_some_and(|at| is_away(at, now) && !until.is_past(at));
+        let is_store_away = confirmed.is_some_and(|at| is_away(at, now) && !until.is_past(at));
         is_store_away || !until.is_past(now)
     }
 }
--- a/crates/foxledge-flows/src/decisions.rs
+++ b/crates/foxledge-flows/src/decisions.rs
@@ -46,6 +46,8 @@
 pub struct FlowStall {
     /// Time since the data was sent on first, in milliseconds.
     pub waited_ms: u64,
+    /// How often it was sent again.
+    pub copies: u32,
     /// What is believed of the flow's backend server now.
     pub class: HealthClass,
 }
--- a/crates/foxledge-flows/src/router.rs
+++ b/crates/foxledge-flows/src/router.rs
@@ -20,7 +20,7 @@
     placement::{LeastLoaded, PlacementCandidate, PlacementPolicy},
     routes::{RouteTable, flow_hash},
     rows::{ListRow, RowValue},
-    tracks::{TrackNews, TrackTable},
+    tracks::{DataResend, TrackNews, TrackTable},
 };
 
 /// A copy of an opening packet that comes sooner than this after the first, in
@@ -48,6 +48,9 @@
 /// lives acknowledges the first copy, so the second shows that nothing gets there.
 /// Its caller, which may ask again, has some 400 ms of its second left for that.
 const LOST_MS: u64 = 500;
+/// How often it must have been sent again besides. Time alone says little: when the
+/// network holds everything up for half a second, the first copies come that late.
+const LOST_COPIES: u32 = 2;
 /// Idle time of flows while no list says another, in milliseconds.
 const DEFAULT_IDLE_MS: u64 = 15_000;
 
@@ -360,7 +363,9 @@
         // What this packet itself tells is no evidence beside it.
         let silent_at = self.backends.get(index).and_then(|one| one.health.silent_at());
         let stall = self.track(now, packet, index);
-        let lost = stall.filter(|_| may_repeat).and_then(|stall| loss(now, stall, silent_at));
+        // What is read after a pause was sent nobody knows when.
+        let may_end = may_repeat && !self.is_catching_up;
+        let lost = stall.filter(|_| may_end).and_then(|stall| loss(now, stall, silent_at));
         if let Some(reason) = lost {
             self.end_track(&packet.key);
             return FlowDecision::End { backend: index, reason };
@@ -394,21 +399,28 @@
                 backend.running = backend.running.saturating_sub(1);
                 self.answered(now, index, latency);
             }
-            TrackNews::Resent(sent) => {
-                self.counts.resent += 1;
-                let is_lost = sent.after_millis(LOST_MS).is_past(now);
-                self.note(now, index, |backend| match is_lost {
-                    true => backend.health.on_silence(now, sent),
-                    false => backend.health.on_suspicion(now, sent),
-                });
-                let class = self.backends.get(index)?.health.class(now);
-                let waited_ms = now.since(sent).as_millis() as u64;
-                return Some(FlowStall { waited_ms, class });
-            }
+            TrackNews::Resent(resend) => return self.stalled(now, index, resend),
         }
         None
     }
 
+    /// Takes data that stays unanswered as evidence against its backend server.
+    fn stalled(
+        &mut self,
+        now: ClockTime,
+        index: usize,
+        DataResend { sent, copies }: DataResend,
+    ) -> Option<FlowStall> {
+        self.counts.resent += 1;
+        let waited_ms = now.since(sent).as_millis() as u64;
+        self.note(now, index, |backend| match is_lost(waited_ms, copies) {
+            true => backend.health.on_silence(now, sent),
+            false => backend.health.on_suspicion(now, sent),
+        });
+        let class = self.backends.get(index)?.health.class(now);
+        Some(FlowStall { waited_ms, copies, class })
+    }
+
     fn answered(&mut self, now: ClockTime, index: usize, latency: Duration) {
         self.latencies.push(latency);
         if let Some(backend) = self.backends.get_mut(index) {
@@ -445,6 +457,12 @@
     }
 }
 
+/// True when data that has waited so long, and was sent again so often, speaks for the
+/// death of its backend server.
+fn is_lost(waited_ms: u64, copies: u32) -> bool {
+    waited_ms >= LOST_MS && copies >= LOST_COPIES
+}
+
 /// Why a flow that stalls is lost, if that is sure; `silent_at` is when something else
 /// was found unanswered by its backend server.
 ///
@@ -457,7 +475,7 @@
 fn loss(now: ClockTime, stall: FlowStall, silent_at: Option<ClockTime>) -> Option<EndReason> {
     let silent_ms = now.since(silent_at?).as_millis() as u64;
     let is_old_silence = silent_ms >= stall.waited_ms + LOST_MS;
-    if stall.waited_ms < LOST_MS && !is_old_silence {
+    if !is_lost(stall.waited_ms, stall.copies) && !is_old_silence {
         return None;
     }
     Some(EndReason::BackendSilent { waited_ms: stall.waited_ms, silent_ms })
--- a/crates/foxledge-flows/src/tracks.rs
+++ b/crates/foxledge-flows/src/tracks.rs
@@ -13,8 +13,9 @@
 const MOST_TRACKS: usize = 100_000;
 /// Time between two looks for forgotten tracks, in milliseconds.
 const SWEEP_MS: u64 = 5_000;
-/// A resend of data sooner than this after the first copy is a copy that the
-/// network made; callers send again after 200 ms at the earliest.
+/// A copy of data sooner than this after the one before wasn't sent because that one
+/// stayed unanswered: callers send again after 200 ms at the earliest. The network made
+/// it, or both waited in the socket together while this process stood still.
 const RESEND_MS: u64 = 150;
 
 #[derive(Clone, Copy, Debug)]
@@ -27,6 +28,10 @@
     sent_to: u32,
     /// When the last of it was sent on first.
     sent_at: ClockTime,
+    /// When it was last sent on again, or first.
+    copied_at: ClockTime,
+    /// How often it was sent again.
+    copies: u32,
     /// What the caller had received when it asked.
     acknowledged: u32,
 }
@@ -42,8 +47,17 @@
     Answered(Duration),
     /// A request began, and the one before, asked at this time, had been answered.
     AskedAgain(ClockTime),
-    /// Data was sent again; the newest of the flow was first sent at this time.
-    Resent(ClockTime),
+    /// Data was sent again.
+    Resent(DataResend),
+}
+
+/// `DataResend` is a caller's data that stays unanswered.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct DataResend {
+    /// When the newest of it was sent on first.
+    pub sent: ClockTime,
+    /// How often it was sent again, each time after a wait for an answer.
+    pub copies: u32,
 }
 
 /// `TrackTable` is the flows that were seen lately.
@@ -68,13 +82,10 @@
         }
         let end = packet.sequence.wrapping_add(u32::from(packet.length));
         if !is_after(end, track.sent_to) {
-            let is_resent = track.sent_at.after_millis(RESEND_MS).is_past(now);
-            return match track.asked_at {
-                Some(_) if is_resent => TrackNews::Resent(track.sent_at),
-                _ => TrackNews::Nothing,
-            };
+            return track.resend(now);
         }
         (track.sent_to, track.sent_at) = (end, now);
+        (track.copied_at, track.copies) = (now, 0);
         if track.asked_at.is_some() && !is_answered {
             return TrackNews::Nothing;
         }
@@ -135,6 +146,8 @@
             asked_at: Some(now),
             sent_to: packet.sequence.wrapping_add(u32::from(packet.length)),
             sent_at: now,
+            copied_at: now,
+            copies: 0,
             acknowledged: packet.acknowledged,
         };
         self.tracks.insert(packet.key, track);
@@ -143,6 +156,17 @@
 }
 
 impl FlowTrack {
+    /// Takes data that was sent on before.
+    fn resend(&mut self, now: ClockTime) -> TrackNews {
+        let is_soon = !self.copied_at.after_millis(RESEND_MS).is_past(now);
+        if is_soon || self.asked_at.is_none() {
+            return TrackNews::Nothing;
+        }
+        self.copied_at = now;
+        self.copies += 1;
+        TrackNews::Resent(DataResend { sent: self.sent_at, copies: self.copies })
+    }
+
     fn answer(&mut self, now: ClockTime) -> TrackNews {
         match self.asked_at.take() {
             Some(asked) => TrackNews::Answered(now.since(asked)),
--- a/crates/foxledge-flows/tests/dead_backend.rs
+++ b/crates/foxledge-flows/tests/dead_backend.rs
@@ -210,3 +210,41 @@
     let decision = router.on_packet(at(ASKED + 1_400), &data(key, 1, 2_000, 1));
     assert!(matches!(decision, FlowDecision::End { .. }), "{decision:?}");
 }
+
+// Symptom: flows are reset though their backend servers live.
+// Sequence: the network holds all packets up for 0.6 s; the first copies of the data of two
+//   flows to one backend server come that late, just before the answers.
+// Cause: the time since the data was sent is taken for the number of copies that no
+//   answer came to.
+#[test]
+fn late_copies_end_nothing() {
+    let (mut router, key) = flow_at_first();
+    let other = FlowKey { caller: common::key(8, 1).caller, ..key };
+    for (now, is_stalled) in [(ASKED, false), (ASKED + 620, true)] {
+        for flow in [key, other] {
+            let decision = router.on_packet(at(now), &data(flow, 1, 2_000, 1));
+            let FlowDecision::Forward { stall, .. } = decision else {
+                panic!("{decision:?} isn't sent on");
+            };
+            assert_eq!(stall.is_some(), is_stalled);
+        }
+    }
+    assert!(router.take_notes().iter().all(|note| note.kind != NoteKind::Silent));
+}
+
+// Symptom: as an instance goes on after a pause, it resets flows that live.
+// Sequence: data was sent on before the pause; its copies wait in the socket, and are
+//   read together at the end of it.
+// Cause: copies that are read together are counted as sent one after the other.
+#[test]
+fn waiting_copies_count_once() {
+    let (mut router, key) = flow_at_first();
+    unanswered_opening(&mut router, 800);
+    let request = data(key, 1, 2_000, 1);
+    router.on_packet(at(ASKED), &request);
+    router.note_pause();
+    for _ in 0..3 {
+        let decision = router.on_packet(at(ASKED + 900), &request);
+        assert!(matches!(decision, FlowDecision::Forward { .. }), "{decision:?}");
+    }
+}
