Lose callers' packets and silence backend servers in the soak

Cause: the soak did nothing to callers' packets, and backend servers were either well or dead, so that flows that are ended while their backend server lives on, and copies of openings at two backend servers, came only by chance. Change: a range of faults, packets, with two new kinds; seeds of before keep theirs (control), so that a kept seed means the same faults.

--- a/crates/foxledge-soak/src/backends.rs
+++ b/crates/foxledge-soak/src/backends.rs
@@ -17,6 +17,7 @@
 
 use crate::{
     heads::{ACK, FIN, RST, SYN, WirePacket},
+    links::PacketLoss,
     promises::PromiseLedger,
     store::StandInStore,
 };
@@ -66,6 +67,7 @@
         place: BackendPlace,
         store: &StandInStore,
         ledger: Arc<PromiseLedger>,
+        loss: PacketLoss,
     ) -> Result<StandInBackend> {
         let socket = Arc::new(UdpSocket::bind(place.address).await?);
         ledger.backend_started(place.number);
@@ -75,6 +77,7 @@
             socket,
             ledger: ledger.clone(),
             is_silent: is_silent.clone(),
+            loss,
             flows: HashMap::new(),
         };
         let task = tokio::spawn(server.run());
@@ -119,6 +122,7 @@
     socket: Arc<UdpSocket>,
     ledger: Arc<PromiseLedger>,
     is_silent: Arc<AtomicBool>,
+    loss: PacketLoss,
     flows: HashMap<FlowKey, BackendFlow>,
 }
 
@@ -127,7 +131,7 @@
         let mut buffer = [0; 2_048];
         loop {
             let Ok((size, from)) = self.socket.recv_from(&mut buffer).await else { continue };
-            if self.is_silent.load(Ordering::Relaxed) || size < 8 {
+            if self.is_silent.load(Ordering::Relaxed) || size < 8 || self.loss.takes_one() {
                 continue;
             }
             let intended = u64::from_be_bytes(buffer[..8].try_into().unwrap_or_default());
--- a/crates/foxledge-soak/src/callers.rs
+++ b/crates/foxledge-soak/src/callers.rs
@@ -21,6 +21,7 @@
 
 use crate::{
     heads::{ACK, FIN, RST, SYN, WirePacket},
+    links::PacketLoss,
     promises::PromiseLedger,
     router::PacketRouter,
 };
@@ -41,6 +42,7 @@
     next_port: AtomicU16,
     router: Arc<PacketRouter>,
     ledger: Arc<PromiseLedger>,
+    loss: PacketLoss,
     /// Callers begin nothing new once it is set.
     pub is_stopping: AtomicBool,
 }
@@ -74,6 +76,7 @@
         address: SocketAddrV4,
         router: Arc<PacketRouter>,
         ledger: Arc<PromiseLedger>,
+        loss: PacketLoss,
     ) -> Result<Arc<CallerHost>> {
         let host = Arc::new(CallerHost {
             ip: *address.ip(),
@@ -82,6 +85,7 @@
             next_port: AtomicU16::new(1_024),
             router,
             ledger,
+            loss,
             is_stopping: AtomicBool::new(false),
         });
         tokio::spawn(host.clone().receive());
@@ -177,6 +181,9 @@
         loop {
             let Ok((size, _)) = self.socket.recv_from(&mut buffer).await else { continue };
             let Some(packet) = WirePacket::decode(&buffer[..size]) else { continue };
+            if self.loss.takes_one() {
+                continue;
+            }
             let port = packet.to.port();
             let sender = self.flows().get(&port).cloned();
             if let Some(sender) = sender {
@@ -228,7 +235,11 @@
         // A copy of an earlier answer has an older acknowledgement.
         let is_copy = packet.acknowledged == self.sequence;
         if answered != id && !is_copy {
-            let text = format!("{} got the answer to {answered:x}, not {id:x}", self.key);
+            let behind = self.sequence.wrapping_sub(packet.acknowledged) as i32;
+            let text = format!(
+                "{} got the answer to {answered:x}, not {id:x}, {behind} bytes before it",
+                self.key
+            );
             self.host.ledger.breach(text);
         }
         answered == id
--- a/crates/foxledge-soak/src/faults.rs
+++ b/crates/foxledge-soak/src/faults.rs
@@ -1,6 +1,9 @@
 //! Faults carried out.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
 
 use nix::sys::signal::Signal;
 use tokio::time::sleep;
@@ -58,6 +61,12 @@
         SoakFault::BackendDies { backend } => backend_dies(&world, backend).await,
         SoakFault::BackendReused { backend } => backend_reused(&world, backend).await,
         SoakFault::BackendReplaced { backend } => backend_replaced(&world, backend).await,
+        SoakFault::BackendSilent { backend, for_ms } => {
+            backend_silent(&world, backend, for_ms).await;
+        }
+        SoakFault::PacketLoss { per_mille, for_ms } => {
+            packet_loss(&world, per_mille, for_ms).await;
+        }
         SoakFault::Publish { times } => {
             for _ in 0..times {
                 world.publish_next();
@@ -156,6 +165,27 @@
     }
 }
 
+async fn backend_silent(world: &Arc<SoakWorld>, backend: usize, for_ms: u64) {
+    let Some((number, is_silent)) = world.silence_of(backend) else { return };
+    is_silent.store(true, Ordering::Relaxed);
+    for _ in 0..for_ms.div_ceil(100) {
+        world.ledger.disturb_backend(number);
+        sleep(Duration::from_millis(100)).await;
+    }
+    is_silent.store(false, Ordering::Relaxed);
+    world.ledger.disturb_backend(number);
+}
+
+async fn packet_loss(world: &Arc<SoakWorld>, per_mille: u32, for_ms: u64) {
+    world.packet_loss.set(per_mille);
+    for _ in 0..for_ms.div_ceil(100) {
+        world.ledger.disturb_packets();
+        sleep(Duration::from_millis(100)).await;
+    }
+    world.packet_loss.set(0);
+    world.ledger.disturb_packets();
+}
+
 async fn backend_dies(world: &Arc<SoakWorld>, backend: usize) {
     let Some(dead) = world.take_backend(backend) else { return };
     let (key, place) = (dead.key(), dead.place.clone());
--- a/crates/foxledge-soak/src/lib.rs
+++ b/crates/foxledge-soak/src/lib.rs
@@ -17,5 +17,5 @@
 pub mod soak;
 pub mod store;
 
-pub use plan::{FaultPlan, SoakOptions};
+pub use plan::{FaultPlan, FaultRange, SoakOptions};
 pub use soak::{SoakReport, run_soak};
--- a/crates/foxledge-soak/src/links.rs
+++ b/crates/foxledge-soak/src/links.rs
@@ -3,7 +3,10 @@
 use std::{
     collections::HashMap,
     net::{SocketAddr, SocketAddrV4},
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicU32, Ordering},
+    },
     time::Duration,
 };
 
@@ -124,6 +127,26 @@
     }
 }
 
+/// `PacketLoss` is the share of packets that are lost on the way between callers,
+/// instances and backend servers.
+#[derive(Clone, Debug, Default)]
+pub struct PacketLoss {
+    per_mille: Arc<AtomicU32>,
+}
+
+impl PacketLoss {
+    /// Sets how many of a thousand are lost.
+    pub fn set(&self, per_mille: u32) {
+        self.per_mille.store(per_mille, Ordering::Relaxed);
+    }
+
+    /// True when the packet that has just come is one of them.
+    pub fn takes_one(&self) -> bool {
+        let per_mille = self.per_mille.load(Ordering::Relaxed);
+        per_mille > 0 && rand::rng().random_range(0..1_000) < per_mille
+    }
+}
+
 /// `PeerFault` is what is done to messages from one instance to another.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct PeerFault {
--- a/crates/foxledge-soak/src/main.rs
+++ b/crates/foxledge-soak/src/main.rs
@@ -4,7 +4,7 @@
 
 use anyhow::{Context, Result};
 use clap::{Arg, Command, value_parser};
-use foxledge_soak::{SoakOptions, run_soak};
+use foxledge_soak::{FaultRange, SoakOptions, run_soak};
 
 fn main() -> ExitCode {
     match run() {
@@ -27,12 +27,17 @@
         Some(binary) => binary.clone(),
         None => std::env::current_exe()?.with_file_name("foxledged"),
     };
+    let range = match matches.get_one::<String>("range").map(String::as_str) {
+        Some("control") => FaultRange::Control,
+        _ => FaultRange::Packets,
+    };
     let mut broken = 0;
     for seed in number("seed")..number("seed") + number("seeds") {
         let options = SoakOptions::new(seed)
             .seconds(number("seconds"))
             .instances(number("instances") as usize)
-            .fault_every_ms(number("every"));
+            .fault_every_ms(number("every"))
+            .range(range);
         let report = run_soak(options, &binary).with_context(|| format!("seed {seed}"))?;
         println!("{report}");
         broken += usize::from(!report.breaches.is_empty());
@@ -49,6 +54,14 @@
         .arg(number_argument("seconds", "Time with faults for each seed", "20"))
         .arg(number_argument("instances", "Instances in each of the two data centres", "3"))
         .arg(number_argument("every", "Mean milliseconds between faults, 0 for none", "700"))
+        .arg(
+            Arg::new("range")
+                .long("range")
+                .value_name("NAME")
+                .default_value("packets")
+                .help("Faults that come; seeds of before this option was made are of control")
+                .value_parser(["control", "packets"]),
+        )
         .arg(
             Arg::new("binary")
                 .long("binary")
--- a/crates/foxledge-soak/src/plan.rs
+++ b/crates/foxledge-soak/src/plan.rs
@@ -15,12 +15,37 @@
     pub callers: usize,
     /// Mean time between two faults, in milliseconds; 0 for a calm run.
     pub fault_every_ms: u64,
+    /// Which faults come.
+    pub range: FaultRange,
+}
+
+/// `FaultRange` is which faults come. A seed means the same faults for ever, so that one
+/// that failed stays as it was: new kinds of faults make a new range.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum FaultRange {
+    /// Faults of instances, of what they learn from, and of whole backend servers.
+    Control,
+    /// These, and faults on the way of callers' packets.
+    Packets,
 }
 
 impl SoakOptions {
     /// Options of a run of usual size.
     pub fn new(seed: u64) -> SoakOptions {
-        SoakOptions { seed, seconds: 20, instances: 3, callers: 4, fault_every_ms: 700 }
+        SoakOptions {
+            seed,
+            seconds: 20,
+            instances: 3,
+            callers: 4,
+            fault_every_ms: 700,
+            range: FaultRange::Control,
+        }
+    }
+
+    /// Sets which faults come.
+    pub fn range(mut self, range: FaultRange) -> SoakOptions {
+        self.range = range;
+        self
     }
 
     /// Sets the time with faults, in seconds.
@@ -123,6 +148,20 @@
         /// Which, of all.
         backend: usize,
     },
+    /// A backend server answers nothing for some time, and lives on.
+    BackendSilent {
+        /// Which, of all.
+        backend: usize,
+        /// Time in milliseconds.
+        for_ms: u64,
+    },
+    /// Packets of callers, and answers to them, are lost.
+    PacketLoss {
+        /// How many of a thousand, each way.
+        per_mille: u32,
+        /// Time in milliseconds.
+        for_ms: u64,
+    },
     /// New lists are published.
     Publish {
         /// How many, one each 300 ms.
@@ -162,7 +201,11 @@
     let instance = rng.random_range(0..options.instances * 2);
     let backend = rng.random_range(0..1_000);
     let for_ms = rng.random_range(300..6_000);
-    match rng.random_range(0..20) {
+    let kinds = match options.range {
+        FaultRange::Control => 20,
+        FaultRange::Packets => 25,
+    };
+    match rng.random_range(0..kinds) {
         0..3 => SoakFault::Kill { instance, down_ms: rng.random_range(100..2_500) },
         3..5 => SoakFault::Stop { instance, times: rng.random_range(1..3) },
         5..7 => SoakFault::Pause { instance, for_ms },
@@ -176,6 +219,8 @@
         16 => SoakFault::BackendReplaced { backend },
         17 => SoakFault::StoreLapse { for_ms },
         18 if rng.random_bool(0.3) => SoakFault::KillAll { down_ms: rng.random_range(200..1_500) },
+        20..23 => SoakFault::BackendSilent { backend, for_ms },
+        23.. => SoakFault::PacketLoss { per_mille: rng.random_range(20..400), for_ms },
         _ => SoakFault::Publish { times: rng.random_range(1..6) },
     }
 }
--- a/crates/foxledge-soak/src/promises.rs
+++ b/crates/foxledge-soak/src/promises.rs
@@ -43,6 +43,8 @@
     routes: HashMap<u16, RouteTruth>,
     disturbed: HashMap<usize, Instant>,
     store_disturbed: Option<Instant>,
+    disturbed_backends: HashMap<u64, Instant>,
+    packets_disturbed: Option<Instant>,
     breaches: Vec<String>,
     /// Requests served and failed since the last reset of the counts.
     served: u64,
@@ -76,6 +78,16 @@
         self.lock().store_disturbed = Some(Instant::now());
     }
 
+    /// Notes that a fault at a backend server that lives has just ended or goes on.
+    pub fn disturb_backend(&self, number: u64) {
+        self.lock().disturbed_backends.insert(number, Instant::now());
+    }
+
+    /// Notes that a loss of packets has just ended or goes on.
+    pub fn disturb_packets(&self) {
+        self.lock().packets_disturbed = Some(Instant::now());
+    }
+
     /// Notes the start of a backend server.
     pub fn backend_started(&self, number: u64) {
         let life = BackendLife { is_alive: true, draining_since: None };
@@ -163,12 +175,15 @@
         }
     }
 
-    /// Checks a reset that an instance sent to a caller whose flow is open.
+    /// Checks a reset that an instance sent to a caller whose flow is open: its backend
+    /// server must be dead, or as good as dead for a while.
     pub fn reset_by_instance(&self, flow: FlowKey) {
         let mut state = self.lock();
         let Some(holder) = state.holders.get(&flow).copied() else { return };
         let lives = state.backends.get(&holder.backend).is_some_and(|life| life.is_alive);
-        if holder.is_open && lives {
+        let is_silent = !is_calm(state.disturbed_backends.get(&holder.backend), Instant::now())
+            || !is_calm(state.packets_disturbed.as_ref(), Instant::now());
+        if holder.is_open && lives && !is_silent {
             let text = format!("{flow} was reset by an instance while {:x} lives", holder.backend);
             state.breaches.push(text);
         }
@@ -208,7 +223,11 @@
 
 impl LedgerState {
     fn is_in_touch(&self, instance: usize, now: Instant) -> bool {
-        let is_calm = |since: Option<&Instant>| since.is_none_or(|since| now - *since > IN_TOUCH);
-        is_calm(self.disturbed.get(&instance)) && is_calm(self.store_disturbed.as_ref())
+        is_calm(self.disturbed.get(&instance), now) && is_calm(self.store_disturbed.as_ref(), now)
     }
 }
+
+/// True when a disturbance is over for long enough, or never was.
+fn is_calm(disturbed: Option<&Instant>, now: Instant) -> bool {
+    disturbed.is_none_or(|last| now - *last > IN_TOUCH)
+}
--- a/crates/foxledge-soak/src/soak.rs
+++ b/crates/foxledge-soak/src/soak.rs
@@ -23,7 +23,7 @@
     callers::CallerHost,
     faults::carry_out,
     instances::{InstancePlace, RunningInstance},
-    links::{PeerLinks, StoreLink},
+    links::{PacketLoss, PeerLinks, StoreLink},
     plan::{FaultPlan, SoakOptions},
     promises::PromiseLedger,
     router::PacketRouter,
@@ -111,6 +111,8 @@
     pub peers: Arc<PeerLinks>,
     router: Arc<PacketRouter>,
     store_links: Vec<StoreLink>,
+    /// How many of a thousand packets are lost at callers and at backend servers.
+    pub packet_loss: PacketLoss,
     instances: Mutex<Vec<RunningInstance>>,
     backends: Mutex<Vec<StandInBackend>>,
     next_backend: AtomicU64,
@@ -199,7 +201,8 @@
     let mut hosts = Vec::new();
     for index in 0..world.options.callers * 2 {
         let address = world.address(4, index, DATA_PORT);
-        let host = CallerHost::start(address, world.router.clone(), world.ledger.clone()).await?;
+        let (router, ledger) = (world.router.clone(), world.ledger.clone());
+        let host = CallerHost::start(address, router, ledger, world.packet_loss.clone()).await?;
         let ports = vec![(FEED_PORT, true), (BID_PORT, false), (UPLOAD_PORT, false)];
         for _ in 0..3 {
             tokio::spawn(host.clone().run(ports.clone(), rng.random()));
@@ -304,6 +307,7 @@
             peers,
             router,
             store_links,
+            packet_loss: PacketLoss::default(),
             instances: Mutex::new(instances),
             backends: Mutex::default(),
             next_backend: AtomicU64::new(0),
@@ -380,7 +384,8 @@
             data_centre: centre_of(count as usize).to_owned(),
             caller_port: DATA_PORT,
         };
-        match StandInBackend::start(place, &self.store, self.ledger.clone()).await {
+        let (ledger, loss) = (self.ledger.clone(), self.packet_loss.clone());
+        match StandInBackend::start(place, &self.store, ledger, loss).await {
             Ok(backend) => self.lock_backends().push(backend),
             Err(error) => self.ledger.breach(format!("the soak itself failed: {error:#}")),
         }
@@ -395,6 +400,13 @@
         (left > BACKENDS).then(|| backends.swap_remove(index))
     }
 
+    /// The number of a running backend server, and what silences it.
+    pub fn silence_of(&self, choice: usize) -> Option<(u64, Arc<AtomicBool>)> {
+        let backends = self.lock_backends();
+        let backend = backends.get(choice % backends.len().max(1))?;
+        Some((backend.place.number, backend.is_silent.clone()))
+    }
+
     /// Keys of the entries of all running backend servers.
     pub fn live_keys(&self) -> Vec<String> {
         self.lock_backends().iter().map(StandInBackend::key).collect()
