Tell names once in the messages that bring rows of the list

A row was 75 bytes, of which the names of service and data centre and a key that repeats the number were 50. Change: rows travel packed, 31 bytes for a backend server; a page holds 1,100 bytes of them. Ruled out: compressing messages (small ones don't shrink, and it costs time on a twentieth of a core); a dictionary kept between messages (a lost one would need a repair). Instances of the two forms don't understand each other; each form reads the store for itself.

--- a/crates/foxledge-flows/src/list.rs
+++ b/crates/foxledge-flows/src/list.rs
@@ -186,13 +186,24 @@
 
     /// Rows after a cursor, in order of changes, up to `budget` encoded bytes but one at least.
     pub fn page(&self, now: ClockTime, cursor: &ListCursor, budget: usize) -> ListPage {
+        self.page_by(now, cursor, budget, |row| row.encoded_len() + ROW_FRAME)
+    }
+
+    /// The same, with the bytes that each row adds told by `size_of`, in the order of rows.
+    pub fn page_by(
+        &self,
+        now: ClockTime,
+        cursor: &ListCursor,
+        budget: usize,
+        mut size_of: impl FnMut(&ListRow) -> usize,
+    ) -> ListPage {
         let from = (cursor.revision, cursor.key.clone());
         let mut page = ListPage::default();
         let mut size = 0;
         for (revision, key) in self.order.range((Bound::Excluded(from), Bound::Unbounded)) {
             let Some(row) = self.rows.get(key) else { continue };
             let row = self.aged(now, row);
-            size += row.encoded_len() + ROW_FRAME;
+            size += size_of(&row);
             if size > budget && !page.rows.is_empty() {
                 let last = page.rows.last().map(|row| row.key.as_str()).unwrap_or_default();
                 let before = page.rows.last().map_or(*revision, |row| row.revision);
--- a/crates/foxledge-gossip/src/copies.rs
+++ b/crates/foxledge-gossip/src/copies.rs
@@ -10,9 +10,11 @@
     member::FleetMember,
     messages::{BURST, MessageBody, PageMessage, PullMessage},
     pulls::{ListPull, PullStep},
-    spreading::{ROW_BUDGET, SAMPLE},
+    spreading::SAMPLE,
 };
 
+/// Bytes of rows in one page: beside them are three readers at most, of 70 bytes.
+const PAGE_BUDGET: usize = 1_100;
 /// Instances that are served with rows at a time.
 const MOST_SERVED: usize = 3;
 /// How long an instance counts as being served after its last question, in milliseconds.
@@ -104,12 +106,12 @@
         is_copy: bool,
     ) {
         for index in 0..BURST {
-            let page = self.list.page(now, &cursor, ROW_BUDGET);
+            let (rows, next) = self.packed_page(now, &cursor, PAGE_BUDGET);
             let message = PageMessage {
                 ticket,
                 index,
-                has_more: page.next.is_some(),
-                rows: page.rows,
+                has_more: next.is_some(),
+                rows: Some(rows),
                 is_copy,
                 head: self.list.head(),
                 floor: self.list.floor(),
@@ -118,7 +120,7 @@
                 peers: Vec::new(),
             };
             self.send(to, MessageBody::Page(message));
-            let Some(next) = page.next else {
+            let Some(next) = next else {
                 self.served.remove(&to);
                 return;
             };
--- a/crates/foxledge-gossip/src/learning.rs
+++ b/crates/foxledge-gossip/src/learning.rs
@@ -11,6 +11,7 @@
     election::ReaderClaim,
     member::FleetMember,
     messages::{BeatMessage, ClaimMessage, HeardPeer, NoteMessage},
+    packing::PackedRows,
     peers::PeerChange,
     spreading::{DOUBT_MS, NOTE_MS},
 };
@@ -138,7 +139,8 @@
         if !is_whole {
             return self.begin_pull(now, from);
         }
-        let rows = self.list.take_changes(now, beat.rows.clone(), beat.head);
+        let rows = beat.rows.clone().map(PackedRows::unpack).unwrap_or_default();
+        let rows = self.list.take_changes(now, rows, beat.head);
         self.rows_taken(now, rows, known, from.to_string());
     }
 
--- a/crates/foxledge-gossip/src/messages.rs
+++ b/crates/foxledge-gossip/src/messages.rs
@@ -2,17 +2,18 @@
 
 use std::net::{Ipv4Addr, SocketAddrV4};
 
-use foxledge_flows::rows::ListRow;
 use prost::{Message, Oneof};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
+use crate::packing::PackedRows;
+
 /// Largest message in bytes: fits a datagram on every usual link unfragmented.
 pub const LARGEST_MESSAGE: usize = 1_400;
 
 /// Bytes of the digest in front of a message.
 const DIGEST_SIZE: usize = 8;
 /// Names the form of messages: those of another form have another digest.
-const MESSAGE_FORM: u64 = 1;
+const MESSAGE_FORM: u64 = 2;
 
 /// `FleetMessage` is one datagram between instances.
 #[derive(Clone, PartialEq, Message)]
@@ -110,8 +111,8 @@
     #[prost(uint64, optional, tag = "4")]
     pub base: Option<u64>,
     /// Changed rows.
-    #[prost(message, repeated, tag = "5")]
-    pub rows: Vec<ListRow>,
+    #[prost(message, optional, tag = "5")]
+    pub rows: Option<PackedRows>,
     /// Observations of backend servers.
     #[prost(message, repeated, tag = "6")]
     pub notes: Vec<NoteMessage>,
@@ -214,8 +215,8 @@
     #[prost(fixed32, tag = "1")]
     pub ticket: u32,
     /// The rows.
-    #[prost(message, repeated, tag = "2")]
-    pub rows: Vec<ListRow>,
+    #[prost(message, optional, tag = "2")]
+    pub rows: Option<PackedRows>,
     /// Place of the page among those that answer the question, from 0.
     #[prost(uint32, tag = "8")]
     pub index: u32,
--- a/crates/foxledge-gossip/src/pulls.rs
+++ b/crates/foxledge-gossip/src/pulls.rs
@@ -5,7 +5,10 @@
 use foxledge_core::time::ClockTime;
 use foxledge_flows::{list::ListCursor, rows::ListRow};
 
-use crate::messages::{BURST, PageMessage, PullMessage};
+use crate::{
+    messages::{BURST, PageMessage, PullMessage},
+    packing::PackedRows,
+};
 
 /// Wait for a page in milliseconds.
 ///
@@ -93,13 +96,14 @@
             self.is_copy = true;
             self.rows.clear();
         }
-        let Some(last) = page.rows.last().filter(|_| page.has_more) else {
-            self.rows.extend(page.rows);
+        let rows = page.rows.map(PackedRows::unpack).unwrap_or_default();
+        let Some(last) = rows.last().filter(|_| page.has_more) else {
+            self.rows.extend(rows);
             let rows = std::mem::take(&mut self.rows);
             return PullStep::Done { rows, is_copy: self.is_copy };
         };
         self.cursor = ListCursor { revision: last.revision, key: last.key.as_str().into() };
-        self.rows.extend(page.rows);
+        self.rows.extend(rows);
         self.next_index += 1;
         self.tries = 0;
         self.retry_at = now.after_millis(PAGE_MS);
--- a/crates/foxledge-gossip/src/spreading.rs
+++ b/crates/foxledge-gossip/src/spreading.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddrV4;
 
 use foxledge_core::time::ClockTime;
-use foxledge_flows::{HealthNote, NoteKind, list::ListCursor, rows::ListRow};
+use foxledge_flows::{HealthNote, NoteKind, list::ListCursor};
 use rand::Rng;
 
 use crate::{
@@ -13,6 +13,7 @@
     messages::{
         BeatMessage, ClaimMessage, FleetMessage, LARGEST_MESSAGE, MessageBody, NoteMessage,
     },
+    packing::{PackedRows, RowPacker},
 };
 
 /// Bytes of rows in one message, so that the rest of it has room.
@@ -115,7 +116,7 @@
     /// Answers an instance that asks, or that is behind at `base`.
     pub(crate) fn tell(&mut self, now: ClockTime, to: SocketAddrV4, base: u64) {
         let mut beat = self.beat_message(now, Some(base));
-        if beat.rows.is_empty() {
+        if beat.rows.is_none() {
             beat.peers = self.peers.sample(&mut self.rng, now, SAMPLE * 2);
         }
         self.send(to, MessageBody::Beat(beat));
@@ -140,20 +141,31 @@
     }
 
     /// The rows that changed after `base`, if one message holds them.
-    fn rows_since(&self, now: ClockTime, base: Option<u64>) -> (Option<u64>, Vec<ListRow>) {
+    fn rows_since(&self, now: ClockTime, base: Option<u64>) -> (Option<u64>, Option<PackedRows>) {
         let Some(base) = base.filter(|base| *base > 0 && *base >= self.list.floor()) else {
-            return (None, Vec::new());
+            return (None, None);
         };
         if base >= self.list.head() {
-            return (Some(self.list.head()), Vec::new());
+            return (Some(self.list.head()), None);
         }
-        let page = self.list.page(now, &ListCursor::after(base), ROW_BUDGET);
-        match page.next {
-            None => (Some(base), page.rows),
-            Some(_) => (None, Vec::new()),
+        match self.packed_page(now, &ListCursor::after(base), ROW_BUDGET) {
+            (rows, None) => (Some(base), Some(rows)),
+            (_, Some(_)) => (None, None),
         }
     }
 
+    /// Rows after a cursor as they travel, and where the next page begins, if there is one.
+    pub(crate) fn packed_page(
+        &self,
+        now: ClockTime,
+        cursor: &ListCursor,
+        budget: usize,
+    ) -> (PackedRows, Option<ListCursor>) {
+        let mut packer = RowPacker::default();
+        let page = self.list.page_by(now, cursor, budget, |row| packer.push(row));
+        (packer.finish(page.rows.len()), page.next)
+    }
+
     /// Readers' last answers, the newest first.
     pub(crate) fn claim_messages(&self, now: ClockTime) -> Vec<ClaimMessage> {
         let claims = self.election.claims().iter().take(MOST_CLAIMS);
