Ask one seed at a start, and serve one instance with the list at a time

Cause: all instances that start together ask all three seeds, and a seed answers 300 of them before it gets to the list. Three copies sent at once are all whole late; one is whole sooner, and then two can hand it on. Before and after, virtual fleet of 300 with 3,000 backend servers: 1,269 ms; one at a time 1,112; one seed asked 419 ms and 4 MB between data centres. Two at a time 436, a second question to all seeds 830 ms: not kept.

--- a/crates/foxledge-gossip/src/copies.rs
+++ b/crates/foxledge-gossip/src/copies.rs
@@ -15,8 +15,11 @@
 
 /// Bytes of rows in one page: beside them are three readers at most, of 70 bytes.
 const PAGE_BUDGET: usize = 1_100;
-/// Instances that are served with rows at a time.
-const MOST_SERVED: usize = 3;
+/// Instances that are served with rows at a time. A copy that goes out alone is whole
+/// soonest, and from then on two can hand it on: of 300 instances that start together,
+/// the last has a list of 3,000 backend servers after 1,112 ms, with three at a time
+/// after 1,269 ms (`large_fleet_large_list`).
+const MOST_SERVED: usize = 1;
 /// How long an instance counts as being served after its last question, in milliseconds.
 const SERVED_MS: u64 = 120;
 /// Shortest wait before another question after one was turned away, in milliseconds.
--- a/crates/foxledge-gossip/src/spreading.rs
+++ b/crates/foxledge-gossip/src/spreading.rs
@@ -4,7 +4,7 @@
 
 use foxledge_core::time::ClockTime;
 use foxledge_flows::{HealthNote, NoteKind, list::ListCursor};
-use rand::Rng;
+use rand::{Rng, seq::IndexedRandom};
 
 use crate::{
     effects::{FleetEffect, FleetEvent},
@@ -58,13 +58,21 @@
         }
     }
 
-    /// Asks the seeds for an answer, as no list or no peer is known.
+    /// Asks a seed for an answer, as no list or no peer is known; a seed asks the others.
+    ///
+    /// When a fleet starts at once, a seed answers a hundred instances before it gets to
+    /// anything else, the list included. Asked by all others together it needs three
+    /// times as long: of 300 instances, the last had its list after 1,112 ms in place of
+    /// 419. A seed that is dead costs its askers one period of questions.
     pub(crate) fn ask_seeds(&mut self, now: ClockTime) {
+        let own = self.options.address;
+        let mut seeds = self.options.seeds.clone();
+        if !seeds.contains(&own) {
+            seeds = seeds.choose(&mut self.rng).copied().into_iter().collect();
+        }
         let mut beat = self.beat_message(now, None);
         beat.wants_answer = true;
-        let mut seeds = self.options.seeds.clone();
-        seeds.retain(|seed| *seed != self.options.address);
-        for seed in seeds {
+        for seed in seeds.into_iter().filter(|seed| *seed != own) {
             self.send(seed, MessageBody::Beat(beat.clone()));
         }
     }
--- a/crates/foxledge-gossip/tests/start_together.rs
+++ b/crates/foxledge-gossip/tests/start_together.rs
@@ -75,7 +75,7 @@
 //   of power, and the bytes of the start go between data centres.
 // Sequence: all read the whole store at once, or ask three seeds for a whole copy.
 // Cause: the store's link carries 750 KB for each of them; a seed with a twentieth of
-//   a core that is asked by a hundred serves none of them in time.
+//   a core that is asked by all serves none of them in time.
 #[test]
 fn large_fleet_large_list() {
     let mut fleet = VirtualFleet::new(&[75, 75, 75, 75], 1);
@@ -91,6 +91,7 @@
     let took = fleet.run_until(5_000, |fleet| fleet.all_know(head));
     let far = fleet.far_bytes / 1_000_000;
     println!("{took:?} ms, {far} MB, {} cheap calls", fleet.store.cheap_calls);
-    assert!(took.is_some_and(|took| took <= 2_000), "{took:?} ms");
-    assert!(far <= 15, "{far} MB between data centres");
+    assert!(took.is_some_and(|took| took <= 600), "{took:?} ms");
+    assert!(far <= 6, "{far} MB between data centres");
+    assert!(fleet.store.cheap_calls <= 150, "{} readings", fleet.store.cheap_calls);
 }
