Serve on a first part of a large list, and take its pages in any order

Traced pulls: 'order 3 for 2' 539 times, retries 200 ms later: the eight pages of an answer come in another order, and one before its turn was dropped. Change: pages before their turn are kept. What the part held and the list doesn't is taken out as left; a copy older than the part isn't taken.

--- a/crates/foxledge-daemon/src/packets/flow_part.rs
+++ b/crates/foxledge-daemon/src/packets/flow_part.rs
@@ -149,8 +149,8 @@
         }
         drop(member);
         let now = context.clock.now();
-        let has_routes = context.member.borrow().list().has_routes();
-        let held_until = (!has_routes).then(|| now.after_millis(HOLD_MS));
+        let can_serve = context.member.borrow().can_serve();
+        let held_until = (!can_serve).then(|| now.after_millis(HOLD_MS));
         let counts = RouterCounts::default();
         let frame = Box::new([0; READ_SIZE]);
         Ok(FlowPart { context, socket, router, counts, held_until, frame })
@@ -159,7 +159,7 @@
     /// Takes rows of the list that changed.
     pub fn take_rows(&mut self, cx: CX![], rows: Vec<ListRow>) {
         self.router.take_rows(self.context.clock.now(), &rows);
-        if self.held_until.is_some() && self.context.member.borrow().list().has_routes() {
+        if self.held_until.is_some() && self.context.member.borrow().can_serve() {
             self.held_until = None;
             self.drain(cx);
         }
--- a/crates/foxledge-daemon/src/packets/life_part.rs
+++ b/crates/foxledge-daemon/src/packets/life_part.rs
@@ -91,7 +91,7 @@
         }
         let now = self.context.clock.now();
         let member = self.context.member.borrow();
-        if !member.list().has_routes() {
+        if !member.can_serve() {
             return;
         }
         let is_sure = member.confirmed_at().is_some();
--- a/crates/foxledge-flows/src/list.rs
+++ b/crates/foxledge-flows/src/list.rs
@@ -174,6 +174,16 @@
         taken
     }
 
+    /// Turns a part of a reading into rows and takes none of them.
+    pub fn preview(&self, items: Vec<ItemChange>) -> Vec<ListRow> {
+        items.into_iter().flat_map(|item| self.rows_of(item)).collect()
+    }
+
+    /// True when a row of this key is in the list and not gone.
+    pub fn holds(&self, key: &str) -> bool {
+        self.rows.get(key).is_some_and(|row| !is_removed(row))
+    }
+
     /// Turns changes of the store into rows and takes them.
     pub fn take_watch(&mut self, now: ClockTime, reading: ListReading) -> Vec<ListRow> {
         let known = self.head;
--- a/crates/foxledge-flows/src/source.rs
+++ b/crates/foxledge-flows/src/source.rs
@@ -71,6 +71,15 @@
     pub items: Vec<ItemChange>,
     /// The store's revision.
     pub head: u64,
+    /// Set when there are more items than these.
+    pub is_part: bool,
+}
+
+impl ListReading {
+    /// A reading to which nothing is missing.
+    pub fn whole(items: Vec<ItemChange>, head: u64) -> ListReading {
+        ListReading { items, head, is_part: false }
+    }
 }
 
 /// `ReadMode` is how new a whole reading must be.
@@ -121,6 +130,10 @@
 
 /// `ListSource` reads what operators and backend servers publish.
 pub trait ListSource: Send {
+    /// Reads the items that one answer holds, in the way that is cheap for the store and
+    /// may be old.
+    fn read_first(&mut self) -> SourceAnswer<'_>;
+
     /// Reads everything.
     fn read_all(&mut self, mode: ReadMode) -> SourceAnswer<'_>;
 
--- a/crates/foxledge-gossip/src/copies.rs
+++ b/crates/foxledge-gossip/src/copies.rs
@@ -142,15 +142,17 @@
             self.pull_at = Some((now.after_millis(wait), from));
             return;
         }
-        let (head, floor) = (page.head, page.floor);
         self.learn_claims(now, &page.claims);
         match pull.take(now, page) {
             PullStep::Ask(question) => {
                 self.send(from, MessageBody::Pull(question));
                 self.pull = Some(pull);
             }
-            PullStep::Done { rows, is_copy } => {
+            PullStep::Done { rows, is_copy, head, floor } => {
                 let known = self.list.head();
+                if known == 0 && head < self.preview.head() {
+                    return;
+                }
                 let taken = match is_copy {
                     true => self.list.take_copy(now, rows, head, floor),
                     false => self.list.take_changes(now, rows, head),
--- a/crates/foxledge-gossip/src/effects.rs
+++ b/crates/foxledge-gossip/src/effects.rs
@@ -9,6 +9,8 @@
 /// `ReadOrder` is one call of the store.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ReadOrder {
+    /// Read what one answer holds, perhaps old.
+    First,
     /// Read everything.
     All(ReadMode),
     /// Wait for changes.
@@ -61,6 +63,15 @@
         /// Time since the store confirmed it.
         confirmed_age_ms: Option<u64>,
     },
+    /// A part of a list too long for one answer serves until all is known.
+    ListPreviewed {
+        /// The operators' version.
+        version: u64,
+        /// The store's revision.
+        revision: u64,
+        /// Rows of the part.
+        rows: usize,
+    },
     /// This instance begins to read the store.
     ReadingBegun {
         /// Time since the store last confirmed the list.
@@ -115,6 +126,7 @@
     pub fn kind(&self) -> &'static str {
         match self {
             FleetEvent::ListTaken { .. } => "list_taken",
+            FleetEvent::ListPreviewed { .. } => "list_previewed",
             FleetEvent::ReadingBegun { .. } => "reading_begun",
             FleetEvent::ReadingEnded { .. } => "reading_ended",
             FleetEvent::StoreLost { .. } => "store_lost",
--- a/crates/foxledge-gossip/src/learning.rs
+++ b/crates/foxledge-gossip/src/learning.rs
@@ -160,10 +160,13 @@
     pub(crate) fn rows_taken(
         &mut self,
         now: ClockTime,
-        rows: Vec<ListRow>,
+        mut rows: Vec<ListRow>,
         former: u64,
         source: String,
     ) {
+        if former == 0 && self.list.head() > 0 {
+            rows.extend(self.end_preview());
+        }
         if !rows.is_empty() {
             let event = FleetEvent::ListTaken {
                 version: self.list.version(),
--- a/crates/foxledge-gossip/src/lib.rs
+++ b/crates/foxledge-gossip/src/lib.rs
@@ -19,6 +19,7 @@
 mod options;
 pub mod packing;
 mod peers;
+mod preview;
 mod pulls;
 mod reading;
 mod spreading;
--- a/crates/foxledge-gossip/src/member.rs
+++ b/crates/foxledge-gossip/src/member.rs
@@ -15,6 +15,7 @@
     messages::{FleetMessage, MessageBody, PeerCard},
     options::MemberOptions,
     peers::PeerTable,
+    preview::ListPreview,
     pulls::ListPull,
 };
 
@@ -34,6 +35,8 @@
 const START_SPREAD_MS: u64 = 50;
 /// Time between two questions to the seeds while no list is known, in milliseconds.
 const ASK_MS: u64 = 100;
+/// The same while a part of the list serves: seeds of a large fleet have more to do.
+const ASK_REST_MS: u64 = 300;
 
 /// `FleetMember` is what one instance knows of list and fleet, and what it does about it.
 pub struct FleetMember {
@@ -45,6 +48,8 @@
     pub(crate) rng: StdRng,
     /// The list as it is known.
     pub(crate) list: FleetList,
+    /// The part of it that serves before all is known.
+    pub(crate) preview: ListPreview,
     /// The instances that are known.
     pub(crate) peers: PeerTable,
     /// This instance's part in reading the store.
@@ -105,6 +110,7 @@
             card,
             rng,
             list: FleetList::new(),
+            preview: ListPreview::default(),
             peers: PeerTable::default(),
             pull: None,
             pull_at: None,
@@ -189,7 +195,8 @@
     /// Does what is due.
     pub fn on_time(&mut self, now: ClockTime) {
         if !self.list.has_routes() && self.ask_at.is_past(now) {
-            self.ask_at = now.after_millis(ASK_MS);
+            let wait = if self.preview.is_known() { ASK_REST_MS } else { ASK_MS };
+            self.ask_at = now.after_millis(wait);
             self.ask_seeds(now);
         }
         self.begin_waiting_pull(now);
--- a/crates/foxledge-gossip/src/pulls.rs
+++ b/crates/foxledge-gossip/src/pulls.rs
@@ -1,6 +1,6 @@
 //! Rows asked of a peer, page by page.
 
-use std::net::SocketAddrV4;
+use std::{collections::BTreeMap, net::SocketAddrV4};
 
 use foxledge_core::time::ClockTime;
 use foxledge_flows::{list::ListCursor, rows::ListRow};
@@ -34,6 +34,8 @@
     rows: Vec<ListRow>,
     /// Place of the next page among those that answer the question.
     next_index: u32,
+    /// Pages that came before it, by their place.
+    early: BTreeMap<u32, PageMessage>,
     tries: u32,
     /// When to ask again.
     pub retry_at: ClockTime,
@@ -52,6 +54,10 @@
         rows: Vec<ListRow>,
         /// True when they are a whole copy.
         is_copy: bool,
+        /// Revision up to which the peer knows the list.
+        head: u64,
+        /// Revision after which the peer can tell changes.
+        floor: u64,
     },
     /// The peer is given up.
     Lost,
@@ -68,6 +74,7 @@
             is_copy: known == 0,
             rows: Vec::new(),
             next_index: 0,
+            early: BTreeMap::new(),
             tries: 0,
             retry_at: now.after_millis(PAGE_MS),
         }
@@ -85,12 +92,25 @@
 
     /// Takes a page that answers the question that is out.
     ///
-    /// A page that comes out of its order is passed over; the question is asked
-    /// again from the last good page.
+    /// Pages are sent together, and the network may hand them over in another order: one
+    /// that comes before its turn is kept. Were it dropped, it would be asked for again
+    /// after [`PAGE_MS`], and of a list of 85 pages hardly one transfer ended.
     pub fn take(&mut self, now: ClockTime, page: PageMessage) -> PullStep {
-        if page.index != self.next_index {
+        if page.index < self.next_index || page.index >= BURST {
             return PullStep::Wait;
         }
+        self.early.insert(page.index, page);
+        while let Some(page) = self.early.remove(&self.next_index) {
+            match self.take_next(now, page) {
+                PullStep::Wait => {}
+                step => return step,
+            }
+        }
+        PullStep::Wait
+    }
+
+    /// Takes the page whose turn it is.
+    fn take_next(&mut self, now: ClockTime, page: PageMessage) -> PullStep {
         if page.is_copy && !self.is_copy {
             // The peer can't tell the changes since what is known here.
             self.is_copy = true;
@@ -100,7 +120,8 @@
         let Some(last) = rows.last().filter(|_| page.has_more) else {
             self.rows.extend(rows);
             let rows = std::mem::take(&mut self.rows);
-            return PullStep::Done { rows, is_copy: self.is_copy };
+            let PageMessage { head, floor, .. } = page;
+            return PullStep::Done { rows, is_copy: self.is_copy, head, floor };
         };
         self.cursor = ListCursor { revision: last.revision, key: last.key.as_str().into() };
         self.rows.extend(rows);
@@ -116,6 +137,7 @@
     fn ask_again(&mut self) -> PullStep {
         self.ticket = self.ticket.wrapping_add(1);
         self.next_index = 0;
+        self.early.clear();
         PullStep::Ask(self.question())
     }
 
--- a/crates/foxledge-gossip/src/reading.rs
+++ b/crates/foxledge-gossip/src/reading.rs
@@ -63,7 +63,11 @@
         }
         self.election.called();
         self.called_at = now;
-        self.effects.push(FleetEffect::Read(ReadOrder::All(ReadMode::MaybeOld)));
+        let order = match self.preview.is_known() {
+            true => ReadOrder::All(ReadMode::MaybeOld),
+            false => ReadOrder::First,
+        };
+        self.effects.push(FleetEffect::Read(order));
     }
 
     /// When this instance begins to read unless it hears of a confirmation before.
@@ -107,9 +111,18 @@
                 }));
             }
         }
+        if reading.is_part {
+            return self.take_preview(now, reading);
+        }
         let former = self.list.head();
         let head = reading.head;
+        if former == 0 && head < self.preview.head() {
+            // Older than what serves already.
+            self.start_at = now.after_millis(START_RETRY_MS);
+            return;
+        }
         let (rows, is_newest) = match order {
+            ReadOrder::First => (self.list.take_reading(now, reading), false),
             ReadOrder::All(mode) => {
                 self.needs_copy = false;
                 (self.list.take_reading(now, reading), mode == ReadMode::Newest)
--- a/crates/foxledge-soak/tests/store_client.rs
+++ b/crates/foxledge-soak/tests/store_client.rs
@@ -72,6 +72,18 @@
     });
 }
 
+#[test]
+fn first_page_alone() {
+    run(async {
+        for (entries, items, is_part) in [(11, 12, false), (40, 12, true)] {
+            let (_store, address) = store_with_entries(entries).await;
+            let reading = StoreClient::new(address).read_first().await.expect("is read");
+            assert_eq!((reading.items.len(), reading.is_part), (items, is_part));
+            assert!(matches!(reading.items[0], ItemChange::Config { .. }));
+        }
+    });
+}
+
 #[test]
 fn watch_brings_changes() {
     run(async {
