--- a/crates/foxledge-gossip/src/copies.rs
+++ b/crates/foxledge-gossip/src/copies.rs
@@ -16,9 +16,9 @@
 /// Bytes of rows in one page: beside them are three readers at most, of 70 bytes.
 const PAGE_BUDGET: usize = 1_100;
 /// Instances that are served with rows at a time. A copy that goes out alone is whole
-/// soonest, and from then on two can hand it on: of 300 instances that start together,
-/// the last has a list of 3,000 backend servers after 1,112 ms, with three at a time
-/// after 1,269 ms (`large_fleet_large_list`).
+/// soonest, and from then on two can hand it on. With two and three at a time, 300
+/// instances know a list of 3,000 backend servers as soon, and 0.021 and 0.024 GB go
+/// between data centres in place of 0.018.
 const MOST_SERVED: usize = 1;
 /// How long an instance counts as being served after its last question, in milliseconds.
 const SERVED_MS: u64 = 120;
--- a/crates/foxledge-gossip/src/spreading.rs
+++ b/crates/foxledge-gossip/src/spreading.rs
@@ -78,8 +78,8 @@
     ///
     /// When a fleet starts at once, a seed answers a hundred instances before it gets to
     /// anything else, the list included. Asked by all others together it needs three
-    /// times as long: of 300 instances, the last had its list after 1,112 ms in place of
-    /// 419. A seed that is dead costs its askers one period of questions.
+    /// times as long: when 300 instances all waited for the whole list, the last had it
+    /// after 1,112 ms in place of 419, in virtual time. A seed that is dead costs its askers one period of questions.
     pub(crate) fn ask_seeds(&mut self, now: ClockTime) {
         let own = self.options.address;
         let mut seeds = self.options.seeds.clone();
--- a/crates/foxledge-soak/tests/short_soak.rs
+++ b/crates/foxledge-soak/tests/short_soak.rs
@@ -2,7 +2,7 @@
 
 use std::{path::PathBuf, thread};
 
-use foxledge_soak::{FaultPlan, SoakOptions, run_soak};
+use foxledge_soak::{FaultPlan, FaultRange, SoakOptions, run_soak};
 
 /// The daemon beside the test's folder; `cargo test --workspace` builds it.
 fn daemon() -> PathBuf {
@@ -38,6 +38,11 @@
     assert_kept(SoakOptions::new(2).seconds(8).fault_every_ms(200));
 }
 
+#[test]
+fn packet_faults() {
+    assert_kept(SoakOptions::new(5_000).seconds(10).range(FaultRange::Packets));
+}
+
 #[test]
 fn plan_by_seed() {
     let options = SoakOptions::new(7);
