--- a/crates/foxledge-gossip/src/spreading.rs
+++ b/crates/foxledge-gossip/src/spreading.rs
@@ -32,9 +32,12 @@
 const FAR_FANOUT: usize = 2;
 /// Time between the two questions, in milliseconds.
 const DOUBT_AGAIN_MS: u64 = 250;
-/// Instances of a large data centre that pass news on to each other one, on average. With
-/// one in four, 19 of 75 did, and nine tenths of what went there was known there.
+/// Instances of a large data centre that pass news on to each other one, on average: one
+/// of four, as in a small one, would be 19 of 75.
 const FAR_TELLERS: u32 = 3;
+/// Instances of a data centre up to which one of four passes news on, as this many make
+/// the same number of them.
+const LARGE_CENTRE: u32 = FAR_TELLERS * (FAR_TELLERS + 1);
 /// Readers told with each heartbeat.
 pub(crate) const MOST_CLAIMS: usize = 3;
 /// Shortest time between two heartbeats that tell of instances and of all readers, in
@@ -79,7 +82,8 @@
     /// When a fleet starts at once, a seed answers a hundred instances before it gets to
     /// anything else, the list included. Asked by all others together it needs three
     /// times as long: when 300 instances all waited for the whole list, the last had it
-    /// after 1,112 ms in place of 419, in virtual time. A seed that is dead costs its askers one period of questions.
+    /// after 1,112 ms in place of 419, in virtual time. A seed that is dead costs its
+    /// askers one period of questions.
     pub(crate) fn ask_seeds(&mut self, now: ClockTime) {
         let own = self.options.address;
         let mut seeds = self.options.seeds.clone();
@@ -112,19 +116,23 @@
         let mut to = self.peers.pick_near(&mut self.rng, &near, NEAR_FANOUT + 1);
         to.retain(|address| Some(*address) != but);
         to.truncate(NEAR_FANOUT);
-        let far = self.peers.pick_far(&mut self.rng, &near, 1);
-        // One of a small data centre's instances on average, and some of a large one's,
-        // tell each other data centre.
-        let all = self.peers.count_near(&near) as u32 + 1;
-        let (tellers, of) = if all <= FAR_TELLERS * (FAR_TELLERS + 1) {
-            (1, all.min(FAR_TELLERS + 1))
-        } else {
-            (FAR_TELLERS, all)
-        };
-        to.extend(far.into_iter().filter(|_| self.rng.random_ratio(tellers, of)));
+        to.extend(self.pick_far_sometimes(&near));
         self.send_beats(now, base, to);
     }
 
+    /// An instance of each other data centre with some probability: one of a small data
+    /// centre's instances on average, and [`FAR_TELLERS`] of a large one's, tell it.
+    fn pick_far_sometimes(&mut self, near: &str) -> Vec<SocketAddrV4> {
+        let all = self.peers.count_near(near) as u32 + 1;
+        let (tellers, of) = match all {
+            0..=LARGE_CENTRE => (1, all.min(FAR_TELLERS + 1)),
+            _ => (FAR_TELLERS, all),
+        };
+        let mut far = self.peers.pick_far(&mut self.rng, near, 1);
+        far.retain(|_| self.rng.random_ratio(tellers, of));
+        far
+    }
+
     /// Tells news of the store to peers nearby and in every data centre.
     pub(crate) fn spread_widely(&mut self, now: ClockTime, base: u64) {
         let near = self.options.data_centre.clone();
