Set up large fleets of tests in one place

Cause: five tests of start_together registered backend servers and published a list each for itself. No scenario changes: the same numbers of instances, backend servers and routes, and the same seed.

--- a/crates/foxledge-gossip/tests/start_together.rs
+++ b/crates/foxledge-gossip/tests/start_together.rs
@@ -5,12 +5,22 @@
 use common::{StoreState, VirtualFleet};
 use foxledge_flows::rows::{ListRow, RowValue};
 
-fn published(counts: &[usize], seed: u64) -> VirtualFleet {
-    let mut fleet = VirtualFleet::new(counts, seed);
-    for number in 1..=18 {
+/// A fleet that hasn't started, before backend servers and routes.
+fn published(counts: &[usize], backends: u64, routes: usize) -> VirtualFleet {
+    let mut fleet = VirtualFleet::new(counts, 1);
+    for number in 1..=backends {
         fleet.store.register(number, false);
     }
-    fleet.store.publish(1, 40);
+    fleet.store.publish(1, routes);
+    fleet
+}
+
+/// 300 instances before 3,000 backend servers, with the time that messages and the
+/// store's link take: 25 us of work at a twentieth of a core, 250 bytes an item at 1 Gbit/s.
+fn large_fleet() -> VirtualFleet {
+    let mut fleet = published(&[75, 75, 75, 75], 3_000, 20);
+    fleet.message_us = 450;
+    fleet.item_ns = 2_000;
     fleet
 }
 
@@ -20,7 +30,7 @@
 #[test]
 fn all_at_once() {
     for counts in [&[2, 2, 2, 1][..], &[25, 25, 25, 25], &[75, 75, 75, 75]] {
-        let mut fleet = published(counts, 1);
+        let mut fleet = published(counts, 18, 40);
         fleet.start_all();
         let head = fleet.store.head;
         let took = fleet.run_until(1_000, |fleet| fleet.all_know(head));
@@ -35,7 +45,7 @@
 
 #[test]
 fn seeds_dead() {
-    let mut fleet = published(&[2, 2, 2], 1);
+    let mut fleet = published(&[2, 2, 2], 18, 40);
     for index in [1, 3, 5] {
         fleet.start(index);
     }
@@ -79,14 +89,7 @@
 //   a core that is asked by all serves none of them in time.
 #[test]
 fn large_fleet_large_list() {
-    let mut fleet = VirtualFleet::new(&[75, 75, 75, 75], 1);
-    for number in 1..=3_000 {
-        fleet.store.register(number, false);
-    }
-    fleet.store.publish(1, 20);
-    // 25 us of work at a twentieth of a core; 250 bytes an item at 1 Gbit/s.
-    fleet.message_us = 450;
-    fleet.item_ns = 2_000;
+    let mut fleet = large_fleet();
     fleet.start_all();
     let head = fleet.store.head;
     let took = fleet.run_until(5_000, |fleet| fleet.all_know(head));
@@ -102,11 +105,7 @@
 // Cause: a page that comes before the one that is due is dropped.
 #[test]
 fn pages_out_of_order() {
-    let mut fleet = VirtualFleet::new(&[2], 1);
-    for number in 1..=3_000 {
-        fleet.store.register(number, false);
-    }
-    fleet.store.publish(1, 20);
+    let mut fleet = published(&[2], 3_000, 20);
     fleet.start(0);
     fleet.run(2_000);
     fleet.jitter_us = 300;
@@ -123,13 +122,7 @@
 // Cause: flows wait for the last backend server, though the first 500 would do.
 #[test]
 fn part_serves() {
-    let mut fleet = VirtualFleet::new(&[75, 75, 75, 75], 1);
-    for number in 1..=3_000 {
-        fleet.store.register(number, false);
-    }
-    fleet.store.publish(1, 20);
-    fleet.message_us = 450;
-    fleet.item_ns = 2_000;
+    let mut fleet = large_fleet();
     fleet.start_all();
     let took = fleet.run_until(2_000, |fleet| fleet.members().all(|one| one.can_serve()));
     let calls = fleet.store.cheap_calls;
@@ -150,11 +143,7 @@
 #[test]
 fn part_ends() {
     // The seed is away, so that the rest isn't read at once.
-    let mut fleet = VirtualFleet::new(&[2], 1);
-    for number in 1..=600 {
-        fleet.store.register(number, false);
-    }
-    fleet.store.publish(1, 3);
+    let mut fleet = published(&[2], 600, 3);
     fleet.start(1);
     assert!(fleet.run_until(200, |fleet| fleet.members().all(|one| one.can_serve())).is_some());
     assert!(!fleet.all_know(1));
@@ -175,11 +164,7 @@
 // Cause: a copy counts as newer than no list at all.
 #[test]
 fn part_never_back() {
-    let mut fleet = VirtualFleet::new(&[2], 1);
-    for number in 1..=600 {
-        fleet.store.register(number, false);
-    }
-    fleet.store.publish(1, 3);
+    let mut fleet = published(&[2], 600, 3);
     fleet.start(0);
     fleet.run(3_000);
     let former = fleet.store.head;
