Take a backend server's new start and other writers' entries as what they are

Cause: a backend server may start again under its id, and told apart only by the time of its start. Of a known id only state and revision were read: packets went to the former address, the former's silence counted against it, and requests on the former's flows counted as running. Entries may come from other writers.

Ruled out: telling a start's order by its clock (it jumps; the revision decides), and resetting the former's open flows on the news alone, as the token doesn't tell the start and a flow that passes may be the new process's.

Now another start is another incarnation: all of its row taken anew, health since then only, notes of peers name the incarnation, requests of the former's flows count nowhere. An entry that isn't whole and plausible becomes a row that names nobody: no new flows at once, open ones go on, the same by watch, whole reading and copy. A whole entry at another place with the same start gets no new flows; of two entries with one number the one that was created first holds it. Each is logged once, counted, and shown by foxledgectl packets status at a reader.

--- a/crates/foxledge-bench/src/flows/published.rs
+++ b/crates/foxledge-bench/src/flows/published.rs
@@ -39,6 +39,8 @@
             slots: SLOTS,
             draining: false,
             warm_in_ms: 0,
+            incarnation: 0,
+            created: 0,
         };
         let key = backend_key(&format!("i-{server}"));
         rows.push(ListRow { key, revision: 1, value: Some(RowValue::Backend(backend)) });
--- a/crates/foxledge-ctl/src/packets.rs
+++ b/crates/foxledge-ctl/src/packets.rs
@@ -95,9 +95,21 @@
         ]);
     }
     text.push_str(&write_table("", head, rows));
+    text.push_str(&refused_text(&list["refused_items"]));
     text
 }
 
+/// Items of the store that the instance can't understand; nothing when there are none.
+fn refused_text(items: &Value) -> String {
+    let items = items.as_array().map(Vec::as_slice).unwrap_or_default();
+    if items.is_empty() {
+        return String::new();
+    }
+    let head = ["REFUSED ITEM", "REVISION", "FAULT"].map(str::to_owned).to_vec();
+    let row = |item: &Value| ["key", "revision", "fault"].map(|field| word(&item[field])).to_vec();
+    format!("\n{}", write_table("", head, items.iter().map(row).collect()))
+}
+
 fn explain_text(report: &Value) -> String {
     let mut text = format!("flow {}\n", word(&report["flow"]));
     match report["route"].as_str() {
--- a/crates/foxledge-daemon/src/packets/fleet_part.rs
+++ b/crates/foxledge-daemon/src/packets/fleet_part.rs
@@ -210,6 +210,10 @@
 
     fn log_event(&self, event: &FleetEvent) {
         self.context.note(event.kind(), event);
+        if let FleetEvent::ItemRefused(item) = event {
+            let what = if item.key.starts_with("backend/") { "backend" } else { "list" };
+            self.context.metrics.refused_items.with_label_values(&[what]).inc();
+        }
         if let FleetEvent::ListTaken { version, revision, former_revision, source, .. } = event {
             let change = AuditChange::new(AuditKind::ListAccepted, format!("version {version}"))
                 .values(former_revision.to_string(), revision.to_string())
--- a/crates/foxledge-daemon/src/packets/flow_part.rs
+++ b/crates/foxledge-daemon/src/packets/flow_part.rs
@@ -8,9 +8,9 @@
 
 use foxledge_core::{names::CentreName, time::ClockTime};
 use foxledge_flows::{
-    Backend, DropReason, EndReason, FlowDecision, FlowKey, FlowPacket, FlowRouter, FlowStall,
-    HealthClass, HealthNote, NoteKind, OpenReason, RefuseReason, RouterCounts, RouterOptions,
-    flow_hash,
+    Backend, BackendNews, DropReason, EndReason, FlowDecision, FlowKey, FlowPacket, FlowRouter,
+    FlowStall, HealthClass, HealthNote, NoteKind, OpenReason, RefuseReason, RouterCounts,
+    RouterOptions, flow_hash,
     packet::{HEADROOM, LARGEST_PACKET},
     rows::ListRow,
 };
@@ -97,6 +97,30 @@
     fault: &'static str,
 }
 
+/// `NewsLine` is the log line of a backend server whose entry changed what is believed.
+#[derive(Serialize)]
+#[serde(tag = "event", rename_all = "snake_case")]
+enum NewsLine<'a> {
+    /// It started again under its id.
+    BackendRestarted {
+        backend: &'a str,
+        service: &'a str,
+        address: SocketAddrV4,
+        incarnation: u64,
+        former_incarnation: u64,
+        backend_revision: u64,
+    },
+    /// Its entry tells of the same start at another place: it gets no new flows.
+    EntryContradicted {
+        backend: &'a str,
+        service: &'a str,
+        address: SocketAddrV4,
+        told_address: SocketAddrV4,
+        incarnation: u64,
+        backend_revision: u64,
+    },
+}
+
 /// `HealthLine` is the log line of an observation of a backend server.
 #[derive(Serialize)]
 struct HealthLine<'a> {
@@ -152,6 +176,9 @@
     /// Takes rows of the list that changed.
     pub fn take_rows(&mut self, cx: CX![], rows: Vec<ListRow>) {
         self.router.take_rows(self.context.clock.now(), &rows);
+        for news in self.router.take_backend_news() {
+            self.log_news(&news);
+        }
         if self.held_until.is_some() && self.context.member.borrow().can_serve() {
             self.held_until = None;
             self.drain(cx);
@@ -392,6 +419,37 @@
         }
     }
 
+    fn log_news(&self, news: &BackendNews) {
+        let (BackendNews::Restarted { index, .. } | BackendNews::Contradicted { index, .. }) = news;
+        let Some(backend) = self.router.backend(*index) else { return };
+        let (kind, line) = match *news {
+            BackendNews::Restarted { former, .. } => (
+                "backend_restarted",
+                NewsLine::BackendRestarted {
+                    backend: &backend.key,
+                    service: &backend.service,
+                    address: backend.address,
+                    incarnation: backend.incarnation,
+                    former_incarnation: former,
+                    backend_revision: backend.revision,
+                },
+            ),
+            BackendNews::Contradicted { address, .. } => (
+                "entry_contradicted",
+                NewsLine::EntryContradicted {
+                    backend: &backend.key,
+                    service: &backend.service,
+                    address: backend.address,
+                    told_address: address,
+                    incarnation: backend.incarnation,
+                    backend_revision: backend.revision,
+                },
+            ),
+        };
+        self.context.metrics.backend_news.with_label_values(&[kind]).inc();
+        self.context.note(kind, &line);
+    }
+
     fn log_note(&self, note: &HealthNote, observer: &'static str) {
         let now = self.context.clock.now();
         let Some(backend) = self.router.backend_of(note.number) else { return };
--- a/crates/foxledge-daemon/src/packets/metrics.rs
+++ b/crates/foxledge-daemon/src/packets/metrics.rs
@@ -45,6 +45,10 @@
     pub peers: IntGauge,
     /// 1 while this instance reads the store.
     pub is_reader: IntGauge,
+    /// Items of the store that can't be understood, by what they should be.
+    pub refused_items: IntCounterVec,
+    /// Changes of what is believed of backend servers' entries, by kind.
+    pub backend_news: IntCounterVec,
     /// Calls of the store by outcome.
     pub store_calls: IntCounterVec,
     /// Messages between instances by direction.
@@ -91,6 +95,13 @@
             list_age_ms: gauge(r, "list_age_milliseconds", "Age of the last confirmation"),
             peers: gauge(r, "peers", "Other instances that are known"),
             is_reader: gauge(r, "is_reader", "1 while this instance reads the store"),
+            refused_items: counters(
+                r,
+                "refused_items_total",
+                "Items of the store not understood",
+                &["what"],
+            ),
+            backend_news: counters(r, "backend_news_total", "Changes of entries", &["kind"]),
             store_calls: counters(r, "store_calls_total", "Calls of the store", &["outcome"]),
             messages: counters(r, "messages_total", "Messages of instances", &["direction"]),
             message_bytes: counters(r, "message_bytes_total", "Bytes of them", &["direction"]),
--- a/crates/foxledge-daemon/src/packets/reports.rs
+++ b/crates/foxledge-daemon/src/packets/reports.rs
@@ -6,7 +6,7 @@
     placement::PlacementRank,
     rows::{ListRow, RowValue},
 };
-use foxledge_gossip::FleetMember;
+use foxledge_gossip::{FleetMember, RefusedItem};
 use serde::Serialize;
 
 /// Most backend servers in a report, so that its size stays bounded.
@@ -35,6 +35,8 @@
     pub flows: u32,
     /// Revision of its entry.
     pub revision: u64,
+    /// Names the start of its process; 0 when the platform tells nothing of starts.
+    pub incarnation: u64,
 }
 
 /// `RouteReport` is what the router knows.
@@ -60,6 +62,7 @@
             running: backend.running,
             flows: backend.flows,
             revision: backend.revision,
+            incarnation: backend.incarnation,
         });
         RouteReport { flows: router.tracked_flows(), backends: backends.collect() }
     }
@@ -80,6 +83,8 @@
     pub peers: usize,
     /// Routes in force.
     pub routes: usize,
+    /// Items of the store that can't be understood; only an instance that reads it knows.
+    pub refused_items: Vec<RefusedItem>,
 }
 
 impl MemberReport {
@@ -94,6 +99,7 @@
             is_reader: member.is_reading(),
             peers: member.peer_count(),
             routes: list.rows().filter(is_route).count(),
+            refused_items: member.refused_items().cloned().collect(),
         }
     }
 }
--- a/crates/foxledge-flows/src/backends.rs
+++ b/crates/foxledge-flows/src/backends.rs
@@ -36,6 +36,8 @@
     pub number: u64,
     /// The token by which flows name it.
     pub token: u32,
+    /// Names the start of this process; 0 when nothing is told.
+    pub incarnation: u64,
     /// Its service.
     pub service: ServiceName,
     /// Where it takes packets.
@@ -52,6 +54,12 @@
     pub gone_at: Option<ClockTime>,
     /// Its entry's revision.
     pub revision: u64,
+    /// Revision at which its entry was created.
+    pub created: u64,
+    /// When this start of it became known here.
+    pub known_at: ClockTime,
+    /// Another entry has the same number, and had it before: no new flows.
+    pub is_shadowed: bool,
     /// What packets tell of its health.
     pub health: HealthState,
     /// How long it takes for an answer, as far as this instance sees.
@@ -65,6 +73,44 @@
 }
 
 impl Backend {
+    fn new(
+        now: ClockTime,
+        row: &ListRow,
+        spec: &BackendRow,
+        address: SocketAddrV4,
+        gone_at: Option<ClockTime>,
+    ) -> Backend {
+        Backend {
+            key: Arc::from(row.key.as_str()),
+            number: spec.number,
+            token: token_of(spec.number),
+            incarnation: spec.incarnation,
+            service: ServiceName::new(&spec.service),
+            address,
+            data_centre: CentreName::new(&spec.data_centre),
+            slots: spec.slots.max(1),
+            is_draining: spec.draining,
+            warm_at: now.after_millis(u64::from(spec.warm_in_ms)),
+            gone_at,
+            revision: row.revision,
+            created: spec.created,
+            known_at: now,
+            is_shadowed: false,
+            health: HealthState::since(now),
+            latency: LatencyGauge::default(),
+            running: 0,
+            flows: 0,
+            picked: 0,
+        }
+    }
+
+    /// True when an entry as this one's can be of the same process.
+    fn is_same_process(&self, other: &Backend) -> bool {
+        self.incarnation == other.incarnation
+            && self.address == other.address
+            && self.service == other.service
+    }
+
     /// True when new flows may go there.
     ///
     /// One whose entry vanished without a word gets them for [`LAPSE_MS`]. While
@@ -72,7 +118,7 @@
     /// doesn't run out: the entry can't come back before the store does, and has
     /// the whole span from then on ([`BackendTable::renew_grace`]).
     pub fn takes_flows(&self, now: ClockTime, confirmed: Option<ClockTime>) -> bool {
-        if self.is_draining {
+        if self.is_draining || self.is_shadowed {
             return false;
         }
         let Some(gone) = self.gone_at else { return true };
@@ -82,6 +128,26 @@
     }
 }
 
+/// `BackendNews` is a change of what is believed of a backend server's entry.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum BackendNews {
+    /// It started again under its id: nothing that was seen before counts.
+    Restarted {
+        /// Its index.
+        index: usize,
+        /// Names the start before; 0 when nothing was told of it.
+        former: u64,
+    },
+    /// Its entry tells of the same start, or of none any more, with another address or
+    /// service: somebody else wrote it.
+    Contradicted {
+        /// Its index.
+        index: usize,
+        /// The address that the entry names.
+        address: SocketAddrV4,
+    },
+}
+
 /// True when the store counts as away at `now`, heard of last at `confirmed`.
 fn is_away(confirmed: ClockTime, now: ClockTime) -> bool {
     confirmed.after_millis(STORE_AWAY_MS).is_past(now)
@@ -141,7 +207,7 @@
             several => several
                 .iter()
                 .copied()
-                .find(|index| self.get(*index).is_some_and(&fits))
+                .find(|index| self.get(*index).is_some_and(|one| !one.is_shadowed && fits(one)))
                 .or(several.last().copied()),
         }
     }
@@ -149,11 +215,12 @@
     /// The backend server of a number.
     pub fn by_number(&self, number: u64) -> Option<usize> {
         let indexes = self.by_token.get(&token_of(number))?;
-        indexes.iter().copied().find(|i| self.get(*i).is_some_and(|b| b.number == number))
+        let is_it = |backend: &Backend| backend.number == number && !backend.is_shadowed;
+        indexes.iter().copied().find(|index| self.get(*index).is_some_and(is_it))
     }
 
     /// Takes a row; rows of other kinds change nothing.
-    pub fn take(&mut self, now: ClockTime, row: &ListRow) {
+    pub fn take(&mut self, now: ClockTime, row: &ListRow) -> Option<BackendNews> {
         match &row.value {
             Some(RowValue::Backend(spec)) => self.put(now, row, spec, None),
             Some(RowValue::Removed(removed)) => {
@@ -161,10 +228,13 @@
                 let gone = ClockTime::from_micros(now.as_micros().saturating_sub(age));
                 match &removed.backend {
                     Some(spec) => self.put(now, row, spec, Some(gone)),
-                    None => self.mark_gone(&row.key, gone),
+                    None => {
+                        self.refuse(&row.key, gone);
+                        None
+                    }
                 }
             }
-            _ => {}
+            _ => None,
         }
     }
 
@@ -176,20 +246,14 @@
         let old: Vec<_> =
             (0..self.slots.len()).filter(|index| self.get(*index).is_some_and(is_old)).collect();
         for index in &old {
-            let Some(backend) = self.slots[*index].take() else { continue };
+            let Some(backend) = self.unlink(*index) else { continue };
             self.by_key.remove(&backend.key);
             if let Some(indexes) = self.by_token.get_mut(&backend.token) {
                 indexes.retain(|other| other != index);
             }
-            if let Some(indexes) = self.by_service.get_mut(&backend.service) {
-                indexes.retain(|other| other != index);
-            }
-            if let Some(indexes) = self.by_address.get_mut(&backend.address) {
-                indexes.retain(|other| other != index);
-            }
+            self.settle_number(backend.number);
             self.free.push(*index);
         }
-        self.by_address.retain(|_, indexes| !indexes.is_empty());
         old
     }
 
@@ -211,43 +275,50 @@
         }
     }
 
-    fn mark_gone(&mut self, key: &str, gone: ClockTime) {
+    /// Takes note that nobody knows what the entry of a key means: no new flows.
+    fn refuse(&mut self, key: &str, gone: ClockTime) {
         let Some(index) = self.by_key.get(key).copied() else { return };
         if let Some(backend) = self.get_mut(index) {
-            backend.gone_at = Some(gone);
+            (backend.gone_at, backend.is_draining) = (Some(gone), true);
         }
     }
 
-    fn put(&mut self, now: ClockTime, row: &ListRow, spec: &BackendRow, gone: Option<ClockTime>) {
-        let Some(address) = spec.address() else { return };
+    fn put(
+        &mut self,
+        now: ClockTime,
+        row: &ListRow,
+        spec: &BackendRow,
+        gone: Option<ClockTime>,
+    ) -> Option<BackendNews> {
+        let address = spec.address()?;
         self.retire_address(address, &row.key, now);
-        if let Some(index) = self.by_key.get(row.key.as_str()).copied()
-            && let Some(backend) = self.get_mut(index)
-        {
-            backend.is_draining = spec.draining;
-            backend.gone_at = gone;
-            backend.revision = row.revision;
-            return;
-        }
-        let backend = Backend {
-            key: Arc::from(row.key.as_str()),
-            number: spec.number,
-            token: token_of(spec.number),
-            service: ServiceName::new(&spec.service),
-            address,
-            data_centre: CentreName::new(&spec.data_centre),
-            slots: spec.slots.max(1),
-            is_draining: spec.draining,
-            warm_at: now.after_millis(u64::from(spec.warm_in_ms)),
-            gone_at: gone,
-            revision: row.revision,
-            health: HealthState::default(),
-            latency: LatencyGauge::default(),
-            running: 0,
-            flows: 0,
-            picked: 0,
+        let newer = Backend::new(now, row, spec, address, gone);
+        let Some(index) = self.by_key.get(row.key.as_str()).copied() else {
+            self.add(newer);
+            return None;
         };
-        self.add(backend);
+        let known = self.get_mut(index)?;
+        // What an older row says of a start doesn't hold any more, whatever its clock said.
+        if row.revision < known.revision {
+            return None;
+        }
+        let former = known.incarnation;
+        if newer.incarnation != former && newer.incarnation != 0 {
+            self.unlink(index);
+            self.link(index, newer);
+            return Some(BackendNews::Restarted { index, former });
+        }
+        known.gone_at = gone;
+        known.revision = row.revision;
+        known.is_draining = spec.draining;
+        if known.is_same_process(&newer) {
+            known.slots = newer.slots;
+            return None;
+        }
+        // Its open flows go on where they are: it may well live there. The entry names
+        // nobody who could be sure to be meant.
+        known.is_draining = true;
+        Some(BackendNews::Contradicted { index, address })
     }
 
     /// Ends the grace of one that is gone when another has its address: it can't live.
@@ -266,10 +337,52 @@
             self.slots.push(None);
             self.slots.len() - 1
         });
+        let number = backend.number;
         self.by_key.insert(backend.key.clone(), index);
         self.by_token.entry(backend.token).or_default().push(index);
+        self.link(index, backend);
+        self.settle_number(number);
+    }
+
+    /// Puts a backend server in place, to be found by what may differ between its starts.
+    fn link(&mut self, index: usize, backend: Backend) {
         self.by_service.entry(backend.service.clone()).or_default().push(index);
         self.by_address.entry(backend.address).or_default().push(index);
         self.slots[index] = Some(backend);
     }
+
+    fn unlink(&mut self, index: usize) -> Option<Backend> {
+        let backend = self.slots[index].take()?;
+        if let Some(indexes) = self.by_service.get_mut(&backend.service) {
+            indexes.retain(|other| *other != index);
+        }
+        if let Some(indexes) = self.by_address.get_mut(&backend.address) {
+            indexes.retain(|other| *other != index);
+            if indexes.is_empty() {
+                self.by_address.remove(&backend.address);
+            }
+        }
+        Some(backend)
+    }
+
+    /// Decides which entry a number means: the one that had it first, for as long as its
+    /// flows may last.
+    ///
+    /// Packets of open flows name their backend server by its number alone. If another
+    /// writer's entry with the same number were followed, they would all break.
+    fn settle_number(&mut self, number: u64) {
+        let Some(indexes) = self.by_token.get(&token_of(number)) else { return };
+        let same = indexes.iter().copied().filter(|index| {
+            self.slots[*index].as_ref().is_some_and(|backend| backend.number == number)
+        });
+        let same: Vec<usize> = same.collect();
+        let first = same.iter().copied().min_by_key(|index| {
+            self.slots[*index].as_ref().map(|backend| (backend.created, backend.key.clone()))
+        });
+        for index in same {
+            if let Some(backend) = self.slots[index].as_mut() {
+                backend.is_shadowed = Some(index) != first;
+            }
+        }
+    }
 }
--- a/crates/foxledge-flows/src/health.rs
+++ b/crates/foxledge-flows/src/health.rs
@@ -39,6 +39,8 @@
 pub struct HealthNote {
     /// The number of the backend server.
     pub number: u64,
+    /// Which start of it was observed.
+    pub incarnation: u64,
     /// What was observed.
     pub kind: NoteKind,
     /// When, on the clock of this process.
@@ -72,6 +74,11 @@
 }
 
 impl HealthState {
+    /// Of a process that became known at `now`: what was sent before was sent to another.
+    pub fn since(now: ClockTime) -> HealthState {
+        HealthState { alive_at: now, ..HealthState::default() }
+    }
+
     /// Its class at `now`.
     pub fn class(&self, now: ClockTime) -> HealthClass {
         if !self.ejected_until.is_past(now) {
@@ -89,7 +96,7 @@
     /// Takes a sign of life; returns the news for others, if it is any.
     pub fn on_alive(&mut self, now: ClockTime) -> Option<NoteKind> {
         let was_ejected = self.ejections > 0;
-        *self = HealthState { alive_at: now, ..HealthState::default() };
+        *self = HealthState::since(now);
         was_ejected.then_some(NoteKind::Alive)
     }
 
@@ -146,7 +153,7 @@
         }
         match note.kind {
             NoteKind::Alive => {
-                *self = HealthState { alive_at: note.at, ..HealthState::default() };
+                *self = HealthState::since(note.at);
             }
             NoteKind::Suspect => {
                 self.suspect_until = self.suspect_until.max(note.at.after_millis(SUSPECT_MS));
--- a/crates/foxledge-flows/src/lib.rs
+++ b/crates/foxledge-flows/src/lib.rs
@@ -25,7 +25,7 @@
 pub mod rows;
 pub mod source;
 
-pub use backends::{Backend, BackendTable};
+pub use backends::{Backend, BackendNews, BackendTable};
 pub use decisions::{
     DropReason, EndReason, FlowDecision, FlowExplanation, FlowStall, OpenReason, RefuseReason,
     RouterCounts,
--- a/crates/foxledge-flows/src/list.rs
+++ b/crates/foxledge-flows/src/list.rs
@@ -10,7 +10,9 @@
 use prost::Message;
 
 use crate::{
-    rows::{LIMITS_KEY, ListRow, RemovedRow, RouteRow, RowValue, backend_key, route_key},
+    rows::{
+        BackendRow, LIMITS_KEY, ListRow, RemovedRow, RouteRow, RowValue, backend_key, route_key,
+    },
     source::{ConfigReading, ItemChange, ListReading},
 };
 
@@ -282,6 +284,9 @@
                 let known = self.rows.get(backend_key(&id).as_str());
                 known.map(|row| removal(row, revision)).into_iter().collect()
             }
+            ItemChange::BackendRefused { revision, id, .. } => {
+                vec![retirement(backend_key(&id), revision)]
+            }
             ItemChange::Malformed { .. } => Vec::new(),
         }
     }
@@ -316,12 +321,13 @@
     }
 
     /// Puts a row in place unless a newer one is known.
-    fn put(&mut self, now: ClockTime, row: ListRow) -> Option<ListRow> {
+    fn put(&mut self, now: ClockTime, mut row: ListRow) -> Option<ListRow> {
         let key: Arc<str> = Arc::from(row.key.as_str());
         if let Some(known) = self.rows.get(&key) {
             if known.revision >= row.revision {
                 return None;
             }
+            keep_open_flows(known, &mut row);
             self.order.remove(&(known.revision, key.clone()));
         }
         match &row.value {
@@ -383,8 +389,10 @@
 fn backend_of(item: &ItemChange) -> Option<String> {
     match item {
         ItemChange::Backend { id, .. } => Some(backend_key(id)),
-        ItemChange::Malformed { key, .. } => Some(key.clone()),
-        ItemChange::Config { .. } | ItemChange::BackendGone { .. } => None,
+        ItemChange::BackendRefused { id, .. } => Some(backend_key(id)),
+        ItemChange::Malformed { .. }
+        | ItemChange::Config { .. }
+        | ItemChange::BackendGone { .. } => None,
     }
 }
 
@@ -392,6 +400,26 @@
     matches!(row.value, Some(RowValue::Removed(_)) | None)
 }
 
+/// The row of an entry that can't be understood. It names nobody, and is a row also where
+/// no good entry was known: an instance that has its list from here may know one.
+fn retirement(key: String, revision: u64) -> ListRow {
+    let removed = RemovedRow { backend: None, age_ms: 0 };
+    ListRow { key, revision, value: Some(RowValue::Removed(removed)) }
+}
+
+/// Keeps the known backend server in the row of an entry that can't be understood any
+/// more: its open flows go on, and it gets no new ones.
+fn keep_open_flows(known: &ListRow, row: &mut ListRow) {
+    let backend = match &known.value {
+        Some(RowValue::Backend(backend)) => backend,
+        Some(RowValue::Removed(RemovedRow { backend: Some(backend), .. })) => backend,
+        _ => return,
+    };
+    if let Some(RowValue::Removed(removed)) = &mut row.value {
+        removed.backend.get_or_insert_with(|| BackendRow { draining: true, ..backend.clone() });
+    }
+}
+
 fn removal(row: &ListRow, revision: u64) -> ListRow {
     let backend = match &row.value {
         Some(RowValue::Backend(backend)) => Some(backend.clone()),
--- a/crates/foxledge-flows/src/router.rs
+++ b/crates/foxledge-flows/src/router.rs
@@ -8,7 +8,7 @@
 };
 
 use crate::{
-    backends::{Backend, BackendTable},
+    backends::{Backend, BackendNews, BackendTable},
     decisions::{
         DropReason, EndReason, FlowDecision, FlowExplanation, FlowStall, OpenReason, RefuseReason,
         RouterCounts,
@@ -85,6 +85,7 @@
     tracks: TrackTable,
     policy: Box<dyn PlacementPolicy>,
     notes: Vec<HealthNote>,
+    news: Vec<BackendNews>,
     latencies: Vec<Duration>,
     counts: RouterCounts,
     confirmed_at: Option<ClockTime>,
@@ -105,6 +106,7 @@
             tracks: TrackTable::default(),
             policy: Box::new(LeastLoaded),
             notes: Vec::new(),
+            news: Vec::new(),
             latencies: Vec::new(),
             counts: RouterCounts::default(),
             confirmed_at: None,
@@ -128,11 +130,18 @@
                 self.idle_ms = u64::from(limits.idle_ms).max(1_000);
             }
             self.routes.take(row);
-            self.backends.take(now, row);
+            if let Some(news) = self.backends.take(now, row) {
+                self.take_news(news);
+            }
         }
         self.backends.forget(now);
     }
 
+    /// What rows changed in what is believed of backend servers since the last call.
+    pub fn take_backend_news(&mut self) -> Vec<BackendNews> {
+        std::mem::take(&mut self.news)
+    }
+
     /// Notes when the store last confirmed that the list is the newest.
     pub fn set_confirmed(&mut self, at: ClockTime) {
         if let Some(former) = self.confirmed_at {
@@ -162,7 +171,9 @@
     /// Takes what another instance observed of a backend server.
     pub fn take_note(&mut self, now: ClockTime, note: &HealthNote) {
         let Some(index) = self.backends.by_number(note.number) else { return };
-        if let Some(backend) = self.backends.get_mut(index) {
+        let Some(backend) = self.backends.get_mut(index) else { return };
+        // A peer that doesn't know of the new start yet saw the silence of the former.
+        if backend.incarnation == note.incarnation {
             backend.health.on_note(now, note);
         }
     }
@@ -245,6 +256,13 @@
         }
     }
 
+    fn take_news(&mut self, news: BackendNews) {
+        if let BackendNews::Restarted { index, .. } = news {
+            self.tracks.retire(index);
+        }
+        self.news.push(news);
+    }
+
     fn open(&mut self, now: ClockTime, packet: &FlowPacket, copy: u32) -> FlowDecision {
         let Some(route) = self.routes.find(&packet.key.service).cloned() else {
             return self.refuse(now, RefuseReason::NoRoute);
@@ -357,6 +375,7 @@
         let may_repeat = route.is_some_and(|route| route.idempotent);
         if let Some(opening) = self.openings.remove(&packet.key)
             && opening.backend == index
+            && self.backends.get(index).is_some_and(|one| one.known_at <= opening.sent)
         {
             self.note(now, index, |backend| backend.health.on_alive(now));
         }
@@ -452,8 +471,8 @@
     ) {
         let Some(backend) = self.backends.get_mut(index) else { return };
         let Some(kind) = observe(backend) else { return };
-        let number = backend.number;
-        self.notes.push(HealthNote { number, kind, at: now });
+        let (number, incarnation) = (backend.number, backend.incarnation);
+        self.notes.push(HealthNote { number, incarnation, kind, at: now });
     }
 }
 
--- a/crates/foxledge-flows/src/rows.rs
+++ b/crates/foxledge-flows/src/rows.rs
@@ -106,6 +106,13 @@
     /// Time until it is warm, counted from when the row was written, in milliseconds.
     #[prost(uint32, tag = "8")]
     pub warm_in_ms: u32,
+    /// Names the start of the process among those of one key; 0 when nothing is told. No
+    /// order: what is newer is told by the row's revision.
+    #[prost(uint64, tag = "9")]
+    pub incarnation: u64,
+    /// Revision at which its entry was created; 0 when nothing is told.
+    #[prost(uint64, tag = "10")]
+    pub created: u64,
 }
 
 impl BackendRow {
@@ -130,7 +137,8 @@
 /// `RemovedRow` is what remains of a row that is gone.
 #[derive(Clone, PartialEq, Eq, Message)]
 pub struct RemovedRow {
-    /// The backend server that it was; its open flows may go on.
+    /// The backend server that it was; its open flows may go on. None for a route, and for
+    /// an entry that can't be understood where no good one was known.
     #[prost(message, optional, tag = "1")]
     pub backend: Option<BackendRow>,
     /// Time since the removal when the row was sent, in milliseconds.
--- a/crates/foxledge-flows/src/source.rs
+++ b/crates/foxledge-flows/src/source.rs
@@ -41,7 +41,17 @@
         /// The backend server's id.
         id: String,
     },
-    /// An item that can't be understood; the last good one stays in force.
+    /// A backend server's entry that can't be understood: it names none that may get new
+    /// flows.
+    BackendRefused {
+        /// Revision of the item.
+        revision: u64,
+        /// The id under which it lies.
+        id: String,
+        /// What is wrong.
+        fault: String,
+    },
+    /// Another item that can't be understood; the last good one stays in force.
     Malformed {
         /// Revision of the item.
         revision: u64,
@@ -59,6 +69,7 @@
             ItemChange::Config { revision, .. }
             | ItemChange::Backend { revision, .. }
             | ItemChange::BackendGone { revision, .. }
+            | ItemChange::BackendRefused { revision, .. }
             | ItemChange::Malformed { revision, .. } => *revision,
         }
     }
--- a/crates/foxledge-flows/src/tracks.rs
+++ b/crates/foxledge-flows/src/tracks.rs
@@ -34,6 +34,9 @@
     copies: u32,
     /// What the caller had received when it asked.
     acknowledged: u32,
+    /// It may be one of a process that is gone, whose successor has its id: what happens on
+    /// it tells nothing.
+    is_retired: bool,
 }
 
 /// `TrackNews` is what a packet of an open flow tells.
@@ -74,6 +77,9 @@
             return self.begin(now, packet, backend);
         };
         track.last_at = now;
+        if track.is_retired {
+            return TrackNews::Nothing;
+        }
         track.backend = backend;
         let is_answered =
             track.asked_at.is_some() && is_after(packet.acknowledged, track.acknowledged);
@@ -110,7 +116,17 @@
     /// Ends a track; true when a request was running.
     pub fn end(&mut self, key: &FlowKey) -> Option<(usize, bool)> {
         let track = self.tracks.remove(key)?;
-        Some((track.backend, track.asked_at.is_some()))
+        (!track.is_retired).then_some((track.backend, track.asked_at.is_some()))
+    }
+
+    /// Makes the tracks of a backend server tell nothing more, as it starts again under its
+    /// id. The new process resets the flows that it doesn't know; their requests, counted
+    /// as running, would keep new flows away from it.
+    pub fn retire(&mut self, backend: usize) {
+        let own = self.tracks.values_mut().filter(|track| track.backend == backend);
+        for track in own {
+            (track.is_retired, track.asked_at) = (true, None);
+        }
     }
 
     /// Forgets flows that were silent for longer than flows may be, and returns them.
@@ -122,7 +138,7 @@
         let mut ended = Vec::new();
         self.tracks.retain(|_, track| {
             let is_old = track.last_at.after_millis(idle_ms).is_past(now);
-            if is_old {
+            if is_old && !track.is_retired {
                 ended.push((track.backend, track.asked_at.is_some()));
             }
             !is_old
@@ -149,6 +165,7 @@
             copied_at: now,
             copies: 0,
             acknowledged: packet.acknowledged,
+            is_retired: false,
         };
         self.tracks.insert(packet.key, track);
         TrackNews::Asked
--- a/crates/foxledge-flows/tests/common/mod.rs
+++ b/crates/foxledge-flows/tests/common/mod.rs
@@ -50,6 +50,8 @@
         slots: 2,
         draining: false,
         warm_in_ms: 0,
+        incarnation: 0,
+        created: 0,
     }
 }
 
--- a/crates/foxledge-flows/tests/dead_backend.rs
+++ b/crates/foxledge-flows/tests/dead_backend.rs
@@ -148,7 +148,7 @@
     // What another instance saw of an unanswered opening counts; its suspicions don't.
     for (kind, ends) in [(NoteKind::Silent, true), (NoteKind::Ejected, false)] {
         let (mut router, key) = flow_at_first();
-        router.take_note(at(1_205), &HealthNote { number: 1, kind, at: at(1_200) });
+        router.take_note(at(1_205), &HealthNote { number: 1, incarnation: 0, kind, at: at(1_200) });
         let decision = unanswered_request(&mut router, key);
         assert_eq!(matches!(decision, FlowDecision::End { .. }), ends, "{kind:?}: {decision:?}");
     }
--- a/crates/foxledge-flows/tests/list_order.rs
+++ b/crates/foxledge-flows/tests/list_order.rs
@@ -100,15 +100,18 @@
 
 #[test]
 fn malformed_keeps_former() {
+    // A list of routes that can't be understood leaves the last good one in force; an
+    // entry that can't be names no backend server any more.
     let mut list = FleetList::new();
-    read(&mut list, vec![config(1, 5, &["a"]), server(1, 3)], 5);
-    let bad = |key: &str| ItemChange::Malformed {
-        key: key.to_owned(),
-        revision: 8,
-        fault: "no JSON".to_owned(),
-    };
-    read(&mut list, vec![bad("limits"), bad("backend/i-1")], 8);
-    assert_eq!(live_keys(&list), ["backend/i-1", "limits", "route/a"]);
+    read(&mut list, vec![config(1, 5, &["a"]), server(1, 3), server(2, 4)], 5);
+    let (revision, fault) = (8, "no JSON".to_owned());
+    let bad = vec![
+        ItemChange::Malformed { key: "limits".to_owned(), revision, fault: fault.clone() },
+        ItemChange::BackendRefused { id: "i-1".to_owned(), revision, fault },
+        server(2, 4),
+    ];
+    read(&mut list, bad, 8);
+    assert_eq!(live_keys(&list), ["backend/i-2", "limits", "route/a"]);
     assert_eq!(list.head(), 8);
 }
 
--- /dev/null
+++ b/crates/foxledge-flows/tests/refused_entries.rs
@@ -0,0 +1,145 @@
+//! Entries of backend servers that another writer spoiled.
+
+mod common;
+
+use common::*;
+use foxledge_flows::{
+    FleetList, FlowDecision, ItemChange, ListReading, PacketKind, RefuseReason,
+    rows::{ListRow, RowValue},
+    source::ConfigReading,
+};
+
+fn refused(revision: u64, number: u64) -> ItemChange {
+    let fault = "no JSON".to_owned();
+    ItemChange::BackendRefused { revision, id: format!("i-{number:x}"), fault }
+}
+
+fn good(revision: u64, number: u64) -> ItemChange {
+    let backend = backend_spec(number, "desk", NEAR);
+    ItemChange::Backend { revision, id: format!("i-{number:x}"), backend }
+}
+
+/// A list with backend servers 1 and 2, up to revision 20.
+fn list() -> FleetList {
+    let mut list = FleetList::new();
+    let config = ItemChange::Config { revision: 3, config: ConfigReading::default() };
+    let items = vec![config, good(10, 1), good(11, 2)];
+    list.take_reading(at(0), ListReading::whole(items, 20));
+    list
+}
+
+fn all_rows(list: &FleetList) -> Vec<ListRow> {
+    list.rows().cloned().collect()
+}
+
+// Symptom: callers wait for answers from an address where no backend server is.
+// Sequence: another writer overwrites the entry of a backend server that lives.
+// Cause: the entry before it stays in force, though nobody may know what holds now.
+#[test]
+fn overwritten_gets_none() {
+    let mut list = list();
+    let mut router = desk_router(&all_rows(&list));
+    let held = open_flow(&mut router, 10, key(1, 1)).expect("is placed");
+    let rows = list.take_watch(at(100), ListReading::whole(vec![refused(21, held)], 21));
+    router.take_rows(at(100), &rows);
+    for port in 2..20 {
+        let number = open_flow(&mut router, 110, key(1, port)).expect("is placed");
+        assert_ne!(number, held, "a new flow went to the backend server of the spoiled entry");
+    }
+    // Its open flow goes on.
+    let decision = router.on_packet(at(150), &data(key(1, 1), held as u32, 1_000, 1));
+    assert_eq!(number_of(&router, &decision), Some(held));
+    router.on_packet(at(160), &packet(key(1, 1), PacketKind::Finish, held as u32));
+    // Its own next entry makes it one of the others again.
+    let rows = list.take_watch(at(200), ListReading::whole(vec![good(22, held)], 22));
+    router.take_rows(at(200), &rows);
+    let placed = (20..40).filter_map(|port| open_flow(&mut router, 210, key(1, port)));
+    assert!(placed.collect::<Vec<_>>().contains(&held));
+}
+
+#[test]
+fn spoiled_entry_refuses() {
+    // Nobody else serves: a caller is told at once.
+    let mut list = list();
+    let mut router = desk_router(&all_rows(&list));
+    let spoiled = vec![refused(21, 1), refused(22, 2)];
+    let rows = list.take_watch(at(100), ListReading::whole(spoiled, 22));
+    router.take_rows(at(100), &rows);
+    let decision = router.on_packet(at(110), &opening(key(1, 1), 0));
+    assert_eq!(decision, FlowDecision::Refuse(RefuseReason::NoBackend));
+}
+
+// Symptom: some instances place flows by a spoiled entry, others don't.
+// Sequence: one watches, another reads everything, a third has its list from a peer.
+// Cause: the ways to learn of an entry differ in what they make of it.
+#[test]
+fn every_way_agrees() {
+    let mut watching = list();
+    watching.take_watch(at(100), ListReading::whole(vec![refused(21, 1)], 21));
+    let mut reading = list();
+    let config = ItemChange::Config { revision: 3, config: ConfigReading::default() };
+    let items = vec![config, refused(21, 1), good(11, 2)];
+    reading.take_reading(at(100), ListReading::whole(items.clone(), 21));
+    let mut told = FleetList::new();
+    told.take_copy(at(100), all_rows(&watching), 21, 0);
+    for list in [&watching, &reading, &told] {
+        let rows = all_rows(list);
+        let row = rows.iter().find(|row| row.key == "backend/i-1").expect("its flows go on");
+        let Some(RowValue::Removed(removed)) = &row.value else { panic!("{row:?}") };
+        assert!(removed.backend.as_ref().is_some_and(|backend| backend.draining));
+        assert_eq!(row.revision, 21);
+    }
+    // One that never knew the good entry knows nothing of it.
+    let mut late = FleetList::new();
+    late.take_reading(at(100), ListReading::whole(items, 21));
+    assert!(!late.holds("backend/i-1"));
+}
+
+// Symptom: open flows of a live backend server reach a stranger.
+// Sequence: another writer puts a whole entry with another address under its key, which
+//   tells of the same start.
+// Cause: the newer address is taken for that of the flows' holder.
+#[test]
+fn moved_entry_doubted() {
+    let mut router = desk_router(&[backend(1, "desk", NEAR, 2), backend(2, "desk", NEAR, 2)]);
+    let port = (1..20).find(|port| open_flow(&mut router, 0, key(1, *port)) == Some(1));
+    let flow = key(1, port.expect("one is placed there"));
+    let mut spec = backend_spec(1, "desk", NEAR);
+    spec.ip = u32::from(std::net::Ipv4Addr::new(10, 9, 9, 9));
+    router.take_rows(at(100), &[backend_row(spec, 5)]);
+    let decision = router.on_packet(at(110), &data(flow, 1, 1_000, 1));
+    let FlowDecision::Forward { backend: index, .. } = decision else { panic!("{decision:?}") };
+    let address = router.backend(index).expect("is known").address;
+    assert_eq!(address.to_string(), "10.128.0.1:8080");
+    for port in 100..120 {
+        assert_eq!(open_flow(&mut router, 120, key(1, port)), Some(2));
+    }
+}
+
+// Symptom: open flows break as an entry with a strange key appears.
+// Sequence: two entries name the same number; packets of flows name it by that number.
+// Cause: the newer one is taken for the holder of all these flows.
+#[test]
+fn one_number_twice() {
+    let own = backend(1, "desk", NEAR, 2);
+    let mut spec = backend_spec(1, "desk", NEAR);
+    spec.ip = u32::from(std::net::Ipv4Addr::new(10, 9, 9, 9));
+    spec.created = 9;
+    let mut other = backend_row(spec, 9);
+    other.key = "backend/i-00001".to_owned();
+    for rows in [[own.clone(), other.clone()], [other, own]] {
+        let mut router = desk_router(&rows);
+        for port in 1..10 {
+            let decision = router.on_packet(at(0), &opening(key(1, port), 0));
+            let FlowDecision::Open { backend: index, .. } = decision else {
+                panic!("{decision:?}")
+            };
+            let address = router.backend(index).expect("is known").address;
+            assert_eq!(address.to_string(), "10.128.0.1:8080");
+        }
+        let decision = router.on_packet(at(7), &data(key(1, 1), 1, 1_000, 1));
+        let FlowDecision::Forward { backend: index, .. } = decision else { panic!("{decision:?}") };
+        let address = router.backend(index).expect("is known").address;
+        assert_eq!(address.to_string(), "10.128.0.1:8080");
+    }
+}
--- a/crates/foxledge-flows/tests/silent_backend.rs
+++ b/crates/foxledge-flows/tests/silent_backend.rs
@@ -114,14 +114,23 @@
 #[test]
 fn peers_word_counts() {
     let mut router = two_backends();
-    router.take_note(at(10), &HealthNote { number: 1, kind: NoteKind::Ejected, at: at(9) });
+    router.take_note(
+        at(10),
+        &HealthNote { number: 1, incarnation: 0, kind: NoteKind::Ejected, at: at(9) },
+    );
     for port in 0..10 {
         assert_eq!(open_flow(&mut router, 20, key(1, 1_000 + port)), Some(2));
     }
-    router.take_note(at(500), &HealthNote { number: 1, kind: NoteKind::Alive, at: at(499) });
+    router.take_note(
+        at(500),
+        &HealthNote { number: 1, incarnation: 0, kind: NoteKind::Alive, at: at(499) },
+    );
     assert_eq!(class_of(&router, 1, 500), HealthClass::Healthy);
     // What was observed before the sign of life doesn't count any more.
-    router.take_note(at(510), &HealthNote { number: 1, kind: NoteKind::Ejected, at: at(400) });
+    router.take_note(
+        at(510),
+        &HealthNote { number: 1, incarnation: 0, kind: NoteKind::Ejected, at: at(400) },
+    );
     assert_eq!(class_of(&router, 1, 510), HealthClass::Healthy);
 }
 
@@ -131,7 +140,10 @@
     // the suspicion may be this instance's own fault.
     let mut router = two_backends();
     for number in [1, 2] {
-        router.take_note(at(10), &HealthNote { number, kind: NoteKind::Ejected, at: at(9) });
+        router.take_note(
+            at(10),
+            &HealthNote { number, incarnation: 0, kind: NoteKind::Ejected, at: at(9) },
+        );
     }
     assert!(open_flow(&mut router, 20, key(1, 1)).is_some());
 }
--- a/crates/foxledge-gossip/src/effects.rs
+++ b/crates/foxledge-gossip/src/effects.rs
@@ -6,6 +6,8 @@
 use foxledge_flows::{HealthNote, rows::ListRow, source::ReadMode};
 use serde::Serialize;
 
+use crate::refused::RefusedItem;
+
 /// `ReadOrder` is one call of the store.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ReadOrder {
@@ -97,14 +99,7 @@
         failures: u32,
     },
     /// An item of the store can't be understood.
-    ItemRefused {
-        /// Where it lies.
-        key: String,
-        /// Its revision.
-        revision: u64,
-        /// What is wrong.
-        fault: String,
-    },
+    ItemRefused(RefusedItem),
     /// An instance was heard of for the first time.
     PeerFound {
         /// Where it takes messages.
@@ -131,7 +126,7 @@
             FleetEvent::ReadingEnded { .. } => "reading_ended",
             FleetEvent::StoreLost { .. } => "store_lost",
             FleetEvent::StoreRegained { .. } => "store_regained",
-            FleetEvent::ItemRefused { .. } => "item_refused",
+            FleetEvent::ItemRefused(_) => "item_refused",
             FleetEvent::PeerFound { .. } => "peer_found",
             FleetEvent::PeerLost { .. } => "peer_lost",
         }
--- a/crates/foxledge-gossip/src/learning.rs
+++ b/crates/foxledge-gossip/src/learning.rs
@@ -120,7 +120,8 @@
             if self.notes.contains_key(&message.id) || at.after_millis(NOTE_MS).is_past(now) {
                 continue;
             }
-            let note = HealthNote { number: message.number, kind, at };
+            let note =
+                HealthNote { number: message.number, incarnation: message.incarnation, kind, at };
             self.notes.insert(message.id, note);
             self.effects.push(FleetEffect::Note(note));
             is_news = true;
--- a/crates/foxledge-gossip/src/lib.rs
+++ b/crates/foxledge-gossip/src/lib.rs
@@ -22,9 +22,11 @@
 mod preview;
 mod pulls;
 mod reading;
+mod refused;
 mod spreading;
 
 pub use effects::{FleetEffect, FleetEvent, ReadOrder};
 pub use member::FleetMember;
 pub use messages::{FleetMessage, LARGEST_MESSAGE};
 pub use options::MemberOptions;
+pub use refused::RefusedItem;
--- a/crates/foxledge-gossip/src/member.rs
+++ b/crates/foxledge-gossip/src/member.rs
@@ -17,6 +17,7 @@
     peers::PeerTable,
     preview::ListPreview,
     pulls::ListPull,
+    refused::{RefusedItem, RefusedTable},
 };
 
 /// Longest time between two heartbeats, in milliseconds.
@@ -72,6 +73,8 @@
     pub(crate) called_at: ClockTime,
     /// When peers are asked for a newer confirmation; none after the second time.
     pub(crate) doubt_at: Option<ClockTime>,
+    /// Items of the store that can't be understood.
+    pub(crate) refused: RefusedTable,
     /// The list must be read whole, as the history is gone or too long.
     pub(crate) needs_copy: bool,
     /// A seed was heard of that starts at the same time.
@@ -121,6 +124,7 @@
             serial: 0,
             called_at: now,
             doubt_at: None,
+            refused: RefusedTable::default(),
             needs_copy: false,
             is_together: false,
             whole_at: now,
@@ -152,6 +156,11 @@
         self.peers.len()
     }
 
+    /// Items of the store that can't be understood, as far as this instance reads it.
+    pub fn refused_items(&self) -> impl Iterator<Item = &RefusedItem> {
+        self.refused.items()
+    }
+
     /// What is to be done, in order.
     pub fn take_effects(&mut self) -> Vec<FleetEffect> {
         std::mem::take(&mut self.effects)
--- a/crates/foxledge-gossip/src/packing.rs
+++ b/crates/foxledge-gossip/src/packing.rs
@@ -82,6 +82,12 @@
     /// Time until it is warm, in milliseconds.
     #[prost(uint32, tag = "8")]
     pub warm_in_ms: u32,
+    /// Names the start of the process.
+    #[prost(uint64, tag = "9")]
+    pub incarnation: u64,
+    /// Revision at which its entry was created.
+    #[prost(uint64, tag = "10")]
+    pub created: u64,
 }
 
 /// `PackedRemoval` is a [`RemovedRow`].
@@ -159,6 +165,8 @@
             slots: row.slots,
             draining: row.draining,
             warm_in_ms: row.warm_in_ms,
+            incarnation: row.incarnation,
+            created: row.created,
         }
     }
 
@@ -229,6 +237,8 @@
         slots: packed.slots,
         draining: packed.draining,
         warm_in_ms: packed.warm_in_ms,
+        incarnation: packed.incarnation,
+        created: packed.created,
     }
 }
 
--- a/crates/foxledge-gossip/src/reading.rs
+++ b/crates/foxledge-gossip/src/reading.rs
@@ -1,12 +1,13 @@
 //! Reading the store: when, how, and what its answers change.
 
 use foxledge_core::time::ClockTime;
-use foxledge_flows::{ItemChange, ListReading, SourceError, source::ReadMode};
+use foxledge_flows::{ListReading, SourceError, source::ReadMode};
 
 use crate::{
     effects::{FleetEffect, FleetEvent, ReadOrder},
     election::{ReaderClaim, ReaderElection},
     member::FleetMember,
+    refused::ReadingScope,
 };
 
 /// Longest time that an answer takes beside what its watch waits, in milliseconds.
@@ -102,14 +103,12 @@
         if failures > 0 {
             self.effects.push(FleetEffect::Event(FleetEvent::StoreRegained { failures }));
         }
-        for item in &reading.items {
-            if let ItemChange::Malformed { key, revision, fault } = item {
-                self.effects.push(FleetEffect::Event(FleetEvent::ItemRefused {
-                    key: key.clone(),
-                    revision: *revision,
-                    fault: fault.clone(),
-                }));
-            }
+        let scope = match order {
+            ReadOrder::All(_) => ReadingScope::Everything,
+            ReadOrder::First | ReadOrder::Watch { .. } => ReadingScope::Changes,
+        };
+        for item in self.refused.take(&reading, scope) {
+            self.effects.push(FleetEffect::Event(FleetEvent::ItemRefused(item)));
         }
         if reading.is_part {
             return self.take_preview(now, reading);
--- a/crates/foxledge-gossip/src/spreading.rs
+++ b/crates/foxledge-gossip/src/spreading.rs
@@ -249,6 +249,7 @@
     NoteMessage {
         id,
         number: note.number,
+        incarnation: note.incarnation,
         kind,
         is_silent: note.kind == NoteKind::Silent,
         age_ms: age_ms(now, note.at),
--- a/crates/foxledge-gossip/tests/common/mod.rs
+++ b/crates/foxledge-gossip/tests/common/mod.rs
@@ -128,6 +128,11 @@
     }
 
     pub fn register(&mut self, number: u64, draining: bool) {
+        self.register_start(number, draining, 0);
+    }
+
+    /// Registers a backend server that tells which start of it this is.
+    pub fn register_start(&mut self, number: u64, draining: bool, incarnation: u64) {
         self.head += 1;
         let backend = BackendRow {
             number,
@@ -138,12 +143,23 @@
             slots: 2,
             draining,
             warm_in_ms: 0,
+            incarnation,
+            created: 0,
         };
         let id = format!("i-{number:x}");
         let item = ItemChange::Backend { revision: self.head, id: id.clone(), backend };
         self.put(id, item);
     }
 
+    /// Lets another writer overwrite a backend server's entry.
+    pub fn spoil(&mut self, number: u64) {
+        self.head += 1;
+        let id = format!("i-{number:x}");
+        let fault = "no JSON".to_owned();
+        let item = ItemChange::BackendRefused { revision: self.head, id: id.clone(), fault };
+        self.put(id, item);
+    }
+
     pub fn remove(&mut self, number: u64) {
         self.head += 1;
         let id = format!("i-{number:x}");
--- a/crates/foxledge-gossip/tests/packed_rows.rs
+++ b/crates/foxledge-gossip/tests/packed_rows.rs
@@ -8,8 +8,9 @@
 fn any_backend() -> impl Strategy<Value = BackendRow> {
     let names = (prop::sample::select(vec!["", "desk", "intake"]), "[a-c]{0,2}");
     let numbers = (any::<u64>(), any::<u32>(), 0..70_000_u32, 0..5_u32);
-    (names, numbers, any::<bool>(), any::<u32>()).prop_map(
-        |((service, data_centre), (number, ip, port, slots), draining, warm_in_ms)| BackendRow {
+    let starts = (any::<u32>(), any::<u64>(), any::<u64>());
+    (names, numbers, any::<bool>(), starts).prop_map(
+        |((service, data_centre), (number, ip, port, slots), draining, starts)| BackendRow {
             number,
             service: service.to_owned(),
             ip,
@@ -17,7 +18,9 @@
             data_centre,
             slots,
             draining,
-            warm_in_ms,
+            warm_in_ms: starts.0,
+            incarnation: starts.1,
+            created: starts.2,
         },
     )
 }
@@ -89,6 +92,8 @@
                 slots: 2,
                 draining: false,
                 warm_in_ms: 0,
+                incarnation: 0,
+                created: 0,
             };
             let value = Some(RowValue::Backend(backend));
             ListRow { key: format!("backend/i-{number:x}"), revision: 300 + index, value }
--- a/crates/foxledge-gossip/tests/random_lists.rs
+++ b/crates/foxledge-gossip/tests/random_lists.rs
@@ -29,7 +29,8 @@
 #[derive(Clone, Debug)]
 enum Step {
     Publish { routes: u8, first: u32 },
-    Register { backend: u64, draining: bool },
+    Register { backend: u64, draining: bool, start: u64 },
+    Spoil { backend: u64 },
     Remove { backend: u64 },
     DropHistory,
     AgeReadings { revisions: u64 },
@@ -49,8 +50,9 @@
     prop_oneof![
         6 => (any::<u8>(), 0..ROUTES)
             .prop_map(|(routes, first)| Step::Publish { routes, first }),
-        4 => (backend.clone(), any::<bool>())
-            .prop_map(|(backend, draining)| Step::Register { backend, draining }),
+        4 => (backend.clone(), any::<bool>(), 1..4_u64)
+            .prop_map(|(backend, draining, start)| Step::Register { backend, draining, start }),
+        2 => backend.clone().prop_map(|backend| Step::Spoil { backend }),
         4 => backend.prop_map(|backend| Step::Remove { backend }),
         2 => Just(Step::DropHistory),
         1 => (0..6_u64).prop_map(|revisions| Step::AgeReadings { revisions }),
@@ -92,8 +94,12 @@
     fn take(&mut self, step: Step) {
         match step {
             Step::Publish { routes, first } => self.publish(routes, first),
-            Step::Register { backend, draining } => {
-                self.fleet.store.register(backend, draining);
+            Step::Register { backend, draining, start } => {
+                self.fleet.store.register_start(backend, draining, start);
+                self.fleet.store_changed();
+            }
+            Step::Spoil { backend } => {
+                self.fleet.store.spoil(backend);
                 self.fleet.store_changed();
             }
             Step::Remove { backend } => {
@@ -171,6 +177,10 @@
             let items = self.fleet.store.history.get(&head).expect("was a revision");
             let held = differences(&published(items), &known(member.list()));
             assert!(held.is_empty(), "member {index} at revision {head}: {held:#?}");
+            for key in items.iter().filter_map(spoiled_key) {
+                let grace = grace_of(member.list(), &key);
+                assert!(!grace, "member {index} at revision {head}: {key} may get new flows");
+            }
         }
     }
 
@@ -206,12 +216,34 @@
             ItemChange::Backend { id, backend, .. } => {
                 rows.insert(backend_key(id), RowValue::Backend(backend.clone()));
             }
-            ItemChange::BackendGone { .. } | ItemChange::Malformed { .. } => {}
+            ItemChange::BackendGone { .. }
+            | ItemChange::BackendRefused { .. }
+            | ItemChange::Malformed { .. } => {}
         }
     }
     rows
 }
 
+/// The key of a backend server's entry that another writer spoiled.
+fn spoiled_key(item: &ItemChange) -> Option<String> {
+    match item {
+        ItemChange::BackendRefused { id, .. } => Some(backend_key(id)),
+        _ => None,
+    }
+}
+
+/// True when a list would let a backend server get new flows.
+fn grace_of(list: &FleetList, key: &str) -> bool {
+    let row = list.rows().find(|row| row.key == key).and_then(|row| row.value.as_ref());
+    match row {
+        Some(RowValue::Removed(removed)) => {
+            removed.backend.as_ref().is_some_and(|backend| !backend.draining)
+        }
+        Some(RowValue::Backend(_)) => true,
+        _ => false,
+    }
+}
+
 /// What a list says, without what is gone.
 fn known(list: &FleetList) -> BTreeMap<String, RowValue> {
     let rows = list.rows().filter_map(|row| Some((row.key.clone(), row.value.clone()?)));
