Restart backend servers under their ids in the soak, and spoil entries

The soak's new range of faults, entries, adds: crashes with a start under the same id, at the same address or another, after 5 ms to 3 s; entries overwritten by another writer with text, without a state, with an unknown one, an address of another form, fewer than no slots, a fraction for the time of the start; entries that others add, of a new backend server or with the number of one that is there. Callers keep flows for requests that may not be repeated, with pauses of up to 2.5 s.

Promises: a process's flows end with it, though its successor has its id; a spoiled entry gets no new flow after the bound of a leaving one; no packet ever reaches the address that only another writer's entry names; and a reset is held against its flow as it comes, not with the next request, as flows at rest are reset too. Ruled out: whole entries at another address with the same start, which an instance that has just started can't tell from the backend server's own.

--- a/crates/foxledge-soak/src/backends.rs
+++ b/crates/foxledge-soak/src/backends.rs
@@ -12,7 +12,7 @@
 
 use anyhow::Result;
 use foxledge_flows::FlowKey;
-use serde_json::json;
+use serde_json::{Value, json};
 use tokio::{net::UdpSocket, task::JoinHandle};
 
 use crate::{
@@ -38,6 +38,28 @@
     pub data_centre: String,
     /// The port at which callers listen.
     pub caller_port: u16,
+    /// Which start of it this is, as its entry tells; 0 when it doesn't.
+    pub born: u64,
+}
+
+impl BackendPlace {
+    /// Its entry in a state.
+    pub fn entry(&self, state: &str) -> Value {
+        let mut entry = json!({
+            "service": self.service, "address": self.address.to_string(),
+            "zone": self.data_centre, "version": "v1", "slots": 2, "state": state,
+            "warmup_left_ms": 0, "sequence": 1,
+        });
+        if self.born > 0 {
+            entry["born"] = self.born.into();
+        }
+        entry
+    }
+
+    /// The key of its entry.
+    pub fn key(&self) -> String {
+        format!("servers/i-{:x}", self.number)
+    }
 }
 
 /// `StandInBackend` is one running process of a backend server.
@@ -88,13 +110,10 @@
 
     /// Writes the backend server's entry.
     pub fn register(&self, store: &StandInStore, state: &str) {
-        let place = &self.place;
-        let entry = json!({
-            "service": place.service, "address": place.address.to_string(),
-            "zone": place.data_centre, "version": "v1", "slots": 2, "state": state,
-            "warmup_left_ms": 0, "sequence": 1,
-        });
-        store.put(&self.key(), &entry);
+        store.put(&self.key(), &self.place.entry(state));
+        if state == "ready" {
+            self.ledger.backend_ready(self.place.number);
+        }
     }
 
     /// Reports that it leaves.
@@ -105,7 +124,7 @@
 
     /// The key of its entry.
     pub fn key(&self) -> String {
-        format!("servers/i-{:x}", self.place.number)
+        self.place.key()
     }
 
     /// Ends it; its address is free afterwards.
--- a/crates/foxledge-soak/src/callers.rs
+++ b/crates/foxledge-soak/src/callers.rs
@@ -34,6 +34,17 @@
 /// Time for a request.
 const DEADLINE: Duration = Duration::from_millis(1_500);
 
+/// `CallerHabit` is how a caller uses its flow.
+#[derive(Clone, Copy, Debug)]
+struct CallerHabit {
+    is_idempotent: bool,
+    /// Longest pause between two requests, in milliseconds.
+    pause_ms: u64,
+}
+
+/// Callers that keep a flow for requests that may not be repeated.
+const KEPT: CallerHabit = CallerHabit { is_idempotent: false, pause_ms: 2_500 };
+
 /// `CallerHost` is one caller's address with all its flows.
 pub struct CallerHost {
     ip: Ipv4Addr,
@@ -100,11 +111,21 @@
         while !self.is_stopping.load(Ordering::Relaxed) {
             let (port, is_idempotent) = ports[rng.random_range(0..ports.len())];
             let count = if is_idempotent { rng.random_range(5..60) } else { 1 };
-            self.clone().talk(port, is_idempotent, count, &mut rng).await;
+            let habit = CallerHabit { is_idempotent, pause_ms: 80 };
+            self.clone().talk(port, habit, count, &mut rng).await;
             sleep(Duration::from_millis(rng.random_range(5..60))).await;
         }
     }
 
+    /// Keeps a flow open for requests that may not be repeated, with pauses between them.
+    pub async fn run_kept(self: Arc<CallerHost>, port: u16, seed: u64) {
+        let mut rng = StdRng::seed_from_u64(seed);
+        while !self.is_stopping.load(Ordering::Relaxed) {
+            let count = rng.random_range(3..12);
+            self.clone().talk(port, KEPT, count, &mut rng).await;
+        }
+    }
+
     /// Opens a flow to a route at one instance, and tells whether it was answered.
     pub async fn probe(self: Arc<CallerHost>, port: u16, instance: usize) -> bool {
         let key = self.next_key(port);
@@ -120,7 +141,7 @@
     async fn talk(
         self: Arc<CallerHost>,
         port: u16,
-        is_idempotent: bool,
+        CallerHabit { is_idempotent, pause_ms }: CallerHabit,
         count: u32,
         rng: &mut StdRng,
     ) {
@@ -136,7 +157,7 @@
             if !is_served || self.is_stopping.load(Ordering::Relaxed) {
                 break;
             }
-            sleep(Duration::from_millis(rng.random_range(5..80))).await;
+            sleep(Duration::from_millis(rng.random_range(5..pause_ms))).await;
         }
         flow.send(FIN | ACK, Vec::new()).await;
     }
@@ -194,6 +215,10 @@
             if self.loss.takes_one() {
                 continue;
             }
+            // Checked as it comes: a flow at rest is read only with its next request.
+            if packet.flags & RST != 0 && packet.sum == 0 {
+                self.ledger.reset_by_instance(FlowKey { caller: packet.to, service: packet.from });
+            }
             let port = packet.to.port();
             let sender = self.flows().get(&port).cloned();
             if let Some(sender) = sender {
@@ -222,9 +247,6 @@
             wait *= 2;
             while let Ok(Some(packet)) = timeout_at(until, self.packets.recv()).await {
                 if packet.flags & RST != 0 {
-                    if packet.sum == 0 {
-                        self.host.ledger.reset_by_instance(self.key);
-                    }
                     return false;
                 }
                 if self.takes_answer(&packet, id) {
--- a/crates/foxledge-soak/src/faults.rs
+++ b/crates/foxledge-soak/src/faults.rs
@@ -6,11 +6,13 @@
 };
 
 use nix::sys::signal::Signal;
+use serde_json::Value;
 use tokio::time::sleep;
 
 use crate::{
+    backends::BackendPlace,
     links::{LinkFault, PeerFault},
-    plan::SoakFault,
+    plan::{RestartPlace, SoakFault, SpoiledValue},
     soak::SoakWorld,
     store::StoreMode,
 };
@@ -23,6 +25,8 @@
 const ENTRY_LAPSES: Duration = Duration::from_millis(3_600);
 /// Time after a death until its address is given to another.
 const ADDRESS_REUSED: Duration = Duration::from_millis(2_000);
+/// Number of a backend server that never starts.
+const UNUSED_NUMBER: u64 = 0xfff_ffff;
 /// Time between two lists of a series.
 const SERIES: Duration = Duration::from_millis(300);
 
@@ -67,6 +71,15 @@
         SoakFault::PacketLoss { per_mille, for_ms } => {
             packet_loss(&world, per_mille, for_ms).await;
         }
+        SoakFault::BackendRestarts { backend, down_ms, place } => {
+            backend_restarts(&world, backend, down_ms, place).await;
+        }
+        SoakFault::EntrySpoiled { backend, value, for_ms } => {
+            entry_spoiled(&world, backend, value, for_ms).await;
+        }
+        SoakFault::EntryAdded { backend, value, for_ms } => {
+            entry_added(&world, backend, value, for_ms).await;
+        }
         SoakFault::Publish { times } => {
             for _ in 0..times {
                 world.publish_next();
@@ -215,3 +228,65 @@
     world.store.remove(&leaving.key());
     leaving.end().await;
 }
+
+async fn backend_restarts(
+    world: &Arc<SoakWorld>,
+    backend: usize,
+    down_ms: u64,
+    place: RestartPlace,
+) {
+    let Some(crashed) = world.take_backend(backend) else { return };
+    let former = crashed.place.clone();
+    crashed.end().await;
+    sleep(Duration::from_millis(down_ms)).await;
+    world.restart_backend(former, place).await;
+}
+
+async fn entry_spoiled(world: &Arc<SoakWorld>, backend: usize, value: SpoiledValue, for_ms: u64) {
+    let Some(place) = world.place_of(backend) else { return };
+    // A whole entry at another address can be told from the backend server's own only by
+    // instances that knew that one.
+    let value = if value == SpoiledValue::Elsewhere { SpoiledValue::Stateless } else { value };
+    world.store.put_bytes(&place.key(), &spoiled(world, &place, value));
+    world.ledger.backend_draining(place.number);
+    sleep(Duration::from_millis(for_ms)).await;
+    world.register_one(place.number);
+}
+
+async fn entry_added(
+    world: &Arc<SoakWorld>,
+    backend: Option<usize>,
+    value: SpoiledValue,
+    for_ms: u64,
+) {
+    let Some(mut place) = world.place_of(backend.unwrap_or_default()) else { return };
+    let mut key = format!("servers/other-0{:x}", place.number);
+    if backend.is_none() {
+        place.number = UNUSED_NUMBER;
+        key = place.key();
+    }
+    // A whole entry of a new backend server is no fault but a backend server.
+    let value = match (backend, value) {
+        (None, SpoiledValue::Elsewhere) => SpoiledValue::Text,
+        (_, value) => value,
+    };
+    world.store.put_bytes(&key, &spoiled(world, &place, value));
+    sleep(Duration::from_millis(for_ms)).await;
+    world.store.remove(&key);
+}
+
+/// An entry as another writer leaves it. No flow's packet may reach the address in it.
+fn spoiled(world: &SoakWorld, place: &BackendPlace, value: SpoiledValue) -> Vec<u8> {
+    let mut entry = place.entry("ready");
+    entry["address"] = world.empty_address().to_string().into();
+    match value {
+        SpoiledValue::Text => return b"{\"state\":".to_vec(),
+        SpoiledValue::Stateless => entry["state"] = Value::Null,
+        SpoiledValue::UnknownState => entry["state"] = "resting".into(),
+        SpoiledValue::BadAddress => entry["address"] = "a.name:80".into(),
+        SpoiledValue::BadSlots => entry["slots"] = (-2).into(),
+        SpoiledValue::BadStart => entry["born"] = 1.5.into(),
+        SpoiledValue::Elsewhere => {}
+    }
+    entry.to_string().into_bytes()
+}
--- a/crates/foxledge-soak/src/main.rs
+++ b/crates/foxledge-soak/src/main.rs
@@ -29,6 +29,7 @@
     };
     let range = match matches.get_one::<String>("range").map(String::as_str) {
         Some("control") => FaultRange::Control,
+        Some("entries") => FaultRange::Entries,
         _ => FaultRange::Packets,
     };
     let mut broken = 0;
@@ -60,7 +61,7 @@
                 .value_name("NAME")
                 .default_value("packets")
                 .help("Faults that come; seeds of before this option was made are of control")
-                .value_parser(["control", "packets"]),
+                .value_parser(["control", "packets", "entries"]),
         )
         .arg(
             Arg::new("binary")
--- a/crates/foxledge-soak/src/plan.rs
+++ b/crates/foxledge-soak/src/plan.rs
@@ -27,6 +27,9 @@
     Control,
     /// These, and faults on the way of callers' packets.
     Packets,
+    /// These, and faults of backend servers' entries; some callers keep flows for requests
+    /// that may not be repeated.
+    Entries,
 }
 
 impl SoakOptions {
@@ -162,6 +165,33 @@
         /// Time in milliseconds.
         for_ms: u64,
     },
+    /// A backend server crashes and starts again under its id.
+    BackendRestarts {
+        /// Which, of all.
+        backend: usize,
+        /// Time between, in milliseconds.
+        down_ms: u64,
+        /// Where it starts.
+        place: RestartPlace,
+    },
+    /// Another writer overwrites a backend server's entry, which its own next one mends.
+    EntrySpoiled {
+        /// Which, of all.
+        backend: usize,
+        /// What is written.
+        value: SpoiledValue,
+        /// Time until it is mended, in milliseconds.
+        for_ms: u64,
+    },
+    /// Another writer adds an entry, and takes it away.
+    EntryAdded {
+        /// Of a new backend server, or with the number of this one.
+        backend: Option<usize>,
+        /// What is written.
+        value: SpoiledValue,
+        /// Time in milliseconds.
+        for_ms: u64,
+    },
     /// New lists are published.
     Publish {
         /// How many, one each 300 ms.
@@ -169,6 +199,47 @@
     },
 }
 
+/// `RestartPlace` is where a backend server starts again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RestartPlace {
+    /// At the address that it had.
+    Same,
+    /// At another.
+    Other,
+}
+
+/// `SpoiledValue` is an entry as another writer leaves it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SpoiledValue {
+    /// No JSON.
+    Text,
+    /// Without a state.
+    Stateless,
+    /// In a state that nobody knows.
+    UnknownState,
+    /// With an address of another form.
+    BadAddress,
+    /// With fewer than no slots.
+    BadSlots,
+    /// With a fraction for the time of its start.
+    BadStart,
+    /// Whole, at an address where no backend server is.
+    Elsewhere,
+}
+
+impl SpoiledValue {
+    /// Every one.
+    pub const ALL: [SpoiledValue; 7] = [
+        SpoiledValue::Text,
+        SpoiledValue::Stateless,
+        SpoiledValue::UnknownState,
+        SpoiledValue::BadAddress,
+        SpoiledValue::BadSlots,
+        SpoiledValue::BadStart,
+        SpoiledValue::Elsewhere,
+    ];
+}
+
 /// `FaultPlan` is the faults of a run with their times in milliseconds.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct FaultPlan {
@@ -204,6 +275,7 @@
     let kinds = match options.range {
         FaultRange::Control => 20,
         FaultRange::Packets => 25,
+        FaultRange::Entries => 34,
     };
     match rng.random_range(0..kinds) {
         0..3 => SoakFault::Kill { instance, down_ms: rng.random_range(100..2_500) },
@@ -220,7 +292,22 @@
         17 => SoakFault::StoreLapse { for_ms },
         18 if rng.random_bool(0.3) => SoakFault::KillAll { down_ms: rng.random_range(200..1_500) },
         20..23 => SoakFault::BackendSilent { backend, for_ms },
+        25..30 => SoakFault::BackendRestarts {
+            backend,
+            down_ms: rng.random_range(5..3_000),
+            place: if rng.random_bool(0.6) { RestartPlace::Same } else { RestartPlace::Other },
+        },
+        30..32 => SoakFault::EntrySpoiled { backend, value: any_value(rng), for_ms },
+        32.. => SoakFault::EntryAdded {
+            backend: rng.random_bool(0.5).then_some(backend),
+            value: any_value(rng),
+            for_ms,
+        },
         23.. => SoakFault::PacketLoss { per_mille: rng.random_range(20..400), for_ms },
         _ => SoakFault::Publish { times: rng.random_range(1..6) },
     }
 }
+
+fn any_value(rng: &mut StdRng) -> SpoiledValue {
+    SpoiledValue::ALL[rng.random_range(0..SpoiledValue::ALL.len())]
+}
--- a/crates/foxledge-soak/src/promises.rs
+++ b/crates/foxledge-soak/src/promises.rs
@@ -17,6 +17,8 @@
 #[derive(Clone, Copy, Debug)]
 struct FlowHolder {
     backend: u64,
+    /// Which start of it, counted from 0.
+    start: u32,
     is_open: bool,
 }
 
@@ -24,6 +26,8 @@
 #[derive(Clone, Copy, Debug)]
 struct BackendLife {
     is_alive: bool,
+    /// How often it has started again under its id.
+    starts: u32,
     draining_since: Option<Instant>,
 }
 
@@ -90,8 +94,17 @@
 
     /// Notes the start of a backend server.
     pub fn backend_started(&self, number: u64) {
-        let life = BackendLife { is_alive: true, draining_since: None };
-        self.lock().backends.insert(number, life);
+        let mut state = self.lock();
+        let starts = state.backends.get(&number).map_or(0, |former| former.starts + 1);
+        let life = BackendLife { is_alive: true, starts, draining_since: None };
+        state.backends.insert(number, life);
+    }
+
+    /// Notes that the store took a backend server's own entry, by which it takes flows.
+    pub fn backend_ready(&self, number: u64) {
+        if let Some(life) = self.lock().backends.get_mut(&number) {
+            life.draining_since = None;
+        }
     }
 
     /// Notes that a backend server's report of leaving was taken by the store.
@@ -123,7 +136,7 @@
     pub fn opened(&self, flow: FlowKey, backend: u64, service: &str, instance: usize) {
         let mut state = self.lock();
         let now = Instant::now();
-        let holder = FlowHolder { backend, is_open: false };
+        let holder = FlowHolder { backend, start: state.start_of(backend), is_open: false };
         if !state.holders.get(&flow).is_some_and(|known| known.is_open) {
             state.holders.insert(flow, holder);
         }
@@ -150,14 +163,16 @@
 
     /// Notes that the handshake of a flow ended at a backend server.
     pub fn handshake_ended(&self, flow: FlowKey, backend: u64) {
-        self.lock().holders.insert(flow, FlowHolder { backend, is_open: true });
+        let mut state = self.lock();
+        let holder = FlowHolder { backend, start: state.start_of(backend), is_open: true };
+        state.holders.insert(flow, holder);
     }
 
     /// Checks data that reached a backend server that doesn't hold the flow.
     pub fn strayed(&self, flow: FlowKey, backend: u64) {
         let mut state = self.lock();
         let Some(holder) = state.holders.get(&flow).copied() else { return };
-        let lives = state.backends.get(&holder.backend).is_some_and(|life| life.is_alive);
+        let lives = state.lives(&holder);
         if holder.is_open && lives && holder.backend != backend {
             let text = format!("{flow} held by {:x} reached {backend:x}", holder.backend);
             state.breaches.push(text);
@@ -180,7 +195,7 @@
     pub fn reset_by_instance(&self, flow: FlowKey) {
         let mut state = self.lock();
         let Some(holder) = state.holders.get(&flow).copied() else { return };
-        let lives = state.backends.get(&holder.backend).is_some_and(|life| life.is_alive);
+        let lives = state.lives(&holder);
         let is_silent = !is_calm(state.disturbed_backends.get(&holder.backend), Instant::now())
             || !is_calm(state.packets_disturbed.as_ref(), Instant::now());
         if holder.is_open && lives && !is_silent {
@@ -222,6 +237,16 @@
 }
 
 impl LedgerState {
+    fn start_of(&self, backend: u64) -> u32 {
+        self.backends.get(&backend).map_or(0, |life| life.starts)
+    }
+
+    /// True when the process that holds a flow lives.
+    fn lives(&self, holder: &FlowHolder) -> bool {
+        let life = self.backends.get(&holder.backend);
+        life.is_some_and(|life| life.is_alive && life.starts == holder.start)
+    }
+
     fn is_in_touch(&self, instance: usize, now: Instant) -> bool {
         is_calm(self.disturbed.get(&instance), now) && is_calm(self.store_disturbed.as_ref(), now)
     }
--- a/crates/foxledge-soak/src/soak.rs
+++ b/crates/foxledge-soak/src/soak.rs
@@ -9,7 +9,7 @@
         Arc, Mutex, MutexGuard, PoisonError,
         atomic::{AtomicBool, AtomicU64, Ordering},
     },
-    time::{Duration, Instant},
+    time::{Duration, Instant, SystemTime},
 };
 
 use anyhow::{Context, Result, bail};
@@ -24,7 +24,7 @@
     faults::carry_out,
     instances::{InstancePlace, RunningInstance},
     links::{PacketLoss, PeerLinks, StoreLink},
-    plan::{FaultPlan, SoakOptions},
+    plan::{FaultPlan, FaultRange, RestartPlace, SoakOptions},
     promises::PromiseLedger,
     router::PacketRouter,
     store::StandInStore,
@@ -38,6 +38,8 @@
 const FEED_PORT: u16 = 8_443;
 const BID_PORT: u16 = 8_080;
 const UPLOAD_PORT: u16 = 9_443;
+/// Flows that each caller's address keeps for requests that may not be repeated.
+const KEPT_FLOWS: usize = 6;
 /// First port of the routes that come, move and go.
 const MOVING_PORT: u16 = 500;
 /// Number of those routes.
@@ -147,6 +149,7 @@
     wait_ready(&world).await?;
     tokio::spawn(watch_processes(world.clone()));
     tokio::spawn(probe_routes(world.clone(), hosts[0].clone()));
+    tokio::spawn(watch_empty(world.clone()));
     world.ledger.take_counts();
     let faults = play(&world).await;
     let during = world.ledger.take_counts();
@@ -207,6 +210,11 @@
         for _ in 0..3 {
             tokio::spawn(host.clone().run(ports.clone(), rng.random()));
         }
+        if world.options.range == FaultRange::Entries {
+            for _ in 0..KEPT_FLOWS {
+                tokio::spawn(host.clone().run_kept(BID_PORT, rng.random()));
+            }
+        }
         hosts.push(host);
     }
     Ok(hosts)
@@ -243,6 +251,17 @@
     }
 }
 
+/// Tells of packets that reach an address which only another writer's entries name.
+async fn watch_empty(world: Arc<SoakWorld>) {
+    let Ok(socket) = tokio::net::UdpSocket::bind(world.empty_address()).await else {
+        return world.ledger.breach("the soak itself failed: an address is taken".to_owned());
+    };
+    let mut buffer = [0; 64];
+    while let Ok((_, from)) = socket.recv_from(&mut buffer).await {
+        world.ledger.breach(format!("{from} sent a flow's packet to another writer's address"));
+    }
+}
+
 /// Opens flows to the moving routes at each instance.
 async fn probe_routes(world: Arc<SoakWorld>, host: Arc<CallerHost>) {
     while !world.is_ending.load(Ordering::Relaxed) {
@@ -376,14 +395,38 @@
     /// Starts a backend server, at a given address or a new one.
     pub async fn start_backend(&self, service: &str, address: Option<SocketAddrV4>) {
         let count = self.next_backend.fetch_add(1, Ordering::Relaxed);
-        let own = self.address(10 + (count / 200) as u8, (count % 200) as usize, BACKEND_PORT);
+        let own = self.backend_address(count);
         let place = BackendPlace {
             number: 0x1_0000 + count,
             service: service.to_owned(),
             address: address.unwrap_or(own),
             data_centre: centre_of(count as usize).to_owned(),
             caller_port: DATA_PORT,
+            born: self.born(),
         };
+        self.start_at(place).await;
+    }
+
+    /// The time of a start, as an entry tells it; older runs have platforms without.
+    fn born(&self) -> u64 {
+        match self.options.range {
+            FaultRange::Entries => {
+                let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+                since.map_or(1, |span| span.as_millis() as u64)
+            }
+            FaultRange::Control | FaultRange::Packets => 0,
+        }
+    }
+
+    /// Starts a backend server again under its id.
+    pub async fn restart_backend(&self, former: BackendPlace, place: RestartPlace) {
+        let count = self.next_backend.fetch_add(1, Ordering::Relaxed);
+        let other = self.backend_address(count);
+        let address = if place == RestartPlace::Same { former.address } else { other };
+        self.start_at(BackendPlace { address, born: self.born(), ..former }).await;
+    }
+
+    async fn start_at(&self, place: BackendPlace) {
         let (ledger, loss) = (self.ledger.clone(), self.packet_loss.clone());
         match StandInBackend::start(place, &self.store, ledger, loss).await {
             Ok(backend) => self.lock_backends().push(backend),
@@ -391,6 +434,29 @@
         }
     }
 
+    fn backend_address(&self, count: u64) -> SocketAddrV4 {
+        self.address(10 + (count / 200) as u8, (count % 200) as usize, BACKEND_PORT)
+    }
+
+    /// An address where no backend server ever is.
+    pub fn empty_address(&self) -> SocketAddrV4 {
+        self.address(7, 0, BACKEND_PORT)
+    }
+
+    /// The place of a running backend server.
+    pub fn place_of(&self, choice: usize) -> Option<BackendPlace> {
+        let backends = self.lock_backends();
+        Some(backends.get(choice % backends.len().max(1))?.place.clone())
+    }
+
+    /// Writes the own entry of a backend server that runs.
+    pub fn register_one(&self, number: u64) {
+        let backends = self.lock_backends();
+        if let Some(backend) = backends.iter().find(|one| one.place.number == number) {
+            backend.register(&self.store, "ready");
+        }
+    }
+
     /// Takes a running backend server out, unless too few would be left of its service.
     pub fn take_backend(&self, choice: usize) -> Option<StandInBackend> {
         let mut backends = self.lock_backends();
--- a/crates/foxledge-soak/src/store.rs
+++ b/crates/foxledge-soak/src/store.rs
@@ -95,12 +95,22 @@
 
     /// Writes an item.
     pub fn put(&self, key: &str, value: &Value) {
+        self.put_bytes(key, value.to_string().as_bytes());
+    }
+
+    /// Writes an item of any bytes.
+    pub fn put_bytes(&self, key: &str, value: &[u8]) {
         let mut state = self.lock();
         state.revision += 1;
         let revision = state.revision;
-        let text = BASE64_STANDARD.encode(value.to_string());
-        let item =
-            json!({"key": key, "value": text, "revision": revision, "created": 1, "lease": 0});
+        let text = BASE64_STANDARD.encode(value);
+        let created = match state.items.get(key) {
+            Some(known) => known["created"].clone(),
+            None => revision.into(),
+        };
+        let item = json!({
+            "key": key, "value": text, "revision": revision, "created": created, "lease": 0,
+        });
         state.items.insert(key.to_owned(), item.clone());
         state.log.push((revision, item));
         drop(state);
--- a/crates/foxledge-soak/tests/short_soak.rs
+++ b/crates/foxledge-soak/tests/short_soak.rs
@@ -43,6 +43,11 @@
     assert_kept(SoakOptions::new(5_000).seconds(10).range(FaultRange::Packets));
 }
 
+#[test]
+fn entry_faults() {
+    assert_kept(SoakOptions::new(7_000).seconds(12).range(FaultRange::Entries));
+}
+
 #[test]
 fn plan_by_seed() {
     let options = SoakOptions::new(7);
