Let two instances' unanswered openings eject a backend server

Cause: a backend server that crashes resets openings, so that no copy follows one; each of 64 instances waited for a second unanswered opening of its own.

Hypothesis: a suspicion at another instance within the 300 ms of the first is as good as a second one here; a live backend server's next sign of life takes both back.

Ruled out: what the next opening of the same caller tells, as it reaches another of 22 instances.

--- a/crates/foxledge-flows/src/health.rs
+++ b/crates/foxledge-flows/src/health.rs
@@ -129,7 +129,7 @@
         if !self.ejected_until.is_past(now) {
             return HealthClass::Ejected;
         }
-        if !self.suspect_until.is_past(now) {
+        if self.is_suspect(now) {
             return HealthClass::Suspect;
         }
         match self.ejections {
@@ -171,13 +171,15 @@
     /// Takes a first sign of silence about something sent at `sent`.
     ///
     /// A second one in a row, or one while the backend server is on probation,
-    /// confirms the first.
+    /// confirms the first; so does one at another instance that comes soon after. Where
+    /// each instance waits for a second of its own, a crash that resets its callers'
+    /// openings is found after 0.4 to 2 s: by then most of 64 instances have sent one there.
     pub fn on_suspicion(&mut self, now: ClockTime, sent: ClockTime) -> Option<NoteKind> {
         if self.alive_at > sent {
             return None;
         }
         self.strikes += 1;
-        if self.strikes > 1 || self.ejections > 0 {
+        if self.strikes > 1 || self.ejections > 0 || self.is_suspect(now) {
             return self.confirm(now);
         }
         self.suspect_until = now.after_millis(SUSPECT_MS);
@@ -216,6 +218,10 @@
         }
     }
 
+    fn is_suspect(&self, now: ClockTime) -> bool {
+        !self.suspect_until.is_past(now)
+    }
+
     /// When something was first found unanswered, if nothing was heard of it since.
     pub fn silent_at(&self) -> Option<ClockTime> {
         self.silent_at
@@ -240,7 +246,11 @@
                 *self = HealthState::since(note.at);
             }
             NoteKind::Suspect => {
+                let is_second = self.is_suspect(note.at);
                 self.suspect_until = self.suspect_until.max(note.at.after_millis(SUSPECT_MS));
+                if is_second {
+                    self.confirm(now);
+                }
             }
             NoteKind::Silent => {
                 self.silent_openings += 1;
--- a/crates/foxledge-flows/tests/silent_backend.rs
+++ b/crates/foxledge-flows/tests/silent_backend.rs
@@ -222,3 +222,31 @@
     router.check_overdue(at(7_150));
     assert_eq!(class_of(&router, backend, 7_150), HealthClass::Suspect);
 }
+
+// Symptom: for two seconds after backend servers crash, callers' new flows are reset again
+//   and again.
+// Sequence: crashed backend servers reset openings, so that no copies follow; each of many
+//   instances sees one opening unanswered now and then.
+// Cause: each waits for a second unanswered opening of its own.
+#[test]
+fn two_observers_suffice() {
+    let note =
+        |at_ms| HealthNote { number: 1, incarnation: 0, kind: NoteKind::Suspect, at: at(at_ms) };
+    let class = |router: &foxledge_flows::FlowRouter, now| class_of(router, 1, now);
+    let mut router = two_backends();
+    router.take_note(at(45), &note(40));
+    assert_eq!(class(&router, 46), HealthClass::Suspect);
+    router.take_note(at(60), &note(55));
+    assert_eq!(class(&router, 61), HealthClass::Ejected);
+    // A sign of life between refutes the first.
+    let mut router = two_backends();
+    router.take_note(at(45), &note(40));
+    router.take_note(at(50), &HealthNote { kind: NoteKind::Alive, ..note(48) });
+    router.take_note(at(60), &note(55));
+    assert_eq!(class(&router, 61), HealthClass::Suspect);
+    // An old one is none: most are packets that were lost.
+    let mut router = two_backends();
+    router.take_note(at(45), &note(40));
+    router.take_note(at(2_000), &note(1_995));
+    assert_eq!(class(&router, 2_001), HealthClass::Suspect);
+}
