Refuse nothing for want of entries that may have lapsed before the start

All instances were killed while the store was away and had lost the entries; those that started knew no entry of a service and refused each of its flows until the entries were back, a second later. A refusal is final for its caller. Now a service of which no entry is known gets none until 2.2 s after the first confirmation; its callers' copies may find what is missing (start_in_lapse, red before). A service whose entries are known to be gone, and a missing route, are refused at once as before.

Traced: callers that were refused came back at once and used up the ports of their address, so that a refusal was held against an old flow of the same port. The stand-in's callers pause now, and a new flow of a port has no earlier holder.

--- a/crates/foxledge-flows/src/backends.rs
+++ b/crates/foxledge-flows/src/backends.rs
@@ -20,7 +20,7 @@
 /// two seconds after its return. Without this span all of a service's backend
 /// servers could be missing at once, and every new flow would be refused. It
 /// stays below the 3 s within which a leaving one must get no new flow.
-const LAPSE_MS: u64 = 2_200;
+pub(crate) const LAPSE_MS: u64 = 2_200;
 /// Age of the store's last confirmation at which it counts as away, in
 /// milliseconds: more than any instance in touch sees.
 const STORE_AWAY_MS: u64 = 2_500;
--- a/crates/foxledge-flows/src/router.rs
+++ b/crates/foxledge-flows/src/router.rs
@@ -2,10 +2,13 @@
 
 use std::{sync::Arc, time::Duration};
 
-use foxledge_core::{names::CentreName, time::ClockTime};
+use foxledge_core::{
+    names::{CentreName, ServiceName},
+    time::ClockTime,
+};
 
 use crate::{
-    backends::{Backend, BackendNews, BackendTable},
+    backends::{Backend, BackendNews, BackendTable, LAPSE_MS},
     decisions::{
         DropReason, FlowDecision, FlowExplanation, OpenReason, RefuseReason, RouterCounts,
     },
@@ -77,6 +80,8 @@
     pub(crate) latencies: Vec<Duration>,
     pub(crate) counts: RouterCounts,
     pub(crate) confirmed_at: Option<ClockTime>,
+    /// When the store first confirmed a list here.
+    sure_since: Option<ClockTime>,
     pub(crate) is_in_doubt: bool,
     pub(crate) is_catching_up: bool,
     pub(crate) idle_ms: u64,
@@ -101,6 +106,7 @@
             latencies: Vec::new(),
             counts: RouterCounts::default(),
             confirmed_at: None,
+            sure_since: None,
             is_in_doubt: false,
             is_catching_up: false,
             idle_ms: DEFAULT_IDLE_MS,
@@ -139,6 +145,7 @@
             self.backends.renew_grace(former, at);
         }
         self.confirmed_at = Some(at);
+        self.sure_since.get_or_insert(at);
         self.is_in_doubt = false;
     }
 
@@ -254,7 +261,7 @@
         let avoided = former.map(|opening| opening.backend);
         let candidates = self.candidates(now, &service, &packet.key, avoided);
         let Some((index, rank)) = self.policy.choose(now, &candidates) else {
-            return self.refuse(now, RefuseReason::NoBackend);
+            return self.refuse_unserved(now, &service);
         };
         self.picks += 1;
         if let Some(backend) = self.backends.get_mut(index) {
@@ -267,6 +274,20 @@
         FlowDecision::Open { backend: index, reason: reason(Some(rank), candidates.len()) }
     }
 
+    /// Refuses an opening packet to a service without backend servers.
+    ///
+    /// Entries lapse while the store is away, and are back some two seconds after its
+    /// return. An instance that started in between knows nothing of them, and a refusal is
+    /// final: for as long, the caller's copies may find what is missing now.
+    fn refuse_unserved(&self, now: ClockTime, service: &ServiceName) -> FlowDecision {
+        let is_unknown = self.backends.of_service(service).is_empty();
+        let is_new = self.sure_since.is_none_or(|at| !at.after_millis(LAPSE_MS).is_past(now));
+        if is_unknown && is_new {
+            return FlowDecision::Drop(DropReason::MaybeStale);
+        }
+        self.refuse(now, RefuseReason::NoBackend)
+    }
+
     /// Refuses an opening packet, if this instance can be sure.
     ///
     /// A refusal is final for the caller, so only an instance that has heard
--- a/crates/foxledge-flows/tests/lapsed_entries.rs
+++ b/crates/foxledge-flows/tests/lapsed_entries.rs
@@ -100,6 +100,30 @@
     assert_eq!(decision, FlowDecision::Refuse(RefuseReason::NoBackend));
 }
 
+// Symptom: as the store returns, every new flow of a service is refused for a second.
+// Sequence: the store loses all entries of the service as it goes down, and all instances
+//   are killed meanwhile; they start with its return, a second before the entries are back.
+// Cause: an instance that has just started takes a service of which it knows no entry for
+//   one that has no backend server.
+#[test]
+fn start_in_lapse() {
+    let mut router = desk_router(&[]);
+    for now in [50, 2_100] {
+        let decision = router.on_packet(at(now), &opening(key(1, 1), 0));
+        assert_eq!(decision, FlowDecision::Drop(DropReason::MaybeStale), "after {now} ms");
+    }
+    // What is still missing by then is gone.
+    router.set_confirmed(at(2_200));
+    let decision = router.on_packet(at(2_210), &opening(key(1, 2), 0));
+    assert_eq!(decision, FlowDecision::Refuse(RefuseReason::NoBackend));
+    // Nobody has to wait to hear that a route isn't there.
+    let mut router = desk_router(&[]);
+    let mut elsewhere = key(1, 1);
+    elsewhere.service.set_port(9_999);
+    let decision = router.on_packet(at(50), &opening(elsewhere, 0));
+    assert_eq!(decision, FlowDecision::Refuse(RefuseReason::NoRoute));
+}
+
 // Symptom: an open flow is reset although its backend server lives.
 // Sequence: an instance stands still; the opening packet of a caller waits in its
 //   socket, the caller's copies open the flow at another; the first wakes, with a list
--- a/crates/foxledge-soak/src/callers.rs
+++ b/crates/foxledge-soak/src/callers.rs
@@ -31,6 +31,8 @@
     [Duration::from_millis(200), Duration::from_millis(400), Duration::from_millis(800)];
 /// First wait before data is sent again; doubles with each.
 const RESEND: Duration = Duration::from_millis(200);
+/// Pause of a caller whose flow couldn't be opened.
+const REFUSED_PAUSE: Duration = Duration::from_millis(100);
 /// Time for a request.
 const DEADLINE: Duration = Duration::from_millis(1_500);
 
@@ -150,7 +152,12 @@
             OpenResult::Opened(flow) => Some(flow),
             OpenResult::Refused | OpenResult::Silent => None,
         };
-        let Some(mut flow) = opened else { return self.ledger.ended(false) };
+        let Some(mut flow) = opened else {
+            self.ledger.ended(false);
+            // Callers that come back at once use up the ports of their address, and take
+            // one that another flow still has.
+            return sleep(REFUSED_PAUSE).await;
+        };
         for _ in 0..count {
             let is_served = flow.request(rng.random(), is_idempotent).await;
             self.ledger.ended(is_served);
@@ -171,6 +178,7 @@
     }
 
     async fn open(self: Arc<CallerHost>, key: FlowKey, instance: Option<usize>) -> OpenResult {
+        self.ledger.flow_begun(key);
         let (sender, packets) = unbounded_channel();
         self.flows().insert(key.caller.port(), sender);
         let sequence = rand::random();
--- a/crates/foxledge-soak/src/promises.rs
+++ b/crates/foxledge-soak/src/promises.rs
@@ -161,6 +161,11 @@
         }
     }
 
+    /// Notes that a caller begins a flow: what held an earlier one of its port says nothing.
+    pub fn flow_begun(&self, flow: FlowKey) {
+        self.lock().holders.remove(&flow);
+    }
+
     /// Notes that the handshake of a flow ended at a backend server.
     pub fn handshake_ended(&self, flow: FlowKey, backend: u64) {
         let mut state = self.lock();
