Measure routers' mechanisms one by one, and sum up callers' losses from logs

foxledge-bench matrix runs plans of sites, troubles, loads, mechanisms and seeds, each run without a mechanism paired with its twin of the same seed; tables, CSV, JSON and plots. The model gains the new customer's shapes: flows kept for requests that run once at most, 6 and 64 instances, backend servers that crash and reset, start again under their ids, and outages of all instances. Not done: gossip between the model's instances is a note after 2 ms, not the product's own.

RouterOptions::without leaves a mechanism out; no setting of the daemon reaches it.

foxledge-bench outage works out what callers lose to an outage of all instances whatever these do. foxledgectl losses sums up flows by second, outcome and cause from logs of many instances.

--- a/crates/foxledge-bench/src/flows/asking.rs
+++ b/crates/foxledge-bench/src/flows/asking.rs
@@ -7,7 +7,8 @@
 
 use crate::flows::{
     callers::{FlowRequest, MOST_TRIES, RESENDS, RequestClass, SimFlow},
-    plan::{BID_RUN, CENTRES, FEED_RUN, FEED_SHARE, RUN_TIME, SERVERS, SLOTS},
+    plan::{BID_RUN, FEED_RUN, FEED_SHARE, RUN_TIME, SLOTS},
+    sites::BidHabit,
     world::{CALLER_WAY, FlowEvent, FlowWorld, KeptFlow, start},
 };
 
@@ -21,9 +22,10 @@
     /// Plans the next request of a data centre's callers.
     pub(super) fn next_arrival(&mut self, centre: usize) {
         let mean_run = FEED_RUN.mul_f64(FEED_SHARE) + BID_RUN.mul_f64(1.0 - FEED_SHARE);
-        let capacity = f64::from(SLOTS) * SERVERS as f64 / mean_run.as_secs_f64();
-        let all: usize = CENTRES.iter().map(|one| one.users).sum();
-        let share = CENTRES[centre].users as f64 / all as f64;
+        let site = self.plan.site;
+        let capacity = f64::from(SLOTS) * site.servers() as f64 / mean_run.as_secs_f64();
+        let all: usize = site.centres.iter().map(|one| one.users).sum();
+        let share = site.centres[centre].users as f64 / all as f64;
         let rate = capacity * self.plan.level * share;
         let gap = -self.random.random::<f64>().max(f64::MIN_POSITIVE).ln() / rate;
         self.push_after(Duration::from_secs_f64(gap), FlowEvent::Arrive { centre });
@@ -38,30 +40,36 @@
         let (share, from, to) = SHIFT;
         let moves = self.is_shifted && centre == from && self.random.random_bool(share);
         let centre = if moves { to } else { centre };
-        match self.random.random_bool(FEED_SHARE) {
-            true => self.ask_feed(centre),
-            false => {
+        match (self.random.random_bool(FEED_SHARE), self.plan.site.bids) {
+            (true, _) => self.ask_kept(centre, RequestClass::Feed),
+            (false, BidHabit::Kept) => self.ask_kept(centre, RequestClass::Bid),
+            (false, BidHabit::Fresh) => {
                 let request = self.new_request(RequestClass::Bid, centre, None);
                 self.open_flow(request);
             }
         }
     }
 
-    fn ask_feed(&mut self, centre: usize) {
+    /// Lets a caller ask on the flow that it keeps for a class.
+    fn ask_kept(&mut self, centre: usize, class: RequestClass) {
         let user = self.random.random_range(0..self.users[centre].len());
         // One request at a time: where one is under way, another caller asks.
-        let is_free = |user: &usize| !self.users[centre][*user].is_busy;
-        let free =
-            Some(user).filter(is_free).or_else(|| (0..self.users[centre].len()).find(is_free));
+        let users = &self.users[centre];
+        let is_free = |user: &usize| !users[*user].is_busy(class);
+        let free = Some(user).filter(is_free).or_else(|| (0..users.len()).find(is_free));
         if let Some(user) = free {
-            self.ask_feed_of(centre, user);
+            self.ask_kept_of(centre, user, class);
         }
     }
 
-    fn ask_feed_of(&mut self, centre: usize, user: usize) {
-        self.users[centre][user].is_busy = true;
-        let request = self.new_request(RequestClass::Feed, centre, Some(user));
-        let kept = self.users[centre][user].flow.filter(|flow| self.flows.contains_key(flow));
+    fn ask_kept_of(&mut self, centre: usize, user: usize, class: RequestClass) {
+        let kept = self.users[centre][user].of(class);
+        kept.is_busy = true;
+        let flow = kept.flow;
+        let request = self.new_request(class, centre, Some(user));
+        let kept = flow.filter(|flow| self.flows.contains_key(flow));
+        let is_dead = |flow: &u64| self.is_held_by_dead(*flow);
+        self.requests[request].began_at_dead = kept.as_ref().is_some_and(is_dead);
         match kept {
             Some(flow) => self.send_request(flow, request),
             None => self.open_flow(request),
@@ -81,6 +89,7 @@
             tries: 0,
             is_over: false,
             answered_at: None,
+            began_at_dead: false,
         });
         self.push_after(class.timeout(), FlowEvent::Deadline { request });
         request
@@ -105,7 +114,7 @@
         opened.request = Some(request);
         self.flows.insert(flow, opened);
         if let Some(user) = user {
-            self.users[centre][user].flow = Some(flow);
+            self.users[centre][user].of(class).flow = Some(flow);
         }
         self.opening_due(flow, 0);
     }
@@ -167,13 +176,16 @@
         if !self.end_wait(flow, request) {
             return;
         }
-        let FlowRequest { centre, user, is_over, .. } = self.requests[request];
+        let FlowRequest { class, centre, user, is_over, .. } = self.requests[request];
         if !is_over {
             self.requests[request].answered_at = Some(self.now);
         }
         let Some(user) = user else { return self.finish(flow) };
-        self.users[centre][user].is_busy = false;
-        self.send_empty(flow, PacketKind::Continue);
+        self.users[centre][user].of(class).is_busy = false;
+        // Callers acknowledge every second packet; the answer to a bid is one.
+        if class == RequestClass::Feed {
+            self.send_empty(flow, PacketKind::Continue);
+        }
     }
 
     /// Takes a backend server's word that it has no room; the request has not run.
@@ -228,10 +240,10 @@
     }
 
     fn give_up(&mut self, request: usize) {
-        let FlowRequest { centre, user, .. } = self.requests[request];
+        let FlowRequest { class, centre, user, .. } = self.requests[request];
         self.requests[request].is_over = true;
         if let Some(user) = user {
-            self.users[centre][user] = KeptFlow::default();
+            *self.users[centre][user].of(class) = KeptFlow::default();
         }
     }
 
@@ -249,6 +261,11 @@
         }
     }
 
+    fn is_held_by_dead(&self, flow: u64) -> bool {
+        let server = self.flows.get(&flow).and_then(|flow| flow.server);
+        server.is_some_and(|server| self.servers[server].is_dead())
+    }
+
     fn is_over(&self, request: Option<usize>) -> bool {
         request.is_some_and(|request| self.requests[request].is_over)
     }
--- a/crates/foxledge-bench/src/flows/callers.rs
+++ b/crates/foxledge-bench/src/flows/callers.rs
@@ -58,6 +58,8 @@
     pub(crate) tries: u32,
     pub(crate) is_over: bool,
     pub(crate) answered_at: Option<ClockTime>,
+    /// It was asked on a kept flow whose backend server was dead already.
+    pub(crate) began_at_dead: bool,
 }
 
 /// `SimFlow` is a flow as its caller knows it.
--- a/crates/foxledge-bench/src/flows/mod.rs
+++ b/crates/foxledge-bench/src/flows/mod.rs
@@ -13,7 +13,8 @@
 mod routing;
 mod servers;
 mod serving;
-mod tally;
+pub mod sites;
+pub mod tally;
 mod world;
 
 pub use plan::{FlowChoice, FlowPlan, FlowVariant, SITE_LEVEL, flow_plans};
--- a/crates/foxledge-bench/src/flows/plan.rs
+++ b/crates/foxledge-bench/src/flows/plan.rs
@@ -2,17 +2,13 @@
 
 use std::time::Duration;
 
-use crate::flows::policies::PolicyKind;
+use foxledge_flows::RouterMechanism;
+
+use crate::flows::{
+    policies::PolicyKind,
+    sites::{AUCTION, SitePlan},
+};
 
-/// The site's data centres.
-pub const CENTRES: [CentrePlan; 4] = [
-    CentrePlan { name: "toledo", instances: 2, servers: 4, users: 72 },
-    CentrePlan { name: "erie", instances: 2, servers: 4, users: 78 },
-    CentrePlan { name: "duluth", instances: 2, servers: 3, users: 72 },
-    CentrePlan { name: "kenosha", instances: 1, servers: 3, users: 72 },
-];
-/// Backend servers of the site.
-pub const SERVERS: usize = 14;
 /// Requests that a backend server runs at once.
 pub const SLOTS: u32 = 2;
 /// Requests that wait at a backend server; more are turned away as "not run".
@@ -34,19 +30,6 @@
 /// When callers stop.
 pub const RUN_TIME: Duration = Duration::from_secs(12);
 
-/// `CentrePlan` is one data centre.
-#[derive(Clone, Copy, Debug)]
-pub struct CentrePlan {
-    /// Its name.
-    pub name: &'static str,
-    /// Instances there.
-    pub instances: usize,
-    /// Backend servers there.
-    pub servers: usize,
-    /// Callers there that keep a flow open, at the site's own load.
-    pub users: usize,
-}
-
 /// `FlowVariant` is what goes wrong in a run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum FlowVariant {
@@ -64,11 +47,17 @@
     ColdServers,
     /// Four in five callers of one data centre come to another.
     ShiftedCallers,
+    /// Three backend servers crash, and reset what reaches them.
+    CrashedServers,
+    /// The same, and they start again under their ids after 1.5 s.
+    RestartedServers,
+    /// No instance has power for 1.6 s.
+    Outage,
 }
 
 impl FlowVariant {
     /// All variants.
-    pub const ALL: [FlowVariant; 7] = [
+    pub const ALL: [FlowVariant; 10] = [
         FlowVariant::Plain,
         FlowVariant::SilentServers,
         FlowVariant::SlowServers,
@@ -76,6 +65,9 @@
         FlowVariant::FrozenInstance,
         FlowVariant::ColdServers,
         FlowVariant::ShiftedCallers,
+        FlowVariant::CrashedServers,
+        FlowVariant::RestartedServers,
+        FlowVariant::Outage,
     ];
 
     /// Its name on the command line and in reports.
@@ -88,13 +80,25 @@
             FlowVariant::FrozenInstance => "frozen-instance",
             FlowVariant::ColdServers => "cold-servers",
             FlowVariant::ShiftedCallers => "shifted-callers",
+            FlowVariant::CrashedServers => "crashed-servers",
+            FlowVariant::RestartedServers => "restarted-servers",
+            FlowVariant::Outage => "outage",
         }
     }
+
+    /// The variant of that name.
+    pub fn by_name(name: &str) -> Option<FlowVariant> {
+        FlowVariant::ALL.into_iter().find(|variant| variant.as_str() == name)
+    }
 }
 
 /// `FlowPlan` says which run to make.
 #[derive(Clone, Copy, Debug)]
 pub struct FlowPlan {
+    /// The site.
+    pub site: &'static SitePlan,
+    /// What its routers do without, if anything.
+    pub without: Option<RouterMechanism>,
     /// Where new flows go.
     pub policy: PolicyKind,
     /// What goes wrong.
@@ -131,6 +135,8 @@
             let policies =
                 PolicyKind::ALL.into_iter().filter(|one| is_chosen(&choice.policies, one.as_str()));
             plans.extend(policies.map(|policy| FlowPlan {
+                site: &AUCTION,
+                without: None,
                 policy,
                 variant,
                 level: *level,
--- a/crates/foxledge-bench/src/flows/report.rs
+++ b/crates/foxledge-bench/src/flows/report.rs
@@ -4,7 +4,7 @@
 
 use crate::flows::{
     plan::FlowPlan,
-    tally::{ClassTally, FlowTally},
+    tally::{ClassTally, FlowTally, StepTally},
 };
 
 /// `FlowResult` is the figures of one run.
@@ -41,6 +41,15 @@
     pub ended: u64,
     /// Those of backend servers that live.
     pub ended_falsely: u64,
+    /// Feeds that were never answered.
+    pub feeds_failed: u64,
+    /// Bids that were never answered.
+    pub bids_failed: u64,
+    /// Those of both that were asked on a kept flow whose backend server was dead already.
+    pub failed_at_dead: u64,
+    /// The run in steps of a quarter of a second, from its third second on.
+    #[serde(skip)]
+    pub steps: Vec<StepTally>,
 }
 
 impl FlowResult {
@@ -65,6 +74,10 @@
             false_ejections: tally.false_ejections,
             ended: tally.ended,
             ended_falsely: tally.ended_falsely,
+            feeds_failed: feeds.failed,
+            bids_failed: bids.failed,
+            failed_at_dead: tally.failed_at_dead,
+            steps: tally.steps.clone(),
         }
     }
 }
--- a/crates/foxledge-bench/src/flows/routing.rs
+++ b/crates/foxledge-bench/src/flows/routing.rs
@@ -8,6 +8,7 @@
 use crate::flows::{
     callers::SimFlow,
     plan::{RUN_TIME, TICK},
+    servers::SimServer,
     world::{CALLER_WAY, FlowEvent, FlowWorld, start},
 };
 
@@ -23,6 +24,9 @@
 impl FlowWorld {
     /// Gives a packet to its instance's router and does what that decides.
     pub(super) fn at_instance(&mut self, instance: usize, flow: u64, packet: FlowPacket) {
+        if !self.instances[instance].dark_until.is_past(self.now) {
+            return;
+        }
         if !self.instances[instance].frozen_until.is_past(self.now) {
             let until = self.instances[instance].frozen_until;
             let event = FlowEvent::ToInstance { instance, flow, packet };
@@ -44,9 +48,8 @@
 
     /// Tells a caller that its flow is ended, and counts whether its backend server lives.
     fn end_flow(&mut self, instance: usize, flow: u64, backend: usize) {
-        let is_silent = self
-            .server_at(instance, backend)
-            .is_some_and(|server| self.servers[server].is_silent());
+        let is_silent =
+            self.server_at(instance, backend).is_some_and(|server| self.servers[server].is_dead());
         self.tally.ended += 1;
         self.tally.ended_falsely += u64::from(!is_silent);
         self.push_after(CALLER_WAY, FlowEvent::Reset { flow });
@@ -72,8 +75,9 @@
         let router = &self.instances[instance].router;
         let class = router.backend(backend).map(|backend| backend.health.class(self.now));
         // Once ejected, one flow at a time tries it on purpose.
-        let silent = self.servers[server].silent_at.filter(|_| class == Some(HealthClass::Healthy));
-        self.tally.add_opening(self.now, silent);
+        let SimServer { silent_at, crashed_at, .. } = &self.servers[server];
+        let dead = silent_at.or(*crashed_at).filter(|_| class == Some(HealthClass::Healthy));
+        self.tally.add_opening(self.now, dead);
         let is_far = self.server_centres[server] != self.instances[instance].centre;
         self.tally.opened_far += u64::from(is_far);
     }
@@ -112,7 +116,7 @@
 
     fn share_notes(&mut self, from: usize) {
         for note in self.instances[from].router.take_notes() {
-            if !self.servers[note.number as usize - 1].is_silent() {
+            if !self.servers[note.number as usize - 1].is_dead() {
                 self.tally.add_false_note(&note);
             }
             for instance in (0..self.instances.len()).filter(|other| *other != from) {
--- a/crates/foxledge-bench/src/flows/servers.rs
+++ b/crates/foxledge-bench/src/flows/servers.rs
@@ -38,6 +38,10 @@
 pub(crate) struct SimServer {
     /// Since when it answers nothing.
     pub(crate) silent_at: Option<ClockTime>,
+    /// Since when it resets what reaches it.
+    pub(crate) crashed_at: Option<ClockTime>,
+    /// The flows that it holds; none while it knows those of no earlier start.
+    pub(crate) held: HashSet<u64>,
     /// How many times as long its requests take.
     pub(crate) slowness: f64,
     cold_until: ClockTime,
@@ -61,6 +65,15 @@
         self.silent_at.is_some()
     }
 
+    pub(crate) fn is_dead(&self) -> bool {
+        self.silent_at.is_some() || self.crashed_at.is_some()
+    }
+
+    /// Ends everything that it works on and holds.
+    pub(crate) fn crash(&mut self, now: ClockTime) {
+        *self = SimServer { crashed_at: Some(now), slowness: 1.0, ..SimServer::default() };
+    }
+
     /// True when the request hasn't come on its flow before.
     pub(crate) fn takes(&mut self, run: &ServerRun) -> bool {
         self.seen.insert((run.flow, run.request))
@@ -81,7 +94,7 @@
     /// Ends a run; the next one and the time it takes, if one waits.
     pub(crate) fn end_run(&mut self, now: ClockTime) -> Option<(ServerRun, Duration)> {
         let Some(next) = self.queue.pop_front() else {
-            self.running -= 1;
+            self.running = self.running.saturating_sub(1);
             return None;
         };
         Some((next, self.time_of(now, next.run)))
--- a/crates/foxledge-bench/src/flows/serving.rs
+++ b/crates/foxledge-bench/src/flows/serving.rs
@@ -5,7 +5,8 @@
 use foxledge_flows::PacketKind;
 
 use crate::flows::{
-    plan::{FlowVariant, SERVERS},
+    plan::FlowVariant,
+    published::backend_row,
     servers::{OfferOutcome, ServerRun},
     world::{CALLER_WAY, FlowEvent, FlowWorld},
 };
@@ -19,6 +20,11 @@
 /// How many times as long slow backend servers take.
 const SLOW_FACTOR: f64 = 5.0;
 
+/// Time from a crash to the start under the same id.
+const RESTART_TIME: Duration = Duration::from_millis(1_500);
+/// How long no instance has power.
+const OUTAGE_TIME: Duration = Duration::from_millis(1_600);
+
 impl FlowWorld {
     /// Lets a backend server take a packet.
     pub(super) fn at_server(
@@ -31,8 +37,14 @@
         if self.servers[server].is_silent() {
             return;
         }
+        let is_known = self.servers[server].held.contains(&flow);
+        let is_open = matches!(kind, PacketKind::Open { .. });
+        if self.servers[server].crashed_at.is_some() || !(is_known || is_open) {
+            return self.push_after(CALLER_WAY, FlowEvent::Reset { flow });
+        }
         match kind {
             PacketKind::Open { .. } => {
+                self.servers[server].held.insert(flow);
                 let way = ACCEPT_TIME + CALLER_WAY;
                 self.push_after(way, FlowEvent::Accepted { flow, server });
             }
@@ -62,7 +74,7 @@
 
     /// Answers a request that was run, and begins the next.
     pub(super) fn run_done(&mut self, server: usize, run: ServerRun) {
-        if self.servers[server].is_silent() {
+        if self.servers[server].is_dead() || !self.servers[server].held.contains(&run.flow) {
             return;
         }
         let ServerRun { flow, request, .. } = run;
@@ -76,7 +88,8 @@
     pub(super) fn begin_trouble(&mut self) {
         let now = self.now;
         // Backend servers of several data centres each.
-        let chosen = |step: usize| (0..SERVERS).filter(move |server| server % step == 1);
+        let count = self.servers.len();
+        let chosen = |step: usize| (0..count).filter(move |server| server % step == 1);
         match self.plan.variant {
             FlowVariant::Plain => {}
             FlowVariant::SilentServers => {
@@ -92,6 +105,41 @@
             }
             FlowVariant::ColdServers => chosen(4).for_each(|server| self.servers[server].cool(now)),
             FlowVariant::ShiftedCallers => self.is_shifted = true,
+            FlowVariant::CrashedServers => chosen(5).for_each(|server| self.crash(server)),
+            FlowVariant::RestartedServers => {
+                chosen(5).for_each(|server| self.crash(server));
+                self.push_after(RESTART_TIME, FlowEvent::ServersRestart);
+            }
+            FlowVariant::Outage => {
+                let until = now.after(OUTAGE_TIME);
+                self.instances.iter_mut().for_each(|instance| instance.dark_until = until);
+            }
+        }
+    }
+
+    /// Ends a backend server's process; its callers learn that their flows are closed.
+    fn crash(&mut self, server: usize) {
+        let held = std::mem::take(&mut self.servers[server].held);
+        self.servers[server].crash(self.now);
+        let mut held: Vec<u64> = held.into_iter().collect();
+        held.sort_unstable();
+        for flow in held {
+            self.push_after(CALLER_WAY, FlowEvent::Reset { flow });
+        }
+    }
+
+    /// Starts crashed backend servers again under their ids, and tells all instances.
+    pub(super) fn restart_servers(&mut self) {
+        for server in 0..self.servers.len() {
+            if self.servers[server].crashed_at.take().is_none() {
+                continue;
+            }
+            self.servers[server].cool(self.now);
+            let centre = self.plan.site.centres[self.server_centres[server]].name;
+            let row = backend_row(server, centre, 2);
+            for instance in &mut self.instances {
+                instance.router.take_rows(self.now, std::slice::from_ref(&row));
+            }
         }
     }
 }
--- a/crates/foxledge-bench/src/flows/tally.rs
+++ b/crates/foxledge-bench/src/flows/tally.rs
@@ -33,6 +33,20 @@
     }
 }
 
+/// Length of a step of a run.
+pub const STEP: Duration = Duration::from_millis(250);
+
+/// `StepTally` is the requests that were asked in one step of a run.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct StepTally {
+    /// Asked.
+    pub asked: u64,
+    /// Answered in time.
+    pub in_aim: u64,
+    /// Never answered.
+    pub failed: u64,
+}
+
 /// `FlowTally` is what is counted of one run.
 #[derive(Debug)]
 pub(crate) struct FlowTally {
@@ -50,6 +64,10 @@
     /// Open flows that were reset, rightly or not.
     pub(crate) ended: u64,
     pub(crate) ended_falsely: u64,
+    /// Requests that failed, on a kept flow whose backend server was dead when they began.
+    pub(crate) failed_at_dead: u64,
+    /// The run in steps of [`STEP`], from the end of the warm-up.
+    pub(crate) steps: Vec<StepTally>,
     /// Longest time from a backend server's silence to the last first packet sent there,
     /// those of tries after an ejection left out.
     pub(crate) silence_noticed: Duration,
@@ -69,11 +87,19 @@
             false_ejections: 0,
             ended: 0,
             ended_falsely: 0,
+            failed_at_dead: 0,
+            steps: Vec::new(),
             silence_noticed: Duration::ZERO,
         }
     }
 
-    pub(crate) fn add_request(&mut self, request: &FlowRequest) {
+    /// Counts a request that was asked so long after the warm-up.
+    pub(crate) fn add_request(&mut self, request: &FlowRequest, since: Duration) {
+        let step = (since.as_millis() / STEP.as_millis()) as usize;
+        if self.steps.len() <= step {
+            self.steps.resize(step + 1, StepTally::default());
+        }
+        self.steps[step].asked += 1;
         let class = match request.class {
             RequestClass::Feed => &mut self.feeds,
             RequestClass::Bid => &mut self.bids,
@@ -81,12 +107,15 @@
         class.asked += 1;
         let Some(answered) = request.answered_at else {
             class.failed += 1;
+            self.steps[step].failed += 1;
+            self.failed_at_dead += u64::from(request.began_at_dead);
             return;
         };
         let took = answered.since(request.asked_at);
         self.latency.saturating_record(took.as_micros() as u64);
         if took <= AIM {
             class.in_aim += 1;
+            self.steps[step].in_aim += 1;
         } else {
             class.late += 1;
         }
--- a/crates/foxledge-bench/src/flows/world.rs
+++ b/crates/foxledge-bench/src/flows/world.rs
@@ -9,11 +9,12 @@
 use crate::{
     events::EventQueue,
     flows::{
-        callers::{FlowRequest, SimFlow},
-        plan::{CENTRES, FlowPlan, RUN_TIME, SERVERS, SITE_LEVEL, TICK, TROUBLE_AT, TROUBLE_END},
+        callers::{FlowRequest, RequestClass, SimFlow},
+        plan::{FlowPlan, RUN_TIME, TICK, TROUBLE_AT, TROUBLE_END},
         published::published_rows,
         report::FlowResult,
         servers::{ServerRun, SimServer},
+        sites::{CentrePlan, SitePlan},
         tally::FlowTally,
     },
 };
@@ -55,6 +56,8 @@
     TroubleBegins,
     /// It ends, if it does.
     TroubleEnds,
+    /// Crashed backend servers start again under their ids.
+    ServersRestart,
 }
 
 /// `SimInstance` is an instance: its router, and whether it stands still.
@@ -62,6 +65,8 @@
     pub(super) router: FlowRouter,
     pub(super) centre: usize,
     pub(super) frozen_until: ClockTime,
+    /// Until when it has no power.
+    pub(super) dark_until: ClockTime,
 }
 
 /// `FlowWorld` is everything in one run.
@@ -77,13 +82,38 @@
     pub(super) flow_count: u64,
     pub(super) requests: Vec<FlowRequest>,
     /// The flows that callers keep, by data centre.
-    pub(super) users: Vec<Vec<KeptFlow>>,
+    pub(super) users: Vec<Vec<KeptFlows>>,
     pub(super) is_lossy: bool,
     pub(super) is_shifted: bool,
     pub(super) tally: FlowTally,
 }
 
-/// `KeptFlow` is the flow that one caller keeps open.
+/// `KeptFlows` is the flows that one caller keeps open.
+#[derive(Clone, Copy, Default)]
+pub(super) struct KeptFlows {
+    feed: KeptFlow,
+    bid: KeptFlow,
+}
+
+impl KeptFlows {
+    /// True while a request of the class is under way.
+    pub(super) fn is_busy(&self, class: RequestClass) -> bool {
+        match class {
+            RequestClass::Feed => self.feed.is_busy,
+            RequestClass::Bid => self.bid.is_busy,
+        }
+    }
+
+    /// The one for requests of a class.
+    pub(super) fn of(&mut self, class: RequestClass) -> &mut KeptFlow {
+        match class {
+            RequestClass::Feed => &mut self.feed,
+            RequestClass::Bid => &mut self.bid,
+        }
+    }
+}
+
+/// `KeptFlow` is one of them.
 #[derive(Clone, Copy, Default)]
 pub(super) struct KeptFlow {
     pub(super) flow: Option<u64>,
@@ -114,7 +144,7 @@
     }
     for request in &world.requests {
         if request.asked_at >= start().after(WARM_UP) {
-            world.tally.add_request(request);
+            world.tally.add_request(request, request.asked_at.since(start().after(WARM_UP)));
         }
     }
     FlowResult::new(plan, &world.tally)
@@ -127,34 +157,43 @@
 
 impl FlowWorld {
     fn new(plan: FlowPlan) -> FlowWorld {
-        let server_centres = spread_over(|centre| CENTRES[centre].servers);
-        let rows = published_rows(&server_centres);
-        let instances = spread_over(|centre| CENTRES[centre].instances).into_iter().enumerate();
+        let site = plan.site;
+        let server_centres = spread_over(site, |centre| centre.servers);
+        let rows = published_rows(site, &server_centres);
+        let instances = spread_over(site, |centre| centre.instances).into_iter().enumerate();
         let instances = instances.map(|(index, centre)| {
-            let options = RouterOptions::new(CentreName::new(CENTRES[centre].name))
+            let mut options = RouterOptions::new(CentreName::new(site.centres[centre].name))
                 .seed(plan.seed ^ index as u64);
+            if let Some(mechanism) = plan.without {
+                options = options.without(mechanism);
+            }
             let policy = plan.policy.make(plan.seed ^ index as u64);
             let mut router = FlowRouter::new(options).policy(policy);
             router.take_rows(start(), &rows);
             router.set_confirmed(start());
-            router.set_others(CENTRES.iter().map(|one| one.instances).sum::<usize>() - 1);
-            SimInstance { router, centre, frozen_until: ClockTime::ZERO }
+            router.set_others(site.instances() - 1);
+            SimInstance {
+                router,
+                centre,
+                frozen_until: ClockTime::ZERO,
+                dark_until: ClockTime::ZERO,
+            }
         });
         // With few callers a high load would wait for them and not for slots.
-        let crowd = (plan.level / SITE_LEVEL).max(1.0);
-        let users = CENTRES.iter().map(|centre| (centre.users as f64 * crowd) as usize);
+        let crowd = (plan.level / site.level).max(1.0);
+        let users = site.centres.iter().map(|centre| (centre.users as f64 * crowd) as usize);
         let mut world = FlowWorld {
             plan,
             now: start(),
             events: EventQueue::new(),
             random: StdRng::seed_from_u64(plan.seed),
             instances: instances.collect(),
-            servers: (0..SERVERS).map(|_| SimServer::new()).collect(),
+            servers: (0..site.servers()).map(|_| SimServer::new()).collect(),
             server_centres,
             flows: HashMap::new(),
             flow_count: 0,
             requests: Vec::new(),
-            users: users.map(|count| vec![KeptFlow::default(); count]).collect(),
+            users: users.map(|count| vec![KeptFlows::default(); count]).collect(),
             is_lossy: false,
             is_shifted: false,
             tally: FlowTally::new(),
@@ -164,7 +203,7 @@
     }
 
     fn begin(&mut self) {
-        for centre in 0..CENTRES.len() {
+        for centre in 0..self.plan.site.centres.len() {
             self.next_arrival(centre);
         }
         for instance in 0..self.instances.len() {
@@ -198,6 +237,7 @@
             FlowEvent::Tick { instance } => self.tick(instance),
             FlowEvent::Note { instance, note } => self.note(instance, note),
             FlowEvent::TroubleBegins => self.begin_trouble(),
+            FlowEvent::ServersRestart => self.restart_servers(),
             FlowEvent::TroubleEnds => {
                 self.is_lossy = false;
                 self.is_shifted = false;
@@ -207,6 +247,7 @@
 }
 
 /// The data centre of each of some things, from how many each data centre has.
-fn spread_over(count: impl Fn(usize) -> usize) -> Vec<usize> {
-    (0..CENTRES.len()).flat_map(|centre| vec![centre; count(centre)]).collect()
+fn spread_over(site: &SitePlan, count: impl Fn(&CentrePlan) -> usize) -> Vec<usize> {
+    let centres = site.centres.iter().enumerate();
+    centres.flat_map(|(index, centre)| vec![index; count(centre)]).collect()
 }
--- a/crates/foxledge-bench/src/lib.rs
+++ b/crates/foxledge-bench/src/lib.rs
@@ -10,6 +10,8 @@
 pub mod figures;
 pub mod fleet;
 pub mod flows;
+pub mod matrix;
+pub mod outage;
 pub mod places;
 pub mod report;
 pub mod run_plan;
--- a/crates/foxledge-bench/src/main.rs
+++ b/crates/foxledge-bench/src/main.rs
@@ -2,16 +2,21 @@
 
 use std::{fs, path::PathBuf};
 
-use anyhow::{Context, Result};
+use anyhow::{Context, Result, anyhow};
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
 use foxledge_bench::{
     cost::{cost_figures, cost_table, memory_figures, memory_table},
     figures::figure_line,
     fleet::{FleetChoice, fleet_table, load_by_name, mishap_by_name, run_fleet},
     flows::{FlowChoice, flow_plans, flow_table, run_flows},
+    matrix::{matrix_rows, matrix_table, parse_plan, run_matrix, write_csv, write_plots},
+    outage::{CallerTiming, outage_table},
     sweep::{SweepChoice, run_sweep, sweep_plans, sweep_table},
 };
 
+/// Longest time between two copies of a caller's data, in milliseconds.
+const LONGEST_RESEND_MS: u64 = 1_600;
+
 fn main() -> Result<()> {
     let matches = command().get_matches();
     match matches.subcommand() {
@@ -19,6 +24,11 @@
         Some(("cost", matches)) => cost(matches),
         Some(("fleet", matches)) => fleet(matches),
         Some(("flows", matches)) => flows(matches),
+        Some(("matrix", matches)) => matrix(matches),
+        Some(("outage", matches)) => {
+            outage(matches);
+            Ok(())
+        }
         _ => Ok(()),
     }
 }
@@ -33,6 +43,8 @@
         .subcommand(cost_command())
         .subcommand(fleet_command())
         .subcommand(flows_command())
+        .subcommand(matrix_command())
+        .subcommand(outage_command())
 }
 
 fn sweep_command() -> Command {
@@ -94,6 +106,42 @@
         .arg(json_arg())
 }
 
+fn matrix_command() -> Command {
+    let path = |name: &'static str, help| {
+        Arg::new(name).long(name).help(help).value_parser(value_parser!(PathBuf))
+    };
+    Command::new("matrix")
+        .about("Switches the routers' mechanisms off one by one, pair by pair with one seed")
+        .arg(
+            Arg::new("plan")
+                .value_name("FILE")
+                .help("TOML: sites, variants, loads, mechanisms, first_seed, seeds")
+                .value_parser(value_parser!(PathBuf))
+                .required(true),
+        )
+        .arg(path("csv", "File that gets the rows as CSV"))
+        .arg(path("plots", "Folder that gets a plot in SVG for each site, variant and load"))
+        .arg(number_arg("threads", "8", "Runs made at the same time"))
+        .arg(json_arg())
+}
+
+fn outage_command() -> Command {
+    Command::new("outage")
+        .about("Works out what callers lose to an outage of all instances, whatever these do")
+        .arg(number_arg("deadline", "1000", "Milliseconds after which a caller gives up"))
+        .arg(number_arg("answer", "25", "Milliseconds from a packet to its answer"))
+        .arg(number_arg("first", "200", "Milliseconds until data is sent again; doubles"))
+        .arg(
+            Arg::new("outages")
+                .long("outages")
+                .value_name("MS")
+                .help("Lengths of outages")
+                .value_delimiter(',')
+                .value_parser(value_parser!(u64))
+                .default_value("500,1000,1500,2000,3000"),
+        )
+}
+
 fn text_arg(name: &'static str, default: &'static str, help: &'static str) -> Arg {
     Arg::new(name).long(name).help(help).default_value(default)
 }
@@ -164,6 +212,38 @@
     write_lines(matches, results.iter().map(|result| figure_line(choice.seed, result)))
 }
 
+fn matrix(matches: &ArgMatches) -> Result<()> {
+    let path = matches.get_one::<PathBuf>("plan").context("no plan")?;
+    let text =
+        fs::read_to_string(path).with_context(|| format!("can't read {}", path.display()))?;
+    let plan = parse_plan(&text)
+        .map_err(|findings| anyhow!("{}: {}", path.display(), findings.join("\n")))?;
+    let runs = plan.runs();
+    let results = run_matrix(&runs, number(matches, "threads") as usize);
+    let rows = matrix_rows(&plan, &runs, &results);
+    print!("{}", matrix_table(&rows));
+    if let Some(path) = matches.get_one::<PathBuf>("csv") {
+        let file =
+            fs::File::create(path).with_context(|| format!("can't write {}", path.display()))?;
+        write_csv(&rows, file)?;
+    }
+    if let Some(folder) = matches.get_one::<PathBuf>("plots") {
+        fs::create_dir_all(folder)?;
+        for path in write_plots(&plan, &runs, &results, folder)? {
+            println!("{}", path.display());
+        }
+    }
+    let seed = plan.seeds.first().copied().unwrap_or_default();
+    write_lines(matches, rows.iter().map(|row| figure_line(seed, row)))
+}
+
+fn outage(matches: &ArgMatches) {
+    let timing = CallerTiming::new(number(matches, "deadline"), number(matches, "answer"))
+        .doubling(number(matches, "first"), LONGEST_RESEND_MS);
+    let outages: Vec<u64> = matches.get_many("outages").unwrap_or_default().copied().collect();
+    print!("{}", outage_table(&timing, &outages));
+}
+
 fn text(matches: &ArgMatches, name: &str) -> String {
     matches.get_one::<String>(name).cloned().unwrap_or_default()
 }
--- a/crates/foxledge-ctl/src/command.rs
+++ b/crates/foxledge-ctl/src/command.rs
@@ -43,6 +43,7 @@
         .subcommand(online(drain_command()))
         .subcommand(packets_command())
         .subcommand(trace_command())
+        .subcommand(losses_command())
 }
 
 /// The output format that was asked for.
@@ -207,13 +208,21 @@
                 .help("When the request failed, as in at_ms; adds which instances came and went")
                 .value_parser(value_parser!(u64)),
         )
-        .arg(
-            Arg::new("files")
-                .value_name("FILE")
-                .help("Log files of any instances; standard input without any")
-                .value_parser(value_parser!(PathBuf))
-                .num_args(0..),
-        )
+        .arg(logs_argument())
+}
+
+fn losses_command() -> Command {
+    Command::new("losses")
+        .about("Sum up what callers lost, by second, outcome and cause, from log lines")
+        .arg(logs_argument())
+}
+
+fn logs_argument() -> Arg {
+    Arg::new("files")
+        .value_name("FILE")
+        .help("Log files of any instances; standard input without any")
+        .value_parser(value_parser!(PathBuf))
+        .num_args(0..)
 }
 
 /// Adds what every command that calls a daemon takes.
--- a/crates/foxledge-ctl/src/main.rs
+++ b/crates/foxledge-ctl/src/main.rs
@@ -3,6 +3,8 @@
 mod check;
 mod command;
 mod daemon;
+mod log_lines;
+mod losses;
 mod online;
 mod packets;
 mod report;
@@ -48,6 +50,7 @@
         "check" => check::run(matches),
         "packets" => packets::run(matches),
         "trace" => trace::run(matches),
+        "losses" => losses::run(matches),
         _ => online::run(name, matches),
     }
 }
--- a/crates/foxledge-ctl/src/trace.rs
+++ b/crates/foxledge-ctl/src/trace.rs
@@ -1,19 +1,15 @@
 //! One flow's story from the log lines of all instances.
 
-use std::{
-    collections::BTreeSet,
-    fs::File,
-    io::{BufRead, BufReader, stdin},
-    path::PathBuf,
-};
+use std::collections::BTreeSet;
 
 use anyhow::{Context, Result};
 use clap::ArgMatches;
-use serde_json::{Map, Value};
+use serde_json::Value;
 
 use crate::{
     Outcome,
     command::{OutputFormat, output_format},
+    log_lines::{LogLine, read_logs},
     online::write_out,
 };
 
@@ -33,31 +29,13 @@
     at_ms: Option<u64>,
 }
 
-/// `TraceLine` is one log line.
-struct TraceLine {
-    at_ms: u64,
-    /// What stood before the object: the instance, where the collector adds it.
-    source: String,
-    fields: Map<String, Value>,
-}
-
 /// Carries out `trace`.
 pub fn run(matches: &ArgMatches) -> Result<Outcome> {
     let query = StoryQuery {
         flow: matches.get_one::<String>("flow").context("no flow")?,
         at_ms: matches.get_one("at").copied(),
     };
-    let files: Vec<&PathBuf> = matches.get_many("files").into_iter().flatten().collect();
-    let mut lines = Vec::new();
-    if files.is_empty() {
-        read_lines(stdin().lock(), "", &mut lines)?;
-    }
-    for file in files {
-        let name = file.file_stem().unwrap_or_default().to_string_lossy().into_owned();
-        let open = File::open(file).with_context(|| format!("can't read {}", file.display()))?;
-        read_lines(BufReader::new(open), &name, &mut lines)?;
-    }
-    let story = query.story_of(lines);
+    let story = query.story_of(read_logs(matches)?);
     let format = output_format(matches);
     for line in &story {
         write_out(&line_text(line, format))?;
@@ -69,24 +47,10 @@
     Ok(Outcome::Done)
 }
 
-/// Reads every line that holds an object; others are no lines of foxledge.
-fn read_lines(input: impl BufRead, name: &str, lines: &mut Vec<TraceLine>) -> Result<()> {
-    for line in input.lines() {
-        let line = line.context("the input breaks off")?;
-        let Some(start) = line.find('{') else { continue };
-        let Ok(Value::Object(fields)) = serde_json::from_str(&line[start..]) else { continue };
-        let Some(at_ms) = fields.get("at_ms").and_then(Value::as_u64) else { continue };
-        let before = line[..start].trim();
-        let source = if before.is_empty() { name.to_owned() } else { before.to_owned() };
-        lines.push(TraceLine { at_ms, source, fields });
-    }
-    Ok(())
-}
-
 impl StoryQuery<'_> {
     /// The flow's own lines, what instances observed meanwhile of its backend servers,
     /// and which instances came and went when the request failed.
-    fn story_of(&self, lines: Vec<TraceLine>) -> Vec<TraceLine> {
+    fn story_of(&self, lines: Vec<LogLine>) -> Vec<LogLine> {
         let own = || lines.iter().filter(|line| self.names_flow(line));
         let backends: BTreeSet<String> =
             own().filter_map(|line| line.text("backend")).map(str::to_owned).collect();
@@ -95,31 +59,27 @@
             return Vec::new();
         };
         let span = first.saturating_sub(AROUND_MS)..=last + AROUND_MS;
-        let belongs = |line: &TraceLine| {
+        let belongs = |line: &LogLine| {
             let is_about = line.is_observation_of(&backends) && span.contains(&line.at_ms);
             self.names_flow(line) || is_about || self.is_life_then(line)
         };
-        let mut story: Vec<TraceLine> = lines.into_iter().filter(belongs).collect();
+        let mut story: Vec<LogLine> = lines.into_iter().filter(belongs).collect();
         story.sort_by_key(|line| line.at_ms);
         story
     }
 
-    fn names_flow(&self, line: &TraceLine) -> bool {
+    fn names_flow(&self, line: &LogLine) -> bool {
         let text = line.text("flow").unwrap_or_default();
         text == self.flow || text.split('>').next() == Some(self.flow)
     }
 
-    fn is_life_then(&self, line: &TraceLine) -> bool {
+    fn is_life_then(&self, line: &LogLine) -> bool {
         let is_near = self.at_ms.is_some_and(|at| line.at_ms.abs_diff(at) <= AROUND_MS);
         is_near && line.text("event").is_some_and(|event| LIFE_EVENTS.contains(&event))
     }
 }
 
-impl TraceLine {
-    fn text(&self, key: &str) -> Option<&str> {
-        self.fields.get(key).and_then(Value::as_str)
-    }
-
+impl LogLine {
     /// True for an instance's own observation; what peers repeat of it tells nothing more.
     fn is_observation_of(&self, backends: &BTreeSet<String>) -> bool {
         self.text("event") == Some("backend_observed")
@@ -128,7 +88,7 @@
     }
 }
 
-fn line_text(line: &TraceLine, format: OutputFormat) -> String {
+fn line_text(line: &LogLine, format: OutputFormat) -> String {
     if format == OutputFormat::Json {
         return format!("{}\n", Value::Object(line.fields.clone()));
     }
--- a/crates/foxledge-ctl/tests/help_text.rs
+++ b/crates/foxledge-ctl/tests/help_text.rs
@@ -20,6 +20,7 @@
           drain    Ask a daemon to leave: it takes nothing new, finishes and stops
           packets  Ask an instance that routes packets
           trace    Print one flow's story from log lines of all instances, in order
+          losses   Sum up what callers lost, by second, outcome and cause, from log lines
           help     Print this message or the help of the given subcommand(s)
 
         Options:
--- a/crates/foxledge-flows/src/candidates.rs
+++ b/crates/foxledge-flows/src/candidates.rs
@@ -1,12 +1,12 @@
 //! What a new flow can be placed on, as this instance sees it.
 
-use std::net::Ipv4Addr;
+use std::{net::Ipv4Addr, ops::Range};
 
 use foxledge_core::{names::ServiceName, time::ClockTime};
 
 use crate::{
-    latency::usual_us, packet::FlowKey, placement::PlacementCandidate, router::FlowRouter,
-    routes::flow_hash,
+    backends::Backend, health::HealthClass, latency::usual_us, mechanisms::RouterMechanism,
+    packet::FlowKey, placement::PlacementCandidate, router::FlowRouter, routes::flow_hash,
 };
 
 /// How long an unanswered opening of the same caller counts as failed, in
@@ -49,18 +49,38 @@
             };
             Some(PlacementCandidate {
                 index,
-                class: backend.health.class(now),
+                class: self.class_of(now, backend),
                 waiting: self.openings.waiting_at(index),
-                is_stuck: avoided == Some(index) || self.openings.is_stuck(&caller, index, &stuck),
-                is_near: backend.data_centre == self.options.data_centre,
+                is_stuck: avoided == Some(index) || self.is_stuck(&caller, index, &stuck),
+                is_near: backend.data_centre == self.options.data_centre
+                    || !self.has(RouterMechanism::Distance),
                 running: backend.running,
                 slots: backend.slots,
-                slowness: (backend.latency.slowness(now, usual) * 100.0) as u32,
-                is_cold: !backend.warm_at.is_past(now),
+                slowness: match self.has(RouterMechanism::Slowness) {
+                    true => (backend.latency.slowness(now, usual) * 100.0) as u32,
+                    false => 100,
+                },
+                is_cold: !backend.warm_at.is_past(now) && self.has(RouterMechanism::Cold),
                 flows: backend.flows,
                 picked: tie,
             })
         };
         indexes.iter().copied().filter_map(candidate).collect()
     }
+
+    fn is_stuck(&self, caller: &Ipv4Addr, index: usize, span: &Range<ClockTime>) -> bool {
+        self.has(RouterMechanism::StuckCallers) && self.openings.is_stuck(caller, index, span)
+    }
+
+    /// What counts of a backend server's health here.
+    fn class_of(&self, now: ClockTime, backend: &Backend) -> HealthClass {
+        let class = backend.health.class(now);
+        let mechanism = match class {
+            HealthClass::Healthy => return class,
+            HealthClass::Probation => RouterMechanism::Probation,
+            HealthClass::Suspect => RouterMechanism::Suspicion,
+            HealthClass::Ejected => RouterMechanism::Ejection,
+        };
+        if self.has(mechanism) { class } else { HealthClass::Healthy }
+    }
 }
--- a/crates/foxledge-flows/src/ends.rs
+++ b/crates/foxledge-flows/src/ends.rs
@@ -20,6 +20,7 @@
 use crate::{
     decisions::{EndReason, FlowStall, IdleEnd},
     evidence::PacketNews,
+    mechanisms::RouterMechanism,
     packet::FlowKey,
     router::FlowRouter,
     tracks::{IdleFlow, LOST_MS},
@@ -32,6 +33,11 @@
 /// twentieth of a core sends them on.
 const MOST_ENDS: usize = 50;
 
+/// Copies of a request's data that must stay unanswered where packets are lost on all ways:
+/// one more than elsewhere. With three packets in ten lost, nine in a thousand requests get
+/// as far as that.
+const LOSSY_COPIES: u32 = 3;
+
 /// `DyingList` is backend servers that may have flows to end.
 #[derive(Debug, Default)]
 pub struct DyingList {
@@ -91,6 +97,7 @@
         dying.retain(|index| self.silence_of(now, *index).is_some_and(|known| known.is_dead));
         // What waited during a pause may hold signs of life.
         let is_sure = !self.is_catching_up && !self.is_in_doubt;
+        let is_sure = is_sure && !self.is_lossy() && self.has(RouterMechanism::IdleEnds);
         let mut ends = Vec::new();
         for index in dying.iter().filter(|_| is_sure) {
             ends.extend(self.idle_ends_of(now, *index, MOST_ENDS - ends.len()));
@@ -102,6 +109,18 @@
         ends
     }
 
+    /// True when this router ends flows on such news.
+    pub(crate) fn may_end(&self, news: &PacketNews) -> bool {
+        match news {
+            PacketNews::Stalled(stall) => {
+                let is_sure = !self.is_lossy() || stall.copies >= LOSSY_COPIES;
+                is_sure && self.has(RouterMechanism::StalledEnds)
+            }
+            PacketNews::Asked => !self.is_lossy() && self.has(RouterMechanism::FirstEnds),
+            PacketNews::Nothing => false,
+        }
+    }
+
     fn idle_ends_of(&self, now: ClockTime, index: usize, most: usize) -> Vec<IdleEnd> {
         let Some(silent_at) = self.silence_of(now, index).map(|known| known.silent_at) else {
             return Vec::new();
--- a/crates/foxledge-flows/src/evidence.rs
+++ b/crates/foxledge-flows/src/evidence.rs
@@ -11,6 +11,7 @@
     backends::Backend,
     decisions::FlowStall,
     health::{HealthNote, NoteKind, SilenceWitness},
+    mechanisms::RouterMechanism,
     packet::{FlowKey, FlowPacket, PacketKind},
     router::FlowRouter,
     tracks::{DataResend, RequestAnswer, ResendMeaning, TrackNews},
@@ -48,6 +49,9 @@
         self.is_catching_up = false;
         while let Some(opening) = self.openings.next_overdue(read_at) {
             self.counts.overdue += 1;
+            if !self.has(RouterMechanism::Suspicion) {
+                continue;
+            }
             self.note(read_at, opening.backend, |backend| {
                 backend.health.on_suspicion(read_at, opening.sent)
             });
@@ -56,6 +60,9 @@
 
     /// Takes what another instance observed of a backend server.
     pub fn take_note(&mut self, now: ClockTime, note: &HealthNote) {
+        if !self.has(RouterMechanism::PeerNotes) {
+            return;
+        }
         let Some(index) = self.backends.by_number(note.number) else { return };
         let turns = self.turns;
         let Some(backend) = self.backends.get_mut(index) else { return };
@@ -135,7 +142,7 @@
         // first of them may not have been sent on before the last came.
         let meaning = if self.is_catching_up { ResendMeaning::Doubt } else { meaning };
         let witness = match meaning {
-            ResendMeaning::NewLoss if !self.losses.is_lossy() => SilenceWitness::Flow,
+            ResendMeaning::NewLoss if !self.is_lossy() => SilenceWitness::Flow,
             _ => SilenceWitness::DoubtedFlow,
         };
         self.note(now, index, |backend| match meaning {
@@ -147,6 +154,11 @@
         FlowStall { waited_ms, copies, class: health.class(now), is_lost }
     }
 
+    /// True when packets are lost on all ways of this instance, so that silence tells little.
+    pub(crate) fn is_lossy(&self) -> bool {
+        self.losses.is_lossy() && self.has(RouterMechanism::LossDoubt)
+    }
+
     fn answered(
         &mut self,
         now: ClockTime,
--- a/crates/foxledge-flows/src/lib.rs
+++ b/crates/foxledge-flows/src/lib.rs
@@ -18,6 +18,7 @@
 mod health;
 mod latency;
 mod losses;
+mod mechanisms;
 mod openings;
 mod router;
 mod routes;
@@ -38,6 +39,7 @@
 pub use health::{HealthClass, HealthNote, HealthState, NoteKind, SilenceWitness};
 pub use latency::LatencyGauge;
 pub use list::FleetList;
+pub use mechanisms::{MechanismSet, RouterMechanism};
 pub use packet::{FlowKey, FlowPacket, PacketCodec, PacketKind};
 pub use placement::{LeastLoaded, PlacementPolicy};
 pub use router::{FlowRouter, RouterOptions};
--- a/crates/foxledge-flows/src/router.rs
+++ b/crates/foxledge-flows/src/router.rs
@@ -15,6 +15,7 @@
     ends::DyingList,
     health::{HealthNote, SilenceWitness},
     losses::LossGauge,
+    mechanisms::{MechanismSet, RouterMechanism},
     openings::OpeningTable,
     packet::{FlowKey, FlowPacket, PacketKind},
     placement::{LeastLoaded, PlacementPolicy},
@@ -41,12 +42,13 @@
     pub(crate) data_centre: CentreName,
     fresh_ms: u64,
     seed: u64,
+    without: MechanismSet,
 }
 
 impl RouterOptions {
     /// Options of an instance in `data_centre`.
     pub fn new(data_centre: CentreName) -> RouterOptions {
-        RouterOptions { data_centre, fresh_ms: 2_000, seed: 0 }
+        RouterOptions { data_centre, fresh_ms: 2_000, seed: 0, without: MechanismSet::default() }
     }
 
     /// Sets how old the store's confirmation of the list may be, in
@@ -57,6 +59,12 @@
         self
     }
 
+    /// Leaves a mechanism out, so that what it is worth can be measured.
+    pub fn without(mut self, mechanism: RouterMechanism) -> RouterOptions {
+        self.without.add(mechanism);
+        self
+    }
+
     /// Sets what tells this instance from others.
     pub fn seed(mut self, seed: u64) -> RouterOptions {
         self.seed = seed;
@@ -163,9 +171,16 @@
         self.backends.forget_silence();
     }
 
+    /// True unless this router does without a mechanism.
+    pub(crate) fn has(&self, mechanism: RouterMechanism) -> bool {
+        !self.options.without.holds(mechanism)
+    }
+
     /// Sets how many other instances there are, as far as is known here.
     pub fn set_others(&mut self, others: usize) {
-        self.turns.set_others(others);
+        if self.has(RouterMechanism::TrialTurns) {
+            self.turns.set_others(others);
+        }
     }
 
     /// When the store last confirmed the list, as far as is known here.
@@ -249,7 +264,8 @@
         };
         let former = self.openings.get(&packet.key).copied();
         if let Some(opening) = former {
-            if !opening.sent.after_millis(COPY_MS).is_past(now) {
+            let is_same = !opening.sent.after_millis(COPY_MS).is_past(now);
+            if is_same && self.has(RouterMechanism::CopyWindow) {
                 return FlowDecision::Open { backend: opening.backend, reason: reason(None, 1) };
             }
             self.openings.remove(&packet.key);
@@ -327,7 +343,7 @@
         let before = self.silence_of(now, index);
         let news = self.track(now, packet, index);
         // What is read after a pause was sent nobody knows when.
-        let may_end = may_repeat && !self.is_catching_up;
+        let may_end = may_repeat && !self.is_catching_up && self.may_end(&news);
         if let Some(reason) = before.filter(|_| may_end).and_then(|known| known.end(now, &news)) {
             self.end_track(&packet.key);
             return FlowDecision::End { backend: index, reason };
