Remove the ends of requests that begin at a dead backend server

Tried as part of the ends of flows at rest: requests that may be repeated, on a flow whose backend server is known to be dead, were ended as they began, so that callers wouldn't wait 200 ms for their copy. Flows at rest are ended before their callers ask, so that hardly any is left to it.

--- a/crates/foxledge-flows/src/decisions.rs
+++ b/crates/foxledge-flows/src/decisions.rs
@@ -91,11 +91,6 @@
         /// Time since another flow there was found unanswered, in milliseconds.
         silent_ms: u64,
     },
-    /// Its backend server is surely dead, and a request begins on it that may be repeated.
-    BackendDead {
-        /// Time since something there was found unanswered, in milliseconds.
-        silent_ms: u64,
-    },
     /// Its backend server is surely dead, and nothing is under way on it.
     IdleAtDead {
         /// Time since its last packet, in milliseconds.
--- a/crates/foxledge-flows/src/ends.rs
+++ b/crates/foxledge-flows/src/ends.rs
@@ -10,8 +10,7 @@
 //! | what is ended | evidence |
 //! |---|---|
 //! | a request that waits | its data sent thrice, and something else there unanswered |
-//! | a request that begins | a dead backend server ([`HealthState::is_dead`]) |
-//! | a flow at rest | the same, and another backend server that answers this instance |
+//! | a flow at rest | a dead backend server ([`HealthState::is_dead`]), and another that answers this instance |
 //!
 //! [`HealthState::is_dead`]: crate::health::HealthState::is_dead
 
@@ -19,7 +18,6 @@
 
 use crate::{
     decisions::{EndReason, FlowStall, IdleEnd},
-    evidence::PacketNews,
     mechanisms::RouterMechanism,
     packet::FlowKey,
     router::FlowRouter,
@@ -59,28 +57,13 @@
     }
 }
 
-/// `KnownSilence` is what was known of a backend server before a packet came.
+/// `KnownSilence` is what is known of a backend server that has left something unanswered.
 #[derive(Clone, Copy, Debug)]
-pub(crate) struct KnownSilence {
+struct KnownSilence {
     silent_at: ClockTime,
     is_dead: bool,
 }
 
-impl KnownSilence {
-    /// Why the flow of a packet is ended, if it is.
-    pub(crate) fn end(&self, now: ClockTime, news: &PacketNews) -> Option<EndReason> {
-        match news {
-            PacketNews::Stalled(stall) => loss(now, *stall, self.silent_at),
-            // Until its copy comes, its caller would wait for 200 ms.
-            PacketNews::Asked if self.is_dead => {
-                let silent_ms = now.since(self.silent_at).as_millis() as u64;
-                Some(EndReason::BackendDead { silent_ms })
-            }
-            PacketNews::Asked | PacketNews::Nothing => None,
-        }
-    }
-}
-
 impl FlowRouter {
     /// Flows at rest whose backend server is surely dead, some at a time; they count as
     /// ended from now on.
@@ -109,16 +92,22 @@
         ends
     }
 
-    /// True when this router ends flows on such news.
-    pub(crate) fn may_end(&self, news: &PacketNews) -> bool {
-        match news {
-            PacketNews::Stalled(stall) => {
-                let is_sure = !self.is_lossy() || stall.copies >= LOSSY_COPIES;
-                is_sure && self.has(RouterMechanism::StalledEnds)
-            }
-            PacketNews::Asked => !self.is_lossy() && self.has(RouterMechanism::FirstEnds),
-            PacketNews::Nothing => false,
+    /// Why a flow that stalls is ended, if it is; `silent_at` is when something else was found
+    /// unanswered by its backend server.
+    pub(crate) fn end_of(
+        &self,
+        now: ClockTime,
+        stall: FlowStall,
+        silent_at: Option<ClockTime>,
+    ) -> Option<EndReason> {
+        // What is read after a pause was sent nobody knows when.
+        if self.is_catching_up || !self.has(RouterMechanism::StalledEnds) {
+            return None;
+        }
+        if self.is_lossy() && stall.copies < LOSSY_COPIES {
+            return None;
         }
+        loss(now, stall, silent_at?)
     }
 
     fn idle_ends_of(&self, now: ClockTime, index: usize, most: usize) -> Vec<IdleEnd> {
@@ -166,7 +155,7 @@
     }
 
     /// What is known of a backend server's silence.
-    pub(crate) fn silence_of(&self, now: ClockTime, index: usize) -> Option<KnownSilence> {
+    fn silence_of(&self, now: ClockTime, index: usize) -> Option<KnownSilence> {
         let health = &self.backends.get(index)?.health;
         let silent_at = health.silent_at()?;
         Some(KnownSilence { silent_at, is_dead: health.is_dead(now) })
--- a/crates/foxledge-flows/src/evidence.rs
+++ b/crates/foxledge-flows/src/evidence.rs
@@ -17,27 +17,6 @@
     tracks::{DataResend, RequestAnswer, ResendMeaning, TrackNews},
 };
 
-/// `PacketNews` is what a packet of an open flow tells of its request.
-#[derive(Clone, Copy, Debug)]
-pub(crate) enum PacketNews {
-    /// Nothing new.
-    Nothing,
-    /// A request begins.
-    Asked,
-    /// The caller sent data again.
-    Stalled(FlowStall),
-}
-
-impl PacketNews {
-    /// The caller's wait, if it waits in vain.
-    pub(crate) fn stall(&self) -> Option<FlowStall> {
-        match self {
-            PacketNews::Stalled(stall) => Some(*stall),
-            PacketNews::Nothing | PacketNews::Asked => None,
-        }
-    }
-}
-
 impl FlowRouter {
     /// Counts openings that have stayed unanswered against their backend servers.
     ///
@@ -87,13 +66,13 @@
         std::mem::take(&mut self.latencies)
     }
 
-    /// Takes a packet into its flow's track.
+    /// Takes a packet into its flow's track; tells when the caller waits in vain.
     pub(crate) fn track(
         &mut self,
         now: ClockTime,
         packet: &FlowPacket,
         index: usize,
-    ) -> PacketNews {
+    ) -> Option<FlowStall> {
         for (index, was_running) in self.tracks.sweep(now, self.idle_ms) {
             self.settle(index, was_running);
         }
@@ -102,31 +81,25 @@
                 self.answered(now, index, answer);
             }
             self.end_track(&packet.key);
-            return PacketNews::Nothing;
+            return None;
         }
         let before = self.tracks.len();
         let news = self.tracks.take(now, packet, index);
-        let Some(backend) = self.backends.get_mut(index) else { return PacketNews::Nothing };
+        let backend = self.backends.get_mut(index)?;
         if self.tracks.len() > before {
             backend.flows += 1;
         }
         match news {
-            TrackNews::Nothing => PacketNews::Nothing,
-            TrackNews::Asked => {
-                backend.running += 1;
-                PacketNews::Asked
-            }
-            TrackNews::AskedAgain(asked) => {
-                backend.health.on_life_since(asked);
-                PacketNews::Asked
-            }
+            TrackNews::Nothing => {}
+            TrackNews::Asked => backend.running += 1,
+            TrackNews::AskedAgain(asked) => backend.health.on_life_since(asked),
             TrackNews::Answered(answer) => {
                 backend.running = backend.running.saturating_sub(1);
                 self.answered(now, index, answer);
-                PacketNews::Nothing
             }
-            TrackNews::Resent(resend) => PacketNews::Stalled(self.stalled(now, index, resend)),
+            TrackNews::Resent(resend) => return Some(self.stalled(now, index, resend)),
         }
+        None
     }
 
     /// Takes data that stays unanswered as evidence against its backend server.
--- a/crates/foxledge-flows/src/mechanisms.rs
+++ b/crates/foxledge-flows/src/mechanisms.rs
@@ -15,8 +15,6 @@
     TrialTurns,
     /// Flows that wait at a dead backend server are ended.
     StalledEnds,
-    /// Requests that may be repeated are ended as they begin at a dead one.
-    FirstEnds,
     /// Flows at rest at a dead backend server are ended.
     IdleEnds,
     /// Silence on lossy ways counts less.
@@ -35,14 +33,13 @@
 
 impl RouterMechanism {
     /// Every one.
-    pub const ALL: [RouterMechanism; 14] = [
+    pub const ALL: [RouterMechanism; 13] = [
         RouterMechanism::Suspicion,
         RouterMechanism::Ejection,
         RouterMechanism::Probation,
         RouterMechanism::PeerNotes,
         RouterMechanism::TrialTurns,
         RouterMechanism::StalledEnds,
-        RouterMechanism::FirstEnds,
         RouterMechanism::IdleEnds,
         RouterMechanism::LossDoubt,
         RouterMechanism::CopyWindow,
@@ -61,7 +58,6 @@
             RouterMechanism::PeerNotes => "peer-notes",
             RouterMechanism::TrialTurns => "trial-turns",
             RouterMechanism::StalledEnds => "stalled-ends",
-            RouterMechanism::FirstEnds => "first-ends",
             RouterMechanism::IdleEnds => "idle-ends",
             RouterMechanism::LossDoubt => "loss-doubt",
             RouterMechanism::CopyWindow => "copy-window",
--- a/crates/foxledge-flows/src/router.rs
+++ b/crates/foxledge-flows/src/router.rs
@@ -340,14 +340,13 @@
             self.seen_alive(now, index);
         }
         // What this packet itself tells is no evidence beside it.
-        let before = self.silence_of(now, index);
-        let news = self.track(now, packet, index);
-        // What is read after a pause was sent nobody knows when.
-        let may_end = may_repeat && !self.is_catching_up && self.may_end(&news);
-        if let Some(reason) = before.filter(|_| may_end).and_then(|known| known.end(now, &news)) {
+        let silent_at = self.backends.get(index).and_then(|one| one.health.silent_at());
+        let stall = self.track(now, packet, index);
+        let reason = stall.filter(|_| may_repeat).and_then(|one| self.end_of(now, one, silent_at));
+        if let Some(reason) = reason {
             self.end_track(&packet.key);
             return FlowDecision::End { backend: index, reason };
         }
-        FlowDecision::Forward { backend: index, stall: news.stall() }
+        FlowDecision::Forward { backend: index, stall }
     }
 }
--- a/crates/foxledge-flows/tests/idle_flows.rs
+++ b/crates/foxledge-flows/tests/idle_flows.rs
@@ -364,28 +364,3 @@
     let rest = (200..2_000).map(|ms| router.take_idle_ends(at(DEATH + ms)).len());
     assert_eq!(counts.iter().sum::<usize>() + rest.sum::<usize>(), held);
 }
-
-// Symptom: feeds on flows to a dead backend server are late by the wait for their copy.
-// Sequence: it is known to be dead; a caller asks on a flow that was at rest.
-// Cause: the request is sent on, though nobody is there.
-#[test]
-fn first_request_ended() {
-    for idempotent in [true, false] {
-        let mut callers = Callers::new(bids_router());
-        let held = callers.at_first();
-        let mut row = route("r", 443, "desk", 10);
-        if let Some(RowValue::Route(route)) = &mut row.value {
-            route.idempotent = idempotent;
-        }
-        callers.router.take_rows(at(1_000), &[row]);
-        for step in 0..2 {
-            let now = at(DEATH + step);
-            let note = HealthNote { number: 1, incarnation: 0, kind: NoteKind::Lost, at: now };
-            callers.router.take_note(now, &note);
-        }
-        let decision = callers.send(held[3], DEATH + 30);
-        let is_end =
-            matches!(decision, FlowDecision::End { reason: EndReason::BackendDead { .. }, .. });
-        assert_eq!(is_end, idempotent, "{decision:?}");
-    }
-}
