Remove the avoidance of backend servers that left a caller's other flow unanswered

Its opening of the same caller, 12 to 250 ms old and unanswered, kept a new flow from its backend server, for crashes that reset openings. Callers that are reset come back within 3 ms, mostly to another instance, and suspicions told by peers do the rest. The other copy of the same opening still goes elsewhere.

--- /dev/null
+++ b/crates/foxledge-daemon/src/packets/flow_lines.rs
@@ -0,0 +1,152 @@
+//! Log lines of decisions on flows and of what is believed of backend servers.
+
+use std::net::{SocketAddr, SocketAddrV4};
+
+use foxledge_core::{names::CentreName, time::ClockTime};
+use foxledge_flows::{
+    Backend, BackendNews, DropReason, EndReason, FlowStall, HealthNote, NoteKind, OpenReason,
+    RefuseReason,
+};
+use serde::Serialize;
+
+/// `FlowLine` is the log line of a decision on one flow.
+#[derive(Serialize)]
+pub(super) struct FlowLine<'a> {
+    pub(super) event: &'static str,
+    pub(super) flow: String,
+    pub(super) sequence: u32,
+    #[serde(flatten)]
+    pub(super) detail: FlowDetail<'a>,
+    pub(super) list_revision: u64,
+    pub(super) list_age_ms: Option<u64>,
+}
+
+/// `FlowDetail` is what was decided, and by what.
+#[derive(Serialize)]
+#[serde(untagged)]
+pub(super) enum FlowDetail<'a> {
+    /// An opening packet was sent on.
+    Opened {
+        backend: &'a str,
+        address: SocketAddrV4,
+        data_centre: &'a CentreName,
+        #[serde(flatten)]
+        reason: &'a OpenReason,
+    },
+    /// A caller sent data of an open flow again, and it was sent on again.
+    Stalled {
+        backend: &'a str,
+        #[serde(flatten)]
+        stall: FlowStall,
+    },
+    /// An opening packet was refused.
+    Refused { reason: RefuseReason },
+    /// An open flow was reset, as its backend server is dead.
+    Ended {
+        backend: &'a str,
+        #[serde(flatten)]
+        reason: EndReason,
+    },
+    /// A packet was dropped.
+    Dropped { token: u32, reason: DropReason },
+}
+
+/// `MalformedLine` is the log line of a datagram that is no packet.
+#[derive(Serialize)]
+pub(super) struct MalformedLine {
+    pub(super) event: &'static str,
+    pub(super) from: SocketAddr,
+    pub(super) fault: &'static str,
+}
+
+/// `NewsLine` is the log line of a backend server whose entry changed what is believed.
+#[derive(Serialize)]
+#[serde(tag = "event", rename_all = "snake_case")]
+pub(super) enum NewsLine<'a> {
+    /// It started again under its id.
+    BackendRestarted {
+        backend: &'a str,
+        service: &'a str,
+        address: SocketAddrV4,
+        incarnation: u64,
+        former_incarnation: u64,
+        backend_revision: u64,
+    },
+    /// Its entry tells of the same start at another place: it gets no new flows.
+    EntryContradicted {
+        backend: &'a str,
+        service: &'a str,
+        address: SocketAddrV4,
+        told_address: SocketAddrV4,
+        incarnation: u64,
+        backend_revision: u64,
+    },
+}
+
+/// `HealthLine` is the log line of an observation of a backend server.
+#[derive(Serialize)]
+pub(super) struct HealthLine<'a> {
+    event: &'static str,
+    backend: &'a str,
+    service: &'a str,
+    kind: NoteKind,
+    observer: &'static str,
+    age_ms: u64,
+    running: u32,
+    flows: u32,
+    backend_revision: u64,
+}
+
+impl<'a> NewsLine<'a> {
+    /// The line of a change of a backend server's entry.
+    pub(super) fn new(news: &BackendNews, backend: &'a Backend) -> NewsLine<'a> {
+        match *news {
+            BackendNews::Restarted { former, .. } => NewsLine::BackendRestarted {
+                backend: &backend.key,
+                service: &backend.service,
+                address: backend.address,
+                incarnation: backend.incarnation,
+                former_incarnation: former,
+                backend_revision: backend.revision,
+            },
+            BackendNews::Contradicted { address, .. } => NewsLine::EntryContradicted {
+                backend: &backend.key,
+                service: &backend.service,
+                address: backend.address,
+                told_address: address,
+                incarnation: backend.incarnation,
+                backend_revision: backend.revision,
+            },
+        }
+    }
+
+    /// The word of the line's event.
+    pub(super) fn kind(&self) -> &'static str {
+        match self {
+            NewsLine::BackendRestarted { .. } => "backend_restarted",
+            NewsLine::EntryContradicted { .. } => "entry_contradicted",
+        }
+    }
+}
+
+impl<'a> HealthLine<'a> {
+    /// The line of an observation.
+    pub(super) fn new(
+        now: ClockTime,
+        note: &HealthNote,
+        backend: &'a Backend,
+        observer: &'static str,
+    ) -> HealthLine<'a> {
+        HealthLine {
+            event: "backend_observed",
+            backend: &backend.key,
+            service: &backend.service,
+            kind: note.kind,
+            observer,
+            age_ms: now.since(note.at).as_millis() as u64,
+            running: backend.running,
+            flows: backend.flows,
+            backend_revision: backend.revision,
+        }
+    }
+}
--- a/crates/foxledge-daemon/src/packets/flow_part.rs
+++ b/crates/foxledge-daemon/src/packets/flow_part.rs
@@ -6,16 +6,15 @@
     time::Duration,
 };
 
-use foxledge_core::{names::CentreName, time::ClockTime};
+use foxledge_core::time::ClockTime;
 use foxledge_flows::{
     Backend, BackendNews, DropReason, EndReason, FlowDecision, FlowKey, FlowPacket, FlowRouter,
-    FlowStall, HealthClass, HealthNote, IdleEnd, NoteKind, OpenReason, PacketKind, RefuseReason,
+    FlowStall, HealthClass, HealthNote, IdleEnd, OpenReason, PacketKind, RefuseReason,
     RouterCounts, RouterOptions, flow_hash,
     packet::{HEADROOM, LARGEST_PACKET},
     rows::ListRow,
 };
 use rand::{Rng, SeedableRng, rngs::StdRng};
-use serde::Serialize;
 use stakker::{CX, after, call, fail, fwd_to, idle};
 use stakker_mio::{
     MioPoll, MioSource, Ready,
@@ -27,6 +26,7 @@
 use super::{
     context::SharedContext,
     fleet_part::FleetPart,
+    flow_lines::{FlowDetail, FlowLine, HealthLine, MalformedLine, NewsLine},
     reports::{ExplainReport, RouteReport},
 };
 
@@ -50,94 +50,6 @@
     frame: Box<[u8; READ_SIZE]>,
 }
 
-/// `FlowLine` is the log line of a decision on one flow.
-#[derive(Serialize)]
-struct FlowLine<'a> {
-    event: &'static str,
-    flow: String,
-    sequence: u32,
-    #[serde(flatten)]
-    detail: FlowDetail<'a>,
-    list_revision: u64,
-    list_age_ms: Option<u64>,
-}
-
-/// `FlowDetail` is what was decided, and by what.
-#[derive(Serialize)]
-#[serde(untagged)]
-enum FlowDetail<'a> {
-    /// An opening packet was sent on.
-    Opened {
-        backend: &'a str,
-        address: SocketAddrV4,
-        data_centre: &'a CentreName,
-        #[serde(flatten)]
-        reason: &'a OpenReason,
-    },
-    /// A caller sent data of an open flow again, and it was sent on again.
-    Stalled {
-        backend: &'a str,
-        #[serde(flatten)]
-        stall: FlowStall,
-    },
-    /// An opening packet was refused.
-    Refused { reason: RefuseReason },
-    /// An open flow was reset, as its backend server is dead.
-    Ended {
-        backend: &'a str,
-        #[serde(flatten)]
-        reason: EndReason,
-    },
-    /// A packet was dropped.
-    Dropped { token: u32, reason: DropReason },
-}
-
-/// `MalformedLine` is the log line of a datagram that is no packet.
-#[derive(Serialize)]
-struct MalformedLine {
-    event: &'static str,
-    from: SocketAddr,
-    fault: &'static str,
-}
-
-/// `NewsLine` is the log line of a backend server whose entry changed what is believed.
-#[derive(Serialize)]
-#[serde(tag = "event", rename_all = "snake_case")]
-enum NewsLine<'a> {
-    /// It started again under its id.
-    BackendRestarted {
-        backend: &'a str,
-        service: &'a str,
-        address: SocketAddrV4,
-        incarnation: u64,
-        former_incarnation: u64,
-        backend_revision: u64,
-    },
-    /// Its entry tells of the same start at another place: it gets no new flows.
-    EntryContradicted {
-        backend: &'a str,
-        service: &'a str,
-        address: SocketAddrV4,
-        told_address: SocketAddrV4,
-        incarnation: u64,
-        backend_revision: u64,
-    },
-}
-
-/// `HealthLine` is the log line of an observation of a backend server.
-#[derive(Serialize)]
-struct HealthLine<'a> {
-    event: &'static str,
-    backend: &'a str,
-    service: &'a str,
-    kind: NoteKind,
-    observer: &'static str,
-    age_ms: u64,
-    running: u32,
-    flows: u32,
-    backend_revision: u64,
-}
-
 impl FlowPart {
     /// Opens a duplicate of the bound socket, with the list as it is known.
     pub fn init(cx: CX![], context: SharedContext) -> Option<FlowPart> {
@@ -460,30 +372,8 @@
     fn log_news(&self, news: &BackendNews) {
         let (BackendNews::Restarted { index, .. } | BackendNews::Contradicted { index, .. }) = news;
         let Some(backend) = self.router.backend(*index) else { return };
-        let (kind, line) = match *news {
-            BackendNews::Restarted { former, .. } => (
-                "backend_restarted",
-                NewsLine::BackendRestarted {
-                    backend: &backend.key,
-                    service: &backend.service,
-                    address: backend.address,
-                    incarnation: backend.incarnation,
-                    former_incarnation: former,
-                    backend_revision: backend.revision,
-                },
-            ),
-            BackendNews::Contradicted { address, .. } => (
-                "entry_contradicted",
-                NewsLine::EntryContradicted {
-                    backend: &backend.key,
-                    service: &backend.service,
-                    address: backend.address,
-                    told_address: address,
-                    incarnation: backend.incarnation,
-                    backend_revision: backend.revision,
-                },
-            ),
-        };
+        let line = NewsLine::new(news, backend);
+        let kind = line.kind();
         self.context.metrics.backend_news.with_label_values(&[kind]).inc();
         self.context.note(kind, &line);
     }
@@ -491,25 +381,8 @@
     fn log_note(&self, note: &HealthNote, observer: &'static str) {
         let now = self.context.clock.now();
         let Some(backend) = self.router.backend_of(note.number) else { return };
-        let kind = match note.kind {
-            NoteKind::Suspect => "suspect",
-            NoteKind::Ejected => "ejected",
-            NoteKind::Silent => "silent",
-            NoteKind::Lost => "lost",
-            NoteKind::Alive => "alive",
-        };
-        self.context.metrics.health_notes.with_label_values(&[kind, observer]).inc();
-        let line = HealthLine {
-            event: "backend_observed",
-            backend: &backend.key,
-            service: &backend.service,
-            kind: note.kind,
-            observer,
-            age_ms: now.since(note.at).as_millis() as u64,
-            running: backend.running,
-            flows: backend.flows,
-            backend_revision: backend.revision,
-        };
+        self.context.metrics.health_notes.with_label_values(&[note.kind.word(), observer]).inc();
+        let line = HealthLine::new(now, note, backend, observer);
         self.context.log.borrow_mut().note(now, "backend_observed", &line);
     }
 }
--- a/crates/foxledge-daemon/src/packets/reports.rs
+++ b/crates/foxledge-daemon/src/packets/reports.rs
@@ -113,7 +113,7 @@
     pub health: HealthClass,
     /// True in the instance's own data centre.
     pub is_near: bool,
-    /// True while the caller waits in vain for its answer to another flow.
+    /// True when it left an earlier copy of the opening packet unanswered.
     pub is_stuck: bool,
     /// Requests that run there.
     pub running: u32,
--- a/crates/foxledge-flows/src/candidates.rs
+++ b/crates/foxledge-flows/src/candidates.rs
@@ -1,7 +1,5 @@
 //! What a new flow can be placed on, as this instance sees it.
 
-use std::{net::Ipv4Addr, ops::Range};
-
 use foxledge_core::{names::ServiceName, time::ClockTime};
 
 use crate::{
@@ -9,16 +7,6 @@
     packet::FlowKey, placement::PlacementCandidate, router::FlowRouter, routes::flow_hash,
 };
 
-/// How long an unanswered opening of the same caller counts as failed, in
-/// milliseconds.
-///
-/// A backend server that resets a flow makes its caller try again at once. An
-/// answer arrives within 7 ms, so a second flow of the caller that comes later
-/// than this avoids the backend server of the first.
-const STUCK_MS: u64 = 12;
-/// How long it counts, in milliseconds: after the caller's copy at 200 ms the
-/// backend server's own state tells more.
-const STUCK_KEPT_MS: u64 = 250;
 impl FlowRouter {
     /// Backend servers of a service that take new flows; `avoided` is the one that left this
     /// flow's opening packet unanswered.
@@ -29,9 +17,6 @@
         key: &FlowKey,
         avoided: Option<usize>,
     ) -> Vec<PlacementCandidate> {
-        let caller: Ipv4Addr = *key.caller.ip();
-        let before = |ms| ClockTime::from_micros(now.as_micros().saturating_sub(ms * 1_000));
-        let stuck = before(STUCK_KEPT_MS)..before(STUCK_MS);
         let indexes = self.backends.of_service(service);
         // Each flow starts its look elsewhere, so that instances that know
         // nothing yet don't all begin with the same backend server.
@@ -51,7 +36,7 @@
                 index,
                 class: self.class_of(now, backend),
                 waiting: self.openings.waiting_at(index),
-                is_stuck: avoided == Some(index) || self.is_stuck(&caller, index, &stuck),
+                is_stuck: avoided == Some(index),
                 is_near: backend.data_centre == self.options.data_centre
                     || !self.has(RouterMechanism::Distance),
                 running: backend.running,
@@ -68,10 +53,6 @@
         indexes.iter().copied().filter_map(candidate).collect()
     }
 
-    fn is_stuck(&self, caller: &Ipv4Addr, index: usize, span: &Range<ClockTime>) -> bool {
-        self.has(RouterMechanism::StuckCallers) && self.openings.is_stuck(caller, index, span)
-    }
-
     /// What counts of a backend server's health here.
     fn class_of(&self, now: ClockTime, backend: &Backend) -> HealthClass {
         let class = backend.health.class(now);
--- a/crates/foxledge-flows/src/ends.rs
+++ b/crates/foxledge-flows/src/ends.rs
@@ -24,8 +24,6 @@
     tracks::{IdleFlow, LOST_MS},
 };
 
-/// Time between two looks for flows to end, in milliseconds.
-const LOOK_MS: u64 = 20;
 /// Most flows ended in one look: 2,500 a second, so that a full backend server's 2,000 take
 /// less than a second, and the openings that follow come no faster than one instance of a
 /// twentieth of a core sends them on.
@@ -36,27 +34,6 @@
 /// as far as that.
 const LOSSY_COPIES: u32 = 3;
 
-/// `DyingList` is backend servers that may have flows to end.
-#[derive(Debug, Default)]
-pub struct DyingList {
-    indexes: Vec<usize>,
-    look_at: ClockTime,
-}
-
-impl DyingList {
-    /// Adds a backend server that is dead.
-    pub fn add(&mut self, index: usize) {
-        if !self.indexes.contains(&index) {
-            self.indexes.push(index);
-        }
-    }
-
-    /// Takes one out.
-    pub fn remove(&mut self, index: usize) {
-        self.indexes.retain(|other| *other != index);
-    }
-}
-
 /// `KnownSilence` is what is known of a backend server that has left something unanswered.
 #[derive(Clone, Copy, Debug)]
 struct KnownSilence {
@@ -72,11 +49,7 @@
     /// requests that may not be repeated, seven in ten were asked later than a second after
     /// the death, on flows that had been at rest.
     pub fn take_idle_ends(&mut self, now: ClockTime) -> Vec<IdleEnd> {
-        if self.dying.indexes.is_empty() || !self.dying.look_at.is_past(now) {
-            return Vec::new();
-        }
-        self.dying.look_at = now.after_millis(LOOK_MS);
-        let mut dying = std::mem::take(&mut self.dying.indexes);
+        let mut dying = self.dying.take_due(now);
         dying.retain(|index| self.silence_of(now, *index).is_some_and(|known| known.is_dead));
         // What waited during a pause may hold signs of life.
         let is_sure = !self.is_catching_up && !self.is_in_doubt;
@@ -85,7 +58,7 @@
         for index in dying.iter().filter(|_| is_sure) {
             ends.extend(self.idle_ends_of(now, *index, MOST_ENDS - ends.len()));
         }
-        self.dying.indexes = dying;
+        dying.into_iter().for_each(|index| self.dying.add(index));
         for end in &ends {
             self.end_track(&end.key);
         }
--- a/crates/foxledge-flows/src/health.rs
+++ b/crates/foxledge-flows/src/health.rs
@@ -44,6 +44,19 @@
     Alive,
 }
 
+impl NoteKind {
+    /// The kind's word in metrics.
+    pub fn word(self) -> &'static str {
+        match self {
+            NoteKind::Suspect => "suspect",
+            NoteKind::Ejected => "ejected",
+            NoteKind::Silent => "silent",
+            NoteKind::Lost => "lost",
+            NoteKind::Alive => "alive",
+        }
+    }
+}
+
 /// `HealthNote` is one instance's observation of one backend server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct HealthNote {
--- a/crates/foxledge-flows/src/lib.rs
+++ b/crates/foxledge-flows/src/lib.rs
@@ -13,10 +13,12 @@
 mod backends;
 mod candidates;
 mod decisions;
+mod dying;
 mod ends;
 mod evidence;
 mod health;
 mod latency;
+mod list_rows;
 mod losses;
 mod mechanisms;
 mod openings;
--- a/crates/foxledge-flows/src/list.rs
+++ b/crates/foxledge-flows/src/list.rs
@@ -10,9 +10,10 @@
 use prost::Message;
 
 use crate::{
-    rows::{
-        BackendRow, LIMITS_KEY, ListRow, RemovedRow, RouteRow, RowValue, backend_key, route_key,
+    list_rows::{
+        backend_of, is_removed, newest_of_each, placed, removal, retirement, with_open_flows,
     },
+    rows::{LIMITS_KEY, ListRow, RowValue, backend_key, route_key},
     source::{ConfigReading, ItemChange, ListReading},
 };
 
@@ -327,7 +328,7 @@
             if known.revision >= row.revision {
                 return None;
             }
-            keep_open_flows(known, &mut row);
+            row = with_open_flows(known, row);
             self.order.remove(&(known.revision, key.clone()));
         }
         match &row.value {
@@ -356,76 +357,5 @@
     }
 }
 
-/// Gives each route its place among those of the same address, in the operators' order.
-///
-/// A place among all routes would change for most of them with every route that
-/// comes or goes: of 1,400 routes some 1,000 rows were sent for each such change.
-fn placed(mut routes: Vec<RouteRow>) -> Vec<RouteRow> {
-    let mut counts: HashMap<(u32, u32), u32> = HashMap::new();
-    for route in &mut routes {
-        let count = counts.entry((route.ip, route.port)).or_default();
-        route.position = *count;
-        *count += 1;
-    }
-    routes
-}
-
-/// Each row once, the newest: one that changed while a copy was sent page by page is
-/// in it as it was and as it is.
-fn newest_of_each(rows: Vec<ListRow>) -> Vec<ListRow> {
-    let mut newest: HashMap<String, ListRow> = HashMap::new();
-    for row in rows {
-        match newest.get(&row.key) {
-            Some(known) if known.revision >= row.revision => {}
-            _ => drop(newest.insert(row.key.clone(), row)),
-        }
-    }
-    newest.into_values().collect()
-}
-
 /// Bytes that a row takes in a message beside its own: a tag and a length.
 const ROW_FRAME: usize = 4;
-
-fn backend_of(item: &ItemChange) -> Option<String> {
-    match item {
-        ItemChange::Backend { id, .. } => Some(backend_key(id)),
-        ItemChange::BackendRefused { id, .. } => Some(backend_key(id)),
-        ItemChange::Malformed { .. }
-        | ItemChange::Config { .. }
-        | ItemChange::BackendGone { .. } => None,
-    }
-}
-
-fn is_removed(row: &ListRow) -> bool {
-    matches!(row.value, Some(RowValue::Removed(_)) | None)
-}
-
-/// The row of an entry that can't be understood. It names nobody, and is a row also where
-/// no good entry was known: an instance that has its list from here may know one.
-fn retirement(key: String, revision: u64) -> ListRow {
-    let removed = RemovedRow { backend: None, age_ms: 0 };
-    ListRow { key, revision, value: Some(RowValue::Removed(removed)) }
-}
-
-/// Keeps the known backend server in the row of an entry that can't be understood any
-/// more: its open flows go on, and it gets no new ones.
-fn keep_open_flows(known: &ListRow, row: &mut ListRow) {
-    let backend = match &known.value {
-        Some(RowValue::Backend(backend)) => backend,
-        Some(RowValue::Removed(RemovedRow { backend: Some(backend), .. })) => backend,
-        _ => return,
-    };
-    if let Some(RowValue::Removed(removed)) = &mut row.value {
-        removed.backend.get_or_insert_with(|| BackendRow { draining: true, ..backend.clone() });
-    }
-}
-
-fn removal(row: &ListRow, revision: u64) -> ListRow {
-    let backend = match &row.value {
-        Some(RowValue::Backend(backend)) => Some(backend.clone()),
-        Some(RowValue::Removed(removed)) => removed.backend.clone(),
-        _ => None,
-    };
-    let removed = RemovedRow { backend, age_ms: 0 };
-    ListRow { key: row.key.clone(), revision, value: Some(RowValue::Removed(removed)) }
-}
--- a/crates/foxledge-flows/src/mechanisms.rs
+++ b/crates/foxledge-flows/src/mechanisms.rs
@@ -21,8 +21,6 @@
     LossDoubt,
     /// Copies of an opening within 150 ms go where the first went.
     CopyWindow,
-    /// Callers whose opening stays unanswered are placed elsewhere.
-    StuckCallers,
     /// Backend servers that take long for answers get less.
     Slowness,
     /// Those that have just started get less.
@@ -33,7 +31,7 @@
 
 impl RouterMechanism {
     /// Every one.
-    pub const ALL: [RouterMechanism; 13] = [
+    pub const ALL: [RouterMechanism; 12] = [
         RouterMechanism::Suspicion,
         RouterMechanism::Ejection,
         RouterMechanism::Probation,
@@ -43,7 +41,6 @@
         RouterMechanism::IdleEnds,
         RouterMechanism::LossDoubt,
         RouterMechanism::CopyWindow,
-        RouterMechanism::StuckCallers,
         RouterMechanism::Slowness,
         RouterMechanism::Cold,
         RouterMechanism::Distance,
@@ -61,7 +58,6 @@
             RouterMechanism::IdleEnds => "idle-ends",
             RouterMechanism::LossDoubt => "loss-doubt",
             RouterMechanism::CopyWindow => "copy-window",
-            RouterMechanism::StuckCallers => "stuck-callers",
             RouterMechanism::Slowness => "slowness",
             RouterMechanism::Cold => "cold",
             RouterMechanism::Distance => "distance",
--- a/crates/foxledge-flows/src/openings.rs
+++ b/crates/foxledge-flows/src/openings.rs
@@ -1,10 +1,6 @@
 //! New flows whose opening packet has been sent on and whose caller hasn't gone on yet.
 
-use std::{
-    collections::{HashMap, VecDeque},
-    net::Ipv4Addr,
-    ops::Range,
-};
+use std::collections::{HashMap, VecDeque};
 
 use foxledge_core::time::ClockTime;
 
@@ -38,7 +34,6 @@
 #[derive(Debug, Default)]
 pub struct OpeningTable {
     waiting: HashMap<FlowKey, Opening>,
-    by_caller: HashMap<Ipv4Addr, Vec<(usize, ClockTime)>>,
     fresh: HashMap<usize, u32>,
     by_age: VecDeque<(ClockTime, FlowKey)>,
     overdue: VecDeque<(ClockTime, FlowKey)>,
@@ -47,7 +42,7 @@
 impl OpeningTable {
     /// Notes that an opening packet was sent to a backend server.
     pub fn add(&mut self, now: ClockTime, key: FlowKey, backend: usize) {
-        if self.put(now, key, Opening { backend, sent: now, is_overdue: false }) {
+        if self.put(key, Opening { backend, sent: now, is_overdue: false }) {
             *self.fresh.entry(backend).or_default() += 1;
             self.by_age.push_back((now, key));
         }
@@ -56,19 +51,18 @@
     /// Notes an opening packet that was sent on so late that its caller may have given
     /// up: that nobody goes on says nothing of the backend server.
     pub fn add_unjudged(&mut self, now: ClockTime, key: FlowKey, backend: usize) {
-        if self.put(now, key, Opening { backend, sent: now, is_overdue: true }) {
+        if self.put(key, Opening { backend, sent: now, is_overdue: true }) {
             self.overdue.push_back((now, key));
         }
     }
 
     /// Puts an opening in place; false when there is no room.
-    fn put(&mut self, now: ClockTime, key: FlowKey, opening: Opening) -> bool {
+    fn put(&mut self, key: FlowKey, opening: Opening) -> bool {
         self.remove(&key);
         if self.waiting.len() >= MOST_OPENINGS {
             return false;
         }
         self.waiting.insert(key, opening);
-        self.by_caller.entry(*key.caller.ip()).or_default().push((opening.backend, now));
         true
     }
 
@@ -80,16 +74,6 @@
     /// Takes an opening out, as its caller went on or gave up.
     pub fn remove(&mut self, key: &FlowKey) -> Option<Opening> {
         let opening = self.waiting.remove(key)?;
-        let caller = *key.caller.ip();
-        if let Some(openings) = self.by_caller.get_mut(&caller) {
-            let found = openings.iter().position(|one| *one == (opening.backend, opening.sent));
-            if let Some(index) = found {
-                openings.swap_remove(index);
-            }
-            if openings.is_empty() {
-                self.by_caller.remove(&caller);
-            }
-        }
         if !opening.is_overdue {
             self.end_fresh(opening.backend);
         }
@@ -101,12 +85,6 @@
         self.fresh.get(&backend).copied().unwrap_or(0)
     }
 
-    /// True when `caller` has an opening at `backend` that was sent in this span of time.
-    pub fn is_stuck(&self, caller: &Ipv4Addr, backend: usize, span: &Range<ClockTime>) -> bool {
-        let Some(openings) = self.by_caller.get(caller) else { return false };
-        openings.iter().any(|(index, sent)| *index == backend && span.contains(sent))
-    }
-
     /// The next opening that has waited for longer than [`ANSWER_WAIT_MS`]; each is told once.
     pub fn next_overdue(&mut self, now: ClockTime) -> Option<Opening> {
         self.forget(now);
--- a/crates/foxledge-flows/src/placement.rs
+++ b/crates/foxledge-flows/src/placement.rs
@@ -14,7 +14,7 @@
     pub class: HealthClass,
     /// Openings that wait for its answer.
     pub waiting: u32,
-    /// True when the caller waits in vain for its answer to another flow.
+    /// True when it left an earlier copy of the caller's opening packet unanswered.
     pub is_stuck: bool,
     /// True in the data centre of this instance.
     pub is_near: bool,
--- a/crates/foxledge-flows/src/router.rs
+++ b/crates/foxledge-flows/src/router.rs
@@ -12,7 +12,7 @@
     decisions::{
         DropReason, FlowDecision, FlowExplanation, OpenReason, RefuseReason, RouterCounts,
     },
-    ends::DyingList,
+    dying::DyingList,
     health::{HealthNote, SilenceWitness},
     losses::LossGauge,
     mechanisms::{MechanismSet, RouterMechanism},
--- a/crates/foxledge-soak/src/faults.rs
+++ b/crates/foxledge-soak/src/faults.rs
@@ -13,8 +13,8 @@
     backends::BackendPlace,
     links::{LinkFault, PeerFault},
     plan::{RestartPlace, SoakFault, SpoiledValue},
-    soak::SoakWorld,
     store::StoreMode,
+    world::SoakWorld,
 };
 
 /// Time in which a planned stop of a backend server goes on after its report.
--- a/crates/foxledge-soak/src/lib.rs
+++ b/crates/foxledge-soak/src/lib.rs
@@ -11,11 +11,14 @@
 pub mod heads;
 pub mod instances;
 pub mod links;
+mod nets;
 pub mod plan;
 pub mod promises;
 pub mod router;
 pub mod soak;
 pub mod store;
+mod watches;
+pub mod world;
 
 pub use plan::{FaultPlan, FaultRange, SoakOptions};
 pub use soak::{SoakReport, run_soak};
--- /dev/null
+++ b/crates/foxledge-soak/src/watches.rs
@@ -0,0 +1,57 @@
+//! What looks after a run while faults come.
+
+use std::{
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
+
+use tokio::time::sleep;
+
+use crate::{
+    callers::CallerHost,
+    world::{MOVING, MOVING_PORT, SoakWorld},
+};
+
+/// Starts instances anew that were stopped, and tells of those that ended by themselves.
+pub(crate) async fn watch_processes(world: Arc<SoakWorld>) {
+    while !world.is_ending.load(Ordering::Relaxed) {
+        for index in 0..world.size() {
+            let (found, has_ended) = world.with_instance(index, |running| {
+                let was_running = running.is_running();
+                (running.check(), was_running && !running.is_running())
+            });
+            if let Some(found) = found {
+                world.ledger.breach(found);
+            }
+            if has_ended {
+                world.ledger.disturb(index);
+                world.start_instance(index);
+            }
+        }
+        sleep(Duration::from_millis(100)).await;
+    }
+}
+
+/// Tells of packets that reach an address which only another writer's entries name.
+pub(crate) async fn watch_empty(world: Arc<SoakWorld>) {
+    let Ok(socket) = tokio::net::UdpSocket::bind(world.empty_address()).await else {
+        return world.ledger.breach("the soak itself failed: an address is taken".to_owned());
+    };
+    let mut buffer = [0; 64];
+    while let Ok((_, from)) = socket.recv_from(&mut buffer).await {
+        world.ledger.breach(format!("{from} sent a flow's packet to another writer's address"));
+    }
+}
+
+/// Opens flows to the moving routes at each instance.
+pub(crate) async fn probe_routes(world: Arc<SoakWorld>, host: Arc<CallerHost>) {
+    while !world.is_ending.load(Ordering::Relaxed) {
+        for instance in 0..world.size() {
+            for port in MOVING_PORT..MOVING_PORT + MOVING {
+                let host = host.clone();
+                tokio::spawn(async move { host.probe(port, instance).await });
+            }
+            sleep(Duration::from_millis(40)).await;
+        }
+    }
+}
--- /dev/null
+++ b/crates/foxledge-soak/src/world.rs
@@ -0,0 +1,351 @@
+//! Everything that runs in a soak: instances, backend servers, store and links.
+
+use std::{
+    net::{Ipv4Addr, SocketAddrV4},
+    path::Path,
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicBool, AtomicU64, Ordering},
+    },
+    time::SystemTime,
+};
+
+use anyhow::{Context, Result};
+use nix::sys::signal::Signal;
+use serde_json::{Value, json};
+use tokio::task::JoinHandle;
+
+use crate::{
+    backends::{BackendPlace, StandInBackend},
+    instances::{InstancePlace, RunningInstance},
+    links::{PacketLoss, PeerLinks, StoreLink},
+    plan::{FaultRange, RestartPlace, SoakOptions},
+    promises::PromiseLedger,
+    router::PacketRouter,
+    store::StandInStore,
+};
+
+/// Services, the first for feeds and bids.
+pub(crate) const SERVICES: [&str; 2] = ["desk", "intake"];
+/// Backend servers of each service and data centre.
+pub(crate) const BACKENDS: usize = 3;
+/// Ports of routes: feeds, bids, uploads.
+pub(crate) const FEED_PORT: u16 = 8_443;
+pub(crate) const BID_PORT: u16 = 8_080;
+pub(crate) const UPLOAD_PORT: u16 = 9_443;
+/// Flows that each caller's address keeps for requests that may not be repeated.
+pub(crate) const KEPT_FLOWS: usize = 6;
+/// First port of the routes that come, move and go.
+pub(crate) const MOVING_PORT: u16 = 500;
+/// Number of those routes.
+pub(crate) const MOVING: u16 = 6;
+/// Ports of instances, store and backend servers.
+pub(crate) const DATA_PORT: u16 = 7_100;
+const PEER_PORT: u16 = 7_101;
+const ADMIN_PORT: u16 = 7_102;
+const STORE_PORT: u16 = 7_103;
+const BACKEND_PORT: u16 = 7_104;
+
+/// `SoakWorld` is everything that runs.
+pub struct SoakWorld {
+    pub(crate) options: SoakOptions,
+    net: u8,
+    /// What was seen.
+    pub ledger: Arc<PromiseLedger>,
+    /// The store.
+    pub store: StandInStore,
+    /// Links between instances.
+    pub peers: Arc<PeerLinks>,
+    pub(crate) router: Arc<PacketRouter>,
+    store_links: Vec<StoreLink>,
+    /// How many of a thousand packets are lost at callers and at backend servers.
+    pub packet_loss: PacketLoss,
+    instances: Mutex<Vec<RunningInstance>>,
+    backends: Mutex<Vec<StandInBackend>>,
+    next_backend: AtomicU64,
+    version: AtomicU64,
+    moving: Mutex<Vec<Option<usize>>>,
+    pub(crate) is_ending: AtomicBool,
+}
+
+impl SoakWorld {
+    pub(crate) async fn start(
+        options: SoakOptions,
+        net: u8,
+        binary: &Path,
+        folder: &Path,
+    ) -> Result<Arc<SoakWorld>> {
+        let address = |block: u8, index: usize, port: u16| {
+            SocketAddrV4::new(Ipv4Addr::new(127, net, block, 1 + index as u8), port)
+        };
+        let size = options.instances * 2;
+        let all = |block: u8, port: u16| -> Vec<_> {
+            (0..size).map(|index| address(block, index, port)).collect()
+        };
+        let store_address = address(6, 0, STORE_PORT);
+        let store = StandInStore::start(store_address).await.context("the store")?;
+        let mut store_links = Vec::new();
+        for own in all(5, STORE_PORT) {
+            store_links.push(StoreLink::start(own, store_address).await?);
+        }
+        let (own, public) = (all(1, PEER_PORT), all(2, PEER_PORT));
+        let peers = PeerLinks::start(&public, &own).await?;
+        let router = PacketRouter::start(all(1, DATA_PORT), all(1, ADMIN_PORT));
+        let mut instances = Vec::new();
+        for index in 0..size {
+            let place = InstancePlace {
+                name: format!("instance-{index}"),
+                data_centre: centre_of(index).to_owned(),
+                data: address(1, index, DATA_PORT),
+                peer: own[index],
+                public: public[index],
+                admin: address(1, index, ADMIN_PORT),
+                store: address(5, index, STORE_PORT),
+                seeds: public.iter().take(3).copied().collect(),
+            };
+            instances.push(RunningInstance::prepare(place, binary, folder)?);
+        }
+        let world = Arc::new(SoakWorld {
+            options,
+            net,
+            ledger: Arc::default(),
+            store,
+            peers,
+            router,
+            store_links,
+            packet_loss: PacketLoss::default(),
+            instances: Mutex::new(instances),
+            backends: Mutex::default(),
+            next_backend: AtomicU64::new(0),
+            version: AtomicU64::new(0),
+            moving: Mutex::new(vec![Some(0); usize::from(MOVING)]),
+            is_ending: AtomicBool::new(false),
+        });
+        for service in SERVICES {
+            for _ in 0..BACKENDS * 2 {
+                world.start_backend(service, None).await;
+            }
+        }
+        world.publish_list(&world.lock_moving());
+        for index in 0..size {
+            world.lock_instances()[index].start()?;
+        }
+        Ok(world)
+    }
+
+    /// Number of instances.
+    pub fn size(&self) -> usize {
+        self.options.instances * 2
+    }
+
+    /// An instance's way to the store.
+    pub fn store_link(&self, instance: usize) -> &StoreLink {
+        &self.store_links[instance]
+    }
+
+    /// Does something with an instance.
+    pub fn with_instance<T>(
+        &self,
+        index: usize,
+        action: impl FnOnce(&mut RunningInstance) -> T,
+    ) -> T {
+        action(&mut self.lock_instances()[index])
+    }
+
+    /// Sends a signal to an instance.
+    pub fn signal(&self, index: usize, signal: Signal) {
+        self.with_instance(index, |running| running.signal(signal));
+    }
+
+    /// Starts an instance that isn't running.
+    pub fn start_instance(&self, index: usize) {
+        self.ledger.disturb(index);
+        if self.is_ending.load(Ordering::Relaxed) {
+            return;
+        }
+        let started = self.with_instance(index, |running| match running.is_running() {
+            true => Ok(()),
+            false => running.start(),
+        });
+        if let Err(error) = started {
+            self.ledger.breach(format!("instance {index}: {error:#}"));
+        }
+    }
+
+    /// Waits for a task of this run; its panic is a fault of the run.
+    pub async fn join(&self, task: JoinHandle<()>) {
+        if let Err(error) = task.await {
+            self.ledger.breach(format!("the soak itself failed: {error}"));
+        }
+    }
+
+    /// Starts a backend server, at a given address or a new one.
+    pub async fn start_backend(&self, service: &str, address: Option<SocketAddrV4>) {
+        let count = self.next_backend.fetch_add(1, Ordering::Relaxed);
+        let own = self.backend_address(count);
+        let place = BackendPlace {
+            number: 0x1_0000 + count,
+            service: service.to_owned(),
+            address: address.unwrap_or(own),
+            data_centre: centre_of(count as usize).to_owned(),
+            caller_port: DATA_PORT,
+            born: self.born(),
+        };
+        self.start_at(place).await;
+    }
+
+    /// The time of a start, as an entry tells it; older runs have platforms without.
+    fn born(&self) -> u64 {
+        match self.options.range {
+            FaultRange::Entries => {
+                let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+                since.map_or(1, |span| span.as_millis() as u64)
+            }
+            FaultRange::Control | FaultRange::Packets => 0,
+        }
+    }
+
+    /// Starts a backend server again under its id.
+    pub async fn restart_backend(&self, former: BackendPlace, place: RestartPlace) {
+        let count = self.next_backend.fetch_add(1, Ordering::Relaxed);
+        let other = self.backend_address(count);
+        let address = if place == RestartPlace::Same { former.address } else { other };
+        self.start_at(BackendPlace { address, born: self.born(), ..former }).await;
+    }
+
+    async fn start_at(&self, place: BackendPlace) {
+        let (ledger, loss) = (self.ledger.clone(), self.packet_loss.clone());
+        match StandInBackend::start(place, &self.store, ledger, loss).await {
+            Ok(backend) => self.lock_backends().push(backend),
+            Err(error) => self.ledger.breach(format!("the soak itself failed: {error:#}")),
+        }
+    }
+
+    fn backend_address(&self, count: u64) -> SocketAddrV4 {
+        self.address(10 + (count / 200) as u8, (count % 200) as usize, BACKEND_PORT)
+    }
+
+    /// An address where no backend server ever is.
+    pub fn empty_address(&self) -> SocketAddrV4 {
+        self.address(7, 0, BACKEND_PORT)
+    }
+
+    /// The place of a running backend server.
+    pub fn place_of(&self, choice: usize) -> Option<BackendPlace> {
+        let backends = self.lock_backends();
+        Some(backends.get(choice % backends.len().max(1))?.place.clone())
+    }
+
+    /// Writes the own entry of a backend server that runs.
+    pub fn register_one(&self, number: u64) {
+        let backends = self.lock_backends();
+        if let Some(backend) = backends.iter().find(|one| one.place.number == number) {
+            backend.register(&self.store, "ready");
+        }
+    }
+
+    /// Takes a running backend server out, unless too few would be left of its service.
+    pub fn take_backend(&self, choice: usize) -> Option<StandInBackend> {
+        let mut backends = self.lock_backends();
+        let index = choice % backends.len().max(1);
+        let service = backends.get(index)?.place.service.clone();
+        let left = backends.iter().filter(|one| one.place.service == service).count();
+        (left > BACKENDS).then(|| backends.swap_remove(index))
+    }
+
+    /// The number of a running backend server, and what silences it.
+    pub fn silence_of(&self, choice: usize) -> Option<(u64, Arc<AtomicBool>)> {
+        let backends = self.lock_backends();
+        let backend = backends.get(choice % backends.len().max(1))?;
+        Some((backend.place.number, backend.is_silent.clone()))
+    }
+
+    /// Keys of the entries of all running backend servers.
+    pub fn live_keys(&self) -> Vec<String> {
+        self.lock_backends().iter().map(StandInBackend::key).collect()
+    }
+
+    /// Writes the entries of all running backend servers.
+    pub fn register_live(&self) {
+        for backend in self.lock_backends().iter() {
+            backend.register(&self.store, "ready");
+        }
+    }
+
+    /// The service that isn't `service`.
+    pub fn other_service(&self, service: &str) -> String {
+        let other = SERVICES.iter().find(|name| **name != service);
+        other.copied().unwrap_or(SERVICES[0]).to_owned()
+    }
+
+    /// Publishes a list in which one route has moved, gone or come.
+    pub fn publish_next(&self) {
+        let mut moving = self.lock_moving();
+        let place = self.version.load(Ordering::Relaxed) as usize * 7 % moving.len();
+        moving[place] = match moving[place] {
+            Some(0) => Some(1),
+            Some(_) => None,
+            None => Some(0),
+        };
+        self.publish_list(&moving);
+    }
+
+    /// Publishes the list; `moving` stays locked meanwhile, so that lists that are
+    /// published at the same time come one after the other, as operators' do.
+    fn publish_list(&self, moving: &[Option<usize>]) {
+        let version = self.version.fetch_add(3, Ordering::Relaxed) + 3;
+        let fixed = [
+            ("feed", FEED_PORT, SERVICES[0], "idempotent"),
+            ("bid", BID_PORT, SERVICES[0], "non_idempotent"),
+            ("upload", UPLOAD_PORT, SERVICES[1], "upload"),
+        ];
+        let mut routes: Vec<Value> = fixed
+            .iter()
+            .map(|(name, port, service, kind)| route(name, *port, service, kind))
+            .collect();
+        for (index, service) in moving.iter().enumerate() {
+            let port = MOVING_PORT + index as u16;
+            if let Some(service) = service.map(|index| SERVICES[index]) {
+                routes.push(route(&format!("moving-{index}"), port, service, "idempotent"));
+            }
+        }
+        let config = json!({
+            "version": version, "routes": routes, "services": [],
+            "limits": {"idle_timeout_ms": 15_000},
+        });
+        self.store.put("op/config", &config);
+        for (index, service) in moving.iter().enumerate() {
+            let service = service.map(|index| SERVICES[index].to_owned());
+            self.ledger.route_published(MOVING_PORT + index as u16, service);
+        }
+    }
+
+    pub(crate) fn address(&self, block: u8, index: usize, port: u16) -> SocketAddrV4 {
+        SocketAddrV4::new(Ipv4Addr::new(127, self.net, block, 1 + index as u8), port)
+    }
+
+    pub(crate) fn lock_instances(&self) -> MutexGuard<'_, Vec<RunningInstance>> {
+        self.instances.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn lock_backends(&self) -> MutexGuard<'_, Vec<StandInBackend>> {
+        self.backends.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    fn lock_moving(&self) -> MutexGuard<'_, Vec<Option<usize>>> {
+        self.moving.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// True when no instance of an earlier run is left on a network: one that was paused
+/// when its soak was ended from outside stays for ever.
+fn centre_of(index: usize) -> &'static str {
+    ["toledo", "erie"][index % 2]
+}
+
+fn route(name: &str, port: u16, service: &str, kind: &str) -> Value {
+    json!({
+        "name": name, "host": "198.18.0.1", "prefix": format!("/{port}/"), "type": kind,
+        "timeout_ms": 1_500, "aim_ms": 100, "priority": 1, "service": service, "attempts": 2,
+    })
+}
