Pass an instance's turn along instead of keeping it, and part the preview from its use

State holds deadlines: the turn at which an instance tries an ejected backend server again was kept as a span in its health; it comes with each observation now. The first part of a list knows no member of the fleet any more, which ends the circle of the two files. Behaviour as before.

--- a/crates/foxledge-flows/src/evidence.rs
+++ b/crates/foxledge-flows/src/evidence.rs
@@ -8,9 +8,8 @@
 use foxledge_core::time::ClockTime;
 
 use crate::{
-    backends::Backend,
     decisions::FlowStall,
-    health::{HealthNote, NoteKind, SilenceWitness},
+    health::{HealthNote, HealthState, NoteKind, SilenceWitness},
     mechanisms::RouterMechanism,
     packet::{FlowKey, FlowPacket, PacketKind},
     router::FlowRouter,
@@ -31,8 +30,8 @@
             if !self.has(RouterMechanism::Suspicion) {
                 continue;
             }
-            self.note(read_at, opening.backend, |backend| {
-                backend.health.on_suspicion(read_at, opening.sent)
+            self.note(read_at, opening.backend, |health, turn_ms| {
+                health.on_suspicion(read_at, opening.sent, turn_ms)
             });
         }
     }
@@ -49,8 +48,7 @@
         if backend.incarnation != note.incarnation {
             return;
         }
-        backend.health.set_turn(turns.of(backend.number));
-        backend.health.on_note(now, note);
+        backend.health.on_note(now, note, turns.of(backend.number));
         if backend.health.is_dead(now) {
             self.dying.add(index);
         }
@@ -118,9 +116,9 @@
             ResendMeaning::NewLoss if !self.is_lossy() => SilenceWitness::Flow,
             _ => SilenceWitness::DoubtedFlow,
         };
-        self.note(now, index, |backend| match meaning {
-            ResendMeaning::Doubt => backend.health.on_suspicion(now, sent),
-            _ => backend.health.on_silence(now, sent, witness),
+        self.note(now, index, |health, turn_ms| match meaning {
+            ResendMeaning::Doubt => health.on_suspicion(now, sent, turn_ms),
+            _ => health.on_silence(now, sent, witness, turn_ms),
         });
         let health = self.backends.get(index).map(|backend| backend.health).unwrap_or_default();
         let is_lost = meaning != ResendMeaning::Doubt;
@@ -151,7 +149,7 @@
         if let Some(backend) = self.backends.get_mut(index) {
             backend.seen_at = Some(now);
         }
-        self.note(now, index, |backend| backend.health.on_alive(now));
+        self.note(now, index, |health, _| health.on_alive(now));
     }
 
     pub(crate) fn end_track(&mut self, key: &FlowKey) {
@@ -168,17 +166,17 @@
         }
     }
 
-    /// Changes what is believed of a backend server and keeps the news for others.
+    /// Changes what is believed of a backend server, with this instance's turn to try it
+    /// again in milliseconds, and keeps the news for others.
     pub(crate) fn note(
         &mut self,
         now: ClockTime,
         index: usize,
-        observe: impl FnOnce(&mut Backend) -> Option<NoteKind>,
+        observe: impl FnOnce(&mut HealthState, u64) -> Option<NoteKind>,
     ) {
         let turns = self.turns;
         let Some(backend) = self.backends.get_mut(index) else { return };
-        backend.health.set_turn(turns.of(backend.number));
-        let kind = observe(backend);
+        let kind = observe(&mut backend.health, turns.of(backend.number));
         if backend.health.is_dead(now) {
             self.dying.add(index);
         }
--- a/crates/foxledge-flows/src/health.rs
+++ b/crates/foxledge-flows/src/health.rs
@@ -97,8 +97,6 @@
     trials_from: ClockTime,
     /// When this one may.
     ejected_until: ClockTime,
-    /// This instance's turn among all, in milliseconds.
-    turn_ms: u64,
     ejections: u32,
     alive_at: ClockTime,
     strikes: u32,
@@ -132,11 +130,6 @@
         HealthState { alive_at: now, ..HealthState::default() }
     }
 
-    /// Sets how long after the first this instance tries it again, in milliseconds.
-    pub fn set_turn(&mut self, turn_ms: u64) {
-        self.turn_ms = turn_ms;
-    }
-
     /// Its class at `now`.
     pub fn class(&self, now: ClockTime) -> HealthClass {
         if !self.ejected_until.is_past(now) {
@@ -187,13 +180,20 @@
     /// confirms the first; so does one at another instance that comes soon after. Where
     /// each instance waits for a second of its own, a crash that resets its callers'
     /// openings is found after 0.4 to 2 s: by then most of 64 instances have sent one there.
-    pub fn on_suspicion(&mut self, now: ClockTime, sent: ClockTime) -> Option<NoteKind> {
+    ///
+    /// If that ejects it, this instance tries it again `turn_ms` after the first.
+    pub fn on_suspicion(
+        &mut self,
+        now: ClockTime,
+        sent: ClockTime,
+        turn_ms: u64,
+    ) -> Option<NoteKind> {
         if self.alive_at > sent {
             return None;
         }
         self.strikes += 1;
         if self.strikes > 1 || self.ejections > 0 || self.is_suspect(now) {
-            return self.confirm(now);
+            return self.confirm(now, turn_ms);
         }
         self.suspect_until = now.after_millis(SUSPECT_MS);
         Some(NoteKind::Suspect)
@@ -205,12 +205,13 @@
         now: ClockTime,
         sent: ClockTime,
         witness: SilenceWitness,
+        turn_ms: u64,
     ) -> Option<NoteKind> {
         if self.alive_at > sent {
             return None;
         }
         let is_news = self.silent_at.is_none();
-        let is_ejected = self.confirm(now).is_some();
+        let is_ejected = self.confirm(now, turn_ms).is_some();
         self.silent_at.get_or_insert(now);
         self.evidence_at = now;
         match witness {
@@ -223,11 +224,8 @@
                 // Two suffice at every instance.
                 (self.lost_flows <= 2 || is_ejected).then_some(NoteKind::Lost)
             }
-            SilenceWitness::DoubtedFlow => (is_news || is_ejected).then_some(if is_news {
-                NoteKind::Silent
-            } else {
-                NoteKind::Ejected
-            }),
+            SilenceWitness::DoubtedFlow if is_news => Some(NoteKind::Silent),
+            SilenceWitness::DoubtedFlow => is_ejected.then_some(NoteKind::Ejected),
         }
     }
 
@@ -241,16 +239,16 @@
     }
 
     /// Ejects it unless it is, and again after the failed trial of any instance.
-    fn confirm(&mut self, now: ClockTime) -> Option<NoteKind> {
+    fn confirm(&mut self, now: ClockTime, turn_ms: u64) -> Option<NoteKind> {
         if !self.trials_from.is_past(now) {
             return None;
         }
-        self.eject(now);
+        self.eject(now, turn_ms);
         Some(NoteKind::Ejected)
     }
 
     /// Takes an observation of another instance.
-    pub fn on_note(&mut self, now: ClockTime, note: &HealthNote) {
+    pub fn on_note(&mut self, now: ClockTime, note: &HealthNote, turn_ms: u64) {
         if note.at <= self.alive_at {
             return;
         }
@@ -262,31 +260,31 @@
                 let is_second = self.is_suspect(note.at);
                 self.suspect_until = self.suspect_until.max(note.at.after_millis(SUSPECT_MS));
                 if is_second {
-                    self.confirm(now);
+                    self.confirm(now, turn_ms);
                 }
             }
             NoteKind::Silent => {
                 self.silent_openings += 1;
-                self.on_told_silence(now, note.at);
+                self.on_told_silence(now, note.at, turn_ms);
             }
             NoteKind::Lost => {
                 self.lost_flows += 1;
-                self.on_told_silence(now, note.at);
+                self.on_told_silence(now, note.at, turn_ms);
             }
-            NoteKind::Ejected => drop(self.confirm(now)),
+            NoteKind::Ejected => drop(self.confirm(now, turn_ms)),
         }
     }
 
-    fn on_told_silence(&mut self, now: ClockTime, at: ClockTime) {
+    fn on_told_silence(&mut self, now: ClockTime, at: ClockTime, turn_ms: u64) {
         self.silent_at = Some(self.silent_at.map_or(at, |known| known.min(at)));
         self.evidence_at = self.evidence_at.max(at);
-        self.confirm(now);
+        self.confirm(now, turn_ms);
     }
 
-    fn eject(&mut self, now: ClockTime) {
+    fn eject(&mut self, now: ClockTime, turn_ms: u64) {
         let doubled = FIRST_EJECTION_MS << self.ejections.min(8);
         self.ejections += 1;
         self.trials_from = now.after_millis(doubled.min(LONGEST_EJECTION_MS));
-        self.ejected_until = self.trials_from.after_millis(self.turn_ms);
+        self.ejected_until = self.trials_from.after_millis(turn_ms);
     }
 }
--- a/crates/foxledge-flows/src/router.rs
+++ b/crates/foxledge-flows/src/router.rs
@@ -269,8 +269,8 @@
                 return FlowDecision::Open { backend: opening.backend, reason: reason(None, 1) };
             }
             self.openings.remove(&packet.key);
-            self.note(now, opening.backend, |backend| {
-                backend.health.on_silence(now, opening.sent, SilenceWitness::Opening)
+            self.note(now, opening.backend, |health, turn_ms| {
+                health.on_silence(now, opening.sent, SilenceWitness::Opening, turn_ms)
             });
         }
         let service = route.service_of(&packet.key).clone();
--- a/crates/foxledge-gossip/src/lib.rs
+++ b/crates/foxledge-gossip/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod packing;
 mod peers;
 mod preview;
+mod previewing;
 mod pulls;
 mod reading;
 mod refused;
--- a/crates/foxledge-gossip/src/preview.rs
+++ b/crates/foxledge-gossip/src/preview.rs
@@ -5,28 +5,7 @@
 //! list after two seconds. One answer holds 500 items, the operators' list among them:
 //! enough to place new flows.
 
-use foxledge_core::time::ClockTime;
-use foxledge_flows::{
-    ListReading,
-    rows::{LIMITS_KEY, ListRow, RemovedRow, RowValue},
-};
-use rand::Rng;
-
-use crate::{
-    effects::{FleetEffect, FleetEvent},
-    member::FleetMember,
-};
-
-/// Time in which peers may bring the rest, in milliseconds, before it is read: those that
-/// read it at once have it after some 0.6 s, an instance of a twentieth of a core
-/// measured, and hand it on from then.
-const REST_MS: u64 = 600;
-/// Spread of that time in milliseconds. Of 300 instances, 222 and 243 got the rest from
-/// peers in it, in two runs.
-const REST_SPREAD_MS: u64 = 900;
-/// One of this many instances reads the rest at once, so that there are peers that have
-/// it: some 33 of 300, whose 750 KB take the store's link of 1 Gbit/s for 0.2 s.
-const EAGER: u32 = 10;
+use foxledge_flows::rows::{LIMITS_KEY, ListRow};
 
 /// `ListPreview` is the part that serves.
 #[derive(Debug, Default)]
@@ -37,6 +16,16 @@
 }
 
 impl ListPreview {
+    /// A part of the list as of a revision.
+    pub(crate) fn new(rows: Vec<ListRow>, head: u64) -> ListPreview {
+        ListPreview { rows, head }
+    }
+
+    /// Takes the rows out, as the list itself serves from now on.
+    pub(crate) fn take_rows(&mut self) -> Vec<ListRow> {
+        std::mem::take(&mut self.rows)
+    }
+
     /// True when routes are known by it.
     pub(crate) fn has_routes(&self) -> bool {
         self.rows.iter().any(|row| row.key == LIMITS_KEY)
@@ -52,61 +41,3 @@
         self.head
     }
 }
-
-impl FleetMember {
-    /// True when flows can be placed: by the list, or by a part of it.
-    pub fn can_serve(&self) -> bool {
-        self.list.has_routes() || self.preview.has_routes()
-    }
-
-    /// Takes a part of the list; the rest comes from peers, or is read later.
-    pub(crate) fn take_preview(&mut self, now: ClockTime, reading: ListReading) {
-        if self.list.head() > 0 {
-            return;
-        }
-        let head = reading.head;
-        let rows = self.list.preview(reading.items);
-        let version = rows.iter().find_map(version_of).unwrap_or(0);
-        let event = FleetEvent::ListPreviewed { version, revision: head, rows: rows.len() };
-        self.effects.push(FleetEffect::Event(event));
-        self.effects.push(FleetEffect::Rows(rows.clone()));
-        self.preview = ListPreview { rows, head };
-        let is_seed = self.options.seeds.contains(&self.options.address);
-        let wait = match is_seed || self.rng.random_ratio(1, EAGER) {
-            true => 0,
-            false => REST_MS + self.rng.random_range(0..REST_SPREAD_MS),
-        };
-        self.start_at = now.after_millis(wait);
-    }
-
-    /// Rows that take out what the part held and the list, known now, doesn't.
-    ///
-    /// Otherwise a backend server that left in between would get new flows for ever, as
-    /// the list never tells that it is gone.
-    pub(crate) fn end_preview(&mut self) -> Vec<ListRow> {
-        let rows = std::mem::take(&mut self.preview.rows);
-        let head = self.list.head();
-        let is_gone = |row: &ListRow| !self.list.holds(&row.key);
-        rows.into_iter().filter(is_gone).map(|row| gone(row, head)).collect()
-    }
-}
-
-fn version_of(row: &ListRow) -> Option<u64> {
-    match &row.value {
-        Some(RowValue::Limits(limits)) => Some(limits.version),
-        _ => None,
-    }
-}
-
-/// The row of something that left as planned: it gets no grace.
-fn gone(row: ListRow, revision: u64) -> ListRow {
-    let backend = match row.value {
-        Some(RowValue::Backend(mut backend)) => {
-            backend.draining = true;
-            Some(backend)
-        }
-        _ => None,
-    };
-    let value = Some(RowValue::Removed(RemovedRow { backend, age_ms: 0 }));
-    ListRow { key: row.key, revision, value }
-}
