Keep a second entry of one number second when it tells of another start

Found by reading the change: of two entries with one number the later has no say, but one that told of another start was put in place anew, without that mark, and new flows as well as packets of open ones could follow it. second_stays_second was red (flows went to the stranger's address). The number is settled after a start as after any new entry.

Checked: formatter, clippy, the tests of foxledge-flows.

--- a/crates/foxledge-daemon/src/packets/clock.rs
+++ b/crates/foxledge-daemon/src/packets/clock.rs
@@ -1,5 +1,7 @@
 //! A clock that goes on while the machine is suspended.
 
+use std::time::Duration;
+
 use foxledge_core::time::ClockTime;
 use nix::time::{ClockId, clock_gettime};
 
@@ -7,6 +9,9 @@
 /// before this process began, and points in time can't be negative.
 const START_US: u64 = 3_600_000_000;
 
+/// Shortest wait before another look at a time that has not passed yet.
+pub const LOOK_AGAIN: Duration = Duration::from_millis(2);
+
 /// `BootClock` is the source of every `ClockTime` of the packets' tree.
 ///
 /// The monotonic clock stands still while the machine is suspended. An instance
--- a/crates/foxledge-daemon/src/packets/flow_part.rs
+++ b/crates/foxledge-daemon/src/packets/flow_part.rs
@@ -24,6 +24,7 @@
 use crate::listener::{BATCH_LIMIT, POLL_PRIORITY};
 
 use super::{
+    clock::LOOK_AGAIN,
     context::SharedContext,
     fleet_part::FleetPart,
     flow_lines::{FlowDetail, FlowLine, HealthLine, MalformedLine, NewsLine},
@@ -36,8 +37,6 @@
 /// Longest time that packets wait for a list after the start, in milliseconds:
 /// later ones of the same callers have come by then.
 const HOLD_MS: u64 = 350;
-/// Shortest wait before another look at a time that has not passed yet.
-const LOOK_AGAIN: Duration = Duration::from_millis(2);
 
 /// `FlowPart` owns the socket for callers' packets.
 pub struct FlowPart {
--- a/crates/foxledge-daemon/src/packets/life_part.rs
+++ b/crates/foxledge-daemon/src/packets/life_part.rs
@@ -12,7 +12,7 @@
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use stakker::{CX, StopCause, after, call};
 
-use super::{context::SharedContext, fleet_part::FleetPart};
+use super::{clock::LOOK_AGAIN, context::SharedContext, fleet_part::FleetPart};
 
 /// Longest wait for somebody's word that the list is the newest, in
 /// milliseconds, once a list is known.
@@ -37,9 +37,6 @@
 /// Time between two looks during a planned stop.
 const LOOK: Duration = Duration::from_millis(100);
 
-/// Shortest wait before another look at a time that has not passed yet.
-const LOOK_AGAIN: Duration = Duration::from_millis(2);
-
 /// `LifePart` sets the phase of the process.
 pub struct LifePart {
     context: SharedContext,
--- a/crates/foxledge-flows/src/backends.rs
+++ b/crates/foxledge-flows/src/backends.rs
@@ -316,6 +316,7 @@
         if newer.incarnation != former && newer.incarnation != 0 {
             self.unlink(index);
             self.link(index, newer);
+            self.settle_number(spec.number);
             return Some(BackendNews::Restarted { index, former });
         }
         known.gone_at = gone;
--- a/crates/foxledge-flows/tests/refused_entries.rs
+++ b/crates/foxledge-flows/tests/refused_entries.rs
@@ -143,3 +143,28 @@
         assert_eq!(address.to_string(), "10.128.0.1:8080");
     }
 }
+
+// Symptom: open flows break as the entry with a strange key tells of another start.
+// Sequence: two entries name the same number, the second has no say; it is written again
+//   with another time of its start.
+// Cause: the start makes it an entry like any other.
+#[test]
+fn second_stays_second() {
+    let own = backend(1, "desk", NEAR, 2);
+    let other = |incarnation, revision| {
+        let mut spec = backend_spec(1, "desk", NEAR);
+        spec.ip = u32::from(std::net::Ipv4Addr::new(10, 9, 9, 9));
+        (spec.created, spec.incarnation) = (9, incarnation);
+        let mut row = backend_row(spec, revision);
+        row.key = "backend/i-00001".to_owned();
+        row
+    };
+    let mut router = desk_router(&[other(5, 9), own]);
+    router.take_rows(at(10), &[other(6, 10)]);
+    for port in 1..10 {
+        let decision = router.on_packet(at(20), &opening(key(1, port), 0));
+        let FlowDecision::Open { backend: index, .. } = decision else { panic!("{decision:?}") };
+        let address = router.backend(index).expect("is known").address;
+        assert_eq!(address.to_string(), "10.128.0.1:8080");
+    }
+}
