Tell of backend servers' health as merged states, and of membership what is news

Cause: what an instance saw of a backend server was told as one note an observation, the twelve with the smallest random identity in each heartbeat. When 120 fall silent at once, notes with larger ones were told by nobody: in virtual time 5,761 of 6,000 pairs of instance and death near, 260,396 of 262,200 at 437 instances and 600 deaths, were never known (mass_deaths, red before).

Now each backend server has one state, the few signs that decide what is believed; signs of different instances add up, late copies don't count twice, and a receiver passes on only what changed its belief.

What remained unknown then was at instances that hardly any view held: views forgot who wasn't heard of for 5 s, by chance, and instances whose seed is elsewhere knew nobody nearby. Now an instance of the own data centre is asked three times before it counts as lost, answers name those of the asker's data centre, and log lines mean a start, a stop, a death or a data centre unheard of.

Ruled out: counting what is heard against repeats (instances that learn first then silence all others), one message a round for repeats (six seconds for 240 deaths), a question to a peer or a spread before the first watch (44 to 72 calls as before).

--- a/crates/foxledge-core/src/time.rs
+++ b/crates/foxledge-core/src/time.rs
@@ -35,6 +35,11 @@
         ClockTime(self.0.saturating_add(millis.saturating_mul(1000)))
     }
 
+    /// The point `millis` milliseconds earlier; the clock's start when that lies before it.
+    pub fn before_millis(self, millis: u64) -> ClockTime {
+        ClockTime(self.0.saturating_sub(millis.saturating_mul(1000)))
+    }
+
     /// True when a deadline at `self` has passed at `now`.
     pub fn is_past(self, now: ClockTime) -> bool {
         self <= now
--- a/crates/foxledge-flows/src/lib.rs
+++ b/crates/foxledge-flows/src/lib.rs
@@ -16,7 +16,6 @@
 mod dying;
 mod ends;
 mod evidence;
-mod health;
 mod latency;
 mod list_rows;
 mod losses;
@@ -27,6 +26,7 @@
 mod tracks;
 mod turns;
 
+pub mod health;
 pub mod list;
 pub mod packet;
 pub mod placement;
--- a/crates/foxledge-gossip/src/copies.rs
+++ b/crates/foxledge-gossip/src/copies.rs
@@ -10,7 +10,7 @@
     member::FleetMember,
     messages::{BURST, MessageBody, PageMessage, PullMessage},
     pulls::{ListPull, PullStep},
-    spreading::{MOST_CLAIMS, SAMPLE},
+    spreading::MOST_CLAIMS,
 };
 
 /// Bytes of rows in one page: beside them are three readers at most, of 70 bytes.
@@ -25,6 +25,9 @@
 /// Shortest wait before another question after one was turned away, in milliseconds.
 const BUSY_MS: u64 = 20;
 
+/// Instances that have the list, told to one that can't be served now.
+const HOLDERS: usize = 4;
+
 impl FleetMember {
     /// Asks an instance for what is newer than known here: one nearby that has it, or
     /// else `from`.
@@ -32,9 +35,8 @@
         if self.pull.is_some() {
             return;
         }
-        let near = self.options.data_centre.clone();
         let known = self.list.head();
-        let holders = self.peers.holders(&mut self.rng, now, &near, known, 1);
+        let holders = self.peers.holders(&mut self.rng, now, known, 1);
         let holder = holders.first().and_then(|peer| peer.card.as_ref()?.address());
         let from = holder.unwrap_or(from);
         let ticket = self.rng.random();
@@ -93,8 +95,7 @@
 
     /// Turns a question away, and names others that may answer it.
     fn send_busy(&mut self, now: ClockTime, to: SocketAddrV4, ticket: u32) {
-        let near = self.options.data_centre.clone();
-        let peers = self.peers.holders(&mut self.rng, now, &near, 0, SAMPLE);
+        let peers = self.peers.holders(&mut self.rng, now, 0, HOLDERS);
         let page = PageMessage { ticket, is_busy: true, peers, ..PageMessage::default() };
         self.send(to, MessageBody::Page(page));
     }
--- a/crates/foxledge-gossip/src/effects.rs
+++ b/crates/foxledge-gossip/src/effects.rs
@@ -6,7 +6,11 @@
 use foxledge_flows::{HealthNote, rows::ListRow, source::ReadMode};
 use serde::Serialize;
 
-use crate::refused::RefusedItem;
+use crate::{
+    messages::PeerCard,
+    peers::{PeerChange, PeerLoss},
+    refused::RefusedItem,
+};
 
 /// `ReadOrder` is one call of the store.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -100,23 +104,68 @@
     },
     /// An item of the store can't be understood.
     ItemRefused(RefusedItem),
-    /// An instance was heard of for the first time.
+    /// An instance of the own data centre was heard of for the first time since its start.
     PeerFound {
         /// Where it takes messages.
         peer: String,
         /// Its data centre.
         data_centre: String,
     },
-    /// An instance hasn't been heard of for long, or said that it stops.
+    /// An instance of the own data centre doesn't answer.
     PeerLost {
         /// Where it took messages.
         peer: String,
         /// Time since somebody heard from it.
         age_ms: u64,
     },
+    /// An instance said that it stops.
+    PeerLeft {
+        /// Where it took messages.
+        peer: String,
+        /// Its data centre.
+        data_centre: String,
+    },
+    /// Another data centre is heard of, again or for the first time.
+    CentreFound {
+        /// Its name.
+        data_centre: String,
+        /// An instance there.
+        peer: String,
+    },
+    /// No instance of another data centre has been heard of for long.
+    CentreLost {
+        /// Its name.
+        data_centre: String,
+        /// Time since the last was heard of.
+        age_ms: u64,
+    },
 }
 
 impl FleetEvent {
+    /// What a report of an instance tells, if it is news.
+    pub(crate) fn of_change(change: PeerChange, card: &PeerCard) -> Option<FleetEvent> {
+        let peer = card.address()?.to_string();
+        let data_centre = card.data_centre.clone();
+        match change {
+            PeerChange::None => None,
+            PeerChange::Found => Some(FleetEvent::PeerFound { peer, data_centre }),
+            PeerChange::Left => Some(FleetEvent::PeerLeft { peer, data_centre }),
+            PeerChange::CentreFound => Some(FleetEvent::CentreFound { data_centre, peer }),
+        }
+    }
+
+    /// What silence tells.
+    pub(crate) fn of_loss(loss: PeerLoss) -> FleetEvent {
+        match loss {
+            PeerLoss::Peer { address, age_ms } => {
+                FleetEvent::PeerLost { peer: address.to_string(), age_ms }
+            }
+            PeerLoss::Centre { data_centre, age_ms } => {
+                FleetEvent::CentreLost { data_centre, age_ms }
+            }
+        }
+    }
+
     /// The event's word, as in log lines.
     pub fn kind(&self) -> &'static str {
         match self {
@@ -129,6 +178,9 @@
             FleetEvent::ItemRefused(_) => "item_refused",
             FleetEvent::PeerFound { .. } => "peer_found",
             FleetEvent::PeerLost { .. } => "peer_lost",
+            FleetEvent::PeerLeft { .. } => "peer_left",
+            FleetEvent::CentreFound { .. } => "centre_found",
+            FleetEvent::CentreLost { .. } => "centre_lost",
         }
     }
 }
--- a/crates/foxledge-gossip/src/learning.rs
+++ b/crates/foxledge-gossip/src/learning.rs
@@ -3,17 +3,16 @@
 use std::net::SocketAddrV4;
 
 use foxledge_core::time::ClockTime;
-use foxledge_flows::{HealthNote, NoteKind, rows::ListRow};
+use foxledge_flows::rows::ListRow;
 use rand::Rng;
 
 use crate::{
     effects::{FleetEffect, FleetEvent},
     election::ReaderClaim,
     member::FleetMember,
-    messages::{BeatMessage, ClaimMessage, HeardPeer, NoteMessage},
+    messages::{BeatMessage, ClaimMessage, HeardPeer},
     packing::PackedRows,
-    peers::PeerChange,
-    spreading::{DOUBT_MS, NOTE_MS},
+    spreading::DOUBT_MS,
 };
 
 /// A confirmation is news if it is newer than the known one by this, in
@@ -23,9 +22,9 @@
 const MANY: u32 = 24;
 /// Wait before an instance reads a first list by itself when many start together, in
 /// milliseconds: the seeds' copies come first.
-const TOGETHER_MS: u64 = 150;
+const TOGETHER_MS: u64 = 20;
 /// Spread of that wait in milliseconds.
-const TOGETHER_SPREAD_MS: u64 = 450;
+const TOGETHER_SPREAD_MS: u64 = 180;
 
 impl FleetMember {
     /// Takes a heartbeat with its news, and passes on what is new here.
@@ -33,15 +32,17 @@
         self.learn_peers(now, &beat);
         self.learn_claims(now, &beat.claims);
         self.leave_reading_to_seeds(now, from, &beat);
-        let has_notes = self.learn_notes(now, &beat);
         let former = self.list.head();
         self.learn_rows(now, from, &beat);
         let is_confirmed = self.confirm();
+        if beat.wants_answer && beat.head == 0 {
+            self.tell_starter(now, from);
+        }
         if beat.wants_answer || (beat.head < self.list.head() && self.list.head() == former) {
-            self.tell(now, from, beat.head);
+            self.tell(now, from, &beat);
         }
         let is_newer = self.list.head() > former;
-        if is_newer || is_confirmed || has_notes {
+        if is_newer || is_confirmed {
             self.spread(now, former, Some(from));
         }
     }
@@ -81,19 +82,10 @@
             if card.address() == Some(self.options.address) {
                 continue;
             }
-            let heard_at = earlier(now, peer.age_ms);
-            let change = self.peers.take(&self.options.data_centre, card, heard_at, peer.head);
-            let Some(address) = card.address() else { continue };
-            match change {
-                PeerChange::None => {}
-                PeerChange::Found => self.effects.push(FleetEffect::Event(FleetEvent::PeerFound {
-                    peer: address.to_string(),
-                    data_centre: card.data_centre.clone(),
-                })),
-                PeerChange::Left => self.effects.push(FleetEffect::Event(FleetEvent::PeerLost {
-                    peer: address.to_string(),
-                    age_ms: 0,
-                })),
+            let heard_at = now.before_millis(u64::from(peer.age_ms));
+            let change = self.peers.take(card, heard_at, peer.head);
+            if let Some(event) = FleetEvent::of_change(change, card) {
+                self.effects.push(FleetEffect::Event(event));
             }
         }
     }
@@ -105,30 +97,12 @@
             if card.address() == Some(self.options.address) {
                 continue;
             }
-            let at = earlier(now, message.age_ms);
+            let at = now.before_millis(u64::from(message.age_ms));
             let claim = ReaderClaim { card, serial: message.serial, at, head: message.head };
             self.election.take_claim(claim);
         }
     }
 
-    /// Takes observations of backend servers; true when one is new here.
-    fn learn_notes(&mut self, now: ClockTime, beat: &BeatMessage) -> bool {
-        let mut is_news = false;
-        for message in &beat.notes {
-            let Some(kind) = note_kind(message) else { continue };
-            let at = earlier(now, message.age_ms);
-            if self.notes.contains_key(&message.id) || at.after_millis(NOTE_MS).is_past(now) {
-                continue;
-            }
-            let note =
-                HealthNote { number: message.number, incarnation: message.incarnation, kind, at };
-            self.notes.insert(message.id, note);
-            self.effects.push(FleetEffect::Note(note));
-            is_news = true;
-        }
-        is_news
-    }
-
     /// Takes changed rows, or asks for them when the heartbeat has too few.
     fn learn_rows(&mut self, now: ClockTime, from: SocketAddrV4, beat: &BeatMessage) {
         let known = self.list.head();
@@ -183,20 +157,3 @@
         self.list.forget_removed(now);
     }
 }
-
-/// The point that lies so long before now.
-fn earlier(now: ClockTime, age_ms: u32) -> ClockTime {
-    ClockTime::from_micros(now.as_micros().saturating_sub(u64::from(age_ms) * 1_000))
-}
-
-/// What a message says of a backend server; none for codes of later versions.
-fn note_kind(message: &NoteMessage) -> Option<NoteKind> {
-    match message.kind {
-        1 => Some(NoteKind::Suspect),
-        2 if message.is_lost => Some(NoteKind::Lost),
-        2 if message.is_silent => Some(NoteKind::Silent),
-        2 => Some(NoteKind::Ejected),
-        3 => Some(NoteKind::Alive),
-        _ => None,
-    }
-}
--- a/crates/foxledge-gossip/src/lib.rs
+++ b/crates/foxledge-gossip/src/lib.rs
@@ -13,6 +13,7 @@
 mod copies;
 mod effects;
 mod election;
+mod evidence;
 mod learning;
 mod member;
 mod messages;
@@ -24,7 +25,9 @@
 mod pulls;
 mod reading;
 mod refused;
+mod signs;
 mod spreading;
+mod telling;
 
 pub use effects::{FleetEffect, FleetEvent, ReadOrder};
 pub use member::FleetMember;
--- a/crates/foxledge-gossip/src/member.rs
+++ b/crates/foxledge-gossip/src/member.rs
@@ -1,17 +1,15 @@
 //! One instance as a member of the fleet.
 
-use std::{
-    collections::{BTreeMap, HashMap},
-    net::SocketAddrV4,
-};
+use std::{collections::HashMap, net::SocketAddrV4};
 
 use foxledge_core::time::ClockTime;
-use foxledge_flows::{FleetList, HealthNote, ListReading, SourceError};
+use foxledge_flows::{FleetList, ListReading, SourceError};
 use rand::{Rng, SeedableRng, rngs::StdRng};
 
 use crate::{
     effects::{FleetEffect, ReadOrder},
     election::ReaderElection,
+    evidence::EvidenceTable,
     messages::{FleetMessage, MessageBody, PeerCard},
     options::MemberOptions,
     peers::PeerTable,
@@ -61,8 +59,12 @@
     pub(crate) pull_at: Option<(ClockTime, SocketAddrV4)>,
     /// Instances that are being served with rows, and until when they count.
     pub(crate) served: HashMap<SocketAddrV4, ClockTime>,
-    /// Observations of backend servers that are still told, by their identity.
-    pub(crate) notes: BTreeMap<u32, HealthNote>,
+    /// What is told of the health of backend servers.
+    pub(crate) evidence: EvidenceTable,
+    /// When it is told next; none while there is nothing to tell.
+    pub(crate) round_at: Option<ClockTime>,
+    /// When the budget allows the next round.
+    pub(crate) free_at: ClockTime,
     /// When the store last confirmed the list, as far as is known.
     pub(crate) confirmed_at: Option<ClockTime>,
     /// The confirmation that others were last told.
@@ -114,11 +116,13 @@
             rng,
             list: FleetList::new(),
             preview: ListPreview::default(),
-            peers: PeerTable::default(),
+            peers: PeerTable::new(options.data_centre.as_str()),
             pull: None,
             pull_at: None,
             served: HashMap::new(),
-            notes: BTreeMap::new(),
+            evidence: EvidenceTable::default(),
+            round_at: None,
+            free_at: now,
             confirmed_at: None,
             told_at: ClockTime::ZERO,
             serial: 0,
@@ -186,6 +190,9 @@
         if let Some(at) = self.election.call_at() {
             next = next.min(at);
         }
+        if let Some(at) = self.round_at {
+            next = next.min(at);
+        }
         if self.card.is_leaving {
             return next;
         }
@@ -212,6 +219,7 @@
         self.retry_pull(now);
         self.ask_in_doubt(now);
         self.consider_reading(now);
+        self.tell_evidence(now);
         if self.beat_at.is_past(now) {
             self.beat(now);
         }
@@ -224,6 +232,7 @@
             Some(MessageBody::Beat(beat)) => self.take_beat(now, from, beat),
             Some(MessageBody::Pull(pull)) => self.answer_pull(now, from, &pull),
             Some(MessageBody::Page(page)) => self.take_page(now, page),
+            Some(MessageBody::Evidence(evidence)) => self.take_evidence(now, &evidence),
             None => return false,
         }
         true
@@ -243,18 +252,6 @@
         self.consider_reading(now);
     }
 
-    /// Shares what this instance observed of backend servers.
-    pub fn share_notes(&mut self, now: ClockTime, notes: &[HealthNote]) {
-        if notes.is_empty() {
-            return;
-        }
-        for note in notes {
-            let id = self.rng.random();
-            self.notes.insert(id, *note);
-        }
-        self.spread(now, self.list.head(), None);
-    }
-
     /// Tells others that this instance stops, and reads the store no more.
     pub fn leave(&mut self, now: ClockTime) {
         self.card.is_leaving = true;
--- a/crates/foxledge-gossip/src/messages.rs
+++ b/crates/foxledge-gossip/src/messages.rs
@@ -19,7 +19,7 @@
 #[derive(Clone, PartialEq, Message)]
 pub struct FleetMessage {
     /// Of what kind.
-    #[prost(oneof = "MessageBody", tags = "1, 2, 3")]
+    #[prost(oneof = "MessageBody", tags = "1, 2, 3, 4")]
     pub body: Option<MessageBody>,
 }
 
@@ -65,6 +65,9 @@
     /// Rows that were asked for.
     #[prost(message, tag = "3")]
     Page(PageMessage),
+    /// The health of backend servers.
+    #[prost(message, tag = "4")]
+    Evidence(EvidenceMessage),
 }
 
 /// `PeerCard` is who an instance is.
@@ -113,9 +116,6 @@
     /// Changed rows.
     #[prost(message, optional, tag = "5")]
     pub rows: Option<PackedRows>,
-    /// Observations of backend servers.
-    #[prost(message, repeated, tag = "6")]
-    pub notes: Vec<NoteMessage>,
     /// Some instances that the sender knows.
     #[prost(message, repeated, tag = "7")]
     pub peers: Vec<HeardPeer>,
@@ -164,31 +164,29 @@
     pub head: u64,
 }
 
-/// `NoteMessage` is an observation of a backend server.
+/// `EvidenceMessage` is what the sender believes of some backend servers, and why.
+#[derive(Clone, PartialEq, Message)]
+pub struct EvidenceMessage {
+    /// The sender is of another data centre than the receiver.
+    #[prost(bool, tag = "1")]
+    pub is_far: bool,
+    /// The backend servers.
+    #[prost(message, repeated, tag = "2")]
+    pub backends: Vec<EvidenceEntry>,
+}
+
+/// `EvidenceEntry` is the signs of health of one start of a backend server.
 #[derive(Clone, PartialEq, Eq, Message)]
-pub struct NoteMessage {
-    /// Chosen at random by the observer: copies that come by several ways are one.
-    #[prost(fixed32, tag = "4")]
-    pub id: u32,
+pub struct EvidenceEntry {
     /// The backend server's number.
     #[prost(fixed64, tag = "1")]
     pub number: u64,
-    /// 1 suspect, 2 ejected, 3 alive.
-    #[prost(uint32, tag = "2")]
-    pub kind: u32,
-    /// An ejection of one that left a new flow unanswered. Instances of versions that
-    /// don't know the field take it for any ejection.
-    #[prost(bool, tag = "5")]
-    pub is_silent: bool,
-    /// Time since the observation in milliseconds.
-    #[prost(uint32, tag = "3")]
-    pub age_ms: u32,
-    /// Of these, one whose evidence is the data of an open flow.
-    #[prost(bool, tag = "7")]
-    pub is_lost: bool,
-    /// Which start of the backend server was observed; 0 when nothing is told of starts.
-    #[prost(uint64, tag = "6")]
+    /// Which start; 0 when nothing is told of starts.
+    #[prost(uint64, tag = "2")]
     pub incarnation: u64,
+    /// The signs: identity, kind and age of each in 32 bits.
+    #[prost(fixed32, repeated, tag = "3")]
+    pub signs: Vec<u32>,
 }
 
 /// `PullMessage` asks for the rows after a cursor.
--- a/crates/foxledge-gossip/src/peers.rs
+++ b/crates/foxledge-gossip/src/peers.rs
@@ -1,7 +1,10 @@
 //! The instances that this one knows.
+//!
+//! Of a large fleet that is a part: all or most of the own data centre, some of each other
+//! one. Which part it happens to be is no news; that an instance starts, stops or is dead is.
 
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, BTreeSet, HashMap},
     net::SocketAddrV4,
 };
 
@@ -10,15 +13,25 @@
 
 use crate::messages::{HeardPeer, PeerCard};
 
-/// Silence after which an instance is forgotten, in milliseconds: five heartbeats.
-const LOST_MS: u64 = 5_000;
+/// Silence after which an instance is asked for a sign of life, in milliseconds: five
+/// heartbeats. Of another data centre it is forgotten, as others there take its place.
+const QUIET_MS: u64 = 5_000;
 /// Silence after which an instance isn't counted on, in milliseconds.
-const QUIET_MS: u64 = 2_500;
+const STALE_MS: u64 = 2_500;
+/// Time that an instance has for an answer, in milliseconds: ten times what one of a
+/// twentieth of a core takes when its whole fleet starts.
+const ANSWER_MS: u64 = 1_500;
+/// Questions without an answer after which an instance of the own data centre is lost. Where
+/// one packet in ten is lost, two and their answers are lost for one in thirty.
+const LOST_ASKS: u32 = 3;
 /// Most instances known of the own data centre. An epidemic needs only that the
 /// views of all make one connected graph, for which some dozen edges do at any size.
 const MOST_NEAR: usize = 64;
 /// Most instances known of each other data centre.
 const MOST_FAR: usize = 8;
+/// Most starts and stops that are remembered, at some 20 bytes each: more than a data centre
+/// of the largest deployment has instances.
+const MOST_REMEMBERED: usize = 2_000;
 
 #[derive(Clone, Debug)]
 struct PeerRecord {
@@ -26,73 +39,161 @@
     heard_at: ClockTime,
     /// Revision up to which it knew the list.
     head: u64,
+    /// Questions since it was last heard of.
+    asks: u32,
+    /// When the last of them counts as unanswered.
+    answer_by: ClockTime,
+}
+
+impl PeerRecord {
+    fn new(card: &PeerCard, heard_at: ClockTime, head: u64) -> PeerRecord {
+        PeerRecord { card: card.clone(), heard_at, head, asks: 0, answer_by: ClockTime::ZERO }
+    }
+
+    fn is_quiet(&self, now: ClockTime) -> bool {
+        self.heard_at.after_millis(QUIET_MS).is_past(now)
+    }
+
+    fn is_lost(&self, now: ClockTime) -> bool {
+        self.is_quiet(now) && self.asks >= LOST_ASKS && self.answer_by.is_past(now)
+    }
 }
 
 /// `PeerChange` is what a report of an instance changed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum PeerChange {
-    /// Nothing new.
+    /// Nothing that is news.
     None,
-    /// It is new here.
+    /// An instance of the own data centre was heard of for the first time since its start.
     Found,
-    /// It stops.
+    /// An instance stops.
     Left,
+    /// Another data centre is heard of, again or for the first time.
+    CentreFound,
+}
+
+/// `PeerLoss` is what silence tells.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum PeerLoss {
+    /// An instance of the own data centre doesn't answer.
+    Peer {
+        /// Where it took messages.
+        address: SocketAddrV4,
+        /// Time since somebody heard from it, in milliseconds.
+        age_ms: u64,
+    },
+    /// Nothing is heard of any instance of another data centre.
+    Centre {
+        /// Its name.
+        data_centre: String,
+        /// Time since then in milliseconds.
+        age_ms: u64,
+    },
+}
+
+/// `SampleSize` is how many instances a message tells of.
+#[derive(Clone, Copy, Debug)]
+pub struct SampleSize {
+    /// Of the receiver's data centre.
+    pub near: usize,
+    /// Of others.
+    pub far: usize,
+}
+
+impl SampleSize {
+    /// None at all.
+    pub const NONE: SampleSize = SampleSize { near: 0, far: 0 };
+    /// Told with each whole heartbeat. An instance gets some four of these a second: with four
+    /// instances each, views of fifty held half of their data centre ten seconds after its
+    /// start, and some were in so few that news passed them by.
+    pub const USUAL: SampleSize = SampleSize { near: 8, far: 2 };
+    /// Told to an instance that asks, as it may know nobody.
+    pub const WIDE: SampleSize = SampleSize { near: 12, far: 4 };
 }
 
 /// `PeerTable` is a view of the fleet: all of a small one, a random part of a large one.
 #[derive(Debug, Default)]
 pub struct PeerTable {
+    /// The own data centre.
+    near: String,
     records: HashMap<SocketAddrV4, PeerRecord>,
+    /// Incarnations of the own data centre that have been told as found.
+    found: HashMap<SocketAddrV4, u64>,
     /// Incarnations that said they stop, so that old reports don't bring them back.
     left: HashMap<SocketAddrV4, u64>,
+    /// Other data centres that are heard of.
+    centres: BTreeSet<String>,
 }
 
 impl PeerTable {
+    /// Makes a view that an instance in data centre `near` has of the others.
+    pub fn new(near: &str) -> PeerTable {
+        PeerTable { near: near.to_owned(), ..PeerTable::default() }
+    }
+
     /// Takes a report that somebody heard from an instance at `heard_at`.
-    pub fn take(
-        &mut self,
-        near: &str,
-        card: &PeerCard,
-        heard_at: ClockTime,
-        head: u64,
-    ) -> PeerChange {
+    pub fn take(&mut self, card: &PeerCard, heard_at: ClockTime, head: u64) -> PeerChange {
         let Some(address) = card.address() else { return PeerChange::None };
         if self.left.get(&address) == Some(&card.incarnation) {
             return PeerChange::None;
         }
         if card.is_leaving {
-            self.left.insert(address, card.incarnation);
+            remember(&mut self.left, address, card.incarnation);
+            self.found.remove(&address);
             let known = self.records.remove(&address);
             return if known.is_some() { PeerChange::Left } else { PeerChange::None };
         }
-        if let Some(record) = self.records.get_mut(&address) {
-            if heard_at > record.heard_at {
-                *record = PeerRecord { card: card.clone(), heard_at, head };
-            }
+        let is_newer = match self.records.get(&address) {
+            Some(record) => heard_at > record.heard_at,
+            None => self.make_room(card, heard_at),
+        };
+        if !is_newer {
             return PeerChange::None;
         }
-        if !self.make_room(near, card, heard_at) {
-            return PeerChange::None;
+        self.records.insert(address, PeerRecord::new(card, heard_at, head));
+        self.change_by(address, card)
+    }
+
+    /// What it means that an instance was heard of.
+    fn change_by(&mut self, address: SocketAddrV4, card: &PeerCard) -> PeerChange {
+        if card.data_centre != self.near {
+            let is_news = !self.centres.contains(&card.data_centre);
+            if is_news {
+                self.centres.insert(card.data_centre.clone());
+            }
+            return if is_news { PeerChange::CentreFound } else { PeerChange::None };
         }
-        self.records.insert(address, PeerRecord { card: card.clone(), heard_at, head });
-        PeerChange::Found
+        let former = remember(&mut self.found, address, card.incarnation);
+        if former == Some(card.incarnation) { PeerChange::None } else { PeerChange::Found }
     }
 
-    /// Forgets instances that have been silent for long, and returns them with the time
-    /// since then in milliseconds.
-    pub fn forget(&mut self, now: ClockTime) -> Vec<(SocketAddrV4, u64)> {
-        let mut lost = Vec::new();
+    /// Forgets instances that are lost, and returns what that tells.
+    pub fn forget(&mut self, now: ClockTime) -> Vec<PeerLoss> {
+        let millis = |at: ClockTime| now.since(at).as_millis() as u64;
+        let mut losses = Vec::new();
+        let mut far: BTreeMap<String, (bool, ClockTime)> = BTreeMap::new();
+        let (near, found) = (&self.near, &mut self.found);
         self.records.retain(|address, record| {
-            let is_lost = record.heard_at.after_millis(LOST_MS).is_past(now);
-            if is_lost {
-                lost.push((*address, now.since(record.heard_at).as_millis() as u64));
+            if record.card.data_centre == *near {
+                let is_lost = record.is_lost(now);
+                if is_lost {
+                    found.remove(address);
+                    let age_ms = millis(record.heard_at);
+                    losses.push(PeerLoss::Peer { address: *address, age_ms });
+                }
+                return !is_lost;
             }
-            !is_lost
+            let is_kept = !record.is_quiet(now);
+            let name = record.card.data_centre.clone();
+            let (is_heard, newest) = far.entry(name).or_insert((false, ClockTime::ZERO));
+            (*is_heard, *newest) = (*is_heard || is_kept, (*newest).max(record.heard_at));
+            is_kept
         });
-        if lost.len() > self.left.len() {
-            self.left.clear();
+        for (data_centre, (_, newest)) in far.into_iter().filter(|(_, (is_heard, _))| !is_heard) {
+            self.centres.remove(&data_centre);
+            losses.push(PeerLoss::Centre { data_centre, age_ms: millis(newest) });
         }
-        lost
+        losses
     }
 
     /// Number of known instances.
@@ -100,9 +201,9 @@
         self.records.len()
     }
 
-    /// Number of known instances of a data centre.
-    pub fn count_near(&self, near: &str) -> usize {
-        self.records.values().filter(|record| record.card.data_centre == near).count()
+    /// Number of instances of the own data centre that were heard of lately.
+    pub fn count_near(&self, now: ClockTime) -> usize {
+        self.fresh_near(now).count()
     }
 
     /// Every known instance.
@@ -115,20 +216,41 @@
     /// Instances heard of lately.
     pub fn live(&self, now: ClockTime) -> impl Iterator<Item = &PeerCard> {
         let is_live =
-            move |record: &&PeerRecord| !record.heard_at.after_millis(QUIET_MS).is_past(now);
+            move |record: &&PeerRecord| !record.heard_at.after_millis(STALE_MS).is_past(now);
         self.records.values().filter(is_live).map(|record| &record.card)
     }
 
-    /// Up to `count` random instances of a data centre.
-    pub fn pick_near(&self, rng: &mut StdRng, near: &str, count: usize) -> Vec<SocketAddrV4> {
-        let all = self.records.values().filter(|record| record.card.data_centre == near);
-        pick(rng, all.filter_map(|record| record.card.address()).collect(), count)
+    /// Up to `count` random instances of the own data centre that were heard of lately.
+    pub fn pick_near(&self, rng: &mut StdRng, now: ClockTime, count: usize) -> Vec<SocketAddrV4> {
+        pick(rng, self.fresh_near(now).filter_map(|record| record.card.address()).collect(), count)
+    }
+
+    /// An instance of the own data centre that was silent for long, to be asked for a sign of
+    /// life: the one that was asked least.
+    ///
+    /// Of fifty instances that live, some are heard of once in ten seconds, by chance. Taken
+    /// for lost they would be told nothing by those that forgot them, and everybody would read
+    /// of losses that are none.
+    pub fn pick_quiet(&mut self, rng: &mut StdRng, now: ClockTime) -> Option<SocketAddrV4> {
+        let near = &self.near;
+        let is_due = |record: &PeerRecord| {
+            let is_near = record.card.data_centre == *near;
+            is_near && record.is_quiet(now) && record.answer_by.is_past(now)
+        };
+        let due = self.records.iter().filter(|(_, record)| is_due(record));
+        let fewest = due.clone().map(|(_, record)| record.asks).min()?;
+        let least = due.filter(|(_, record)| record.asks == fewest);
+        let address = pick(rng, least.map(|(address, _)| *address).collect(), 1).pop()?;
+        let record = self.records.get_mut(&address)?;
+        record.asks += 1;
+        record.answer_by = now.after_millis(ANSWER_MS);
+        Some(address)
     }
 
     /// Up to `count` random instances of each other data centre.
-    pub fn pick_far(&self, rng: &mut StdRng, near: &str, count: usize) -> Vec<SocketAddrV4> {
+    pub fn pick_far(&self, rng: &mut StdRng, count: usize) -> Vec<SocketAddrV4> {
         let mut centres: BTreeMap<&str, Vec<SocketAddrV4>> = BTreeMap::new();
-        for record in self.records.values().filter(|record| record.card.data_centre != near) {
+        for record in self.records.values().filter(|record| record.card.data_centre != self.near) {
             let Some(address) = record.card.address() else { continue };
             centres.entry(record.card.data_centre.as_str()).or_default().push(address);
         }
@@ -138,10 +260,24 @@
         picked
     }
 
-    /// Up to `count` random known instances as they are told to others.
-    pub fn sample(&self, rng: &mut StdRng, now: ClockTime, count: usize) -> Vec<HeardPeer> {
-        let addresses = pick(rng, self.records.keys().copied().collect(), count);
-        let records = addresses.iter().filter_map(|address| self.records.get(address));
+    /// Some random instances as they are told to one of data centre `centre`: mostly of its
+    /// own, as it may learn of those from nobody else.
+    pub fn sample(
+        &self,
+        rng: &mut StdRng,
+        now: ClockTime,
+        centre: &str,
+        size: SampleSize,
+    ) -> Vec<HeardPeer> {
+        let fresh = self.records.iter().filter(|(_, record)| !record.is_quiet(now));
+        let (near, far): (Vec<_>, Vec<_>) =
+            fresh.partition(|(_, record)| record.card.data_centre == centre);
+        let addresses = |of: Vec<(&SocketAddrV4, &PeerRecord)>| {
+            of.into_iter().map(|(address, _)| *address).collect::<Vec<_>>()
+        };
+        let mut picked = pick(rng, addresses(near), size.near);
+        picked.extend(pick(rng, addresses(far), size.far));
+        let records = picked.iter().filter_map(|address| self.records.get(address));
         records.map(|record| heard(record, now)).collect()
     }
 
@@ -151,13 +287,14 @@
         &self,
         rng: &mut StdRng,
         now: ClockTime,
-        near: &str,
         head: u64,
         count: usize,
     ) -> Vec<HeardPeer> {
-        let all: Vec<_> = self.records.values().filter(|record| record.head > head).collect();
+        let is_holder = |record: &&PeerRecord| record.head > head && !record.is_quiet(now);
+        let all: Vec<_> = self.records.values().filter(is_holder).collect();
         let addresses = |is_near: bool| {
-            let some = all.iter().filter(|record| (record.card.data_centre == near) == is_near);
+            let some =
+                all.iter().filter(|record| (record.card.data_centre == self.near) == is_near);
             some.filter_map(|record| record.card.address()).collect::<Vec<_>>()
         };
         let picked = match pick(rng, addresses(true), count) {
@@ -168,9 +305,14 @@
         records.map(|record| heard(record, now)).collect()
     }
 
-    fn make_room(&mut self, near: &str, card: &PeerCard, heard_at: ClockTime) -> bool {
+    fn fresh_near(&self, now: ClockTime) -> impl Iterator<Item = &PeerRecord> {
+        let near = self.records.values().filter(|record| record.card.data_centre == self.near);
+        near.filter(move |record| !record.is_quiet(now))
+    }
+
+    fn make_room(&mut self, card: &PeerCard, heard_at: ClockTime) -> bool {
         let centre = card.data_centre.as_str();
-        let limit = if centre == near { MOST_NEAR } else { MOST_FAR };
+        let limit = if centre == self.near { MOST_NEAR } else { MOST_FAR };
         let same = self.records.iter().filter(|(_, record)| record.card.data_centre == centre);
         if same.clone().count() < limit {
             return true;
@@ -204,3 +346,15 @@
     }
     all
 }
+
+/// Remembers an incarnation, and returns the one that was remembered of that address.
+fn remember(
+    memory: &mut HashMap<SocketAddrV4, u64>,
+    address: SocketAddrV4,
+    incarnation: u64,
+) -> Option<u64> {
+    if memory.len() >= MOST_REMEMBERED && !memory.contains_key(&address) {
+        memory.clear();
+    }
+    memory.insert(address, incarnation)
+}
--- /dev/null
+++ b/crates/foxledge-gossip/src/signs.rs
@@ -0,0 +1,45 @@
+//! Signs of health as they travel: 32 bits each.
+//!
+//! | bits | meaning |
+//! |---|---|
+//! | 31 to 16 | identity |
+//! | 15 to 13 | kind |
+//! | 12 to 0 | age in milliseconds |
+
+use foxledge_core::time::ClockTime;
+use foxledge_flows::NoteKind;
+
+use crate::{evidence::HealthSign, spreading::age_ms};
+
+const ID_SHIFT: u32 = 16;
+const KIND_SHIFT: u32 = 13;
+const KIND_MASK: u32 = 0b111;
+/// Ages beyond it are told as this: no sign is told for so long.
+const OLDEST_MS: u32 = (1 << KIND_SHIFT) - 1;
+
+/// A sign as it is told now.
+pub(crate) fn pack_sign(now: ClockTime, sign: &HealthSign) -> u32 {
+    let kind = match sign.kind {
+        NoteKind::Suspect => 1,
+        NoteKind::Ejected => 2,
+        NoteKind::Silent => 3,
+        NoteKind::Lost => 4,
+        NoteKind::Alive => 5,
+    };
+    let age = age_ms(now, sign.at).min(OLDEST_MS);
+    u32::from(sign.id) << ID_SHIFT | kind << KIND_SHIFT | age
+}
+
+/// The sign that was told; none for kinds of later versions.
+pub(crate) fn unpack_sign(now: ClockTime, word: u32) -> Option<HealthSign> {
+    let kind = match word >> KIND_SHIFT & KIND_MASK {
+        1 => NoteKind::Suspect,
+        2 => NoteKind::Ejected,
+        3 => NoteKind::Silent,
+        4 => NoteKind::Lost,
+        5 => NoteKind::Alive,
+        _ => return None,
+    };
+    let at = now.before_millis(u64::from(word & OLDEST_MS));
+    Some(HealthSign { id: (word >> ID_SHIFT) as u16, kind, at })
+}
--- a/crates/foxledge-gossip/src/spreading.rs
+++ b/crates/foxledge-gossip/src/spreading.rs
@@ -3,31 +3,29 @@
 use std::net::SocketAddrV4;
 
 use foxledge_core::time::ClockTime;
-use foxledge_flows::{HealthNote, NoteKind, list::ListCursor};
+use foxledge_flows::list::ListCursor;
 use rand::{Rng, seq::IndexedRandom};
 
 use crate::{
     effects::{FleetEffect, FleetEvent},
     election::ReaderClaim,
     member::{BEAT_MS, FleetMember},
-    messages::{
-        BeatMessage, ClaimMessage, FleetMessage, LARGEST_MESSAGE, MessageBody, NoteMessage,
-    },
+    messages::{BeatMessage, ClaimMessage, FleetMessage, LARGEST_MESSAGE, MessageBody},
     packing::{PackedRows, RowPacker},
+    peers::SampleSize,
 };
 
+/// Heartbeats, on average, after which an instance that knows nobody nearby asks a seed for
+/// some: told by far instances alone it hears of most news too late.
+const ALONE_BEATS: u32 = 4;
 /// Bytes of rows in one message, so that the rest of it has room.
 pub(crate) const ROW_BUDGET: usize = 900;
-/// Known instances told with each heartbeat.
-pub(crate) const SAMPLE: usize = 4;
-/// How long observations of backend servers are repeated, in milliseconds.
-pub(crate) const NOTE_MS: u64 = 1_500;
 /// Age of the last confirmation at which peers are asked for a newer one, in
 /// milliseconds: a reader's period of 1.1 s and some room.
 pub(crate) const DOUBT_MS: u64 = 1_250;
 /// Peers of the own data centre that news are passed on to. With three, one
 /// epidemic reaches 94 of 100; the next, a second later, the rest.
-const NEAR_FANOUT: usize = 3;
+pub(crate) const NEAR_FANOUT: usize = 3;
 /// Peers of each other data centre that a reader tells at first hand.
 const FAR_FANOUT: usize = 2;
 /// Time between the two questions, in milliseconds.
@@ -44,10 +42,8 @@
 /// milliseconds: a little less than a reader's period, whose news are the usual ones.
 /// With each message these were 300 of 470 bytes.
 const WHOLE_MS: u64 = 900;
-/// Most observations in one message.
-const MOST_NOTES: usize = 12;
 
-/// `BeatScope` is how much a heartbeat tells beside rows and observations.
+/// `BeatScope` is how much a heartbeat tells beside rows.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum BeatScope {
     /// The newest answer of the store.
@@ -66,9 +62,8 @@
         let Some(doubt) = self.doubt_at.filter(|at| at.is_past(now)) else { return };
         let is_first = self.confirmed_at.is_some_and(|at| doubt <= at.after_millis(DOUBT_MS));
         self.doubt_at = is_first.then(|| now.after_millis(DOUBT_AGAIN_MS));
-        let near = self.options.data_centre.clone();
-        let mut to = self.peers.pick_near(&mut self.rng, &near, 2);
-        let far = self.peers.pick_far(&mut self.rng, &near, 1);
+        let mut to = self.peers.pick_near(&mut self.rng, now, 2);
+        let far = self.peers.pick_far(&mut self.rng, 1);
         to.extend(far.into_iter().take(1));
         let mut beat = self.beat_message(now, None, BeatScope::News);
         beat.wants_answer = true;
@@ -99,45 +94,57 @@
 
     /// Sends the heartbeat that is due, and forgets who has been silent.
     pub(crate) fn beat(&mut self, now: ClockTime) {
-        self.notes.retain(|_, note| !note.at.after_millis(NOTE_MS).is_past(now));
-        for (address, age_ms) in self.peers.forget(now) {
-            let peer = address.to_string();
-            self.effects.push(FleetEffect::Event(FleetEvent::PeerLost { peer, age_ms }));
+        self.evidence.forget(now);
+        for loss in self.peers.forget(now) {
+            self.effects.push(FleetEffect::Event(FleetEvent::of_loss(loss)));
         }
-        if self.peers.len() == 0 {
+        if self.peers.len() == 0 || self.is_alone(now) && self.rng.random_ratio(1, ALONE_BEATS) {
             self.ask_seeds(now);
         }
         self.spread(now, self.list.head(), None);
     }
 
+    /// True when no other instance of the own data centre is known: there may be none, or
+    /// those that this one asked at its start knew none.
+    fn is_alone(&self, now: ClockTime) -> bool {
+        self.peers.count_near(now) == 0
+    }
+
     /// Passes news on to some peers nearby, and now and then to one far away.
     pub(crate) fn spread(&mut self, now: ClockTime, base: u64, but: Option<SocketAddrV4>) {
-        let near = self.options.data_centre.clone();
-        let mut to = self.peers.pick_near(&mut self.rng, &near, NEAR_FANOUT + 1);
+        let mut to = self.peers.pick_near(&mut self.rng, now, NEAR_FANOUT + 1);
         to.retain(|address| Some(*address) != but);
         to.truncate(NEAR_FANOUT);
-        to.extend(self.pick_far_sometimes(&near));
+        to.extend(self.pick_far_sometimes(now));
         self.send_beats(now, base, to);
+        self.ask_quiet(now, base);
+    }
+
+    /// Asks an instance nearby that was silent for long, and tells it the same.
+    fn ask_quiet(&mut self, now: ClockTime, base: u64) {
+        let Some(quiet) = self.peers.pick_quiet(&mut self.rng, now) else { return };
+        let mut beat = self.beat_message(now, Some(base), BeatScope::News);
+        beat.wants_answer = true;
+        self.send(quiet, MessageBody::Beat(beat));
     }
 
     /// An instance of each other data centre with some probability: one of a small data
     /// centre's instances on average, and [`FAR_TELLERS`] of a large one's, tell it.
-    fn pick_far_sometimes(&mut self, near: &str) -> Vec<SocketAddrV4> {
-        let all = self.peers.count_near(near) as u32 + 1;
+    pub(crate) fn pick_far_sometimes(&mut self, now: ClockTime) -> Vec<SocketAddrV4> {
+        let all = self.peers.count_near(now) as u32 + 1;
         let (tellers, of) = match all {
             0..=LARGE_CENTRE => (1, all.min(FAR_TELLERS + 1)),
             _ => (FAR_TELLERS, all),
         };
-        let mut far = self.peers.pick_far(&mut self.rng, near, 1);
+        let mut far = self.peers.pick_far(&mut self.rng, 1);
         far.retain(|_| self.rng.random_ratio(tellers, of));
         far
     }
 
     /// Tells news of the store to peers nearby and in every data centre.
     pub(crate) fn spread_widely(&mut self, now: ClockTime, base: u64) {
-        let near = self.options.data_centre.clone();
-        let mut to = self.peers.pick_near(&mut self.rng, &near, NEAR_FANOUT);
-        to.extend(self.peers.pick_far(&mut self.rng, &near, FAR_FANOUT));
+        let mut to = self.peers.pick_near(&mut self.rng, now, NEAR_FANOUT);
+        to.extend(self.peers.pick_far(&mut self.rng, FAR_FANOUT));
         self.send_beats(now, base, to);
     }
 
@@ -159,30 +166,28 @@
     }
 
     /// Answers an instance that asks, or that is behind at `base`.
-    pub(crate) fn tell(&mut self, now: ClockTime, to: SocketAddrV4, base: u64) {
-        let mut beat = self.beat_message(now, Some(base), BeatScope::Whole);
+    pub(crate) fn tell(&mut self, now: ClockTime, to: SocketAddrV4, beat: &BeatMessage) {
+        let centre = beat.from.as_ref().map_or("", |card| card.data_centre.as_str());
+        let mut beat = self.beat_message(now, Some(beat.head), BeatScope::Whole);
         if beat.rows.is_none() {
-            beat.peers = self.peers.sample(&mut self.rng, now, SAMPLE * 2);
+            beat.peers = self.peers.sample(&mut self.rng, now, centre, SampleSize::WIDE);
         }
         self.send(to, MessageBody::Beat(beat));
     }
 
     /// A heartbeat; with `base`, with the rows that changed after it.
     fn beat_message(&mut self, now: ClockTime, base: Option<u64>, scope: BeatScope) -> BeatMessage {
-        let (most_peers, most_claims) = match scope {
-            BeatScope::News => (0, 1),
-            BeatScope::Whole => (SAMPLE, MOST_CLAIMS),
+        let (sample, most_claims) = match scope {
+            BeatScope::News => (SampleSize::NONE, 1),
+            BeatScope::Whole => (SampleSize::USUAL, MOST_CLAIMS),
         };
         let (base, rows) = self.rows_since(now, base);
-        let recent =
-            self.notes.iter().filter(|(_, note)| !note.at.after_millis(NOTE_MS).is_past(now));
         BeatMessage {
             from: Some(self.card.clone()),
             head: self.list.head(),
             base,
             rows,
-            notes: recent.take(MOST_NOTES).map(|(id, note)| note_message(now, *id, note)).collect(),
-            peers: self.peers.sample(&mut self.rng, now, most_peers),
+            peers: self.peers.sample(&mut self.rng, now, &self.options.data_centre, sample),
             claims: self.claim_messages(now, most_claims),
             wants_answer: false,
             peer_count: self.peers.len() as u32,
@@ -236,23 +241,6 @@
 }
 
 /// Age in milliseconds, rounded up: told from hop to hop it mustn't shrink by rounding.
-fn age_ms(now: ClockTime, at: ClockTime) -> u32 {
+pub(crate) fn age_ms(now: ClockTime, at: ClockTime) -> u32 {
     u32::try_from(now.since(at).as_micros().div_ceil(1_000)).unwrap_or(u32::MAX)
 }
-
-fn note_message(now: ClockTime, id: u32, note: &HealthNote) -> NoteMessage {
-    let kind = match note.kind {
-        NoteKind::Suspect => 1,
-        NoteKind::Ejected | NoteKind::Silent | NoteKind::Lost => 2,
-        NoteKind::Alive => 3,
-    };
-    NoteMessage {
-        id,
-        number: note.number,
-        incarnation: note.incarnation,
-        kind,
-        is_silent: matches!(note.kind, NoteKind::Silent | NoteKind::Lost),
-        is_lost: note.kind == NoteKind::Lost,
-        age_ms: age_ms(now, note.at),
-    }
-}
