End requests that wait at a backend server once its death is known

Cause: a flow was looked at only when its caller sent again, and what was told of a death counted no more than one silence seen here: a flow alone with its backend server ended by its fourth copy, 1.4 s after its request, with a deadline of 1.5 s.

Now the first copy suffices where the backend server is surely dead, and requests that may be repeated end without one after 150 ms (told_death_ends, waiting_flow_ended, red before; cut_instance_waits and waiting_bid_kept hold the limits). ends_only_dead now plays both kinds of request: where they may not be repeated it asserts what it did, else that an end while the caller waits is only ever at a dead backend server; the former assertion held for neither kind apart.

--- a/crates/foxledge-bench/src/flows/routing.rs
+++ b/crates/foxledge-bench/src/flows/routing.rs
@@ -57,7 +57,7 @@
 
     /// Ends the flows at rest that an instance's router names.
     fn end_idle_flows(&mut self, instance: usize) {
-        for end in self.instances[instance].router.take_idle_ends(self.now) {
+        for end in self.instances[instance].router.take_dead_ends(self.now) {
             let is_it = |(_, flow): &(&u64, &SimFlow)| flow.key == end.key;
             let flow = self.flows.iter().find(is_it).map(|(id, _)| *id);
             if let Some(flow) = flow {
--- a/crates/foxledge-daemon/src/packets/flow_part.rs
+++ b/crates/foxledge-daemon/src/packets/flow_part.rs
@@ -8,8 +8,8 @@
 
 use foxledge_core::time::ClockTime;
 use foxledge_flows::{
-    Backend, BackendNews, DropReason, EndReason, FlowDecision, FlowKey, FlowPacket, FlowRouter,
-    FlowStall, HealthClass, HealthNote, IdleEnd, OpenReason, PacketKind, RefuseReason,
+    Backend, BackendNews, DeadEnd, DropReason, EndReason, FlowDecision, FlowKey, FlowPacket,
+    FlowRouter, FlowStall, HealthClass, HealthNote, OpenReason, PacketKind, RefuseReason,
     RouterCounts, RouterOptions, flow_hash,
     packet::{HEADROOM, LARGEST_PACKET},
     rows::ListRow,
@@ -212,7 +212,7 @@
 
     /// Ends flows at rest whose backend server is dead, before their callers ask on them.
     fn end_idle_flows(&mut self, now: ClockTime) {
-        for IdleEnd { key, received, backend, reason } in self.router.take_idle_ends(now) {
+        for DeadEnd { key, received, backend, reason } in self.router.take_dead_ends(now) {
             let packet = FlowPacket {
                 key,
                 kind: PacketKind::Continue,
--- a/crates/foxledge-flows/src/decisions.rs
+++ b/crates/foxledge-flows/src/decisions.rs
@@ -91,6 +91,13 @@
         /// Time since another flow there was found unanswered, in milliseconds.
         silent_ms: u64,
     },
+    /// Its backend server is surely dead, and its caller waits for an answer from there.
+    WaitingAtDead {
+        /// Time since the unanswered data was sent on first, in milliseconds.
+        waited_ms: u64,
+        /// Time since something there was found unanswered, in milliseconds.
+        silent_ms: u64,
+    },
     /// Its backend server is surely dead, and nothing is under way on it.
     IdleAtDead {
         /// Time since its last packet, in milliseconds.
@@ -100,9 +107,9 @@
     },
 }
 
-/// `IdleEnd` is an open flow to be ended before its caller uses it again.
+/// `DeadEnd` is an open flow of a dead backend server that is ended without a packet of it.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct IdleEnd {
+pub struct DeadEnd {
     /// The flow.
     pub key: FlowKey,
     /// What its caller has received: callers take a reset only near it.
--- a/crates/foxledge-flows/src/ends.rs
+++ b/crates/foxledge-flows/src/ends.rs
@@ -10,18 +10,18 @@
 //! | what is ended | evidence |
 //! |---|---|
 //! | a request that waits | its data sent thrice, and something else there unanswered |
-//! | a flow at rest | a dead backend server ([`HealthState::is_dead`]), and another that answers this instance |
+//! | one that may be repeated, or a flow at rest | a dead backend server ([`HealthState::is_dead`]), and another that answers this instance |
 //!
 //! [`HealthState::is_dead`]: crate::health::HealthState::is_dead
 
 use foxledge_core::time::ClockTime;
 
 use crate::{
-    decisions::{EndReason, FlowStall, IdleEnd},
+    decisions::{DeadEnd, EndReason, FlowStall},
     mechanisms::RouterMechanism,
     packet::FlowKey,
     router::FlowRouter,
-    tracks::{IdleFlow, LOST_MS},
+    tracks::{FlowState, HeldFlow, LOST_MS},
 };
 
 /// Most flows ended in one look: 2,500 a second, so that a full backend server's 2,000 take
@@ -36,19 +36,20 @@
 
 /// `KnownSilence` is what is known of a backend server that has left something unanswered.
 #[derive(Clone, Copy, Debug)]
-struct KnownSilence {
+pub(crate) struct KnownSilence {
     silent_at: ClockTime,
     is_dead: bool,
 }
 
 impl FlowRouter {
-    /// Flows at rest whose backend server is surely dead, some at a time; they count as
-    /// ended from now on.
+    /// Flows whose backend server is surely dead, some at a time; they count as ended from
+    /// now on.
     ///
     /// Of the requests lost to dead backend servers where callers keep their flows for
     /// requests that may not be repeated, seven in ten were asked later than a second after
-    /// the death, on flows that had been at rest.
-    pub fn take_idle_ends(&mut self, now: ClockTime) -> Vec<IdleEnd> {
+    /// the death, on flows that had been at rest. Callers that wait there and may ask again
+    /// do so 0.2 to 0.8 s sooner than by their next copy.
+    pub fn take_dead_ends(&mut self, now: ClockTime) -> Vec<DeadEnd> {
         let mut dying = self.dying.take_due(now);
         dying.retain(|index| self.silence_of(now, *index).is_some_and(|known| known.is_dead));
         // What waited during a pause may hold signs of life.
@@ -56,7 +57,7 @@
         let is_sure = is_sure && !self.is_lossy() && self.has(RouterMechanism::IdleEnds);
         let mut ends = Vec::new();
         for index in dying.iter().filter(|_| is_sure) {
-            ends.extend(self.idle_ends_of(now, *index, MOST_ENDS - ends.len()));
+            ends.extend(self.dead_ends_of(now, *index, MOST_ENDS - ends.len()));
         }
         dying.into_iter().for_each(|index| self.dying.add(index));
         for end in &ends {
@@ -65,13 +66,14 @@
         ends
     }
 
-    /// Why a flow that stalls is ended, if it is; `silent_at` is when something else was found
-    /// unanswered by its backend server.
+    /// Why a flow that stalls is ended, if it is; `known` is what else was found unanswered by
+    /// its backend server.
     pub(crate) fn end_of(
         &self,
         now: ClockTime,
+        index: usize,
         stall: FlowStall,
-        silent_at: Option<ClockTime>,
+        known: Option<KnownSilence>,
     ) -> Option<EndReason> {
         // What is read after a pause was sent nobody knows when.
         if self.is_catching_up || !self.has(RouterMechanism::StalledEnds) {
@@ -80,10 +82,12 @@
         if self.is_lossy() && stall.copies < LOSSY_COPIES {
             return None;
         }
-        loss(now, stall, silent_at?)
+        let mut known = known?;
+        known.is_dead &= self.has_own_way(index, known.silent_at);
+        loss(now, stall, known)
     }
 
-    fn idle_ends_of(&self, now: ClockTime, index: usize, most: usize) -> Vec<IdleEnd> {
+    fn dead_ends_of(&self, now: ClockTime, index: usize, most: usize) -> Vec<DeadEnd> {
         let Some(silent_at) = self.silence_of(now, index).map(|known| known.silent_at) else {
             return Vec::new();
         };
@@ -91,21 +95,34 @@
             return Vec::new();
         }
         let time_of = |key: &FlowKey| self.request_time(key);
-        let mut flows: Vec<IdleFlow> = self.tracks.idle_flows(now, index, time_of).collect();
-        // Callers that may not ask again lose most.
-        flows.sort_by_key(|flow| (self.may_repeat(&flow.key), flow.last_at));
+        let held = self.tracks.held_flows(now, index, time_of);
+        let may_end = |flow: &HeldFlow| match flow.state {
+            FlowState::Idle => true,
+            FlowState::Waiting => {
+                self.has(RouterMechanism::WaitingEnds) && self.may_repeat(&flow.key)
+            }
+        };
+        let mut flows: Vec<HeldFlow> = held.filter(may_end).collect();
+        // Callers that may not ask again lose most, then those that wait.
+        let rank = |flow: &HeldFlow| {
+            (self.may_repeat(&flow.key), flow.state == FlowState::Idle, flow.since)
+        };
+        flows.sort_by_key(rank);
         flows.truncate(most);
         let millis = |at: ClockTime| now.since(at).as_millis() as u64;
-        let end = |flow: IdleFlow| IdleEnd {
+        let (silent_ms, end) = (millis(silent_at), |flow: HeldFlow, reason| DeadEnd {
             key: flow.key,
             received: flow.received,
             backend: index,
-            reason: EndReason::IdleAtDead {
-                idle_ms: millis(flow.last_at),
-                silent_ms: millis(silent_at),
-            },
+            reason,
+        });
+        let reason = |flow: &HeldFlow| match flow.state {
+            FlowState::Idle => EndReason::IdleAtDead { idle_ms: millis(flow.since), silent_ms },
+            FlowState::Waiting => {
+                EndReason::WaitingAtDead { waited_ms: millis(flow.since), silent_ms }
+            }
         };
-        flows.into_iter().map(end).collect()
+        flows.into_iter().map(|flow| end(flow, reason(&flow))).collect()
     }
 
     /// True when another backend server has answered this instance since `silent_at`: the
@@ -128,26 +145,26 @@
     }
 
     /// What is known of a backend server's silence.
-    fn silence_of(&self, now: ClockTime, index: usize) -> Option<KnownSilence> {
+    pub(crate) fn silence_of(&self, now: ClockTime, index: usize) -> Option<KnownSilence> {
         let health = &self.backends.get(index)?.health;
         let silent_at = health.silent_at()?;
         Some(KnownSilence { silent_at, is_dead: health.is_dead(now) })
     }
 }
 
-/// Why a flow that stalls is lost, if that is sure; `silent_at` is when something else
-/// was found unanswered by its backend server.
+/// Why a flow that stalls is lost, if that is sure; `known` is what else was found unanswered
+/// by its backend server.
 ///
 /// Without this, requests on flows to a dead backend server fail at their deadline,
 /// though others could answer them. A false alarm breaks a flow that lives. It takes the
 /// loss of an opening packet and its caller's copy, or of three copies of a flow's data,
 /// of every sign of life since, and of this flow's data: of three copies, or of two if
-/// the silence had lasted for [`LOST_MS`] before. A flow that is alone with its backend
-/// server ends by the fourth copy, as the third speaks for the silence.
-fn loss(now: ClockTime, stall: FlowStall, silent_at: ClockTime) -> Option<EndReason> {
-    let silent_ms = now.since(silent_at).as_millis() as u64;
+/// the silence had lasted for [`LOST_MS`] before or told of a death. A flow that is alone
+/// with its backend server ends by the fourth copy, as the third speaks for the silence.
+fn loss(now: ClockTime, stall: FlowStall, known: KnownSilence) -> Option<EndReason> {
+    let silent_ms = now.since(known.silent_at).as_millis() as u64;
     let is_old_silence = silent_ms >= stall.waited_ms + LOST_MS;
-    if !stall.is_lost && !is_old_silence {
+    if !stall.is_lost && !is_old_silence && !known.is_dead {
         return None;
     }
     Some(EndReason::BackendSilent { waited_ms: stall.waited_ms, silent_ms })
--- a/crates/foxledge-flows/src/lib.rs
+++ b/crates/foxledge-flows/src/lib.rs
@@ -35,7 +35,7 @@
 
 pub use backends::{Backend, BackendNews, BackendTable};
 pub use decisions::{
-    DropReason, EndReason, FlowDecision, FlowExplanation, FlowStall, IdleEnd, OpenReason,
+    DeadEnd, DropReason, EndReason, FlowDecision, FlowExplanation, FlowStall, OpenReason,
     RefuseReason, RouterCounts,
 };
 pub use health::{HealthClass, HealthNote, HealthState, NoteKind, SilenceWitness};
--- a/crates/foxledge-flows/src/mechanisms.rs
+++ b/crates/foxledge-flows/src/mechanisms.rs
@@ -17,6 +17,8 @@
     StalledEnds,
     /// Flows at rest at a dead backend server are ended.
     IdleEnds,
+    /// Requests that wait there and may be repeated are ended before they are sent again.
+    WaitingEnds,
     /// Silence on lossy ways counts less.
     LossDoubt,
     /// Copies of an opening within 150 ms go where the first went.
@@ -31,7 +33,7 @@
 
 impl RouterMechanism {
     /// Every one.
-    pub const ALL: [RouterMechanism; 12] = [
+    pub const ALL: [RouterMechanism; 13] = [
         RouterMechanism::Suspicion,
         RouterMechanism::Ejection,
         RouterMechanism::Probation,
@@ -39,6 +41,7 @@
         RouterMechanism::TrialTurns,
         RouterMechanism::StalledEnds,
         RouterMechanism::IdleEnds,
+        RouterMechanism::WaitingEnds,
         RouterMechanism::LossDoubt,
         RouterMechanism::CopyWindow,
         RouterMechanism::Slowness,
@@ -56,6 +59,7 @@
             RouterMechanism::TrialTurns => "trial-turns",
             RouterMechanism::StalledEnds => "stalled-ends",
             RouterMechanism::IdleEnds => "idle-ends",
+            RouterMechanism::WaitingEnds => "waiting-ends",
             RouterMechanism::LossDoubt => "loss-doubt",
             RouterMechanism::CopyWindow => "copy-window",
             RouterMechanism::Slowness => "slowness",
--- a/crates/foxledge-flows/src/router.rs
+++ b/crates/foxledge-flows/src/router.rs
@@ -340,9 +340,10 @@
             self.seen_alive(now, index);
         }
         // What this packet itself tells is no evidence beside it.
-        let silent_at = self.backends.get(index).and_then(|one| one.health.silent_at());
+        let known = self.silence_of(now, index);
         let stall = self.track(now, packet, index);
-        let reason = stall.filter(|_| may_repeat).and_then(|one| self.end_of(now, one, silent_at));
+        let reason =
+            stall.filter(|_| may_repeat).and_then(|one| self.end_of(now, index, one, known));
         if let Some(reason) = reason {
             self.end_track(&packet.key);
             return FlowDecision::End { backend: index, reason };
--- a/crates/foxledge-flows/src/tracks.rs
+++ b/crates/foxledge-flows/src/tracks.rs
@@ -23,6 +23,9 @@
 /// milliseconds: callers acknowledge every second packet of one, and send again what stays
 /// unacknowledged for 200 ms.
 const AT_REST_MS: u64 = 250;
+/// Time that a caller must have waited, in milliseconds, for its flow to be ended because its
+/// backend server is dead: one that lives shows it by most answers within this time.
+const WAITED_MS: u64 = 150;
 /// Most flows tracked, at about 70 bytes each.
 const MOST_TRACKS: usize = 100_000;
 /// Time between two looks for forgotten tracks, in milliseconds.
@@ -103,15 +106,26 @@
     SameLoss,
 }
 
-/// `IdleFlow` is an open flow on which nothing is under way.
+/// `FlowState` is what an open flow does.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum FlowState {
+    /// Nothing is under way on it.
+    Idle,
+    /// Its caller has waited for an answer for [`WAITED_MS`] and more.
+    Waiting,
+}
+
+/// `HeldFlow` is an open flow of a backend server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct IdleFlow {
+pub struct HeldFlow {
     /// The flow.
     pub key: FlowKey,
+    /// What it does.
+    pub state: FlowState,
     /// What its caller has received.
     pub received: u32,
-    /// When its last packet came.
-    pub last_at: ClockTime,
+    /// When its last packet came, or when the data that waits was sent on first.
+    pub since: ClockTime,
 }
 
 /// `TrackTable` is the flows that were seen lately.
@@ -200,25 +214,18 @@
         ended
     }
 
-    /// Flows of a backend server on which nothing is under way: the last answer has come, or
-    /// its caller's time for it, told by `time_of` in milliseconds, is over.
-    pub fn idle_flows<'a>(
+    /// Flows of a backend server that are at rest or wait for an answer; a caller's time for
+    /// one, told by `time_of` in milliseconds, ends the wait.
+    pub fn held_flows<'a>(
         &'a self,
         now: ClockTime,
         backend: usize,
         time_of: impl Fn(&FlowKey) -> u64 + 'a,
-    ) -> impl Iterator<Item = IdleFlow> + 'a {
+    ) -> impl Iterator<Item = HeldFlow> + 'a {
         let own = self.tracks.iter().filter(move |(_, track)| track.backend == backend);
-        let idle = own.filter(move |(key, track)| {
-            let is_waiting =
-                track.asked_at.is_some() && !track.sent_at.after_millis(time_of(key)).is_past(now);
-            let is_at_rest = track.last_at.after_millis(AT_REST_MS).is_past(now);
-            is_at_rest && !is_waiting && !track.is_retired
-        });
-        idle.map(|(key, track)| IdleFlow {
-            key: *key,
-            received: track.received,
-            last_at: track.last_at,
+        own.filter_map(move |(key, track)| {
+            let (state, since) = track.state(now, time_of(key))?;
+            Some(HeldFlow { key: *key, state, received: track.received, since })
         })
     }
 
@@ -251,6 +258,20 @@
 }
 
 impl FlowTrack {
+    /// What the flow does, and since when; none when that can't be told yet.
+    fn state(&self, now: ClockTime, time_ms: u64) -> Option<(FlowState, ClockTime)> {
+        if self.is_retired {
+            return None;
+        }
+        let is_asking = self.asked_at.is_some() && !self.sent_at.after_millis(time_ms).is_past(now);
+        if is_asking {
+            let has_waited = self.sent_at.after_millis(WAITED_MS).is_past(now);
+            return has_waited.then_some((FlowState::Waiting, self.sent_at));
+        }
+        let is_at_rest = self.last_at.after_millis(AT_REST_MS).is_past(now);
+        is_at_rest.then_some((FlowState::Idle, self.last_at))
+    }
+
     /// Takes data that was sent on before.
     fn resend(&mut self, now: ClockTime) -> TrackNews {
         let is_soon = !self.copied_at.after_millis(RESEND_MS).is_past(now);
--- a/crates/foxledge-flows/tests/dead_backend.rs
+++ b/crates/foxledge-flows/tests/dead_backend.rs
@@ -251,3 +251,95 @@
         assert!(matches!(decision, FlowDecision::Forward { .. }), "{decision:?}");
     }
 }
+
+/// What peers tell of a backend server whose death two of them have found.
+fn told_death(at_ms: u64) -> [HealthNote; 2] {
+    [NoteKind::Silent, NoteKind::Lost].map(|kind| HealthNote {
+        number: 1,
+        incarnation: 0,
+        kind,
+        at: at(at_ms),
+    })
+}
+
+/// Lets a caller of backend server 2 have an answer at `now`: the instance's own way is good.
+fn answer_elsewhere(router: &mut FlowRouter, now: u64) {
+    let caller = common::key(3, 7);
+    router.on_packet(at(now - 20), &data(caller, 2, 5_000, 1));
+    let mut packet = data(caller, 2, 5_100, 600);
+    packet.length = 0;
+    router.on_packet(at(now), &packet);
+}
+
+// Symptom: a caller that is alone with its backend server waits for 1.4 s, and has hardly
+//   time left to ask elsewhere.
+// Sequence: the backend server has died, as all instances were told; a caller asks on its
+//   open flow, and sends its request again.
+// Cause: what is told counts no more than one silence seen here.
+#[test]
+fn told_death_ends() {
+    let (mut router, key) = flow_at_first();
+    let request = data(key, 1, 2_000, 1);
+    router.on_packet(at(ASKED), &request);
+    told_death(ASKED - 20).iter().for_each(|note| router.take_note(at(ASKED + 10), note));
+    answer_elsewhere(&mut router, ASKED + 60);
+    let decision = router.on_packet(at(ASKED + 200), &request);
+    let FlowDecision::End { reason: EndReason::BackendSilent { waited_ms, .. }, .. } = decision
+    else {
+        panic!("{decision:?}");
+    };
+    assert_eq!(waited_ms, 200);
+}
+
+// The same where no other backend server has answered this instance: its own way may be cut.
+#[test]
+fn cut_instance_waits() {
+    let (mut router, key) = flow_at_first();
+    let request = data(key, 1, 2_000, 1);
+    router.on_packet(at(ASKED), &request);
+    told_death(ASKED - 20).iter().for_each(|note| router.take_note(at(ASKED + 10), note));
+    let decision = router.on_packet(at(ASKED + 200), &request);
+    assert!(matches!(decision, FlowDecision::Forward { .. }), "{decision:?}");
+}
+
+// Symptom: when it becomes known that a backend server is dead, callers there go on waiting
+//   until they send again, 0.2 to 0.8 s later.
+// Sequence: two flows witness the death; those that asked after them wait meanwhile.
+// Cause: a flow is looked at only when a packet of it comes.
+#[test]
+fn waiting_flow_ended() {
+    for (asked, ends) in [(ASKED, true), (ASKED + 200, false)] {
+        let (mut router, key) = flow_at_first();
+        router.on_packet(at(asked), &data(key, 1, 2_000, 1));
+        told_death(ASKED + 200).iter().for_each(|note| router.take_note(at(ASKED + 210), note));
+        answer_elsewhere(&mut router, ASKED + 230);
+        // A request that was asked just now may be answered yet, and would show life.
+        let ended = router.take_dead_ends(at(ASKED + 250));
+        assert_eq!(
+            ended.iter().map(|end| end.key).collect::<Vec<_>>(),
+            ends.then_some(key).as_slice()
+        );
+        if let Some(end) = ended.first() {
+            let EndReason::WaitingAtDead { waited_ms, silent_ms } = end.reason else {
+                panic!("{end:?}");
+            };
+            assert_eq!((waited_ms, silent_ms), (250, 50));
+        }
+    }
+}
+
+// Symptom: a bid is lost that its backend server had received and answered.
+// Cause: a request that may not be repeated is ended while its answer may be on the way.
+#[test]
+fn waiting_bid_kept() {
+    let (mut router, key) = flow_at_first();
+    let mut row = route("r", 443, "desk", 9);
+    if let Some(RowValue::Route(route)) = &mut row.value {
+        route.idempotent = false;
+    }
+    router.take_rows(at(500), &[row]);
+    router.on_packet(at(ASKED), &data(key, 1, 2_000, 1));
+    told_death(ASKED + 200).iter().for_each(|note| router.take_note(at(ASKED + 210), note));
+    answer_elsewhere(&mut router, ASKED + 230);
+    assert!(router.take_dead_ends(at(ASKED + 250)).is_empty());
+}
--- a/crates/foxledge-flows/tests/idle_flows.rs
+++ b/crates/foxledge-flows/tests/idle_flows.rs
@@ -6,7 +6,7 @@
 
 use common::*;
 use foxledge_flows::{
-    EndReason, FlowDecision, FlowKey, FlowRouter, HealthNote, IdleEnd, NoteKind, rows::RowValue,
+    DeadEnd, EndReason, FlowDecision, FlowKey, FlowRouter, HealthNote, NoteKind, rows::RowValue,
 };
 
 /// Backend servers of these tests.
@@ -39,7 +39,7 @@
     router: FlowRouter,
     /// Flow, its backend server, and the sequence and acknowledgement numbers that come next.
     kept: Vec<(FlowKey, u64, u32, u32)>,
-    ended: Vec<IdleEnd>,
+    ended: Vec<DeadEnd>,
 }
 
 impl Callers {
@@ -95,7 +95,7 @@
     /// Looks for flows to end, as often as in this span.
     fn look(&mut self, span: std::ops::Range<u64>) {
         for now in span.step_by(25) {
-            self.ended.extend(self.router.take_idle_ends(at(now)));
+            self.ended.extend(self.router.take_dead_ends(at(now)));
         }
     }
 
@@ -358,9 +358,9 @@
     }
     open_flow(&mut router, DEATH + 10, flow(2_000));
     let counts: Vec<usize> =
-        (0..100).map(|ms| router.take_idle_ends(at(DEATH + 50 + ms)).len()).collect();
+        (0..100).map(|ms| router.take_dead_ends(at(DEATH + 50 + ms)).len()).collect();
     assert!(counts.iter().all(|count| *count <= 50), "{counts:?}");
     assert!(counts.iter().sum::<usize>() <= 50 * 5, "{counts:?}");
-    let rest = (200..2_000).map(|ms| router.take_idle_ends(at(DEATH + ms)).len());
+    let rest = (200..2_000).map(|ms| router.take_dead_ends(at(DEATH + ms)).len());
     assert_eq!(counts.iter().sum::<usize>() + rest.sum::<usize>(), held);
 }
--- a/crates/foxledge-flows/tests/idle_sweep.rs
+++ b/crates/foxledge-flows/tests/idle_sweep.rs
@@ -9,7 +9,9 @@
 };
 
 use common::*;
-use foxledge_flows::{FlowDecision, FlowKey, FlowRouter, HealthNote, rows::RowValue};
+use foxledge_flows::{
+    DeadEnd, EndReason, FlowDecision, FlowKey, FlowRouter, HealthNote, rows::RowValue,
+};
 use proptest::prelude::*;
 
 const BACKENDS: u64 = 4;
@@ -105,12 +107,14 @@
     slow: Vec<u64>,
     to_lose: usize,
     lost_at: Vec<u64>,
-    /// Flows that were ended, by whether they were at rest.
-    ended: [usize; 2],
+    /// Requests may be repeated.
+    repeatable: bool,
+    /// Flows that were ended by a packet of theirs, at rest, and while their callers waited.
+    ended: [usize; 3],
 }
 
 impl Run {
-    fn new() -> Run {
+    fn new(repeatable: bool) -> Run {
         let rows: Vec<_> = (1..=BACKENDS).map(|number| backend(number, "desk", NEAR, 2)).collect();
         let mut run = Run {
             now: 0,
@@ -125,11 +129,12 @@
             slow: Vec::new(),
             to_lose: 0,
             lost_at: Vec::new(),
-            ended: [0; 2],
+            repeatable,
+            ended: [0; 3],
         };
         let mut row = route("r", 443, "desk", 9);
         if let Some(RowValue::Route(route)) = &mut row.value {
-            route.timeout_ms = DEADLINE as u32;
+            (route.timeout_ms, route.idempotent) = (DEADLINE as u32, repeatable);
         }
         for router in &mut run.routers {
             router.take_rows(at(0), std::slice::from_ref(&row));
@@ -290,16 +295,33 @@
             }
             self.routers[router].check_overdue(at(self.now));
             self.routers[router].set_confirmed(at(self.now));
-            for end in self.routers[router].take_idle_ends(at(self.now)) {
-                let flow = self.flows.iter().position(|caller| caller.key == end.key);
-                if let Some(flow) = flow {
-                    self.end(flow, 1);
-                }
+            for end in self.routers[router].take_dead_ends(at(self.now)) {
+                self.take_end(&end);
             }
         }
         self.push(10, Event::Tick);
     }
 
+    fn take_end(&mut self, end: &DeadEnd) {
+        let Some(flow) = self.flows.iter().position(|caller| caller.key == end.key) else { return };
+        let caller = self.flows[flow];
+        // What its caller sends while the reset is on its way is lost in any case.
+        let is_seen = caller.asked_at + WAY < self.now && self.now < caller.asked_at + DEADLINE;
+        let is_under_way = caller.is_waiting && is_seen;
+        match end.reason {
+            EndReason::IdleAtDead { .. } => {
+                assert!(!is_under_way, "a request was under way on {}", caller.key);
+                self.end(flow, 1);
+            }
+            EndReason::WaitingAtDead { .. } => {
+                // The caller may have its answer, where its word of that was lost.
+                assert!(self.repeatable, "a bid was under way on {}", caller.key);
+                self.end(flow, 2);
+            }
+            EndReason::BackendSilent { .. } => panic!("{end:?} without a packet"),
+        }
+    }
+
     fn end(&mut self, flow: usize, kind: usize) {
         let caller = self.flows[flow];
         assert!(
@@ -309,10 +331,6 @@
             self.now,
             caller.backend
         );
-        // What its caller sends while the reset is on its way is lost in any case.
-        let is_seen = caller.asked_at + WAY < self.now && self.now < caller.asked_at + DEADLINE;
-        let is_under_way = caller.is_waiting && is_seen;
-        assert!(kind == 0 || !is_under_way, "a request was under way on {}", caller.key);
         self.ended[kind] += 1;
         self.flows[flow] = self.opened(flow);
     }
@@ -336,10 +354,14 @@
     })]
 
     /// Whatever some lost packets, pauses and slow backend servers do: no flow ends whose
-    /// backend server lives, and none at rest on which its caller waits.
+    /// backend server lives, none as one at rest on which its caller waits, and none at all on
+    /// which a request waits that may not be repeated.
     #[test]
-    fn ends_only_dead(steps in prop::collection::vec(any_step(), 1..150)) {
-        let mut run = Run::new();
+    fn ends_only_dead(
+        repeatable in any::<bool>(),
+        steps in prop::collection::vec(any_step(), 1..150),
+    ) {
+        let mut run = Run::new(repeatable);
         for step in &steps {
             run.take(step);
         }
@@ -350,16 +372,19 @@
 #[test]
 fn dead_ones_end() {
     // The same world, without luck: a backend server dies, callers go on to ask.
-    let mut run = Run::new();
-    for round in 0..6 {
-        for flow in 0..FLOWS {
-            run.take(&Step::Ask { flow });
-            run.take(&Step::Wait { millis: 100 });
-        }
-        if round == 2 {
-            run.take(&Step::Die { backend: 2 });
+    for repeatable in [true, false] {
+        let mut run = Run::new(repeatable);
+        for round in 0..6 {
+            for flow in 0..FLOWS {
+                run.take(&Step::Ask { flow });
+                run.take(&Step::Wait { millis: 100 });
+            }
+            if round == 2 {
+                run.take(&Step::Die { backend: 2 });
+            }
         }
+        assert!(run.ended[1] >= 2, "{:?} flows were ended", run.ended);
+        assert_eq!(run.ended[2] > 0, repeatable, "{:?} flows were ended", run.ended);
+        assert!(run.flows.iter().all(|caller| caller.backend != 2), "{:?}", run.flows);
     }
-    assert!(run.ended[1] >= 2, "{:?} flows were ended while they waited and at rest", run.ended);
-    assert!(run.flows.iter().all(|caller| caller.backend != 2), "{:?}", run.flows);
 }
