--- a/crates/foxledge-gossip/src/evidence.rs
+++ b/crates/foxledge-gossip/src/evidence.rs
@@ -57,10 +57,12 @@
     pub incarnation: u64,
 }
 
-/// `SignOrigin` is where a sign was first heard of here.
+/// `SignOrigin` is where a sign was seen, as far as is known here.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum SignOrigin {
-    /// In the own data centre.
+    /// Here.
+    Own,
+    /// At another instance of the own data centre.
     Near,
     /// From another one, whose instances tell all others.
     Far,
@@ -84,13 +86,24 @@
     origin: SignOrigin,
 }
 
+/// `FarReach` is which other data centres are told of a backend server.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum FarReach {
+    /// None: they tell each other.
+    None,
+    /// All of them by some of the instances that tell it.
+    Some,
+    /// All of them by this instance, which saw it first.
+    Sure,
+}
+
 /// `DueEvidence` is a backend server that is to be told of.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct DueEvidence {
     /// Which.
     pub start: BackendStart,
-    /// Other data centres are to be told too.
-    pub is_for_all: bool,
+    /// Which other data centres are to be told too.
+    pub reach: FarReach,
 }
 
 /// `EvidenceTable` is what an instance tells of backend servers.
@@ -175,10 +188,10 @@
     ) -> Vec<DueEvidence> {
         let meant = self.states.iter().filter(|(_, state)| is_meant(state));
         let mut meant: Vec<_> = meant
-            .map(|(start, state)| (state.told, rng.random::<u32>(), *start, state.is_for_all()))
+            .map(|(start, state)| (state.told, rng.random::<u32>(), *start, state.reach()))
             .collect();
         meant.sort_unstable();
-        let due = |(_, _, start, is_for_all)| DueEvidence { start, is_for_all };
+        let due = |(_, _, start, reach)| DueEvidence { start, reach };
         meant.into_iter().map(due).collect()
     }
 
@@ -213,12 +226,15 @@
         }
     }
 
-    /// True when other data centres are told too: at once by the one where it was found, and
-    /// once more by all, as ways between some of them may be cut.
-    fn is_for_all(&self) -> bool {
-        match self.told {
-            ..PROMPT_TELLINGS => self.origin == SignOrigin::Near,
-            told => told + 1 == TELLINGS,
+    /// Which other data centres are told: at once by those where it was seen, and once more
+    /// by all, as ways between some of them may be cut.
+    fn reach(&self) -> FarReach {
+        match (self.told, self.origin) {
+            (0, SignOrigin::Own) => FarReach::Sure,
+            (..PROMPT_TELLINGS, SignOrigin::Far) => FarReach::None,
+            (..PROMPT_TELLINGS, _) => FarReach::Some,
+            (told, _) if told + 1 == TELLINGS => FarReach::Some,
+            _ => FarReach::None,
         }
     }
 
--- a/crates/foxledge-gossip/src/telling.rs
+++ b/crates/foxledge-gossip/src/telling.rs
@@ -14,7 +14,7 @@
 
 use crate::{
     effects::FleetEffect,
-    evidence::{BackendStart, DueEvidence, HealthSign, SignOrigin},
+    evidence::{BackendStart, DueEvidence, FarReach, HealthSign, SignOrigin},
     member::FleetMember,
     messages::{EvidenceEntry, EvidenceMessage, MessageBody},
     signs::{pack_sign, unpack_sign},
@@ -42,7 +42,7 @@
         for note in notes {
             let start = BackendStart { number: note.number, incarnation: note.incarnation };
             let sign = HealthSign { id: self.rng.random(), kind: note.kind, at: note.at };
-            is_news |= self.evidence.take(now, start, sign, SignOrigin::Near).is_some();
+            is_news |= self.evidence.take(now, start, sign, SignOrigin::Own).is_some();
         }
         if is_news {
             self.round_at = Some(self.free_at);
@@ -102,25 +102,49 @@
         near.extend(self.peers.pick_quiet(&mut self.rng, now));
         let message = self.evidence_message(now, due.iter().map(|one| &one.start));
         let due = &due[..message.backends.len()];
-        let for_all = due.iter().filter(|one| one.is_for_all);
-        let mut far_message = self.evidence_message(now, for_all.map(|one| &one.start));
-        far_message.is_far = true;
-        let far = match far_message.backends.is_empty() {
-            true => Vec::new(),
-            false => self.pick_far_sometimes(now),
-        };
-        let bytes = near.len() * message.encoded_len() + far.len() * far_message.encoded_len();
-        for to in near {
-            self.send(to, MessageBody::Evidence(message.clone()));
-        }
-        for to in far {
-            self.send(to, MessageBody::Evidence(far_message.clone()));
-        }
+        let mut bytes = self.send_evidence(near, &message);
+        let (reach, far) = self.pick_far_for(now, due);
+        let far_due = due.iter().filter(|one| one.reach >= reach);
+        let mut message = self.evidence_message(now, far_due.map(|one| &one.start));
+        message.is_far = true;
+        bytes += self.send_evidence(far, &message);
         due.iter().for_each(|one| self.evidence.told(now, &one.start));
         let cost_ms = bytes as u64 * 1_000 / BYTES_PER_S;
         self.free_at = now.after_millis(cost_ms.max(ROUND_MS));
     }
 
+    /// Instances of other data centres that a round is told to, and the least reach of what
+    /// they are told.
+    fn pick_far_for(
+        &mut self,
+        now: ClockTime,
+        due: &[DueEvidence],
+    ) -> (FarReach, Vec<SocketAddrV4>) {
+        let reach = due.iter().map(|one| one.reach).max().unwrap_or(FarReach::None);
+        let drawn = match reach {
+            FarReach::None => Vec::new(),
+            FarReach::Some | FarReach::Sure => self.pick_far_sometimes(now),
+        };
+        match reach {
+            FarReach::Sure if drawn.is_empty() => {
+                (FarReach::Sure, self.peers.pick_far(&mut self.rng, 1))
+            }
+            _ => (FarReach::Some, drawn),
+        }
+    }
+
+    /// Sends a message to some instances; returns the bytes.
+    fn send_evidence(&mut self, to: Vec<SocketAddrV4>, message: &EvidenceMessage) -> usize {
+        if message.backends.is_empty() {
+            return 0;
+        }
+        let bytes = to.len() * message.encoded_len();
+        for address in to {
+            self.send(address, MessageBody::Evidence(message.clone()));
+        }
+        bytes
+    }
+
     /// A message of some backend servers, as many of the first as it holds.
     fn evidence_message<'a>(
         &self,
--- a/crates/foxledge-gossip/tests/common/mod.rs
+++ b/crates/foxledge-gossip/tests/common/mod.rs
@@ -368,6 +368,11 @@
         self.carry_out(index);
     }
 
+    /// Lets a member have a datagram that somebody sends again.
+    pub fn deliver(&mut self, member: usize, from: SocketAddrV4, bytes: Vec<u8>) {
+        self.push(self.now_us, Event::Datagram { member, from, bytes });
+    }
+
     pub fn leave(&mut self, index: usize) {
         let now = self.now();
         if let Some(member) = &mut self.seats[index].member {
--- /dev/null
+++ b/crates/foxledge-gossip/tests/evidence_states.rs
@@ -0,0 +1,132 @@
+//! What is told of one backend server: signs add up, count once, and are refuted by life.
+
+mod common;
+
+use common::{VirtualFleet, settled_fleet};
+use foxledge_core::time::ClockTime;
+use foxledge_flows::{HealthNote, HealthState, NoteKind};
+
+/// The backend server of these tests.
+const NUMBER: u64 = 3;
+
+fn share(fleet: &mut VirtualFleet, seat: usize, kind: NoteKind) {
+    let note = HealthNote { number: NUMBER, incarnation: 1, kind, at: fleet.now() };
+    fleet.share(seat, note);
+}
+
+fn kinds(fleet: &VirtualFleet, seat: usize) -> Vec<NoteKind> {
+    fleet.seats[seat].notes.iter().map(|note| note.kind).collect()
+}
+
+/// What an instance believes by what it has heard.
+fn belief(fleet: &VirtualFleet, seat: usize) -> HealthState {
+    let mut state = HealthState::default();
+    for note in &fleet.seats[seat].notes {
+        state.on_note(note.at, note, 0);
+    }
+    state
+}
+
+fn is_dead(fleet: &VirtualFleet, seat: usize, now: ClockTime) -> bool {
+    belief(fleet, seat).is_dead(now)
+}
+
+// Symptom: callers wait on flows to a backend server that two instances have found dead.
+// Cause: each has one sign, and nobody puts the two together.
+#[test]
+fn signs_add_up() {
+    let mut fleet = settled_fleet(&[3, 3, 3], 1);
+    share(&mut fleet, 0, NoteKind::Lost);
+    fleet.run(300);
+    share(&mut fleet, 8, NoteKind::Lost);
+    fleet.run(300);
+    for seat in 1..8 {
+        assert!(is_dead(&fleet, seat, fleet.now()), "instance {seat}: {:?}", kinds(&fleet, seat));
+    }
+}
+
+#[test]
+fn two_suspicions_eject() {
+    let mut fleet = settled_fleet(&[3, 3, 3], 1);
+    share(&mut fleet, 0, NoteKind::Suspect);
+    fleet.run(100);
+    share(&mut fleet, 4, NoteKind::Suspect);
+    fleet.run(300);
+    for seat in [1, 2, 3, 5, 6, 7, 8] {
+        assert_eq!(kinds(&fleet, seat), [NoteKind::Suspect, NoteKind::Ejected], "instance {seat}");
+    }
+    // A suspicion that comes after the first has lapsed is a first one again.
+    fleet.run(3_500);
+    share(&mut fleet, 0, NoteKind::Suspect);
+    fleet.run(400);
+    share(&mut fleet, 4, NoteKind::Suspect);
+    fleet.run(300);
+    assert_eq!(kinds(&fleet, 1)[2..], [NoteKind::Suspect, NoteKind::Suspect]);
+}
+
+// Symptom: a backend server that serves again gets no new flows, and flows there end.
+// Sequence: two instances find it dead, a third has an answer from it; messages of before
+//   come late, by a way that was slow or sent again by somebody.
+// Cause: signs from before the sign of life count anew.
+#[test]
+fn life_refutes() {
+    let mut fleet = settled_fleet(&[3, 3], 1);
+    share(&mut fleet, 0, NoteKind::Lost);
+    share(&mut fleet, 1, NoteKind::Lost);
+    fleet.run(20);
+    let old: Vec<_> = fleet.newest.iter().cloned().collect();
+    fleet.run(500);
+    share(&mut fleet, 2, NoteKind::Alive);
+    fleet.run(500);
+    let before: Vec<_> = (3..6).map(|seat| kinds(&fleet, seat)).collect();
+    for seat in 3..6 {
+        assert_eq!(kinds(&fleet, seat).last(), Some(&NoteKind::Alive), "instance {seat}");
+        for message in &old {
+            let from = fleet.seats[0].address;
+            fleet.deliver(seat, from, message.clone());
+        }
+    }
+    fleet.run(1_000);
+    for seat in 3..6 {
+        assert_eq!(kinds(&fleet, seat), before[seat - 3], "instance {seat}");
+        assert!(!is_dead(&fleet, seat, fleet.now()));
+    }
+}
+
+// Symptom: for seconds after a death is known, callers that come back are sent there again.
+// Sequence: it stays dead; signs of it come twice a second, at one instance or another.
+// Cause: the first signs grow too old to count, and later ones aren't told.
+#[test]
+fn long_death_known() {
+    let mut fleet = settled_fleet(&[3, 3, 3], 1);
+    share(&mut fleet, 0, NoteKind::Silent);
+    let mut seen = vec![fleet.now(); 9];
+    for step in 0..20 {
+        seen[step % 9] = fleet.now();
+        share(&mut fleet, step % 9, NoteKind::Lost);
+        fleet.run(500);
+        for seat in 0..9 {
+            let heard = fleet.seats[seat].notes.iter().map(|note| note.at);
+            let newest = heard.chain([seen[seat]]).max().expect("has seen something");
+            let age = fleet.now().since(newest).as_millis();
+            assert!(step < 2 || age <= 2_500, "instance {seat}: {age:?} ms");
+        }
+    }
+    // Not every sign is passed on: one changes nothing where another has just come.
+    for seat in 0..9 {
+        assert!(fleet.seats[seat].notes.len() <= 20, "{} notes", fleet.seats[seat].notes.len());
+    }
+}
+
+// Another start under the same number is another process.
+#[test]
+fn starts_kept_apart() {
+    let mut fleet = settled_fleet(&[3, 3], 1);
+    share(&mut fleet, 0, NoteKind::Lost);
+    fleet.run(200);
+    let note = HealthNote { number: NUMBER, incarnation: 2, kind: NoteKind::Lost, at: fleet.now() };
+    fleet.share(1, note);
+    fleet.run(200);
+    let heard: Vec<_> = fleet.seats[4].notes.iter().map(|note| note.incarnation).collect();
+    assert_eq!(heard, [1, 2]);
+}
