Ask instances for signs of life with questions only, and part the evidence by job

Cause: rounds of evidence chose a quiet instance nearby as if they asked it. They tell a random quiet one now, and it counts as unasked. Seen while reading the change.

--- a/crates/foxledge-gossip/src/lib.rs
+++ b/crates/foxledge-gossip/src/lib.rs
@@ -10,6 +10,7 @@
 //! [`FleetMember`] is decision logic: datagrams, the store's answers and the
 //! time go in, [`FleetEffect`]s come out.
 
+mod backend_evidence;
 mod copies;
 mod effects;
 mod election;
@@ -20,6 +21,7 @@
 mod options;
 pub mod packing;
 mod peers;
+mod picks;
 mod preview;
 mod previewing;
 mod pulls;
--- a/crates/foxledge-gossip/src/peers.rs
+++ b/crates/foxledge-gossip/src/peers.rs
@@ -9,9 +9,8 @@
 };
 
 use foxledge_core::time::ClockTime;
-use rand::{Rng, rngs::StdRng};
 
-use crate::messages::{HeardPeer, PeerCard};
+use crate::messages::PeerCard;
 
 /// Silence after which an instance of the own data centre is asked for a sign of life, in
 /// milliseconds: five heartbeats.
@@ -21,12 +20,6 @@
 const FAR_QUIET_MS: u64 = 15_000;
 /// Silence after which an instance isn't counted on, in milliseconds.
 const STALE_MS: u64 = 2_500;
-/// Silence after which an instance of another data centre is asked for a sign of life, in
-/// milliseconds, if nothing has come from anywhere there.
-const CENTRE_QUIET_MS: u64 = 8_000;
-/// Time that an instance has for an answer, in milliseconds: ten times what one of a
-/// twentieth of a core takes when its whole fleet starts.
-const ANSWER_MS: u64 = 1_500;
 /// Questions without an answer after which an instance of the own data centre is lost. Where
 /// one packet in ten is lost, two and their answers are lost for one in thirty.
 const LOST_ASKS: u32 = 3;
@@ -39,18 +32,20 @@
 /// of the largest deployment has instances.
 const MOST_REMEMBERED: usize = 2_000;
 
+/// `PeerRecord` is what is known of another instance.
 #[derive(Clone, Debug)]
-struct PeerRecord {
-    card: PeerCard,
+pub(crate) struct PeerRecord {
+    pub card: PeerCard,
     /// Silence in milliseconds after which it is quiet.
     quiet_ms: u64,
-    heard_at: ClockTime,
+    /// When somebody last heard from it.
+    pub heard_at: ClockTime,
     /// Revision up to which it knew the list.
-    head: u64,
+    pub head: u64,
     /// Questions since it was last heard of.
-    asks: u32,
+    pub asks: u32,
     /// When the last of them counts as unanswered.
-    answer_by: ClockTime,
+    pub answer_by: ClockTime,
 }
 
 impl PeerRecord {
@@ -60,7 +55,8 @@
         PeerRecord { card: card.clone(), quiet_ms, heard_at, head, asks: 0, answer_by }
     }
 
-    fn is_quiet(&self, now: ClockTime) -> bool {
+    /// True when it wasn't heard of for long.
+    pub fn is_quiet(&self, now: ClockTime) -> bool {
         self.heard_at.after_millis(self.quiet_ms).is_past(now)
     }
 
@@ -101,35 +97,12 @@
     },
 }
 
-/// `SampleSize` is how many instances a message tells of.
-#[derive(Clone, Copy, Debug)]
-pub struct SampleSize {
-    /// Of the receiver's data centre.
-    pub near: usize,
-    /// Of others.
-    pub far: usize,
-}
-
-impl SampleSize {
-    /// Told with a whole heartbeat to another data centre, whose instances know few of this
-    /// one, and all of their own.
-    pub const FAR: SampleSize = SampleSize { near: 2, far: 0 };
-    /// None at all.
-    pub const NONE: SampleSize = SampleSize { near: 0, far: 0 };
-    /// Told with each whole heartbeat. An instance gets some four of these a second: with four
-    /// instances each, views of fifty held half of their data centre ten seconds after its
-    /// start, and some were in so few that news passed them by.
-    pub const USUAL: SampleSize = SampleSize { near: 6, far: 3 };
-    /// Told to an instance that asks, as it may know nobody.
-    pub const WIDE: SampleSize = SampleSize { near: 12, far: 4 };
-}
-
 /// `PeerTable` is a view of the fleet: all of a small one, a random part of a large one.
 #[derive(Debug, Default)]
 pub struct PeerTable {
     /// The own data centre.
-    near: String,
-    records: HashMap<SocketAddrV4, PeerRecord>,
+    pub(crate) near: String,
+    pub(crate) records: HashMap<SocketAddrV4, PeerRecord>,
     /// Incarnations of the own data centre that have been told as found.
     found: HashMap<SocketAddrV4, u64>,
     /// Incarnations that said they stop, so that old reports don't bring them back.
@@ -226,7 +199,7 @@
     }
 
     /// The instance of each other data centre that was heard of last.
-    fn newest_far(&self) -> BTreeMap<&str, &PeerRecord> {
+    pub(crate) fn newest_far(&self) -> BTreeMap<&str, &PeerRecord> {
         let mut newest: BTreeMap<&str, &PeerRecord> = BTreeMap::new();
         for record in self.records.values().filter(|record| record.card.data_centre != self.near) {
             let known = newest.entry(record.card.data_centre.as_str()).or_insert(record);
@@ -276,96 +249,7 @@
         self.records.values().filter(is_live).map(|record| &record.card)
     }
 
-    /// Up to `count` random instances of the own data centre that were heard of lately.
-    pub fn pick_near(&self, rng: &mut StdRng, now: ClockTime, count: usize) -> Vec<SocketAddrV4> {
-        pick(rng, self.fresh_near(now).filter_map(|record| record.card.address()).collect(), count)
-    }
-
-    /// An instance of the own data centre that was silent for long, to be asked for a sign of
-    /// life: the one that was asked least.
-    ///
-    /// Of fifty instances that live, some are heard of once in ten seconds, by chance. Taken
-    /// for lost they would be told nothing by those that forgot them, and everybody would read
-    /// of losses that are none.
-    pub fn pick_quiet(&mut self, rng: &mut StdRng, now: ClockTime) -> Option<SocketAddrV4> {
-        let near = &self.near;
-        let is_due = |record: &PeerRecord| {
-            let is_near = record.card.data_centre == *near;
-            is_near && record.is_quiet(now) && record.answer_by.is_past(now)
-        };
-        let due = self.records.iter().filter(|(_, record)| is_due(record));
-        let fewest = due.clone().map(|(_, record)| record.asks).min()?;
-        let least = due.filter(|(_, record)| record.asks == fewest);
-        let address = pick(rng, least.map(|(address, _)| *address).collect(), 1).pop()?;
-        let record = self.records.get_mut(&address)?;
-        record.asks += 1;
-        record.answer_by = now.after_millis(ANSWER_MS);
-        Some(address)
-    }
-
-    /// An instance of another data centre from which nothing has come for long, to be asked
-    /// for a sign of life: the newest known there.
-    pub fn pick_unheard(&self, rng: &mut StdRng, now: ClockTime) -> Option<SocketAddrV4> {
-        let newest = self.newest_far().into_values();
-        let unheard =
-            newest.filter(|record| record.heard_at.after_millis(CENTRE_QUIET_MS).is_past(now));
-        pick(rng, unheard.filter_map(|record| record.card.address()).collect(), 1).pop()
-    }
-
-    /// Up to `count` random instances of each other data centre.
-    pub fn pick_far(&self, rng: &mut StdRng, count: usize) -> Vec<SocketAddrV4> {
-        let mut centres: BTreeMap<&str, Vec<SocketAddrV4>> = BTreeMap::new();
-        for record in self.records.values().filter(|record| record.card.data_centre != self.near) {
-            let Some(address) = record.card.address() else { continue };
-            centres.entry(record.card.data_centre.as_str()).or_default().push(address);
-        }
-        let mut picked: Vec<_> =
-            centres.into_values().flat_map(|all| pick(rng, all, count)).collect();
-        picked.sort_unstable();
-        picked
-    }
-
-    /// Some random instances as they are told to one of data centre `centre`: mostly of its
-    /// own, as it may learn of those from nobody else.
-    pub fn sample(
-        &self,
-        rng: &mut StdRng,
-        now: ClockTime,
-        centre: &str,
-        size: SampleSize,
-    ) -> Vec<HeardPeer> {
-        let fresh = self.records.iter().filter(|(_, record)| !record.is_quiet(now));
-        let (near, far): (Vec<_>, Vec<_>) =
-            fresh.partition(|(_, record)| record.card.data_centre == centre);
-        let addresses = |of: Vec<(&SocketAddrV4, &PeerRecord)>| {
-            of.into_iter().map(|(address, _)| *address).collect::<Vec<_>>()
-        };
-        let mut picked = pick(rng, addresses(near), size.near);
-        picked.extend(pick(rng, addresses(far), size.far));
-        let records = picked.iter().filter_map(|address| self.records.get(address));
-        records.map(|record| heard(record, now)).collect()
-    }
-
-    /// Up to `count` random instances that know the list beyond `head`, as they are told to
-    /// others: nearby ones heard of lately, or else any nearby, or else far ones.
-    pub fn holders(
-        &self,
-        rng: &mut StdRng,
-        now: ClockTime,
-        head: u64,
-        count: usize,
-    ) -> Vec<HeardPeer> {
-        let all = self.records.values().filter(|record| record.head > head && record.asks == 0);
-        let rank =
-            |record: &PeerRecord| (record.card.data_centre != self.near, record.is_quiet(now));
-        let Some(best) = all.clone().map(rank).min() else { return Vec::new() };
-        let best = all.filter(|record| rank(record) == best);
-        let picked = pick(rng, best.filter_map(|record| record.card.address()).collect(), count);
-        let records = picked.iter().filter_map(|address| self.records.get(address));
-        records.map(|record| heard(record, now)).collect()
-    }
-
-    fn fresh_near(&self, now: ClockTime) -> impl Iterator<Item = &PeerRecord> {
+    pub(crate) fn fresh_near(&self, now: ClockTime) -> impl Iterator<Item = &PeerRecord> {
         let near = self.records.values().filter(|record| record.card.data_centre == self.near);
         near.filter(move |record| !record.is_quiet(now))
     }
@@ -389,25 +273,6 @@
     }
 }
 
-/// An instance as it is told to others.
-fn heard(record: &PeerRecord, now: ClockTime) -> HeardPeer {
-    let age = now.since(record.heard_at).as_millis();
-    HeardPeer {
-        card: Some(record.card.clone()),
-        age_ms: u32::try_from(age).unwrap_or(u32::MAX),
-        head: record.head,
-    }
-}
-
-fn pick(rng: &mut StdRng, mut all: Vec<SocketAddrV4>, count: usize) -> Vec<SocketAddrV4> {
-    all.sort_unstable();
-    while all.len() > count {
-        let index = rng.random_range(0..all.len());
-        all.swap_remove(index);
-    }
-    all
-}
-
 /// Remembers an incarnation, and returns the one that was remembered of that address.
 fn remember(
     memory: &mut HashMap<SocketAddrV4, u64>,
--- a/crates/foxledge-gossip/src/signs.rs
+++ b/crates/foxledge-gossip/src/signs.rs
@@ -9,7 +9,7 @@
 use foxledge_core::time::ClockTime;
 use foxledge_flows::NoteKind;
 
-use crate::{evidence::HealthSign, spreading::age_ms};
+use crate::{backend_evidence::HealthSign, spreading::age_ms};
 
 const ID_SHIFT: u32 = 16;
 const KIND_SHIFT: u32 = 13;
--- a/crates/foxledge-gossip/src/spreading.rs
+++ b/crates/foxledge-gossip/src/spreading.rs
@@ -12,7 +12,7 @@
     member::{BEAT_MS, FleetMember},
     messages::{BeatMessage, ClaimMessage, FleetMessage, LARGEST_MESSAGE, MessageBody},
     packing::{PackedRows, RowPacker},
-    peers::SampleSize,
+    picks::SampleSize,
 };
 
 /// Heartbeats, on average, after which an instance that knows nobody nearby asks a seed for
--- a/crates/foxledge-gossip/src/telling.rs
+++ b/crates/foxledge-gossip/src/telling.rs
@@ -13,8 +13,9 @@
 use rand::Rng;
 
 use crate::{
+    backend_evidence::{FarReach, HealthSign, SignOrigin},
     effects::FleetEffect,
-    evidence::{BackendStart, DueEvidence, FarReach, HealthSign, SignOrigin},
+    evidence::{BackendStart, DueEvidence},
     member::FleetMember,
     messages::{EvidenceEntry, EvidenceMessage, MessageBody},
     signs::{pack_sign, unpack_sign},
@@ -99,7 +100,7 @@
 
     fn tell_round(&mut self, now: ClockTime, due: &[DueEvidence]) {
         let mut near = self.peers.pick_near(&mut self.rng, now, NEAR_FANOUT);
-        near.extend(self.peers.pick_quiet(&mut self.rng, now));
+        near.extend(self.peers.random_quiet(&mut self.rng, now));
         let message = self.evidence_message(now, due.iter().map(|one| &one.start));
         let due = &due[..message.backends.len()];
         let mut bytes = self.send_evidence(near, &message);
--- a/crates/foxledge-gossip/tests/evidence_states.rs
+++ b/crates/foxledge-gossip/tests/evidence_states.rs
@@ -130,3 +130,26 @@
     let heard: Vec<_> = fleet.seats[4].notes.iter().map(|note| note.incarnation).collect();
     assert_eq!(heard, [1, 2]);
 }
+
+// Symptom: instances that live are lost while backend servers die.
+// Sequence: one nearby hasn't been heard of for some seconds, by chance; it is told of evidence,
+//   and again.
+// Cause: it counts as asked for a sign of life, though nobody asked.
+#[test]
+fn telling_asks_nobody() {
+    let mut fleet = settled_fleet(&[60, 60], 1);
+    fleet.seats.iter_mut().for_each(|seat| seat.events.clear());
+    for step in 0..300 {
+        let note = HealthNote {
+            number: step % 40,
+            incarnation: step,
+            kind: NoteKind::Lost,
+            at: fleet.now(),
+        };
+        fleet.share(step as usize % 120, note);
+        fleet.run(50);
+    }
+    let events = fleet.seats.iter().flat_map(|seat| &seat.events);
+    let lost = events.filter(|(_, event)| event.kind() == "peer_lost").count();
+    assert_eq!(lost, 0);
+}
