--- a/crates/foxledge-gossip/src/learning.rs
+++ b/crates/foxledge-gossip/src/learning.rs
@@ -21,9 +21,10 @@
 /// Instances that a seed must have heard of for others to leave the first reading to it.
 const MANY: u32 = 24;
 /// Wait before an instance reads a first list by itself when many start together, in
-/// milliseconds: the seeds' copies come first.
+/// milliseconds.
 const TOGETHER_MS: u64 = 20;
-/// Spread of that wait in milliseconds.
+/// Spread of that wait in milliseconds. The first answers for 300 instances take the store's
+/// link for 0.3 s in any case; spread over 450 ms, the last instance served 90 ms later.
 const TOGETHER_SPREAD_MS: u64 = 180;
 
 impl FleetMember {
@@ -49,11 +50,10 @@
         }
     }
 
-    /// Waits longer before a first reading, once a seed that starts too has answered.
+    /// Waits a little longer before a first reading, once a seed that starts too has answered.
     ///
-    /// The whole store is 750 KB at 3,000 backend servers: three hundred instances
-    /// that all read it fill the store's link for two seconds. A few read it sooner
-    /// than a seed can hand it on.
+    /// Three hundred instances that read in one moment wait for the store's link all the same,
+    /// and those whose reading comes late may have the list from a peer by then.
     fn leave_reading_to_seeds(&mut self, now: ClockTime, from: SocketAddrV4, beat: &BeatMessage) {
         let is_seed = |address: &SocketAddrV4| self.options.seeds.contains(address);
         let is_waiting = self.list.head() == 0 && !self.is_together;
