Give test instances ports that no caller's socket can be given

The address is of the test process's own, but the caller stand-in binds all addresses and lets the system choose, from the same range. Between the choice of a port and its use by the started process another test's caller can be given it. The comment said that nothing else chooses ports there, which holds for sockets on one address only.

Ruled out: the soak (other addresses), trial sockets inherited by started processes (locked), addresses given out twice (remembered). Which caller took the port isn't in the logs.

--- a/crates/foxledge-fakes/src/harness/ports.rs
+++ b/crates/foxledge-fakes/src/harness/ports.rs
@@ -1,4 +1,4 @@
-//! Loopback addresses whose ports are chosen by the system.
+//! Loopback addresses whose ports nothing else is given.
 
 use std::{
     collections::HashSet,
@@ -14,6 +14,13 @@
 
 /// Tries before giving up.
 const TRIES: usize = 100;
+/// First of the ports that are given out, and how many: below those that systems choose by
+/// themselves, from 32,768 on as a rule.
+///
+/// A caller's socket on all addresses may be given any port that the system chooses, between
+/// its choice here and its use by a started process, which then ends with "address in use".
+const FIRST_PORT: u16 = 10_000;
+const PORTS: u32 = 20_000;
 
 /// Addresses given out by this process.
 static GIVEN: AtomicU32 = AtomicU32::new(0);
@@ -40,9 +47,8 @@
 pub fn free_address() -> anyhow::Result<SocketAddr> {
     let _trial = lock_trials();
     for _ in 0..TRIES {
-        let listener = TcpListener::bind((next_loopback(), 0))?;
-        let address = listener.local_addr()?;
-        let is_free = UdpSocket::bind(address).is_ok();
+        let address = next_address();
+        let is_free = TcpListener::bind(address).is_ok() && UdpSocket::bind(address).is_ok();
         if is_free && TAKEN.lock().unwrap_or_else(PoisonError::into_inner).insert(address) {
             return Ok(address);
         }
@@ -50,14 +56,16 @@
     bail!("no free port in {TRIES} tries")
 }
 
-/// A loopback IP number that follows from the process id and a count.
-///
-/// Between the choice of a port and its use by a started process, any other socket may be given the
-/// same port, that of a connection too. One would notice now and then a process that ends with
-/// "address in use". On an IP number of its own nothing else chooses ports.
-fn next_loopback() -> Ipv4Addr {
-    let [_, _, middle, low] = process::id().to_be_bytes();
+/// A loopback address that follows from the process id and a count.
+fn next_address() -> SocketAddr {
     let count = GIVEN.fetch_add(1, Ordering::Relaxed);
+    let place = process::id().wrapping_mul(7_919).wrapping_add(count) % PORTS;
+    SocketAddr::from((loopback_of(count), FIRST_PORT + place as u16))
+}
+
+/// A loopback IP number of this process's own, where the system has more than one.
+fn loopback_of(count: u32) -> Ipv4Addr {
+    let [_, _, middle, low] = process::id().to_be_bytes();
     // The second byte is from 1 to 254: neither 127.0.0.1 nor the broadcast address can come out.
     let own = Ipv4Addr::new(127, 1 + (count % 254) as u8, middle, low);
     match TcpListener::bind((own, 0)) {
