Hold signs of health as a set, so that late signs of life erase nothing newer

Cause: a sign of life reset all that was known of a backend server, whatever its age, and a copy of it that came by another way seemed newer than the evidence and was news again.

Signs are now a set named by identity: of each kind the newest two that no newer-or-equal sign of life refutes decide, the others are remembered for their copies. Taking them commutes and is idempotent (sign_algebra: 2,000 generated sequences each, and all 720 orders of six messages). The router keeps evidence that is newer than a sign of life told by peers (late_life).

--- a/crates/foxledge-flows/src/health.rs
+++ b/crates/foxledge-flows/src/health.rs
@@ -113,6 +113,8 @@
     lost_flows: u32,
     /// When the last of them was found.
     evidence_at: ClockTime,
+    /// When the newest of anything that speaks against it was found, here or by a peer.
+    against_at: ClockTime,
 }
 
 /// `HealthClass` orders backend servers for new flows, the best first.
@@ -196,6 +198,7 @@
         if self.alive_at > sent {
             return None;
         }
+        self.against_at = now;
         self.strikes += 1;
         if self.strikes > 1 || self.ejections > 0 || self.is_suspect(now) {
             return self.confirm(now, turn_ms);
@@ -218,7 +221,7 @@
         let is_news = self.silent_at.is_none();
         let is_ejected = self.confirm(now, turn_ms).is_some();
         self.silent_at.get_or_insert(now);
-        self.evidence_at = now;
+        (self.evidence_at, self.against_at) = (now, now);
         match witness {
             SilenceWitness::Opening => {
                 self.silent_openings += 1;
@@ -253,14 +256,20 @@
     }
 
     /// Takes an observation of another instance.
+    ///
+    /// Notes come late. A sign of life from before the newest evidence refutes what is older
+    /// than itself and leaves the rest: else one that was on its way when a backend server died
+    /// makes the dead one look healthy and idle, and all new flows go there.
     pub fn on_note(&mut self, now: ClockTime, note: &HealthNote, turn_ms: u64) {
         if note.at <= self.alive_at {
             return;
         }
+        if note.kind != NoteKind::Alive {
+            self.against_at = self.against_at.max(note.at);
+        }
         match note.kind {
-            NoteKind::Alive => {
-                *self = HealthState::since(note.at);
-            }
+            NoteKind::Alive if note.at < self.against_at => self.alive_at = note.at,
+            NoteKind::Alive => *self = HealthState::since(note.at),
             NoteKind::Suspect => {
                 let is_second = self.is_suspect(note.at);
                 self.suspect_until = self.suspect_until.max(note.at.after_millis(SUSPECT_MS));
--- a/crates/foxledge-gossip/src/backend_evidence.rs
+++ b/crates/foxledge-gossip/src/backend_evidence.rs
@@ -1,11 +1,24 @@
 //! What is believed of one backend server, and by which signs.
+//!
+//! # Signs add up, whatever their way
+//!
+//! A [`HealthSign`] is one observation of one instance. Copies of it come by many ways, late and
+//! repeatedly; all are one sign, named by its identity, at the time of its earliest copy. What
+//! is believed depends on the set of signs alone: taking them is commutative, associative and
+//! idempotent, as of each kind the newest decide and only a sign of life takes something away.
+//!
+//! - A sign of life refutes what was seen no later than it, and nothing that is newer.
+//! - A copy is never news. A sign is remembered after it was refuted or made needless, so that
+//!   its copies, which seem later from hop to hop, are known for what they are. Without that,
+//!   old signs of life made dead backend servers look healthy and idle, and new flows went there.
+//! - Signs older than [`TELL_MS`] are forgotten everywhere.
 
 use foxledge_core::time::ClockTime;
 use foxledge_flows::{NoteKind, health::SUSPECT_MS};
 
 /// How long signs are told, in milliseconds: as long as they count as evidence of a death.
 const TELL_MS: u64 = 3_000;
-/// A sign replaces one that says the same only if it is newer by this, in milliseconds.
+/// A sign that changes no belief is news if it is newer by this, in milliseconds.
 ///
 /// A dead backend server goes on leaving requests unanswered. One more sign changes nothing
 /// that is believed, but the evidence must not grow old while the death lasts: a third of
@@ -13,6 +26,10 @@
 const RENEW_MS: u64 = 1_000;
 /// Signs that suffice for the death of a backend server, if one is of an open flow.
 const DEATH_SIGNS: usize = 2;
+/// Signs of one kind that can decide what is believed: a death or an ejection takes two.
+const DECIDING_SIGNS: usize = 2;
+/// Most signs remembered of one backend server; more than those that can decide.
+const MOST_SIGNS: usize = 16;
 /// How often an instance tells a change at once, less the times that it hears the same. Once
 /// reaches 94 of 100 instances, twice 99.7.
 pub(crate) const PROMPT_TELLINGS: u32 = 2;
@@ -26,7 +43,7 @@
 
 /// `HealthSign` is what one instance saw of a backend server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) struct HealthSign {
+pub struct HealthSign {
     /// Chosen at random by the observer: copies that come by several ways are one. Two signs
     /// that share theirs count as one, which delays a belief and never makes one.
     pub id: u16,
@@ -38,7 +55,7 @@
 
 /// `SignOrigin` is where a sign was seen, as far as is known here.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum SignOrigin {
+pub enum SignOrigin {
     /// Here.
     Own,
     /// At another instance of the own data centre.
@@ -49,7 +66,7 @@
 
 /// `FarReach` is which other data centres are told of a backend server.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-pub(crate) enum FarReach {
+pub enum FarReach {
     /// None: they tell each other.
     None,
     /// All of them by some of the instances that tell it.
@@ -58,52 +75,74 @@
     Sure,
 }
 
-/// `BackendEvidence` is the signs of one backend server that decide what is believed.
+/// `BackendEvidence` is the signs of one backend server, and how far they were told.
 #[derive(Clone, Debug)]
-pub(crate) struct BackendEvidence {
-    /// The newest sign of life that meant a change.
-    alive: Option<HealthSign>,
-    /// At most one suspicion, one ejection and [`DEATH_SIGNS`] of silence that stand, and
-    /// some that `alive` refutes.
+pub struct BackendEvidence {
+    /// Signs that count, and others that are remembered for their copies.
     signs: Vec<HealthSign>,
     /// How often it was told here since it last changed.
-    pub told: u32,
+    pub(crate) told: u32,
     /// How often others told it here since then.
-    pub heard: u32,
+    pub(crate) heard: u32,
     /// When it is told next.
-    pub tell_at: ClockTime,
+    pub(crate) tell_at: ClockTime,
     /// Where its last change was heard of.
-    pub origin: SignOrigin,
+    pub(crate) origin: SignOrigin,
 }
 
 impl BackendEvidence {
     /// Nothing yet.
     pub fn new(origin: SignOrigin) -> BackendEvidence {
-        BackendEvidence {
-            alive: None,
-            signs: Vec::new(),
-            told: 0,
-            heard: 0,
-            tell_at: ClockTime::FAR,
-            origin,
+        BackendEvidence { signs: Vec::new(), told: 0, heard: 0, tell_at: ClockTime::FAR, origin }
+    }
+
+    /// Takes a sign; returns what it means if it is news.
+    pub fn take(&mut self, now: ClockTime, sign: HealthSign) -> Option<NoteKind> {
+        self.signs.retain(|known| !is_old(now, known));
+        if is_old(now, &sign) {
+            return None;
+        }
+        if let Some(known) = self.signs.iter_mut().find(|known| known.id == sign.id) {
+            // Told from hop to hop, a sign seems later by the way; the first word is truest.
+            known.at = known.at.min(sign.at);
+            return None;
         }
+        let (life, before) = (self.life(), self.verdict());
+        self.signs.push(sign);
+        self.forget_needless();
+        let after = self.verdict();
+        if sign.kind == NoteKind::Alive {
+            let is_renewal = life.is_none_or(|life| is_renewed(life.at, sign.at));
+            return (after.belief < before.belief || is_renewal).then_some(NoteKind::Alive);
+        }
+        let is_stronger = after.belief > before.belief;
+        if !is_stronger && !after.renews(&before) {
+            return None;
+        }
+        match after.belief {
+            HealthBelief::Ejected => Some(NoteKind::Ejected),
+            _ => Some(sign.kind),
+        }
+    }
+
+    /// What is believed.
+    pub fn belief(&self) -> HealthBelief {
+        self.verdict().belief
     }
 
     /// When it is told after it was told so often.
-    pub fn next_telling(&self, now: ClockTime) -> ClockTime {
+    pub(crate) fn next_telling(&self, now: ClockTime) -> ClockTime {
         match self.told {
             ..PROMPT_TELLINGS => now,
             // A suspicion has lapsed by then.
-            ..TELLINGS if belief(self.standing()) != HealthBelief::Suspected => {
-                now.after_millis(REPEAT_MS)
-            }
+            ..TELLINGS if self.belief() != HealthBelief::Suspected => now.after_millis(REPEAT_MS),
             _ => ClockTime::FAR,
         }
     }
 
     /// Which other data centres are told: at once by those where it was seen, and once more
     /// by all, as ways between some of them may be cut.
-    pub fn reach(&self) -> FarReach {
+    pub(crate) fn reach(&self) -> FarReach {
         match (self.told, self.origin) {
             (0, SignOrigin::Own) => FarReach::Sure,
             (..PROMPT_TELLINGS, SignOrigin::Far) => FarReach::None,
@@ -114,136 +153,157 @@
     }
 
     /// True when who told these signs believes no less.
-    pub fn is_known_by(&self, signs: &[HealthSign]) -> bool {
+    pub(crate) fn is_known_by(&self, signs: &[HealthSign]) -> bool {
+        let is_newer = |sign: &HealthSign, life: &HealthSign| {
+            sign.kind == NoteKind::Alive && (sign.id == life.id || sign.at >= life.at)
+        };
         let knows_life =
-            self.alive.is_none_or(|alive| signs.iter().any(|sign| sign.id == alive.id));
-        knows_life && belief(signs.iter()) >= belief(self.standing())
+            self.life().is_none_or(|life| signs.iter().any(|sign| is_newer(sign, &life)));
+        knows_life && verdict_of(signs).belief >= self.belief()
     }
 
-    /// Takes a sign; returns what it means if it changes what is believed.
-    pub fn take(&mut self, sign: HealthSign) -> Option<NoteKind> {
-        if let Some(known) = self.signs.iter_mut().find(|known| known.id == sign.id) {
-            // Told from hop to hop, a sign seems later by the way; the first word is truest.
-            known.at = known.at.min(sign.at);
-            return None;
-        }
-        if self.is_refuted(&sign) {
-            return None;
-        }
-        match sign.kind {
-            NoteKind::Alive => self.take_life(sign),
-            NoteKind::Suspect => self.take_suspicion(sign),
-            NoteKind::Ejected => self.take_ejection(sign),
-            NoteKind::Silent | NoteKind::Lost => self.take_silence(sign),
-        }
+    /// What is still told: the newest sign of life, and of the others those that suffice for
+    /// what is believed.
+    pub fn told_signs(&self, now: ClockTime) -> impl Iterator<Item = HealthSign> {
+        let told = self.life().into_iter().chain(self.sufficient());
+        told.filter(move |sign| !is_old(now, sign))
     }
 
-    /// Takes a sign of life. What it refutes is kept until it is too old to be told, so that
-    /// late copies of it are known for what they are.
-    fn take_life(&mut self, sign: HealthSign) -> Option<NoteKind> {
-        let is_needless = self.standing().next().is_none()
-            && self.alive.is_some_and(|known| !is_renewed(&known, &sign));
-        if is_needless {
-            return None;
-        }
-        self.alive = Some(sign);
-        Some(NoteKind::Alive)
-    }
-
-    /// Takes a suspicion; a second one soon after the first ejects, whoever has them.
-    fn take_suspicion(&mut self, sign: HealthSign) -> Option<NoteKind> {
-        let former = self.newest_of(|kind| kind == NoteKind::Suspect);
-        if former.is_some_and(|former| are_close(&former, &sign)) {
-            return self.take_ejection(HealthSign { kind: NoteKind::Ejected, ..sign });
-        }
-        if former.is_some_and(|former| sign.at < former.at) {
-            return None;
-        }
-        self.replace(sign);
-        Some(NoteKind::Suspect)
-    }
-
-    fn take_ejection(&mut self, sign: HealthSign) -> Option<NoteKind> {
-        let newest = self.newest_of(NoteKind::ejects);
-        if newest.is_some_and(|newest| !is_renewed(&newest, &sign)) {
-            return None;
-        }
-        self.replace(sign);
-        Some(NoteKind::Ejected)
-    }
-
-    /// Takes what stayed unanswered though its caller sent it again.
-    fn take_silence(&mut self, sign: HealthSign) -> Option<NoteKind> {
-        let known: Vec<_> = self.standing().filter(|known| is_silence(known)).copied().collect();
-        if known.len() >= DEATH_SIGNS {
-            let completes =
-                belief(known.iter()) < HealthBelief::Dead && sign.kind == NoteKind::Lost;
-            if !completes && !known.iter().all(|known| is_renewed(known, &sign)) {
-                return None;
+    /// The newest signs from which others conclude the same.
+    fn sufficient(&self) -> Vec<HealthSign> {
+        let deciding = deciding(&self.signs);
+        let newest = |is_meant: &dyn Fn(&HealthSign) -> bool| {
+            let meant = deciding.iter().copied().filter(|sign| is_meant(sign));
+            meant.max_by_key(by_age)
+        };
+        let lost = newest(&|sign| sign.kind == NoteKind::Lost);
+        let silence = newest(&|sign| is_silence(sign) && Some(*sign) != lost);
+        match self.belief() {
+            HealthBelief::Unharmed => Vec::new(),
+            HealthBelief::Dead => lost.into_iter().chain(silence).collect(),
+            HealthBelief::Silent => lost.or(silence).into_iter().collect(),
+            HealthBelief::Ejected => match newest(&|sign| sign.kind == NoteKind::Ejected) {
+                Some(ejection) => vec![ejection],
+                None => deciding,
+            },
+            HealthBelief::Suspected => {
+                newest(&|sign| sign.kind == NoteKind::Suspect).into_iter().collect()
             }
-            // The weakest makes room, so that a sign of an open flow stays.
-            let strength = |known: &&HealthSign| (known.kind == NoteKind::Lost, known.at);
-            let weakest = known.iter().min_by_key(strength)?.id;
-            self.signs.retain(|known| known.id != weakest);
         }
-        self.signs.push(sign);
-        Some(sign.kind)
-    }
-
-    /// Signs of silence that no sign of life refutes.
-    fn standing(&self) -> impl Iterator<Item = &HealthSign> {
-        self.signs.iter().filter(|sign| !self.is_refuted(sign))
     }
 
-    fn is_refuted(&self, sign: &HealthSign) -> bool {
-        self.alive.is_some_and(|alive| sign.at <= alive.at)
+    /// The newest sign of life.
+    fn life(&self) -> Option<HealthSign> {
+        newest_life(&self.signs)
     }
 
-    fn newest_of(&self, is_meant: impl Fn(NoteKind) -> bool) -> Option<HealthSign> {
-        let meant = self.standing().filter(|sign| is_meant(sign.kind));
-        meant.max_by_key(|sign| sign.at).copied()
-    }
-
-    /// Puts a sign in the place of those of its kind.
-    fn replace(&mut self, sign: HealthSign) {
-        self.signs.retain(|known| known.kind != sign.kind);
-        self.signs.push(sign);
+    fn verdict(&self) -> HealthVerdict {
+        verdict_of(&self.signs)
     }
 
-    /// What is still told: weaker signs that silence implies aren't.
-    pub fn told_signs(&self, now: ClockTime) -> impl Iterator<Item = &HealthSign> {
-        let silence = self.standing().filter(|sign| is_silence(sign)).map(|sign| sign.at).max();
-        let is_implied = move |sign: &&HealthSign| {
-            !is_silence(sign) && silence.is_some_and(|silence| sign.at <= silence)
-        };
-        let standing = self.standing().filter(move |sign| !is_implied(sign));
-        self.alive.iter().chain(standing).filter(move |sign| !is_old(now, sign))
+    /// Forgets the oldest sign that decides nothing, when there are too many.
+    fn forget_needless(&mut self) {
+        if self.signs.len() <= MOST_SIGNS {
+            return;
+        }
+        let mut needed = deciding(&self.signs);
+        needed.extend(self.life());
+        let needless = self.signs.iter().filter(|sign| !needed.contains(sign));
+        if let Some(oldest) = needless.min_by_key(|sign| by_age(sign)).copied() {
+            self.signs.retain(|sign| *sign != oldest);
+        }
     }
 }
 
 /// `HealthBelief` is what signs come to, the weakest first.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
-enum HealthBelief {
+pub enum HealthBelief {
+    /// Nothing speaks against it.
     Unharmed,
+    /// One new flow wasn't answered as fast as others.
     Suspected,
+    /// It gets no new flows for a while.
     Ejected,
+    /// Something stayed unanswered though it was sent again.
     Silent,
+    /// Two flows stayed unanswered, one of them open.
     Dead,
 }
 
-fn belief<'a>(signs: impl Iterator<Item = &'a HealthSign>) -> HealthBelief {
-    let (mut strongest, mut silent, mut is_lost) = (HealthBelief::Unharmed, 0, false);
-    for sign in signs {
-        strongest = strongest.max(match sign.kind {
-            NoteKind::Alive => HealthBelief::Unharmed,
-            NoteKind::Suspect => HealthBelief::Suspected,
-            NoteKind::Ejected => HealthBelief::Ejected,
-            NoteKind::Silent | NoteKind::Lost => HealthBelief::Silent,
-        });
-        silent += usize::from(is_silence(sign));
-        is_lost |= sign.kind == NoteKind::Lost;
+/// `HealthVerdict` is what is believed, and how new the signs for it are.
+struct HealthVerdict {
+    belief: HealthBelief,
+    newest_at: ClockTime,
+}
+
+impl HealthVerdict {
+    /// True when the same is believed on evidence so much newer that it counts anew.
+    fn renews(&self, former: &HealthVerdict) -> bool {
+        let is_newer = match self.belief {
+            HealthBelief::Unharmed => false,
+            // The former suspicion has lapsed, or the two would eject.
+            HealthBelief::Suspected => self.newest_at > former.newest_at,
+            _ => is_renewed(former.newest_at, self.newest_at),
+        };
+        self.belief == former.belief && is_newer
     }
-    if is_lost && silent >= DEATH_SIGNS { HealthBelief::Dead } else { strongest }
+}
+
+fn verdict_of(signs: &[HealthSign]) -> HealthVerdict {
+    let deciding = deciding(signs);
+    let of = |is_meant: &dyn Fn(NoteKind) -> bool| -> Vec<ClockTime> {
+        let meant = deciding.iter().filter(|sign| is_meant(sign.kind));
+        meant.map(|sign| sign.at).collect()
+    };
+    let silences = of(&|kind| matches!(kind, NoteKind::Silent | NoteKind::Lost));
+    let ejections = of(&|kind| kind == NoteKind::Ejected);
+    let suspicions = of(&|kind| kind == NoteKind::Suspect);
+    let is_lost = deciding.iter().any(|sign| sign.kind == NoteKind::Lost);
+    let are_close = match suspicions[..] {
+        [one, other] => are_close(one, other),
+        _ => false,
+    };
+    let newest_at = |times: &[ClockTime]| times.iter().copied().max().unwrap_or(ClockTime::ZERO);
+    let (belief, newest_at) = if !silences.is_empty() {
+        let is_dead = is_lost && silences.len() >= DEATH_SIGNS;
+        let belief = if is_dead { HealthBelief::Dead } else { HealthBelief::Silent };
+        (belief, newest_at(&silences))
+    } else if are_close {
+        (HealthBelief::Ejected, newest_at(&ejections).max(newest_at(&suspicions)))
+    } else if !ejections.is_empty() {
+        (HealthBelief::Ejected, newest_at(&ejections))
+    } else if !suspicions.is_empty() {
+        (HealthBelief::Suspected, newest_at(&suspicions))
+    } else {
+        (HealthBelief::Unharmed, ClockTime::ZERO)
+    };
+    HealthVerdict { belief, newest_at }
+}
+
+/// Of each kind the newest signs of silence that no sign of life refutes.
+fn deciding(signs: &[HealthSign]) -> Vec<HealthSign> {
+    let life = newest_life(signs);
+    let is_standing = |sign: &&HealthSign| life.is_none_or(|life| sign.at > life.at);
+    let is_against = |sign: &&HealthSign| sign.kind != NoteKind::Alive;
+    let mut standing: Vec<_> = signs.iter().filter(is_against).filter(is_standing).collect();
+    standing.sort_unstable_by_key(|sign| std::cmp::Reverse(by_age(sign)));
+    let mut counts = [0; 5];
+    let is_among_newest = |sign: &&HealthSign| {
+        let count = &mut counts[sign.kind as usize];
+        *count += 1;
+        *count <= DECIDING_SIGNS
+    };
+    standing.into_iter().filter(is_among_newest).copied().collect()
+}
+
+fn newest_life(signs: &[HealthSign]) -> Option<HealthSign> {
+    let lives = signs.iter().filter(|sign| sign.kind == NoteKind::Alive);
+    lives.max_by_key(|sign| by_age(sign)).copied()
+}
+
+/// Orders signs by time; the same everywhere for those of one moment.
+fn by_age(sign: &HealthSign) -> (ClockTime, u16) {
+    (sign.at, sign.id)
 }
 
 fn is_silence(sign: &HealthSign) -> bool {
@@ -255,13 +315,12 @@
     sign.at.after_millis(TELL_MS).is_past(now)
 }
 
-/// True when `sign` is so much newer than one that says the same that it counts anew.
-fn is_renewed(known: &HealthSign, sign: &HealthSign) -> bool {
-    known.at.after_millis(RENEW_MS).is_past(sign.at)
+/// True when what was seen at `at` is so much newer than what says the same that it counts anew.
+fn is_renewed(known_at: ClockTime, at: ClockTime) -> bool {
+    known_at.after_millis(RENEW_MS).is_past(at)
 }
 
 /// True when the second of two suspicions comes before the first has lapsed.
-fn are_close(one: &HealthSign, other: &HealthSign) -> bool {
-    let (first, second) = (one.at.min(other.at), one.at.max(other.at));
-    !first.after_millis(SUSPECT_MS).is_past(second)
+fn are_close(one: ClockTime, other: ClockTime) -> bool {
+    !one.min(other).after_millis(SUSPECT_MS).is_past(one.max(other))
 }
--- a/crates/foxledge-gossip/src/evidence.rs
+++ b/crates/foxledge-gossip/src/evidence.rs
@@ -64,7 +64,7 @@
             }
         }
         let state = self.states.entry(start).or_insert_with(|| BackendEvidence::new(origin));
-        let kind = state.take(sign)?;
+        let kind = state.take(now, sign)?;
         (state.told, state.heard, state.tell_at, state.origin) = (0, 0, now, origin);
         let BackendStart { number, incarnation } = start;
         Some(HealthNote { number, incarnation, kind, at: sign.at })
@@ -130,6 +130,6 @@
     /// The signs of a backend server that are still told.
     pub fn signs(&self, now: ClockTime, start: &BackendStart) -> Vec<HealthSign> {
         let state = self.states.get(start).into_iter();
-        state.flat_map(|state| state.told_signs(now)).copied().collect()
+        state.flat_map(|state| state.told_signs(now)).collect()
     }
 }
--- a/crates/foxledge-gossip/src/lib.rs
+++ b/crates/foxledge-gossip/src/lib.rs
@@ -10,7 +10,7 @@
 //! [`FleetMember`] is decision logic: datagrams, the store's answers and the
 //! time go in, [`FleetEffect`]s come out.
 
-mod backend_evidence;
+pub mod backend_evidence;
 mod copies;
 mod effects;
 mod election;
--- a/crates/foxledge-gossip/tests/evidence_states.rs
+++ b/crates/foxledge-gossip/tests/evidence_states.rs
@@ -93,6 +93,35 @@
     }
 }
 
+// Symptom: seconds after a death is known everywhere, nearly all new flows go to the dead
+//   backend server, and one observation is logged a thousand times.
+// Sequence: it was seen alive shortly before it died; messages that tell so come late, and by
+//   their ages the sign seems to be of after the death.
+// Cause: the copy of a sign that is known is taken for a newer one.
+#[test]
+fn late_life_erases_nothing() {
+    let mut fleet = settled_fleet(&[3, 3], 1);
+    share(&mut fleet, 2, NoteKind::Alive);
+    fleet.run(300);
+    let old: Vec<_> = fleet.newest.iter().cloned().collect();
+    share(&mut fleet, 0, NoteKind::Lost);
+    share(&mut fleet, 1, NoteKind::Lost);
+    fleet.run(300);
+    for seat in 3..6 {
+        assert!(is_dead(&fleet, seat, fleet.now()), "instance {seat}: {:?}", kinds(&fleet, seat));
+        for message in &old {
+            let from = fleet.seats[0].address;
+            fleet.deliver(seat, from, message.clone());
+        }
+    }
+    fleet.run(500);
+    for seat in 3..6 {
+        let known = kinds(&fleet, seat);
+        assert_eq!(known.iter().filter(|kind| **kind == NoteKind::Alive).count(), 1, "{known:?}");
+        assert!(is_dead(&fleet, seat, fleet.now()), "instance {seat}: {known:?}");
+    }
+}
+
 // Symptom: for seconds after a death is known, callers that come back are sent there again.
 // Sequence: it stays dead; signs of it come twice a second, at one instance or another.
 // Cause: the first signs grow too old to count, and later ones aren't told.
--- /dev/null
+++ b/crates/foxledge-gossip/tests/sign_algebra.rs
@@ -0,0 +1,177 @@
+//! What is believed of a backend server depends on the set of signs alone, not on their way.
+
+use std::collections::BTreeMap;
+
+use foxledge_core::time::ClockTime;
+use foxledge_flows::NoteKind;
+use foxledge_gossip::backend_evidence::{BackendEvidence, HealthBelief, HealthSign, SignOrigin};
+use proptest::prelude::*;
+
+/// Time in which all signs of a sequence are seen, in milliseconds: less than they are told.
+const SPAN_MS: u64 = 2_000;
+const INSTANCES: usize = 3;
+
+fn at(millis: u64) -> ClockTime {
+    ClockTime::from_micros(3_600_000_000 + millis * 1_000)
+}
+
+fn any_kind() -> impl Strategy<Value = NoteKind> {
+    prop_oneof![
+        Just(NoteKind::Alive),
+        Just(NoteKind::Suspect),
+        Just(NoteKind::Ejected),
+        Just(NoteKind::Silent),
+        Just(NoteKind::Lost),
+    ]
+}
+
+fn any_signs() -> impl Strategy<Value = Vec<HealthSign>> {
+    prop::collection::vec((any_kind(), 0..SPAN_MS), 1..12).prop_map(|seen| {
+        let sign = |(index, (kind, millis)): (usize, (NoteKind, u64))| HealthSign {
+            id: index as u16,
+            kind,
+            at: at(millis),
+        };
+        seen.into_iter().enumerate().map(sign).collect()
+    })
+}
+
+fn evidence_of<'a>(signs: impl IntoIterator<Item = &'a HealthSign>) -> BackendEvidence {
+    let mut evidence = BackendEvidence::new(SignOrigin::Near);
+    for sign in signs {
+        evidence.take(at(SPAN_MS), *sign);
+    }
+    evidence
+}
+
+/// What a set of signs means, told in the plainest way.
+fn meaning(signs: &[HealthSign]) -> HealthBelief {
+    let life = signs.iter().filter(|sign| sign.kind == NoteKind::Alive).map(|sign| sign.at).max();
+    let standing = signs.iter().filter(|sign| life.is_none_or(|life| sign.at > life));
+    let standing: Vec<_> = standing.collect();
+    let count = |kind| standing.iter().filter(|sign| sign.kind == kind).count();
+    let mut suspicions: Vec<_> = standing
+        .iter()
+        .filter(|sign| sign.kind == NoteKind::Suspect)
+        .map(|sign| sign.at.as_micros())
+        .collect();
+    suspicions.sort_unstable();
+    let are_close = match suspicions[..] {
+        [.., one, other] => other - one <= 300_000,
+        _ => false,
+    };
+    match (count(NoteKind::Silent) + count(NoteKind::Lost), count(NoteKind::Lost)) {
+        (2.., 1..) => HealthBelief::Dead,
+        (1.., _) => HealthBelief::Silent,
+        _ if are_close || count(NoteKind::Ejected) > 0 => HealthBelief::Ejected,
+        _ if !suspicions.is_empty() => HealthBelief::Suspected,
+        _ => HealthBelief::Unharmed,
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(2_000))]
+
+    // Symptom: instances that saw and heard the same believe different things of a backend
+    //   server, and some send all new flows to a dead one.
+    // Cause: what is believed depends on the order in which signs came.
+    #[test]
+    fn order_is_nothing((signs, shuffled) in any_signs().prop_flat_map(|signs| {
+        (Just(signs.clone()), Just(signs).prop_shuffle())
+    })) {
+        let belief = evidence_of(&signs).belief();
+        prop_assert_eq!(belief, meaning(&signs));
+        prop_assert_eq!(evidence_of(&shuffled).belief(), belief);
+        prop_assert_eq!(evidence_of(shuffled.iter().chain(&signs)).belief(), belief);
+    }
+
+    // What an instance tells suffices for another to believe as much, whatever it knew.
+    #[test]
+    fn told_is_enough(known in any_signs(), signs in any_signs()) {
+        let teller = evidence_of(&signs);
+        let told: Vec<_> = teller.told_signs(at(SPAN_MS)).collect();
+        prop_assert_eq!(evidence_of(&told).belief(), teller.belief());
+        let rename = |sign: &HealthSign| HealthSign { id: sign.id + 100, ..*sign };
+        let known: Vec<_> = known.iter().map(rename).collect();
+        let merged = evidence_of(known.iter().chain(&told)).belief();
+        let union: Vec<_> = known.iter().chain(&signs).copied().collect();
+        // Signs that weren't told may make it worse, never better.
+        prop_assert!(merged <= meaning(&union), "{:?} of {:?}", merged, meaning(&union));
+    }
+
+    // Symptom: one sign of life is news a thousand times, and messages are full of it.
+    // Sequence: three instances hand on what they believe, each time a little late, so that a
+    //   sign seems later at each hop; messages are lost, and come twice.
+    // Cause: a copy that seems later is taken for another sign.
+    #[test]
+    fn news_only_once(
+        signs in any_signs(),
+        hops in prop::collection::vec((0..INSTANCES, 0..INSTANCES, 0..60_u64), 1..60),
+    ) {
+        let mut all = vec![BackendEvidence::new(SignOrigin::Near); INSTANCES];
+        let mut news = BTreeMap::new();
+        let mut signs = signs;
+        signs.sort_by_key(|sign| sign.at);
+        let steps = signs.len().max(hops.len());
+        for step in 0..steps {
+            let now = at(SPAN_MS * step as u64 / steps as u64);
+            let seen = signs.iter().enumerate().filter(|(_, sign)| {
+                sign.at <= now && !news.contains_key(&(sign.id, usize::MAX))
+            });
+            let seen: Vec<_> = seen.map(|(index, sign)| (index, *sign)).collect();
+            for (index, sign) in seen {
+                news.insert((sign.id, usize::MAX), 1);
+                if all[index % INSTANCES].take(now, sign).is_some() {
+                    *news.entry((sign.id, index % INSTANCES)).or_insert(0) += 1;
+                }
+            }
+            let Some((from, to, late_ms)) = hops.get(step).copied() else { continue };
+            let told: Vec<_> = all[from].told_signs(now).collect();
+            for sign in told {
+                let late = HealthSign { at: sign.at.after_millis(late_ms), ..sign };
+                if all[to].take(now, late).is_some() {
+                    *news.entry((sign.id, to)).or_insert(0) += 1;
+                }
+            }
+        }
+        prop_assert!(news.values().all(|times| *times == 1), "{:?}", news);
+    }
+}
+
+// The small case in full: two instances, one backend server, and six messages in any order.
+#[test]
+fn all_orders_agree() {
+    let kinds = [
+        (NoteKind::Lost, 100),
+        (NoteKind::Alive, 200),
+        (NoteKind::Silent, 300),
+        (NoteKind::Suspect, 320),
+        (NoteKind::Lost, 400),
+        (NoteKind::Suspect, 450),
+    ];
+    let signs: Vec<_> = kinds
+        .iter()
+        .enumerate()
+        .map(|(index, (kind, millis))| HealthSign {
+            id: index as u16,
+            kind: *kind,
+            at: at(*millis),
+        })
+        .collect();
+    let mut orders = vec![Vec::new()];
+    for _ in 0..signs.len() {
+        let longer = |order: Vec<usize>| {
+            let left: Vec<_> = (0..signs.len()).filter(|index| !order.contains(index)).collect();
+            left.into_iter().map(move |index| [order.clone(), vec![index]].concat())
+        };
+        orders = orders.into_iter().flat_map(longer).collect();
+    }
+    assert_eq!(orders.len(), 720);
+    for order in orders {
+        let one = evidence_of(order.iter().map(|index| &signs[*index]));
+        assert_eq!(one.belief(), HealthBelief::Dead, "{order:?}");
+        let told: Vec<_> = one.told_signs(at(SPAN_MS)).collect();
+        let other = evidence_of(order.iter().take(3).map(|index| &signs[*index]).chain(&told));
+        assert_eq!(other.belief(), HealthBelief::Dead, "{order:?}");
+    }
+}
