Reset feeds whose backend server vanished before their instance started

Cause: an instance that starts has never heard of backend servers whose entries are gone. Packets of flows that callers hold open to them were dropped unsaid, and their requests ran into the deadline: 233 to 346 a second after a data centre's return of power.

A packet with data on a route whose requests may be repeated is answered by a reset where the list is known in full, was confirmed lately and after the token was first seen, and confirmations have come without a gap for longer than lapsed entries take to come back. Everything else stays silent.

--- a/crates/foxledge-daemon/src/packets/flow_part.rs
+++ b/crates/foxledge-daemon/src/packets/flow_part.rs
@@ -276,12 +276,8 @@
     }
 
     fn refuse(&mut self, now: ClockTime, packet: &FlowPacket, reason: RefuseReason) {
-        let word = match reason {
-            RefuseReason::NoRoute => "no_route",
-            RefuseReason::NoBackend => "no_backend",
-        };
         self.context.metrics.packets.with_label_values(&["refuse"]).inc();
-        self.context.metrics.refusals.with_label_values(&[word]).inc();
+        self.context.metrics.refusals.with_label_values(&[reason.word()]).inc();
         self.log_decision(now, "flow_refused", packet, || FlowDetail::Refused { reason });
         self.send_refusal(packet);
     }
--- /dev/null
+++ b/crates/foxledge-flows/src/absent.rs
@@ -0,0 +1,90 @@
+//! Tokens that name no backend server of the list.
+//!
+//! An instance that starts has never heard of backend servers that vanished before. Their callers
+//! go on with the flows that they hold open, hear nothing from anybody, and wait until their
+//! deadline. Such a flow is reset where it is sure that its backend server is gone.
+
+use std::collections::HashMap;
+
+use foxledge_core::time::ClockTime;
+
+use crate::{
+    backends::LAPSE_MS,
+    decisions::{DropReason, FlowDecision, RefuseReason},
+    packet::FlowPacket,
+    router::FlowRouter,
+};
+
+/// By how much a confirmation of the list must be newer than the first packet with a token, in
+/// milliseconds. Peers tell its age without the time of the way.
+const CONFIRMED_AFTER_MS: u64 = 200;
+/// How long a token that isn't asked for any more is remembered, in milliseconds: longer than
+/// any deadline of callers.
+const REMEMBERED_MS: u64 = 30_000;
+/// Most tokens remembered, at some 40 bytes each: all backend servers of a data centre of the
+/// largest deployment.
+const MOST_TOKENS: usize = 5_000;
+
+/// `AbsentTokens` is when tokens that name nobody were first and last seen.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct AbsentTokens {
+    seen: HashMap<u32, (ClockTime, ClockTime)>,
+}
+
+impl AbsentTokens {
+    /// Notes a token; returns when it was first seen, or none when there is no room for it.
+    fn note(&mut self, now: ClockTime, token: u32) -> Option<ClockTime> {
+        if self.seen.len() >= MOST_TOKENS && !self.seen.contains_key(&token) {
+            self.seen.retain(|_, (_, last)| !last.after_millis(REMEMBERED_MS).is_past(now));
+            if self.seen.len() >= MOST_TOKENS {
+                return None;
+            }
+        }
+        let (first, last) = self.seen.entry(token).or_insert((now, now));
+        if last.after_millis(REMEMBERED_MS).is_past(now) {
+            *first = now;
+        }
+        *last = now;
+        Some(*first)
+    }
+}
+
+impl FlowRouter {
+    /// Decides on a packet whose token names nobody; `may_repeat` tells that its route's
+    /// requests may be repeated.
+    ///
+    /// What the list must be for the flow to be reset:
+    ///
+    /// - known in full and confirmed lately, by an instance that didn't stand still since;
+    /// - confirmed after the token was first seen, as the entry of a backend server is older
+    ///   than its flows: one that just isn't known here yet is in the list by then;
+    /// - confirmed for longer without a gap than entries that lapsed while the store was away
+    ///   take to come back.
+    ///
+    /// Only data is answered: whoever sends none waits for nothing. Requests that can't be
+    /// repeated aren't ended, as their callers couldn't do anything else before their deadline.
+    pub(crate) fn follow_absent(
+        &mut self,
+        now: ClockTime,
+        packet: &FlowPacket,
+        may_repeat: bool,
+    ) -> FlowDecision {
+        let unknown = FlowDecision::Drop(DropReason::UnknownToken);
+        if packet.token == 0 || packet.length == 0 {
+            return unknown;
+        }
+        let first = self.absent.note(now, packet.token);
+        let is_absent = first.zip(self.confirmed_at).is_some_and(|(first, confirmed)| {
+            first.after_millis(CONFIRMED_AFTER_MS).is_past(confirmed)
+        });
+        let is_list_sure =
+            self.unbroken_since.is_some_and(|at| at.after_millis(LAPSE_MS).is_past(now));
+        if !may_repeat || !is_absent || !is_list_sure {
+            return unknown;
+        }
+        match self.refuse(now, RefuseReason::BackendVanished) {
+            FlowDecision::Refuse(reason) => FlowDecision::Refuse(reason),
+            _ => unknown,
+        }
+    }
+}
--- a/crates/foxledge-flows/src/backends.rs
+++ b/crates/foxledge-flows/src/backends.rs
@@ -152,7 +152,7 @@
 }
 
 /// True when the store counts as away at `now`, heard of last at `confirmed`.
-fn is_away(confirmed: ClockTime, now: ClockTime) -> bool {
+pub(crate) fn is_away(confirmed: ClockTime, now: ClockTime) -> bool {
     confirmed.after_millis(STORE_AWAY_MS).is_past(now)
 }
 
--- a/crates/foxledge-flows/src/decisions.rs
+++ b/crates/foxledge-flows/src/decisions.rs
@@ -78,6 +78,19 @@
     NoRoute,
     /// The service has no backend server that takes flows.
     NoBackend,
+    /// The open flow's backend server is gone, and was so when this instance started.
+    BackendVanished,
+}
+
+impl RefuseReason {
+    /// The reason's word in metrics.
+    pub fn word(self) -> &'static str {
+        match self {
+            RefuseReason::NoRoute => "no_route",
+            RefuseReason::NoBackend => "no_backend",
+            RefuseReason::BackendVanished => "backend_vanished",
+        }
+    }
 }
 
 /// `EndReason` is why an open flow is ended.
--- a/crates/foxledge-flows/src/lib.rs
+++ b/crates/foxledge-flows/src/lib.rs
@@ -10,6 +10,7 @@
 //! Everything here is decision logic: packets, rows and the time go in,
 //! decisions come out.
 
+mod absent;
 mod backends;
 mod candidates;
 mod decisions;
--- a/crates/foxledge-flows/src/router.rs
+++ b/crates/foxledge-flows/src/router.rs
@@ -8,7 +8,8 @@
 };
 
 use crate::{
-    backends::{Backend, BackendNews, BackendTable, LAPSE_MS},
+    absent::AbsentTokens,
+    backends::{Backend, BackendNews, BackendTable, LAPSE_MS, is_away},
     decisions::{
         DropReason, FlowDecision, FlowExplanation, OpenReason, RefuseReason, RouterCounts,
     },
@@ -90,6 +91,9 @@
     pub(crate) confirmed_at: Option<ClockTime>,
     /// When the store first confirmed a list here.
     sure_since: Option<ClockTime>,
+    /// Since when confirmations have come without a gap in which the store was away.
+    pub(crate) unbroken_since: Option<ClockTime>,
+    pub(crate) absent: AbsentTokens,
     pub(crate) is_in_doubt: bool,
     pub(crate) is_catching_up: bool,
     pub(crate) idle_ms: u64,
@@ -115,6 +119,8 @@
             counts: RouterCounts::default(),
             confirmed_at: None,
             sure_since: None,
+            unbroken_since: None,
+            absent: AbsentTokens::default(),
             is_in_doubt: false,
             is_catching_up: false,
             idle_ms: DEFAULT_IDLE_MS,
@@ -151,8 +157,12 @@
     pub fn set_confirmed(&mut self, at: ClockTime) {
         if let Some(former) = self.confirmed_at {
             self.backends.renew_grace(former, at);
+            if is_away(former, at) {
+                self.unbroken_since = None;
+            }
         }
         self.confirmed_at = Some(at);
+        self.unbroken_since.get_or_insert(at);
         self.sure_since.get_or_insert(at);
         self.is_in_doubt = false;
     }
@@ -309,7 +319,7 @@
     /// A refusal is final for the caller, so only an instance that has heard
     /// lately that its list is the newest refuses. Others stay silent: a copy of
     /// the packet may find what is missing here, or has found it already.
-    fn refuse(&self, now: ClockTime, reason: RefuseReason) -> FlowDecision {
+    pub(crate) fn refuse(&self, now: ClockTime, reason: RefuseReason) -> FlowDecision {
         let Some(confirmed) = self.confirmed_at else {
             return FlowDecision::Drop(DropReason::NoList);
         };
@@ -329,10 +339,9 @@
             return FlowDecision::Drop(DropReason::RouteRemoved);
         }
         let fits = |backend: &Backend| route.is_some_and(|route| route.allows(&backend.service));
-        let Some(index) = self.backends.by_token(packet.token, fits) else {
-            return FlowDecision::Drop(DropReason::UnknownToken);
-        };
+        let holder = self.backends.by_token(packet.token, fits);
         let may_repeat = route.is_some_and(|route| route.idempotent);
+        let Some(index) = holder else { return self.follow_absent(now, packet, may_repeat) };
         if let Some(opening) = self.openings.remove(&packet.key)
             && opening.backend == index
             && self.backends.get(index).is_some_and(|one| one.known_at <= opening.sent)
