--- a/crates/foxledge-flows/src/evidence.rs
+++ b/crates/foxledge-flows/src/evidence.rs
@@ -75,7 +75,11 @@
             self.settle(index, was_running);
         }
         if matches!(packet.kind, PacketKind::Finish | PacketKind::Abort) {
-            if let TrackNews::Answered(answer) = self.tracks.finish(now, packet) {
+            // A caller that gives up acknowledges nothing by it, whatever its packet holds there.
+            // Taken for an answer, each caller that left a dead backend server would revive it.
+            if packet.kind == PacketKind::Finish
+                && let TrackNews::Answered(answer) = self.tracks.finish(now, packet)
+            {
                 self.answered(now, index, answer);
             }
             self.end_track(&packet.key);
--- a/crates/foxledge-flows/src/tracks.rs
+++ b/crates/foxledge-flows/src/tracks.rs
@@ -26,6 +26,8 @@
 /// Time that a caller must have waited, in milliseconds, for its flow to be ended because its
 /// backend server is dead: one that lives shows it by most answers within this time.
 const WAITED_MS: u64 = 150;
+/// What the end of a flow takes of its sequence numbers.
+const FLOW_END: u32 = 1;
 /// Most flows tracked, at about 70 bytes each.
 const MOST_TRACKS: usize = 100_000;
 /// Time between two looks for forgotten tracks, in milliseconds.
@@ -149,8 +151,7 @@
         if is_after(packet.acknowledged, track.received) {
             track.received = packet.acknowledged;
         }
-        let is_answered =
-            track.asked_at.is_some() && is_after(packet.acknowledged, track.acknowledged);
+        let is_answered = track.asked_at.is_some() && track.is_answer(packet.acknowledged);
         if packet.length == 0 {
             return if is_answered { track.answer(now) } else { TrackNews::Nothing };
         }
@@ -174,7 +175,7 @@
     pub fn finish(&self, now: ClockTime, packet: &FlowPacket) -> TrackNews {
         let Some(track) = self.tracks.get(&packet.key) else { return TrackNews::Nothing };
         match track.asked_at {
-            Some(asked) if is_after(packet.acknowledged, track.acknowledged) => {
+            Some(asked) if track.is_answer(packet.acknowledged) => {
                 TrackNews::Answered(track.answer_to(now, asked))
             }
             _ => TrackNews::Nothing,
@@ -290,6 +291,15 @@
         TrackNews::Resent(DataResend { sent: self.sent_at, copies: self.copies, meaning })
     }
 
+    /// True when what the caller acknowledges holds data of an answer.
+    ///
+    /// The end of a flow counts like one byte. A backend server that stops ends its flows, and
+    /// their callers acknowledge that: taken for answers, these ends would make a process that
+    /// is gone look alive, and new flows would go to a start of it that nobody reaches.
+    fn is_answer(&self, acknowledged: u32) -> bool {
+        is_after(acknowledged, self.acknowledged.wrapping_add(FLOW_END))
+    }
+
     fn answer(&mut self, now: ClockTime) -> TrackNews {
         match self.asked_at.take() {
             Some(asked) => TrackNews::Answered(self.answer_to(now, asked)),
--- a/crates/foxledge-flows/tests/late_life.rs
+++ b/crates/foxledge-flows/tests/late_life.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::*;
-use foxledge_flows::{HealthClass, HealthNote, HealthState, NoteKind};
+use foxledge_flows::{FlowPacket, HealthClass, HealthNote, HealthState, NoteKind, PacketKind};
 
 fn note(millis: u64, kind: NoteKind) -> HealthNote {
     HealthNote { number: 1, incarnation: 0, kind, at: at(millis) }
@@ -37,3 +37,44 @@
     assert!(!state.is_dead(at(550)));
     assert_eq!(state.class(at(550)), HealthClass::Healthy);
 }
+
+// Symptom: backend servers behind a cut look healthy again, one after the other, and all new
+//   flows go there.
+// Sequence: a caller's data stays unanswered there; the caller gives its flow up with a reset.
+// Cause: the reset's acknowledgement, which holds nothing, was taken for that of an answer.
+#[test]
+fn giving_up_is_no_life() {
+    let mut router = desk_router(&[backend(1, "desk", NEAR, 2), backend(2, "desk", NEAR, 2)]);
+    let key = key(1, 1);
+    router.on_packet(at(100), &data(key, 1, 500, 4_000_000_000));
+    for millis in [300, 700] {
+        router.on_packet(at(millis), &data(key, 1, 500, 4_000_000_000));
+    }
+    assert!(router.take_notes().iter().any(|note| note.kind == NoteKind::Lost));
+    router.on_packet(at(900), &packet(key, PacketKind::Abort, 1));
+    assert_eq!(router.take_notes(), []);
+    let health = router.backend_of(1).expect("is listed").health;
+    assert_eq!(health.class(at(900)), HealthClass::Ejected);
+}
+
+// Symptom and effect as above.
+// Sequence: backend servers are cut off and start again behind the cut. The end of the former
+//   process ends its flows, and their callers acknowledge that, or end them too.
+// Cause: the acknowledged end, which counts like one byte, was taken for an answer.
+#[test]
+fn flow_end_is_no_life() {
+    for kind in [PacketKind::Continue, PacketKind::Finish] {
+        let mut router = desk_router(&[backend(1, "desk", NEAR, 2), backend(2, "desk", NEAR, 2)]);
+        let key = key(1, 1);
+        for millis in [100, 300, 700] {
+            router.on_packet(at(millis), &data(key, 1, 500, 9_000));
+        }
+        router.take_notes();
+        let end = FlowPacket { acknowledged: 9_001, ..packet(key, kind, 1) };
+        router.on_packet(at(900), &end);
+        assert_eq!(router.take_notes(), []);
+        assert!(router.take_latencies().is_empty());
+        let health = router.backend_of(1).expect("is listed").health;
+        assert_eq!(health.class(at(900)), HealthClass::Ejected);
+    }
+}
