Test how soon evacuations are in force at 7 to 437 instances, whatever fails

In virtual time, all within 5 s: the store refusing or silent to a third, starts of half and of all with the history dropped, a cut through the end, a sleeper, two data centres by turns.

--- /dev/null
+++ b/crates/foxledge-gossip/tests/evacuation_spread.rs
@@ -0,0 +1,138 @@
+//! How soon an evacuation is in force everywhere, and over, whatever fails meanwhile.
+//!
+//! The load: operators empty a data centre of a fleet of some hundreds of instances while the
+//! store, links and instances fail.
+
+mod common;
+
+use common::{StoreState, VirtualFleet, settled_fleet};
+use foxledge_flows::rows::evacuation_key;
+
+/// An evacuation must be in force within this time of its acknowledgement, in milliseconds.
+const BOUND_MS: u64 = 5_000;
+const CENTRE: &str = "centre-0";
+const SIZES: [&[usize]; 4] = [&[3, 2, 2], &[18, 20, 17, 18], &[75, 75, 75, 75], &[146, 146, 145]];
+
+fn evacuate(fleet: &mut VirtualFleet) {
+    fleet.store.evacuate(CENTRE);
+    fleet.store_changed();
+}
+
+fn take_back(fleet: &mut VirtualFleet) {
+    fleet.store.take_back(CENTRE);
+    fleet.store_changed();
+}
+
+/// True when every instance that runs has the wish in force, or none has.
+fn all_hold(fleet: &VirtualFleet, is_evacuated: bool) -> bool {
+    let key = evacuation_key(CENTRE);
+    fleet.members().all(|member| member.list().holds(&key) == is_evacuated)
+}
+
+fn assert_soon(fleet: &mut VirtualFleet, is_evacuated: bool, case: &str) {
+    let took = fleet.run_until(BOUND_MS, |fleet| all_hold(fleet, is_evacuated));
+    assert!(took.is_some(), "{case}: not within {BOUND_MS} ms");
+}
+
+#[test]
+fn in_force_at_each_size() {
+    for counts in SIZES {
+        let mut fleet = settled_fleet(counts, 1);
+        evacuate(&mut fleet);
+        assert_soon(&mut fleet, true, &format!("{counts:?}"));
+        take_back(&mut fleet);
+        assert_soon(&mut fleet, false, &format!("{counts:?}, taken back"));
+    }
+}
+
+// Symptom: instances that the store turns away go on sending new flows to the data centre.
+// Sequence: the store refuses a third of them, or is silent to them, from before the wish.
+#[test]
+fn some_turned_away() {
+    for state in [StoreState::Refusing, StoreState::Silent] {
+        let mut fleet = settled_fleet(SIZES[1], 2);
+        for member in (0..fleet.seats.len()).step_by(3) {
+            fleet.store_state.insert(member, state);
+        }
+        evacuate(&mut fleet);
+        assert_soon(&mut fleet, true, &format!("{state:?}"));
+    }
+}
+
+// Symptom: an instance that starts during an evacuation sends new flows to the data centre.
+// Sequence: it reads the store in the way that may be old; the history is dropped.
+#[test]
+fn starts_know() {
+    let mut fleet = settled_fleet(SIZES[1], 3);
+    evacuate(&mut fleet);
+    fleet.store.compact();
+    for member in (0..fleet.seats.len()).step_by(2) {
+        fleet.kill(member);
+        fleet.start(member);
+    }
+    assert_soon(&mut fleet, true, "half started anew");
+    for member in 0..fleet.seats.len() {
+        fleet.kill(member);
+    }
+    for member in 0..fleet.seats.len() {
+        fleet.start(member);
+    }
+    fleet.run(2_000);
+    assert!(all_hold(&fleet, true), "all started anew");
+}
+
+// Symptom: a data centre is taken back in a part of the fleet only.
+// Sequence: it is cut off from the others while the wish is withdrawn; each part reads the store.
+#[test]
+fn taken_back_in_a_cut() {
+    let mut fleet = settled_fleet(&[6, 6, 6], 4);
+    evacuate(&mut fleet);
+    assert_soon(&mut fleet, true, "before the cut");
+    for (from, to) in (0..18).flat_map(|from| (0..18).map(move |to| (from, to))) {
+        if (from < 6) != (to < 6) {
+            fleet.cut.insert((from, to));
+        }
+    }
+    take_back(&mut fleet);
+    assert_soon(&mut fleet, false, "in the cut");
+    evacuate(&mut fleet);
+    assert_soon(&mut fleet, true, "again, in the cut");
+    fleet.cut.clear();
+    fleet.run(3_000);
+    assert!(all_hold(&fleet, true), "after the cut");
+}
+
+// Symptom: an instance that was away while a data centre was taken back holds the old wish.
+// Sequence: it sleeps, or can reach nobody, through the end and past the store's history.
+#[test]
+fn sleeper_learns_end() {
+    let mut fleet = settled_fleet(&[6, 6], 5);
+    evacuate(&mut fleet);
+    assert_soon(&mut fleet, true, "before");
+    fleet.seats[3].paused_until = fleet.now_us + 4_000_000;
+    take_back(&mut fleet);
+    fleet.store.compact();
+    fleet.run(4_000);
+    assert_soon(&mut fleet, false, "after the sleep");
+}
+
+// Two at once, again and again: what is known is what was last wished of each.
+#[test]
+fn by_turns() {
+    let mut fleet = settled_fleet(SIZES[1], 6);
+    for turn in 0..6 {
+        match turn % 2 {
+            0 => fleet.store.evacuate("centre-1"),
+            _ => fleet.store.take_back("centre-1"),
+        }
+        match turn % 3 {
+            0 => evacuate(&mut fleet),
+            _ => take_back(&mut fleet),
+        }
+        fleet.run(150);
+    }
+    fleet.run(BOUND_MS);
+    let key = evacuation_key("centre-1");
+    assert!(all_hold(&fleet, false));
+    assert!(fleet.members().all(|member| !member.list().holds(&key)));
+}
