Ask others for vanished backend servers, and end lone flows in a silent data centre

An instance asks one other nearby and one elsewhere for tokens that name nobody here; rows of what is gone come back, and a flow whose backend server's address another one has since is ended at once. A flow that is alone with its backend server is ended by its second copy where four others of the data centre are silent and none was seen alive here since.

--- a/crates/foxledge-daemon/src/packets/fleet_part.rs
+++ b/crates/foxledge-daemon/src/packets/fleet_part.rs
@@ -71,6 +71,13 @@
         self.carry_out(cx);
     }
 
+    /// Asks other instances for backend servers that vanished before this one started.
+    pub fn ask_tokens(&mut self, cx: CX![], tokens: Vec<u32>) {
+        let now = self.context.clock.now();
+        self.context.member.borrow_mut().ask_tokens(now, tokens);
+        self.carry_out(cx);
+    }
+
     /// Takes the store's answer to an order.
     pub fn take_reading(
         &mut self,
--- a/crates/foxledge-daemon/src/packets/flow_part.rs
+++ b/crates/foxledge-daemon/src/packets/flow_part.rs
@@ -377,6 +377,12 @@
         metrics.open_overdue.inc_by(counts.overdue - self.counts.overdue);
         metrics.data_resent.inc_by(counts.resent - self.counts.resent);
         self.counts = counts;
+        let tokens = self.router.take_wanted_tokens();
+        if let Some(fleet) = self.context.directory.get::<FleetPart>()
+            && !tokens.is_empty()
+        {
+            call!([fleet], ask_tokens(tokens));
+        }
         let notes = self.router.take_notes();
         if notes.is_empty() {
             return;
--- a/crates/foxledge-flows/src/absent.rs
+++ b/crates/foxledge-flows/src/absent.rs
@@ -10,7 +10,7 @@
 
 use crate::{
     backends::LAPSE_MS,
-    decisions::{DropReason, FlowDecision, RefuseReason},
+    decisions::{DropReason, EndReason, FlowDecision, RefuseReason},
     packet::FlowPacket,
     router::FlowRouter,
 };
@@ -21,35 +21,82 @@
 /// How long a token that isn't asked for any more is remembered, in milliseconds: longer than
 /// any deadline of callers.
 const REMEMBERED_MS: u64 = 30_000;
-/// Most tokens remembered, at some 40 bytes each: all backend servers of a data centre of the
+/// Time until others are asked once more for a token, in milliseconds.
+const ASK_AGAIN_MS: u64 = 500;
+/// Most tokens remembered, at some 60 bytes each: all backend servers of a data centre of the
 /// largest deployment.
 const MOST_TOKENS: usize = 5_000;
 
-/// `AbsentTokens` is when tokens that name nobody were first and last seen.
+/// `AbsentToken` is when packets came with a token that names nobody.
+#[derive(Clone, Copy, Debug)]
+struct AbsentToken {
+    first: ClockTime,
+    last: ClockTime,
+    /// When others may be asked for it again.
+    ask_at: ClockTime,
+}
+
+/// `AbsentTokens` is the tokens that name nobody.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct AbsentTokens {
-    seen: HashMap<u32, (ClockTime, ClockTime)>,
+    seen: HashMap<u32, AbsentToken>,
+    /// Those for which others are to be asked.
+    wanted: Vec<u32>,
 }
 
 impl AbsentTokens {
     /// Notes a token; returns when it was first seen, or none when there is no room for it.
     fn note(&mut self, now: ClockTime, token: u32) -> Option<ClockTime> {
         if self.seen.len() >= MOST_TOKENS && !self.seen.contains_key(&token) {
-            self.seen.retain(|_, (_, last)| !last.after_millis(REMEMBERED_MS).is_past(now));
+            self.seen.retain(|_, known| !known.is_forgotten(now));
             if self.seen.len() >= MOST_TOKENS {
                 return None;
             }
         }
-        let (first, last) = self.seen.entry(token).or_insert((now, now));
-        if last.after_millis(REMEMBERED_MS).is_past(now) {
-            *first = now;
+        let new = AbsentToken { first: now, last: now, ask_at: now };
+        let known = self.seen.entry(token).or_insert(new);
+        if known.is_forgotten(now) {
+            *known = new;
         }
-        *last = now;
-        Some(*first)
+        known.last = now;
+        if known.ask_at.is_past(now) {
+            known.ask_at = now.after_millis(ASK_AGAIN_MS);
+            self.wanted.push(token);
+        }
+        Some(known.first)
+    }
+}
+
+impl AbsentToken {
+    fn is_forgotten(&self, now: ClockTime) -> bool {
+        self.last.after_millis(REMEMBERED_MS).is_past(now)
     }
 }
 
 impl FlowRouter {
+    /// Tokens that name nobody here, for which others are to be asked now.
+    pub fn take_wanted_tokens(&mut self) -> Vec<u32> {
+        std::mem::take(&mut self.absent.wanted)
+    }
+
+    /// Why a flow that waits is ended because another backend server has the address of its own.
+    ///
+    /// One that vanished can't live where another registered since. The list must be as sure as
+    /// for a refusal.
+    pub(crate) fn end_of_replaced(&self, now: ClockTime, index: usize) -> Option<EndReason> {
+        let gone = self.backends.get(index)?.gone_at?;
+        if !self.backends.is_replaced(index) {
+            return None;
+        }
+        match self.refuse(now, RefuseReason::BackendVanished) {
+            FlowDecision::Refuse(_) => {
+                let gone_ms = now.since(gone).as_millis() as u64;
+                Some(EndReason::AddressTaken { gone_ms })
+            }
+            _ => None,
+        }
+    }
+
     /// Decides on a packet whose token names nobody; `may_repeat` tells that its route's
     /// requests may be repeated.
     ///
--- a/crates/foxledge-flows/src/backends.rs
+++ b/crates/foxledge-flows/src/backends.rs
@@ -274,6 +274,16 @@
         }
     }
 
+    /// True when another backend server that is listed has the address of one that is gone, and
+    /// registered after it.
+    pub fn is_replaced(&self, index: usize) -> bool {
+        let Some(gone) = self.get(index) else { return false };
+        let Some(indexes) = self.by_address.get(&gone.address) else { return false };
+        let others = indexes.iter().filter(|other| **other != index);
+        let mut others = others.filter_map(|other| self.get(*other));
+        others.any(|other| other.gone_at.is_none() && other.revision > gone.revision)
+    }
+
     /// Forgets those that are gone for longer than flows last; returns their indexes.
     pub fn forget(&mut self, now: ClockTime) -> Vec<usize> {
         let is_old = |backend: &Backend| {
--- a/crates/foxledge-flows/src/decisions.rs
+++ b/crates/foxledge-flows/src/decisions.rs
@@ -137,6 +137,18 @@
         /// Time since something there was found unanswered, in milliseconds.
         silent_ms: u64,
     },
+    /// Its backend server is gone, and another one has its address.
+    AddressTaken {
+        /// Time since its entry was seen to be gone, in milliseconds.
+        gone_ms: u64,
+    },
+    /// Its backend server doesn't answer it, and its whole data centre answers nobody.
+    CentreSilent {
+        /// Time since the unanswered data was sent on first, in milliseconds.
+        waited_ms: u64,
+        /// Backend servers of the data centre that were found silent lately.
+        silent_backends: usize,
+    },
 }
 
 /// `DeadEnd` is an open flow of a dead backend server that is ended without a packet of it.
--- a/crates/foxledge-flows/src/ends.rs
+++ b/crates/foxledge-flows/src/ends.rs
@@ -9,7 +9,7 @@
 //!
 //! | what is ended | evidence |
 //! |---|---|
-//! | a request that waits | its data sent thrice, and something else there unanswered |
+//! | a request that waits | its data sent thrice, and something else there unanswered, or several backend servers of its data centre silent and none seen alive since |
 //! | one that may be repeated, or a flow at rest | a dead backend server ([`HealthState::is_dead`]), and another that answers this instance |
 //!
 //! [`HealthState::is_dead`]: crate::health::HealthState::is_dead
@@ -17,6 +17,7 @@
 use foxledge_core::time::ClockTime;
 
 use crate::{
+    backends::Backend,
     decisions::{DeadEnd, EndReason, FlowStall},
     mechanisms::RouterMechanism,
     packet::FlowKey,
@@ -34,6 +35,10 @@
 /// as far as that.
 const LOSSY_COPIES: u32 = 3;
 
+/// Backend servers of a data centre that must be silent for a flow there to be ended that is
+/// alone with its own.
+const CENTRE_SILENCES: usize = 4;
+
 /// `KnownSilence` is what is known of a backend server that has left something unanswered.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct KnownSilence {
@@ -82,11 +87,46 @@
         if self.is_lossy() && stall.copies < LOSSY_COPIES {
             return None;
         }
-        let mut known = known?;
+        let Some(mut known) = known else { return self.end_in_silent_centre(now, index, stall) };
         known.is_dead &= self.has_own_way(index, known.silent_at);
         loss(now, stall, known)
     }
 
+    /// Why a flow that is alone with its backend server is ended: nothing else was sent there, but
+    /// others of its data centre are silent too, and none has answered here since.
+    ///
+    /// A data centre that loses its power kills more backend servers than callers have flows to
+    /// each. Their requests, each the only one at its backend server, would wait for the fourth
+    /// copy, 1.4 s, and often for their deadline, as the next copy comes 1.6 s later.
+    fn end_in_silent_centre(
+        &self,
+        now: ClockTime,
+        index: usize,
+        stall: FlowStall,
+    ) -> Option<EndReason> {
+        if !stall.is_lost || !self.has(RouterMechanism::CentreEnds) {
+            return None;
+        }
+        let silent_backends = self.silent_around(now, index);
+        let waited_ms = stall.waited_ms;
+        (silent_backends >= CENTRE_SILENCES)
+            .then_some(EndReason::CentreSilent { waited_ms, silent_backends })
+    }
+
+    /// Other backend servers of a data centre that were found silent lately, here or by peers;
+    /// none where one of them was seen alive since.
+    fn silent_around(&self, now: ClockTime, index: usize) -> usize {
+        let Some(own) = self.backends.get(index) else { return 0 };
+        let is_around =
+            |other: &&Backend| other.data_centre == own.data_centre && other.number != own.number;
+        let around = || self.backends.iter().filter(is_around);
+        let silences = around().filter_map(|other| other.health.recent_silence(now));
+        let (count, first) = silences
+            .fold((0, ClockTime::FAR), |(count, first), silent| (count + 1, first.min(silent)));
+        let is_alive = around().any(|other| other.seen_at.is_some_and(|seen| seen > first));
+        if is_alive { 0 } else { count }
+    }
+
     fn dead_ends_of(&self, now: ClockTime, index: usize, most: usize) -> Vec<DeadEnd> {
         let Some(silent_at) = self.silence_of(now, index).map(|known| known.silent_at) else {
             return Vec::new();
--- a/crates/foxledge-flows/src/health.rs
+++ b/crates/foxledge-flows/src/health.rs
@@ -246,6 +246,12 @@
         self.silent_at
     }
 
+    /// When something was first found unanswered, if the newest of it was found lately and
+    /// nothing was heard of it since.
+    pub fn recent_silence(&self, now: ClockTime) -> Option<ClockTime> {
+        self.silent_at.filter(|_| !self.evidence_at.after_millis(DEAD_MS).is_past(now))
+    }
+
     /// Ejects it unless it is, and again after the failed trial of any instance.
     fn confirm(&mut self, now: ClockTime, turn_ms: u64) -> Option<NoteKind> {
         if !self.trials_from.is_past(now) {
--- a/crates/foxledge-flows/src/lib.rs
+++ b/crates/foxledge-flows/src/lib.rs
@@ -36,7 +36,7 @@
 pub mod rows;
 pub mod source;
 
-pub use backends::{Backend, BackendNews, BackendTable};
+pub use backends::{Backend, BackendNews, BackendTable, token_of};
 pub use cold::{ColdQuota, ColdRules, FlowWindow, NeighbourView};
 pub use decisions::{
     DeadEnd, DropReason, EndReason, FlowDecision, FlowExplanation, FlowStall, OpenReason,
--- a/crates/foxledge-flows/src/list.rs
+++ b/crates/foxledge-flows/src/list.rs
@@ -12,7 +12,7 @@
 use crate::{
     list_rows::{
         evacuation, is_of_config, is_of_own_item, is_removed, item_row_key, newest_of_each, placed,
-        removal, retirement, with_open_flows,
+        removal, retirement, vanished_number, with_open_flows,
     },
     rows::{
         ExtensionValue, LIMITS_KEY, ListRow, RowValue, backend_key, evacuation_key, route_key,
@@ -201,6 +201,23 @@
         taken
     }
 
+    /// Backend servers that are gone and still remembered, of the numbers that are meant.
+    pub fn vanished(&self, now: ClockTime, is_meant: impl Fn(u64) -> bool) -> Vec<ListRow> {
+        let known = self.removed.keys().filter_map(|key| self.rows.get(key));
+        let meant = known.filter(|row| vanished_number(row).is_some_and(&is_meant));
+        let mut rows: Vec<_> = meant.map(|row| self.aged(now, row)).collect();
+        rows.sort_unstable_by(|one, other| one.key.cmp(&other.key));
+        rows
+    }
+
+    /// Takes backend servers that were gone before this list knew them; returns those. What the
+    /// list says of a key stands: an older word of it mustn't come back.
+    pub fn take_vanished(&mut self, now: ClockTime, rows: Vec<ListRow>) -> Vec<ListRow> {
+        let news = rows.into_iter().filter(|row| vanished_number(row).is_some());
+        let news: Vec<_> = news.filter(|row| !self.rows.contains_key(row.key.as_str())).collect();
+        news.into_iter().filter_map(|row| self.put(now, row)).collect()
+    }
+
     /// Rows after a cursor, in order of changes, up to `budget` encoded bytes but one at least.
     pub fn page(&self, now: ClockTime, cursor: &ListCursor, budget: usize) -> ListPage {
         self.page_by(now, cursor, budget, |row| row.encoded_len() + ROW_FRAME)
--- a/crates/foxledge-flows/src/list_rows.rs
+++ b/crates/foxledge-flows/src/list_rows.rs
@@ -77,6 +77,14 @@
     ListRow { key, revision, value: Some(RowValue::extension(&value)) }
 }
 
+/// The number of a backend server that is gone.
+pub(crate) fn vanished_number(row: &ListRow) -> Option<u64> {
+    match &row.value {
+        Some(RowValue::Removed(removed)) => Some(removed.backend.as_ref()?.number),
+        _ => None,
+    }
+}
+
 pub(crate) fn is_removed(row: &ListRow) -> bool {
     matches!(row.value, Some(RowValue::Removed(_)) | None)
 }
--- a/crates/foxledge-flows/src/mechanisms.rs
+++ b/crates/foxledge-flows/src/mechanisms.rs
@@ -19,6 +19,8 @@
     IdleEnds,
     /// Requests that wait there and may be repeated are ended before they are sent again.
     WaitingEnds,
+    /// Flows that wait in a data centre that answers nobody are ended.
+    CentreEnds,
     /// Silence on lossy ways counts less.
     LossDoubt,
     /// Copies of an opening within 150 ms go where the first went.
@@ -33,7 +35,7 @@
 
 impl RouterMechanism {
     /// Every one.
-    pub const ALL: [RouterMechanism; 13] = [
+    pub const ALL: [RouterMechanism; 14] = [
         RouterMechanism::Suspicion,
         RouterMechanism::Ejection,
         RouterMechanism::Probation,
@@ -42,6 +44,7 @@
         RouterMechanism::StalledEnds,
         RouterMechanism::IdleEnds,
         RouterMechanism::WaitingEnds,
+        RouterMechanism::CentreEnds,
         RouterMechanism::LossDoubt,
         RouterMechanism::CopyWindow,
         RouterMechanism::Slowness,
@@ -60,6 +63,7 @@
             RouterMechanism::StalledEnds => "stalled-ends",
             RouterMechanism::IdleEnds => "idle-ends",
             RouterMechanism::WaitingEnds => "waiting-ends",
+            RouterMechanism::CentreEnds => "centre-ends",
             RouterMechanism::LossDoubt => "loss-doubt",
             RouterMechanism::CopyWindow => "copy-window",
             RouterMechanism::Slowness => "slowness",
--- a/crates/foxledge-flows/src/router.rs
+++ b/crates/foxledge-flows/src/router.rs
@@ -490,6 +490,13 @@
         {
             self.seen_alive(now, index);
         }
+        if may_repeat
+            && packet.length > 0
+            && let Some(reason) = self.end_of_replaced(now, index)
+        {
+            self.end_track(&packet.key);
+            return FlowDecision::End { backend: index, reason };
+        }
         // What this packet itself tells is no evidence beside it.
         let known = self.silence_of(now, index);
         let stall = self.track(now, packet, index);
--- a/crates/foxledge-flows/tests/idle_sweep.rs
+++ b/crates/foxledge-flows/tests/idle_sweep.rs
@@ -318,7 +318,9 @@
                 assert!(self.repeatable, "a bid was under way on {}", caller.key);
                 self.end(flow, 2);
             }
-            EndReason::BackendSilent { .. } => panic!("{end:?} without a packet"),
+            EndReason::BackendSilent { .. }
+            | EndReason::AddressTaken { .. }
+            | EndReason::CentreSilent { .. } => panic!("{end:?} without a packet"),
         }
     }
 
--- a/crates/foxledge-flows/tests/vanished_backends.rs
+++ b/crates/foxledge-flows/tests/vanished_backends.rs
@@ -4,7 +4,7 @@
 
 use common::*;
 use foxledge_flows::{
-    DropReason, FlowDecision, FlowRouter, RefuseReason,
+    DropReason, EndReason, FlowDecision, FlowRouter, RefuseReason,
     rows::{ListRow, RowValue},
 };
 
@@ -114,3 +114,61 @@
     router.take_rows(at(3_100), &[unrepeatable()]);
     assert_eq!(ask(&mut router, 3_200, 1), UNKNOWN);
 }
+
+/// The row of a backend server that vanished, and that of one that has its address now.
+fn replaced_rows() -> [ListRow; 2] {
+    let old = backend_spec(u64::from(VANISHED), "desk", NEAR);
+    let mut new = backend_spec(200, "desk", NEAR);
+    new.ip = old.ip;
+    [removed(&backend_row(old, 3), 4, 5_000), backend_row(new, 5)]
+}
+
+// Symptom: after a data centre's return of power, feeds hang for the two seconds in which their
+//   instances can't be sure of the list.
+// Sequence: a peer tells which backend server the token named; another has its address now.
+#[test]
+fn replaced_ends_at_once() {
+    let mut router = started(&[0, 1_000]);
+    assert_eq!(ask(&mut router, 1_100, 1), UNKNOWN);
+    assert_eq!(router.take_wanted_tokens(), [VANISHED]);
+    router.take_rows(at(1_110), &replaced_rows());
+    let decision = ask(&mut router, 1_300, 1);
+    let FlowDecision::End { reason: EndReason::AddressTaken { gone_ms }, .. } = decision else {
+        panic!("{decision:?}");
+    };
+    assert_eq!(gone_ms, 5_190);
+}
+
+// Others are asked for a token now and then, not with each packet.
+#[test]
+fn asked_now_and_then() {
+    let mut router = started(&[0]);
+    let asked = (0..30).filter(|step| {
+        ask(&mut router, 100 + step * 50, *step as u16);
+        !router.take_wanted_tokens().is_empty()
+    });
+    assert_eq!(asked.count(), 3);
+}
+
+// Symptom: a flow is reset though its backend server lives.
+// Sequence: its entry lapsed, and nobody has its address; or an older entry names the address.
+#[test]
+fn vanished_may_live() {
+    let [gone, mut other] = replaced_rows();
+    other.revision = 2;
+    for rows in [vec![gone.clone()], vec![gone, other]] {
+        let mut router = started(&[0, 1_000]);
+        router.take_rows(at(1_100), &rows);
+        let decision = ask(&mut router, 1_300, 1);
+        assert_eq!(number_of(&router, &decision), Some(u64::from(VANISHED)));
+    }
+}
+
+#[test]
+fn replaced_bid_kept() {
+    let mut router = started(&[0, 1_000]);
+    router.take_rows(at(1_100), &replaced_rows());
+    router.take_rows(at(1_100), &[unrepeatable()]);
+    let decision = ask(&mut router, 1_300, 1);
+    assert_eq!(number_of(&router, &decision), Some(u64::from(VANISHED)));
+}
--- a/crates/foxledge-gossip/src/lib.rs
+++ b/crates/foxledge-gossip/src/lib.rs
@@ -30,6 +30,7 @@
 mod signs;
 mod spreading;
 mod telling;
+mod vanished;
 
 pub use effects::{FleetEffect, FleetEvent, ReadOrder};
 pub use member::FleetMember;
--- a/crates/foxledge-gossip/src/member.rs
+++ b/crates/foxledge-gossip/src/member.rs
@@ -245,6 +245,10 @@
             Some(MessageBody::Pull(pull)) => self.answer_pull(now, from, &pull),
             Some(MessageBody::Page(page)) => self.take_page(now, page),
             Some(MessageBody::Evidence(evidence)) => self.take_evidence(now, &evidence),
+            Some(MessageBody::TokenQuestion(question)) => {
+                self.answer_tokens(now, from, &question);
+            }
+            Some(MessageBody::TokenAnswer(answer)) => self.take_vanished(now, answer),
             None => return false,
         }
         true
--- a/crates/foxledge-gossip/src/messages.rs
+++ b/crates/foxledge-gossip/src/messages.rs
@@ -22,7 +22,7 @@
 #[derive(Clone, PartialEq, Message)]
 pub struct FleetMessage {
     /// Of what kind.
-    #[prost(oneof = "MessageBody", tags = "1, 2, 3, 4")]
+    #[prost(oneof = "MessageBody", tags = "1, 2, 3, 4, 5, 6")]
     pub body: Option<MessageBody>,
 }
 
@@ -71,6 +71,28 @@
     /// The health of backend servers.
     #[prost(message, tag = "4")]
     Evidence(EvidenceMessage),
+    /// Question for backend servers that vanished.
+    #[prost(message, tag = "5")]
+    TokenQuestion(TokenQuestion),
+    /// Backend servers that vanished.
+    #[prost(message, tag = "6")]
+    TokenAnswer(TokenAnswer),
+}
+
+/// `TokenQuestion` asks which backend servers tokens of open flows named.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct TokenQuestion {
+    /// The tokens.
+    #[prost(fixed32, repeated, tag = "1")]
+    pub tokens: Vec<u32>,
+}
+
+/// `TokenAnswer` is backend servers that vanished.
+#[derive(Clone, PartialEq, Message)]
+pub struct TokenAnswer {
+    /// The rows of what is gone.
+    #[prost(message, optional, tag = "1")]
+    pub rows: Option<PackedRows>,
 }
 
 /// `PeerCard` is who an instance is.
--- a/crates/foxledge-gossip/tests/common/mod.rs
+++ b/crates/foxledge-gossip/tests/common/mod.rs
@@ -401,6 +401,15 @@
         self.carry_out(index);
     }
 
+    /// Lets a member ask others which backend servers these tokens named.
+    pub fn ask_tokens(&mut self, index: usize, tokens: Vec<u32>) {
+        let now = self.now();
+        if let Some(member) = &mut self.seats[index].member {
+            member.ask_tokens(now, tokens);
+        }
+        self.carry_out(index);
+    }
+
     /// Lets a member have a datagram that somebody sends again.
     pub fn deliver(&mut self, member: usize, from: SocketAddrV4, bytes: Vec<u8>) {
         self.push(self.now_us, Event::Datagram { member, from, bytes });
--- /dev/null
+++ b/crates/foxledge-gossip/tests/vanished_asked.rs
@@ -0,0 +1,68 @@
+//! What vanished before an instance started, asked of others by token.
+
+mod common;
+
+use common::settled_fleet;
+use foxledge_flows::{
+    rows::{ListRow, RowValue},
+    token_of,
+};
+
+const NUMBERS: std::ops::Range<u64> = 10..50;
+
+fn vanished_at(rows: &[ListRow]) -> usize {
+    let is_gone = |row: &&ListRow| match &row.value {
+        Some(RowValue::Removed(removed)) => {
+            removed.backend.as_ref().is_some_and(|one| NUMBERS.contains(&one.number))
+        }
+        _ => false,
+    };
+    rows.iter().filter(is_gone).count()
+}
+
+// Symptom: callers' feeds hang after a data centre's return of power, as its instances drop what
+//   names backend servers of before.
+// Sequence: all backend servers of a data centre vanish, and its instances start anew and read
+//   the store, before others hand them their list. Only the other data centre remembers.
+#[test]
+fn starters_ask() {
+    let mut fleet = settled_fleet(&[4, 4], 1);
+    for number in NUMBERS {
+        fleet.store.register(number, false);
+    }
+    fleet.store_changed();
+    fleet.run(2_000);
+    for member in 0..4 {
+        fleet.kill(member);
+    }
+    for number in NUMBERS {
+        fleet.store.remove(number);
+    }
+    fleet.store_changed();
+    fleet.run(1_000);
+    let far = |one: usize, other: usize| (one < 4) != (other < 4);
+    let pairs = (0..8).flat_map(|from| (0..8).map(move |to| (from, to)));
+    fleet.cut = pairs.filter(|(from, to)| far(*from, *to)).collect();
+    for member in 0..4 {
+        fleet.start(member);
+    }
+    fleet.run(1_000);
+    fleet.cut.clear();
+    fleet.run(3_000);
+    for member in 0..4 {
+        fleet.seats[member].rows.clear();
+        fleet.ask_tokens(member, NUMBERS.map(token_of).collect());
+    }
+    fleet.run(100);
+    for member in 0..4 {
+        assert_eq!(vanished_at(&fleet.seats[member].rows), NUMBERS.count(), "instance {member}");
+    }
+    // What is listed stays as it is, and a second answer is no news.
+    for member in 0..4 {
+        fleet.seats[member].rows.clear();
+        fleet.ask_tokens(member, NUMBERS.map(token_of).collect());
+    }
+    fleet.run(100);
+    assert!((0..4).all(|member| fleet.seats[member].rows.is_empty()));
+    assert!(fleet.all_know(fleet.store.head));
+}
