Expect the end of a feed whose backend server's address another has

reused_address_refuses asked that packets of a flow go on to the number of the former backend server. The promise it holds, that no packet reaches the service that took the address, is kept otherwise now for requests that may be repeated: their flow is ended, which the test asks for; for others it is as before.

--- a/crates/foxledge-flows/tests/open_flows.rs
+++ b/crates/foxledge-flows/tests/open_flows.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::*;
-use foxledge_flows::{DropReason, FlowDecision, PacketKind};
+use foxledge_flows::{DropReason, EndReason, FlowDecision, PacketKind, rows::RowValue};
 
 #[test]
 fn any_instance_continues() {
@@ -32,8 +32,19 @@
     let mut newer = backend_spec(2, "intake", NEAR);
     newer.ip = u32::from(std::net::Ipv4Addr::new(10, 128, 0, 1));
     router.take_rows(at(100), &[removed(&old, 3, 0), backend_row(newer, 4)]);
-    // The packet is still sent to the number of the old one, which the new one isn't.
+    // A caller that may ask again is told at once.
     let decision = router.on_packet(at(200), &data(key, 1, 1, 1));
+    let FlowDecision::End { backend, reason: EndReason::AddressTaken { .. } } = decision else {
+        panic!("{decision:?}");
+    };
+    assert_eq!(router.backend(backend).map(|one| one.number), Some(1));
+    // Any other packet is still sent to the number of the old one, which the new one isn't.
+    let mut unrepeatable = route("r", 443, "desk", 5);
+    if let Some(RowValue::Route(route)) = &mut unrepeatable.value {
+        route.idempotent = false;
+    }
+    router.take_rows(at(200), &[unrepeatable]);
+    let decision = router.on_packet(at(300), &data(key, 1, 1, 1));
     assert_eq!(number_of(&router, &decision), Some(1));
 }
 
