Hand packets of open flows to another instance while the list is known in part

Cause, from the logs of the trial deployment of 300 instances: an instance that starts serves on the first 500 items of the store, and for 0.6 to 1 s drops packets of open flows whose backend servers are in the rest; callers wait for 200 ms and more.

The packet travels in a message, so that who gets it knows it was handed on once.

--- a/crates/foxledge-bench/src/flows/routing.rs
+++ b/crates/foxledge-bench/src/flows/routing.rs
@@ -41,7 +41,7 @@
             FlowDecision::Forward { backend, .. } => self.pass_on(instance, flow, backend, &packet),
             FlowDecision::Refuse(_) => self.push_after(CALLER_WAY, FlowEvent::Reset { flow }),
             FlowDecision::End { backend, .. } => self.end_flow(instance, flow, backend),
-            FlowDecision::Drop(_) => {}
+            FlowDecision::Relay | FlowDecision::Drop(_) => {}
         }
         self.share_notes(instance);
     }
--- a/crates/foxledge-daemon/src/packets/fleet_part.rs
+++ b/crates/foxledge-daemon/src/packets/fleet_part.rs
@@ -71,6 +71,11 @@
         self.carry_out(cx);
     }
 
+    /// Sends the messages that callers' packets have made.
+    pub fn send_messages(&mut self, cx: CX![]) {
+        self.carry_out(cx);
+    }
+
     /// Asks other instances for backend servers that vanished before this one started.
     pub fn ask_tokens(&mut self, cx: CX![], tokens: Vec<u32>) {
         let now = self.context.clock.now();
@@ -201,6 +206,11 @@
                     call!([flows], take_note(note));
                 }
             }
+            FleetEffect::Packet(bytes) => {
+                if let Some(flows) = directory.get::<FlowPart>() {
+                    call!([flows], take_relayed(bytes));
+                }
+            }
             FleetEffect::Event(event) => self.log_event(&event),
         }
     }
--- a/crates/foxledge-daemon/src/packets/flow_lines.rs
+++ b/crates/foxledge-daemon/src/packets/flow_lines.rs
@@ -47,6 +47,8 @@
         #[serde(flatten)]
         reason: EndReason,
     },
+    /// A packet was handed to another instance.
+    Relayed { token: u32 },
     /// A packet was dropped.
     Dropped { token: u32, reason: DropReason },
 }
@@ -55,7 +57,8 @@
 #[derive(Serialize)]
 pub(super) struct MalformedLine {
     pub(super) event: &'static str,
-    pub(super) from: SocketAddr,
+    /// None when another instance handed it on.
+    pub(super) from: Option<SocketAddr>,
     pub(super) fault: &'static str,
 }
 
--- a/crates/foxledge-daemon/src/packets/flow_part.rs
+++ b/crates/foxledge-daemon/src/packets/flow_part.rs
@@ -15,7 +15,7 @@
     Backend, BackendNews, ColdRules, DeadEnd, DropReason, EndReason, EvacuationNews, FlowDecision,
     FlowKey, FlowPacket, FlowRouter, FlowStall, HealthClass, HealthNote, OpenReason, PacketKind,
     RefuseReason, RouterCounts, RouterOptions, flow_hash,
-    packet::{HEADROOM, LARGEST_PACKET},
+    packet::{HEADROOM, LARGEST_PACKET, PacketFault},
     rows::ListRow,
 };
 use rand::{Rng, SeedableRng, rngs::StdRng};
@@ -51,6 +51,26 @@
     /// While no list is known, packets wait in the socket until then.
     held_until: Option<ClockTime>,
     frame: Box<[u8; READ_SIZE]>,
+    /// The member has messages to send.
+    has_messages: bool,
+}
+
+/// `PacketOrigin` is how a caller's packet came here.
+#[derive(Clone, Copy, Debug)]
+enum PacketOrigin {
+    /// By the network, from this address.
+    Network(SocketAddr),
+    /// From another instance, which couldn't place it.
+    Instance,
+}
+
+impl PacketOrigin {
+    fn address(self) -> Option<SocketAddr> {
+        match self {
+            PacketOrigin::Network(address) => Some(address),
+            PacketOrigin::Instance => None,
+        }
+    }
 }
 
 impl FlowPart {
@@ -99,7 +119,8 @@
         let held_until = (!can_serve).then(|| now.after_millis(HOLD_MS));
         let counts = RouterCounts::default();
         let frame = Box::new([0; READ_SIZE]);
-        Ok(FlowPart { context, socket, router, counts, held_until, frame })
+        let has_messages = false;
+        Ok(FlowPart { context, socket, router, counts, held_until, frame, has_messages })
     }
 
     /// Takes rows of the list that changed.
@@ -145,6 +166,19 @@
         self.end_idle_flows(now);
     }
 
+    /// Takes a caller's packet that another instance couldn't place.
+    pub fn take_relayed(&mut self, _cx: CX![], bytes: Vec<u8>) {
+        let now = self.context.clock.now();
+        let room = &mut self.frame[HEADROOM..];
+        let Some(room) = room.get_mut(..bytes.len()) else {
+            let fault = PacketFault::Long.word();
+            return self.context.metrics.malformed.with_label_values(&[fault]).inc();
+        };
+        room.copy_from_slice(&bytes);
+        self.take_datagram(now, bytes.len(), PacketOrigin::Instance);
+        self.share_observations();
+    }
+
     /// Answers with what the router knows.
     pub fn report(&mut self, _cx: CX![], answer: Box<dyn FnOnce(RouteReport)>) {
         answer(RouteReport::new(&self.router, self.context.clock.now()));
@@ -214,7 +248,7 @@
         let mut count = 0;
         while count < BATCH_LIMIT {
             match self.socket.recv_from(&mut self.frame[HEADROOM..]) {
-                Ok((size, from)) => self.take_datagram(now, size, from),
+                Ok((size, from)) => self.take_datagram(now, size, PacketOrigin::Network(from)),
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => break,
                 Err(error) if error.kind() == io::ErrorKind::Interrupted => continue,
                 // An ICMP error of an earlier send; the socket itself is fine.
@@ -250,14 +284,14 @@
         }
     }
 
-    fn take_datagram(&mut self, now: ClockTime, size: usize, from: SocketAddr) {
+    fn take_datagram(&mut self, now: ClockTime, size: usize, origin: PacketOrigin) {
         let read = self.context.adapters.codec.read(&self.frame[HEADROOM..HEADROOM + size]);
         let packet = match read {
             Ok(packet) => packet,
             Err(fault) => {
                 self.context.metrics.malformed.with_label_values(&[fault.word()]).inc();
                 let event = "packet_malformed";
-                let line = MalformedLine { event, from, fault: fault.word() };
+                let line = MalformedLine { event, from: origin.address(), fault: fault.word() };
                 return self.context.note(event, &line);
             }
         };
@@ -274,10 +308,24 @@
             }
             FlowDecision::Refuse(reason) => self.refuse(now, &packet, reason),
             FlowDecision::End { backend, reason } => self.end_flow(now, &packet, backend, reason),
+            FlowDecision::Relay => self.relay(now, size, &packet, origin),
             FlowDecision::Drop(reason) => self.drop_packet(now, &packet, reason),
         }
     }
 
+    /// Hands a packet to an instance that knows the whole list, unless it came that way.
+    fn relay(&mut self, now: ClockTime, size: usize, packet: &FlowPacket, origin: PacketOrigin) {
+        let bytes = &self.frame[HEADROOM..HEADROOM + size];
+        let is_first = matches!(origin, PacketOrigin::Network(_));
+        if !is_first || !self.context.member.borrow_mut().relay(now, bytes) {
+            return self.drop_packet(now, packet, DropReason::UnknownToken);
+        }
+        self.context.metrics.packets.with_label_values(&["relay"]).inc();
+        let token = packet.token;
+        self.log_decision(now, "packet_relayed", packet, || FlowDetail::Relayed { token });
+        self.has_messages = true;
+    }
+
     fn forward(&mut self, size: usize, index: usize) {
         self.context.metrics.packets.with_label_values(&["forward"]).inc();
         self.send_frame(size, index);
@@ -377,6 +425,11 @@
         metrics.open_overdue.inc_by(counts.overdue - self.counts.overdue);
         metrics.data_resent.inc_by(counts.resent - self.counts.resent);
         self.counts = counts;
+        if std::mem::take(&mut self.has_messages)
+            && let Some(fleet) = self.context.directory.get::<FleetPart>()
+        {
+            call!([fleet], send_messages());
+        }
         let tokens = self.router.take_wanted_tokens();
         if let Some(fleet) = self.context.directory.get::<FleetPart>()
             && !tokens.is_empty()
--- a/crates/foxledge-flows/src/absent.rs
+++ b/crates/foxledge-flows/src/absent.rs
@@ -11,6 +11,7 @@
 use crate::{
     backends::LAPSE_MS,
     decisions::{DropReason, EndReason, FlowDecision, RefuseReason},
+    mechanisms::RouterMechanism,
     packet::FlowPacket,
     router::FlowRouter,
 };
@@ -97,7 +98,10 @@
         }
     }
 
-    /// Decides on a packet whose token names nobody; `may_repeat` tells that its route's
+    /// Decides on a packet whose token names nobody. As long as no list was confirmed, what is known
+    /// is a part, and most open flows' backend servers aren't in it: others know them.
+    ///
+    /// `may_repeat` tells that its route's
     /// requests may be repeated.
     ///
     /// What the list must be for the flow to be reset:
@@ -117,7 +121,13 @@
         may_repeat: bool,
     ) -> FlowDecision {
         let unknown = FlowDecision::Drop(DropReason::UnknownToken);
-        if packet.token == 0 || packet.length == 0 {
+        if packet.token == 0 {
+            return unknown;
+        }
+        if self.confirmed_at.is_none() && self.has(RouterMechanism::Relays) {
+            return FlowDecision::Relay;
+        }
+        if packet.length == 0 {
             return unknown;
         }
         let first = self.absent.note(now, packet.token);
--- a/crates/foxledge-flows/src/decisions.rs
+++ b/crates/foxledge-flows/src/decisions.rs
@@ -39,6 +39,9 @@
         /// Why.
         reason: EndReason,
     },
+    /// Hand it to another instance, which knows the whole list: this one knows a part, and not the
+    /// backend server of the open flow.
+    Relay,
     /// Do nothing.
     Drop(DropReason),
 }
--- a/crates/foxledge-flows/src/mechanisms.rs
+++ b/crates/foxledge-flows/src/mechanisms.rs
@@ -21,6 +21,8 @@
     WaitingEnds,
     /// Flows that wait in a data centre that answers nobody are ended.
     CentreEnds,
+    /// Packets of open flows that an instance can't place yet are handed to another.
+    Relays,
     /// Silence on lossy ways counts less.
     LossDoubt,
     /// Copies of an opening within 150 ms go where the first went.
@@ -35,7 +37,7 @@
 
 impl RouterMechanism {
     /// Every one.
-    pub const ALL: [RouterMechanism; 14] = [
+    pub const ALL: [RouterMechanism; 15] = [
         RouterMechanism::Suspicion,
         RouterMechanism::Ejection,
         RouterMechanism::Probation,
@@ -45,6 +47,7 @@
         RouterMechanism::IdleEnds,
         RouterMechanism::WaitingEnds,
         RouterMechanism::CentreEnds,
+        RouterMechanism::Relays,
         RouterMechanism::LossDoubt,
         RouterMechanism::CopyWindow,
         RouterMechanism::Slowness,
@@ -64,6 +67,7 @@
             RouterMechanism::IdleEnds => "idle-ends",
             RouterMechanism::WaitingEnds => "waiting-ends",
             RouterMechanism::CentreEnds => "centre-ends",
+            RouterMechanism::Relays => "relays",
             RouterMechanism::LossDoubt => "loss-doubt",
             RouterMechanism::CopyWindow => "copy-window",
             RouterMechanism::Slowness => "slowness",
--- a/crates/foxledge-gossip/src/effects.rs
+++ b/crates/foxledge-gossip/src/effects.rs
@@ -46,6 +46,8 @@
     Confirmed(ClockTime),
     /// Another instance observed a backend server.
     Note(HealthNote),
+    /// Another instance hands on a caller's packet that it can't place.
+    Packet(Vec<u8>),
     /// Something worth a log line.
     Event(FleetEvent),
 }
--- a/crates/foxledge-gossip/src/lib.rs
+++ b/crates/foxledge-gossip/src/lib.rs
@@ -27,6 +27,7 @@
 mod pulls;
 mod reading;
 mod refused;
+mod relays;
 mod signs;
 mod spreading;
 mod telling;
--- a/crates/foxledge-gossip/src/member.rs
+++ b/crates/foxledge-gossip/src/member.rs
@@ -249,6 +249,9 @@
                 self.answer_tokens(now, from, &question);
             }
             Some(MessageBody::TokenAnswer(answer)) => self.take_vanished(now, answer),
+            Some(MessageBody::Packet(packet)) => {
+                self.effects.push(FleetEffect::Packet(packet.bytes));
+            }
             None => return false,
         }
         true
--- a/crates/foxledge-gossip/src/messages.rs
+++ b/crates/foxledge-gossip/src/messages.rs
@@ -22,7 +22,7 @@
 #[derive(Clone, PartialEq, Message)]
 pub struct FleetMessage {
     /// Of what kind.
-    #[prost(oneof = "MessageBody", tags = "1, 2, 3, 4, 5, 6")]
+    #[prost(oneof = "MessageBody", tags = "1, 2, 3, 4, 5, 6, 7")]
     pub body: Option<MessageBody>,
 }
 
@@ -77,6 +77,17 @@
     /// Backend servers that vanished.
     #[prost(message, tag = "6")]
     TokenAnswer(TokenAnswer),
+    /// A caller's packet that the sender can't place.
+    #[prost(message, tag = "7")]
+    Packet(RelayedPacket),
+}
+
+/// `RelayedPacket` is a caller's packet, as it came.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct RelayedPacket {
+    /// Its bytes.
+    #[prost(bytes = "vec", tag = "1")]
+    pub bytes: Vec<u8>,
 }
 
 /// `TokenQuestion` asks which backend servers tokens of open flows named.
--- a/crates/foxledge-gossip/tests/common/mod.rs
+++ b/crates/foxledge-gossip/tests/common/mod.rs
@@ -62,6 +62,8 @@
     pub paused_until: u64,
     pub events: Vec<(u64, FleetEvent)>,
     pub notes: Vec<HealthNote>,
+    /// Packets that others handed to it.
+    pub packets: Vec<Vec<u8>>,
     pub sent: u64,
     pub sent_bytes: u64,
     /// Times that rows of its list changed.
@@ -274,6 +276,7 @@
                     paused_until: 0,
                     events: Vec::new(),
                     notes: Vec::new(),
+                    packets: Vec::new(),
                     sent: 0,
                     sent_bytes: 0,
                     changes: 0,
@@ -410,6 +413,17 @@
         self.carry_out(index);
     }
 
+    /// Lets a member hand a packet to another.
+    pub fn relay(&mut self, index: usize, packet: &[u8]) -> bool {
+        let now = self.now();
+        let is_sent = match &mut self.seats[index].member {
+            Some(member) => member.relay(now, packet),
+            None => false,
+        };
+        self.carry_out(index);
+        is_sent
+    }
+
     /// Lets a member have a datagram that somebody sends again.
     pub fn deliver(&mut self, member: usize, from: SocketAddrV4, bytes: Vec<u8>) {
         self.push(self.now_us, Event::Datagram { member, from, bytes });
@@ -509,6 +523,7 @@
                     self.seats[index].events.push((at, event));
                 }
                 FleetEffect::Note(note) => self.seats[index].notes.push(note),
+                FleetEffect::Packet(bytes) => self.seats[index].packets.push(bytes),
                 FleetEffect::Rows(rows) => {
                     self.seats[index].changes += 1;
                     self.seats[index].rows.extend(rows);
--- /dev/null
+++ b/crates/foxledge-gossip/tests/packet_relays.rs
@@ -0,0 +1,32 @@
+//! Callers' packets that an instance hands to another.
+
+mod common;
+
+use common::settled_fleet;
+use foxledge_gossip::LARGEST_MESSAGE;
+
+/// The largest packet of a caller, in bytes.
+const LARGEST_PACKET: usize = 1_232;
+
+// Any of those that have the list may get it, and it arrives as it was.
+#[test]
+fn handed_on_whole() {
+    let mut fleet = settled_fleet(&[3, 3], 1);
+    let packet: Vec<_> = (0..LARGEST_PACKET).map(|index| index as u8).collect();
+    for _ in 0..20 {
+        assert!(fleet.relay(0, &packet));
+    }
+    fleet.run(50);
+    let got = fleet.seats.iter().map(|seat| seat.packets.len());
+    assert_eq!(got.sum::<usize>(), 20);
+    assert!(fleet.seats[0].packets.is_empty());
+    assert!(fleet.seats[1..3].iter().all(|seat| !seat.packets.is_empty()), "those nearby");
+    assert!(fleet.seats.iter().flat_map(|seat| &seat.packets).all(|got| *got == packet));
+    assert!(fleet.largest <= LARGEST_MESSAGE);
+}
+
+#[test]
+fn nobody_known() {
+    let mut fleet = settled_fleet(&[1], 1);
+    assert!(!fleet.relay(0, &[1, 2, 3]));
+}
