--- a/crates/foxledge-daemon/src/packets/flow_part.rs
+++ b/crates/foxledge-daemon/src/packets/flow_part.rs
@@ -12,9 +12,8 @@
     time::ClockTime,
 };
 use foxledge_flows::{
-    Backend, BackendNews, ColdRules, DeadEnd, DropReason, EndReason, EvacuationNews, FlowDecision,
-    FlowKey, FlowPacket, FlowRouter, FlowStall, HealthClass, HealthNote, OpenReason, PacketKind,
-    RefuseReason, RouterCounts, RouterOptions, flow_hash,
+    Backend, ColdRules, DeadEnd, DropReason, EndReason, FlowDecision, FlowKey, FlowPacket,
+    FlowRouter, HealthClass, HealthNote, PacketKind, RefuseReason, RouterCounts, RouterOptions,
     packet::{HEADROOM, LARGEST_PACKET, PacketFault},
     rows::ListRow,
 };
@@ -31,7 +30,7 @@
     clock::LOOK_AGAIN,
     context::SharedContext,
     fleet_part::FleetPart,
-    flow_lines::{EvacuationLine, FlowDetail, FlowLine, HealthLine, MalformedLine, NewsLine},
+    flow_lines::{FlowDetail, MalformedLine},
     reports::{ExplainReport, RouteReport},
 };
 
@@ -44,9 +43,9 @@
 
 /// `FlowPart` owns the socket for callers' packets.
 pub struct FlowPart {
-    context: SharedContext,
+    pub(super) context: SharedContext,
     socket: MioSource<UdpSocket>,
-    router: FlowRouter,
+    pub(super) router: FlowRouter,
     counts: RouterCounts,
     /// While no list is known, packets wait in the socket until then.
     held_until: Option<ClockTime>,
@@ -380,40 +379,6 @@
         self.log_decision(now, "packet_dropped", packet, || FlowDetail::Dropped { token, reason });
     }
 
-    fn log_opening(&self, now: ClockTime, packet: &FlowPacket, index: usize, reason: &OpenReason) {
-        let Some(backend) = self.router.backend(index) else { return };
-        self.log_decision(now, "flow_opened", packet, || FlowDetail::Opened {
-            backend: &backend.key,
-            address: backend.address,
-            data_centre: &backend.data_centre,
-            reason,
-        });
-    }
-
-    fn log_stall(&self, now: ClockTime, packet: &FlowPacket, index: usize, stall: FlowStall) {
-        let Some(backend) = self.router.backend(index) else { return };
-        let detail = || FlowDetail::Stalled { backend: &backend.key, stall };
-        self.log_decision(now, "flow_stalled", packet, detail);
-    }
-
-    /// Logs a decision; its line is only made when it is kept.
-    fn log_decision<'a>(
-        &self,
-        now: ClockTime,
-        event: &'static str,
-        packet: &FlowPacket,
-        detail: impl FnOnce() -> FlowDetail<'a>,
-    ) {
-        self.context.log.borrow_mut().decision(now, event, flow_hash(&packet.key), || FlowLine {
-            event,
-            flow: packet.key.to_string(),
-            sequence: packet.sequence,
-            detail: detail(),
-            list_revision: self.context.member.borrow().list().head(),
-            list_age_ms: self.context.confirmed_age_ms(),
-        });
-    }
-
     /// Tells other instances what packets told of backend servers, and counts.
     fn share_observations(&mut self) {
         for latency in self.router.take_latencies() {
@@ -447,34 +412,6 @@
             call!([fleet], share_notes(notes));
         }
     }
-
-    fn log_news(&self, news: &BackendNews) {
-        let (BackendNews::Restarted { index, .. } | BackendNews::Contradicted { index, .. }) = news;
-        let Some(backend) = self.router.backend(*index) else { return };
-        let line = NewsLine::new(news, backend);
-        let kind = line.kind();
-        self.context.metrics.backend_news.with_label_values(&[kind]).inc();
-        self.context.note(kind, &line);
-    }
-
-    fn log_evacuation(&self, news: &EvacuationNews) {
-        let now = self.context.clock.now();
-        let own = self.router.backends().filter(|one| one.data_centre == news.data_centre);
-        let line = EvacuationLine::new(news, own.count(), self.context.confirmed_age_ms());
-        let kind = line.kind();
-        self.context.metrics.evacuation_news.with_label_values(&[kind]).inc();
-        self.context.metrics.evacuated.set(self.router.evacuations().count() as i64);
-        self.context.note(kind, &line);
-        self.context.log.borrow_mut().flush(now);
-    }
-
-    fn log_note(&self, note: &HealthNote, observer: &'static str) {
-        let now = self.context.clock.now();
-        let Some(backend) = self.router.backend_of(note.number) else { return };
-        self.context.metrics.health_notes.with_label_values(&[note.kind.word(), observer]).inc();
-        let line = HealthLine::new(now, note, backend, observer);
-        self.context.log.borrow_mut().note(now, "backend_observed", &line);
-    }
 }
 
 impl Drop for FlowPart {
--- a/crates/foxledge-flows/src/lib.rs
+++ b/crates/foxledge-flows/src/lib.rs
@@ -11,6 +11,7 @@
 //! decisions come out.
 
 mod absent;
+mod backend_table;
 mod backends;
 mod candidates;
 mod cold;
@@ -20,10 +21,13 @@
 mod evacuations;
 mod evidence;
 mod latency;
+mod learning;
 mod list_rows;
 mod losses;
 mod mechanisms;
+mod new_flows;
 mod openings;
+mod options;
 mod router;
 mod routes;
 mod tracks;
@@ -36,7 +40,8 @@
 pub mod rows;
 pub mod source;
 
-pub use backends::{Backend, BackendNews, BackendTable, token_of};
+pub use backend_table::BackendTable;
+pub use backends::{Backend, BackendNews, token_of};
 pub use cold::{ColdQuota, ColdRules, FlowWindow, NeighbourView};
 pub use decisions::{
     DeadEnd, DropReason, EndReason, FlowDecision, FlowExplanation, FlowStall, OpenReason,
@@ -47,8 +52,9 @@
 pub use latency::LatencyGauge;
 pub use list::FleetList;
 pub use mechanisms::{MechanismSet, RouterMechanism};
+pub use options::RouterOptions;
 pub use packet::{FlowKey, FlowPacket, PacketCodec, PacketKind};
 pub use placement::{LeastLoaded, PlacementPolicy};
-pub use router::{FlowRouter, RouterOptions};
+pub use router::FlowRouter;
 pub use routes::{FlowRoute, flow_hash};
 pub use source::{ConfigReading, ItemChange, ListReading, ListSource, SourceError};
