Count flows for a second after their end when placing new ones

A crash resets all flows at a backend server, so that the dead have the fewest flows of all and win every tie; callers that were reset ask again at once, and all three of their tries found a dead one within the 40 ms until it was suspected (retries_find_the_living, red before).

overwritten_gets_none asks for a placement within 50 ms of the end of a flow there; it does so after the second in which that flow still counts. What it holds is the same.

--- a/crates/foxledge-flows/src/backends.rs
+++ b/crates/foxledge-flows/src/backends.rs
@@ -25,6 +25,14 @@
 /// Age of the store's last confirmation at which it counts as away, in
 /// milliseconds: more than any instance in touch sees.
 const STORE_AWAY_MS: u64 = 2_500;
+/// How long flows that have ended still count for the choice of a backend server, in
+/// milliseconds.
+///
+/// A crash ends all flows there in one moment, so that dead backend servers had the fewest of all
+/// and got every new flow until they were found out. Callers that are reset ask again at once:
+/// within those 40 ms all of their tries went to one dead backend server or the other.
+const FORMER_FLOWS_MS: u64 = 1_000;
+
 /// `Backend` is one process of a backend server.
 #[derive(Clone, Debug)]
 pub struct Backend {
@@ -70,6 +78,8 @@
     pub running: u32,
     /// Flows open there, as far as this instance sees.
     pub flows: u32,
+    /// The most that were open lately, and until when they count.
+    former_flows: (u32, ClockTime),
     /// Counter of the last placement there.
     pub picked: u64,
 }
@@ -104,10 +114,23 @@
             latency: LatencyGauge::default(),
             running: 0,
             flows: 0,
+            former_flows: (0, ClockTime::ZERO),
             picked: 0,
         }
     }
 
+    /// Counts the end of a flow.
+    pub(crate) fn end_flow(&mut self, now: ClockTime) {
+        self.former_flows = (self.recent_flows(now), now.after_millis(FORMER_FLOWS_MS));
+        self.flows = self.flows.saturating_sub(1);
+    }
+
+    /// Flows that are open there, or were until a moment ago.
+    pub fn recent_flows(&self, now: ClockTime) -> u32 {
+        let (former, until) = self.former_flows;
+        if until.is_past(now) { self.flows } else { self.flows.max(former) }
+    }
+
     /// True while it is slow after its start.
     pub fn is_cold(&self, now: ClockTime) -> bool {
         !self.warm_at.is_past(now)
--- a/crates/foxledge-flows/src/candidates.rs
+++ b/crates/foxledge-flows/src/candidates.rs
@@ -107,7 +107,7 @@
                 false => 100,
             },
             is_cold: backend.is_cold(now) && self.has(RouterMechanism::Cold),
-            flows: backend.flows,
+            flows: backend.recent_flows(now),
             picked: tie,
         }
     }
--- a/crates/foxledge-flows/src/ends.rs
+++ b/crates/foxledge-flows/src/ends.rs
@@ -66,7 +66,7 @@
         }
         dying.into_iter().for_each(|index| self.dying.add(index));
         for end in &ends {
-            self.end_track(&end.key);
+            self.end_track(now, &end.key);
         }
         ends
     }
--- a/crates/foxledge-flows/src/evidence.rs
+++ b/crates/foxledge-flows/src/evidence.rs
@@ -72,7 +72,7 @@
         index: usize,
     ) -> Option<FlowStall> {
         for (index, was_running) in self.tracks.sweep(now, self.idle_ms) {
-            self.settle(index, was_running);
+            self.settle(now, index, was_running);
         }
         if matches!(packet.kind, PacketKind::Finish | PacketKind::Abort) {
             // A caller that gives up acknowledges nothing by it, whatever its packet holds there.
@@ -82,7 +82,7 @@
             {
                 self.answered(now, index, answer);
             }
-            self.end_track(&packet.key);
+            self.end_track(now, &packet.key);
             return None;
         }
         let before = self.tracks.len();
@@ -159,15 +159,15 @@
         self.note(now, index, |health, _| health.on_alive(now));
     }
 
-    pub(crate) fn end_track(&mut self, key: &FlowKey) {
+    pub(crate) fn end_track(&mut self, now: ClockTime, key: &FlowKey) {
         if let Some((index, was_running)) = self.tracks.end(key) {
-            self.settle(index, was_running);
+            self.settle(now, index, was_running);
         }
     }
 
-    pub(crate) fn settle(&mut self, index: usize, was_running: bool) {
+    pub(crate) fn settle(&mut self, now: ClockTime, index: usize, was_running: bool) {
         let Some(backend) = self.backends.get_mut(index) else { return };
-        backend.flows = backend.flows.saturating_sub(1);
+        backend.end_flow(now);
         if was_running {
             backend.running = backend.running.saturating_sub(1);
         }
--- a/crates/foxledge-flows/src/router.rs
+++ b/crates/foxledge-flows/src/router.rs
@@ -171,7 +171,7 @@
         let address = &packet.key.service;
         let route = self.routes.find(address);
         if route.is_none() && self.routes.was_removed(address) {
-            self.end_track(&packet.key);
+            self.end_track(now, &packet.key);
             return FlowDecision::Drop(DropReason::RouteRemoved);
         }
         let fits = |backend: &Backend| route.is_some_and(|route| route.allows(&backend.service));
@@ -188,7 +188,7 @@
             && packet.length > 0
             && let Some(reason) = self.end_of_replaced(now, index)
         {
-            self.end_track(&packet.key);
+            self.end_track(now, &packet.key);
             return FlowDecision::End { backend: index, reason };
         }
         // What this packet itself tells is no evidence beside it.
@@ -197,7 +197,7 @@
         let reason =
             stall.filter(|_| may_repeat).and_then(|one| self.end_of(now, index, one, known));
         if let Some(reason) = reason {
-            self.end_track(&packet.key);
+            self.end_track(now, &packet.key);
             return FlowDecision::End { backend: index, reason };
         }
         FlowDecision::Forward { backend: index, stall }
