--- a/crates/foxledge-flows/src/absent.rs
+++ b/crates/foxledge-flows/src/absent.rs
@@ -98,11 +98,11 @@
         }
     }
 
-    /// Decides on a packet whose token names nobody. As long as no list was confirmed, what is known
-    /// is a part, and most open flows' backend servers aren't in it: others know them.
+    /// Decides on a packet whose token names nobody; `may_repeat` tells that its route's requests
+    /// may be repeated.
     ///
-    /// `may_repeat` tells that its route's
-    /// requests may be repeated.
+    /// As long as no list was confirmed, what is known may be a part, and most open flows' backend
+    /// servers aren't in it: others know them.
     ///
     /// What the list must be for the flow to be reset:
     ///
--- a/crates/foxledge-gossip/src/backend_evidence.rs
+++ b/crates/foxledge-gossip/src/backend_evidence.rs
@@ -30,12 +30,11 @@
 const DECIDING_SIGNS: usize = 2;
 /// Most signs remembered of one backend server; more than those that can decide.
 const MOST_SIGNS: usize = 16;
-/// How often an instance tells a change at once, less the times that it hears the same. Once
-/// reaches 94 of 100 instances, twice 99.7.
+/// How often an instance tells a change at once, less the times that it hears the same: told once,
+/// a change misses one instance in twenty.
 pub(crate) const PROMPT_TELLINGS: u32 = 2;
-/// How often it tells it in all: the last instances hear of it when all others repeat it. Where
-/// 600 backend servers die before 437 instances, five tellings leave one death unknown to one
-/// instance, six none.
+/// How often it tells it in all: the last instances of a large data centre hear of it when all
+/// others repeat it.
 const TELLINGS: u32 = 6;
 /// Time until a change is told again, in milliseconds, each time: an instance
 /// that it missed hears of it before its callers' second copies, at 600 ms.
