Ask in one place whether the list is sure, and drop what the signs' rewrite left unused

Two places called refuse() only to see whether it refuses, and took its answer apart again; the question is doubt() now, on which refuse() itself rests. NoteKind::ejects had no caller any more, and the verdict of signs repeated is_silence.

--- a/crates/foxledge-flows/src/absent.rs
+++ b/crates/foxledge-flows/src/absent.rs
@@ -86,16 +86,10 @@
     /// for a refusal.
     pub(crate) fn end_of_replaced(&self, now: ClockTime, index: usize) -> Option<EndReason> {
         let gone = self.backends.get(index)?.gone_at?;
-        if !self.backends.is_replaced(index) {
+        if !self.backends.is_replaced(index) || self.doubt(now).is_some() {
             return None;
         }
-        match self.refuse(now, RefuseReason::BackendVanished) {
-            FlowDecision::Refuse(_) => {
-                let gone_ms = now.since(gone).as_millis() as u64;
-                Some(EndReason::AddressTaken { gone_ms })
-            }
-            _ => None,
-        }
+        Some(EndReason::AddressTaken { gone_ms: now.since(gone).as_millis() as u64 })
     }
 
     /// Decides on a packet whose token names nobody; `may_repeat` tells that its route's requests
@@ -136,12 +130,9 @@
         });
         let is_list_sure =
             self.unbroken_since.is_some_and(|at| at.after_millis(LAPSE_MS).is_past(now));
-        if !may_repeat || !is_absent || !is_list_sure {
+        if !may_repeat || !is_absent || !is_list_sure || self.doubt(now).is_some() {
             return unknown;
         }
-        match self.refuse(now, RefuseReason::BackendVanished) {
-            FlowDecision::Refuse(reason) => FlowDecision::Refuse(reason),
-            _ => unknown,
-        }
+        FlowDecision::Refuse(RefuseReason::BackendVanished)
     }
 }
--- a/crates/foxledge-flows/src/health.rs
+++ b/crates/foxledge-flows/src/health.rs
@@ -45,11 +45,6 @@
 }
 
 impl NoteKind {
-    /// True when it means that no new flows go there for a while.
-    pub fn ejects(self) -> bool {
-        matches!(self, NoteKind::Ejected | NoteKind::Silent | NoteKind::Lost)
-    }
-
     /// The kind's word in metrics.
     pub fn word(self) -> &'static str {
         match self {
--- a/crates/foxledge-flows/src/new_flows.rs
+++ b/crates/foxledge-flows/src/new_flows.rs
@@ -125,14 +125,17 @@
     /// A refusal is final for the caller, so only an instance that has heard
     /// lately that its list is the newest refuses. Others stay silent: a copy of
     /// the packet may find what is missing here, or has found it already.
-    pub(crate) fn refuse(&self, now: ClockTime, reason: RefuseReason) -> FlowDecision {
-        let Some(confirmed) = self.confirmed_at else {
-            return FlowDecision::Drop(DropReason::NoList);
-        };
-        let is_old = confirmed.after_millis(self.options.fresh_ms).is_past(now);
-        if self.is_in_doubt || self.is_catching_up || is_old {
-            return FlowDecision::Drop(DropReason::MaybeStale);
+    fn refuse(&self, now: ClockTime, reason: RefuseReason) -> FlowDecision {
+        match self.doubt(now) {
+            Some(doubt) => FlowDecision::Drop(doubt),
+            None => FlowDecision::Refuse(reason),
         }
-        FlowDecision::Refuse(reason)
+    }
+
+    /// Why this instance can't be sure that its list is the newest; none when it can.
+    pub(crate) fn doubt(&self, now: ClockTime) -> Option<DropReason> {
+        let Some(confirmed) = self.confirmed_at else { return Some(DropReason::NoList) };
+        let is_old = confirmed.after_millis(self.options.fresh_ms).is_past(now);
+        (self.is_in_doubt || self.is_catching_up || is_old).then_some(DropReason::MaybeStale)
     }
 }
--- a/crates/foxledge-gossip/src/backend_evidence.rs
+++ b/crates/foxledge-gossip/src/backend_evidence.rs
@@ -250,13 +250,12 @@
 
 fn verdict_of(signs: &[HealthSign]) -> HealthVerdict {
     let deciding = deciding(signs);
-    let of = |is_meant: &dyn Fn(NoteKind) -> bool| -> Vec<ClockTime> {
-        let meant = deciding.iter().filter(|sign| is_meant(sign.kind));
-        meant.map(|sign| sign.at).collect()
+    let of = |is_meant: &dyn Fn(&HealthSign) -> bool| -> Vec<ClockTime> {
+        deciding.iter().filter(|sign| is_meant(sign)).map(|sign| sign.at).collect()
     };
-    let silences = of(&|kind| matches!(kind, NoteKind::Silent | NoteKind::Lost));
-    let ejections = of(&|kind| kind == NoteKind::Ejected);
-    let suspicions = of(&|kind| kind == NoteKind::Suspect);
+    let silences = of(&is_silence);
+    let ejections = of(&|sign| sign.kind == NoteKind::Ejected);
+    let suspicions = of(&|sign| sign.kind == NoteKind::Suspect);
     let is_lost = deciding.iter().any(|sign| sign.kind == NoteKind::Lost);
     let are_close = match suspicions[..] {
         [one, other] => are_close(one, other),
