Log the epoch of the store's history and answers that are passed over

The stand-in store and the virtual fleet's store tell an era and can come back from a copy. No decision changes: the list takes what it took.

--- a/crates/foxledge-daemon/src/packets/fleet_part.rs
+++ b/crates/foxledge-daemon/src/packets/fleet_part.rs
@@ -227,9 +227,15 @@
 
     fn log_event(&self, event: &FleetEvent) {
         self.context.note(event.kind(), event);
-        if let FleetEvent::ItemRefused(item) = event {
-            let what = if item.key.starts_with("backend/") { "backend" } else { "list" };
-            self.context.metrics.refused_items.with_label_values(&[what]).inc();
+        let metrics = &self.context.metrics;
+        match event {
+            FleetEvent::ItemRefused(item) => {
+                let what = if item.key.starts_with("backend/") { "backend" } else { "list" };
+                metrics.refused_items.with_label_values(&[what]).inc();
+            }
+            FleetEvent::StoreEpochChanged { epoch, .. } => metrics.store_epoch.set(*epoch as i64),
+            FleetEvent::ReadingPassedOver { .. } => metrics.readings_passed_over.inc(),
+            _ => {}
         }
         if let FleetEvent::ListTaken { version, revision, former_revision, source, .. } = event {
             let change = AuditChange::new(AuditKind::ListAccepted, format!("version {version}"))
--- a/crates/foxledge-daemon/src/packets/metrics.rs
+++ b/crates/foxledge-daemon/src/packets/metrics.rs
@@ -55,6 +55,10 @@
     pub evacuated: IntGauge,
     /// Calls of the store by outcome.
     pub store_calls: IntCounterVec,
+    /// Epoch of the store's history in its last answer to this instance.
+    pub store_epoch: IntGauge,
+    /// Answers of the store that were older than the list.
+    pub readings_passed_over: IntCounter,
     /// Messages between instances by direction.
     pub messages: IntCounterVec,
     /// Bytes of them by direction.
@@ -109,6 +113,12 @@
             evacuation_news: counters(r, "evacuations_total", "Data centres by change", &["kind"]),
             evacuated: gauge(r, "evacuated_centres", "Data centres that are evacuated"),
             store_calls: counters(r, "store_calls_total", "Calls of the store", &["outcome"]),
+            store_epoch: gauge(r, "store_epoch", "Epoch of the store's history"),
+            readings_passed_over: counter(
+                r,
+                "readings_passed_over_total",
+                "Answers of the store that were older than the list",
+            ),
             messages: counters(r, "messages_total", "Messages of instances", &["direction"]),
             message_bytes: counters(r, "message_bytes_total", "Bytes of them", &["direction"]),
             lines_suppressed: gauge(r, "log_lines_suppressed", "Lines not written"),
--- a/crates/foxledge-flows/src/source.rs
+++ b/crates/foxledge-flows/src/source.rs
@@ -111,6 +111,8 @@
     pub items: Vec<ItemChange>,
     /// The store's revision.
     pub head: u64,
+    /// Epoch of the store's history; 0 when the store tells none.
+    pub epoch: u64,
     /// Set when there are more items than these.
     pub is_part: bool,
 }
@@ -118,7 +120,13 @@
 impl ListReading {
     /// A reading to which nothing is missing.
     pub fn whole(items: Vec<ItemChange>, head: u64) -> ListReading {
-        ListReading { items, head, is_part: false }
+        ListReading { items, head, epoch: 0, is_part: false }
+    }
+
+    /// Sets the epoch of the store's history from which the reading comes.
+    pub fn of_epoch(mut self, epoch: u64) -> ListReading {
+        self.epoch = epoch;
+        self
     }
 }
 
--- a/crates/foxledge-gossip/src/effects.rs
+++ b/crates/foxledge-gossip/src/effects.rs
@@ -28,6 +28,18 @@
     },
 }
 
+impl ReadOrder {
+    /// The order's word, as in log lines.
+    pub fn word(self) -> &'static str {
+        match self {
+            ReadOrder::First => "first",
+            ReadOrder::All(ReadMode::Newest) => "all",
+            ReadOrder::All(ReadMode::MaybeOld) => "all_maybe_old",
+            ReadOrder::Watch { .. } => "watch",
+        }
+    }
+}
+
 /// `FleetEffect` is one thing to do.
 #[derive(Clone, Debug, PartialEq)]
 pub enum FleetEffect {
@@ -104,6 +116,32 @@
         /// Calls that failed in between.
         failures: u32,
     },
+    /// The store's history has another epoch than in the answer before.
+    StoreEpochChanged {
+        /// The epoch.
+        epoch: u64,
+        /// The one before; none at the first answer.
+        former_epoch: Option<u64>,
+        /// The store's revision.
+        revision: u64,
+        /// Revision up to which the list is known.
+        known_revision: u64,
+    },
+    /// An answer of the store is older than the list, and changes nothing.
+    ReadingPassedOver {
+        /// What was asked.
+        order: &'static str,
+        /// Epoch of the answer.
+        epoch: u64,
+        /// The store's revision in it.
+        revision: u64,
+        /// Items that it held.
+        items: usize,
+        /// Revision up to which the list is known.
+        known_revision: u64,
+        /// Time since the store last confirmed the list.
+        confirmed_age_ms: Option<u64>,
+    },
     /// An item of the store can't be understood.
     ItemRefused(RefusedItem),
     /// An instance of the own data centre was heard of for the first time since its start.
@@ -177,6 +215,8 @@
             FleetEvent::ReadingEnded { .. } => "reading_ended",
             FleetEvent::StoreLost { .. } => "store_lost",
             FleetEvent::StoreRegained { .. } => "store_regained",
+            FleetEvent::StoreEpochChanged { .. } => "store_epoch_changed",
+            FleetEvent::ReadingPassedOver { .. } => "reading_passed_over",
             FleetEvent::ItemRefused(_) => "item_refused",
             FleetEvent::PeerFound { .. } => "peer_found",
             FleetEvent::PeerLost { .. } => "peer_lost",
--- a/crates/foxledge-gossip/src/member.rs
+++ b/crates/foxledge-gossip/src/member.rs
@@ -74,6 +74,8 @@
     pub(crate) news_from: NewsOrigin,
     /// Counts this instance's answers from the store.
     pub(crate) serial: u32,
+    /// Epoch of the store's history in its last answer to this instance.
+    pub(crate) store_epoch: Option<u64>,
     /// When the store was last called.
     pub(crate) called_at: ClockTime,
     /// When peers are asked for a newer confirmation; none after the second time.
@@ -132,6 +134,7 @@
             told_at: ClockTime::ZERO,
             news_from: NewsOrigin::Near,
             serial: 0,
+            store_epoch: None,
             called_at: now,
             doubt_at: None,
             refused: RefusedTable::default(),
--- a/crates/foxledge-gossip/src/reading.rs
+++ b/crates/foxledge-gossip/src/reading.rs
@@ -118,6 +118,7 @@
         if failures > 0 {
             self.effects.push(FleetEffect::Event(FleetEvent::StoreRegained { failures }));
         }
+        self.note_reading(now, order, &reading);
         let scope = match order {
             ReadOrder::All(_) => ReadingScope::Everything,
             ReadOrder::First | ReadOrder::Watch { .. } => ReadingScope::Changes,
@@ -164,6 +165,30 @@
         self.spread_widely(now, former);
     }
 
+    /// Notes what an answer tells of the store's history, if that is news.
+    fn note_reading(&mut self, now: ClockTime, order: ReadOrder, reading: &ListReading) {
+        let known_revision = self.list.head();
+        if self.store_epoch != Some(reading.epoch) {
+            let former_epoch = self.store_epoch.replace(reading.epoch);
+            self.effects.push(FleetEffect::Event(FleetEvent::StoreEpochChanged {
+                epoch: reading.epoch,
+                former_epoch,
+                revision: reading.head,
+                known_revision,
+            }));
+        }
+        if reading.head < known_revision {
+            self.effects.push(FleetEffect::Event(FleetEvent::ReadingPassedOver {
+                order: order.word(),
+                epoch: reading.epoch,
+                revision: reading.head,
+                items: reading.items.len(),
+                known_revision,
+                confirmed_age_ms: self.confirmed_ms(now),
+            }));
+        }
+    }
+
     /// Notes that the store has just answered this instance.
     ///
     /// An answer that comes later than any can came before a pause of this
--- a/crates/foxledge-gossip/tests/common/mod.rs
+++ b/crates/foxledge-gossip/tests/common/mod.rs
@@ -45,6 +45,8 @@
     log: Vec<(u64, ItemChange)>,
     pub head: u64,
     pub floor: u64,
+    /// Rises each time the store comes back from a copy.
+    pub epoch: u64,
     pub calls: u64,
     pub cheap_calls: u64,
     /// Everything that was published, as it stood at each revision.
@@ -208,6 +210,18 @@
         self.log.clear();
     }
 
+    /// Comes back from a copy some revisions old: what was written since is gone, and its
+    /// revisions are given out again.
+    pub fn restore(&mut self, revisions: u64) {
+        let until = ..=self.head.saturating_sub(revisions);
+        let Some((head, items)) = self.history.range(until).next_back() else { return };
+        (self.head, self.floor) = (*head, *head);
+        self.items = items.iter().map(|item| (key_of(item), item.clone())).collect();
+        self.log.clear();
+        self.epoch += 1;
+        self.record();
+    }
+
     fn put(&mut self, key: String, item: ItemChange) {
         self.items.insert(key, item.clone());
         self.log.push((self.head, item));
@@ -219,22 +233,36 @@
     }
 
     fn all(&self) -> ListReading {
-        ListReading::whole(self.items.values().cloned().collect(), self.head)
+        let items = self.items.values().cloned().collect();
+        ListReading::whole(items, self.head).of_epoch(self.epoch)
     }
 
     /// Everything as it stood some revisions ago.
     fn all_of_old(&self) -> ListReading {
         let until = ..=self.head.saturating_sub(self.lag);
         let Some((head, items)) = self.history.range(until).next_back() else { return self.all() };
-        ListReading::whole(items.clone(), *head)
+        ListReading::whole(items.clone(), *head).of_epoch(self.epoch)
     }
 
     fn after(&self, after: u64) -> Result<ListReading, SourceError> {
-        if after < self.floor {
+        if after < self.floor || after > self.head {
             return Err(SourceError::HistoryGone);
         }
         let items = self.log.iter().filter(|(revision, _)| *revision > after);
-        Ok(ListReading::whole(items.map(|(_, item)| item.clone()).collect(), self.head))
+        let items = items.map(|(_, item)| item.clone()).collect();
+        Ok(ListReading::whole(items, self.head).of_epoch(self.epoch))
+    }
+}
+
+/// The key under which the store holds an item.
+fn key_of(item: &ItemChange) -> String {
+    match item {
+        ItemChange::Backend { id, .. }
+        | ItemChange::BackendRefused { id, .. }
+        | ItemChange::BackendGone { id, .. } => id.clone(),
+        ItemChange::EvacuationBegun { data_centre, .. }
+        | ItemChange::EvacuationEnded { data_centre, .. } => format!("evacuate-{data_centre}"),
+        ItemChange::Config { .. } | ItemChange::Malformed { .. } => "config".to_owned(),
     }
 }
 
@@ -589,7 +617,7 @@
             }
             (StoreState::Serving, ReadOrder::All(ReadMode::Newest)) => Ok(self.store.all()),
             (StoreState::Serving, ReadOrder::Watch { after, wait_ms }) => {
-                if self.store.head <= after && self.store.floor <= after {
+                if self.store.head == after && self.store.floor <= after {
                     self.watches.push((member, start, order));
                     let end = self.now_us + wait_ms * 1_000;
                     return self.push(end, Event::WatchEnd { member, start, order });
--- /dev/null
+++ b/crates/foxledge-gossip/tests/store_epoch.rs
@@ -0,0 +1,52 @@
+//! What is told of the store's history.
+
+mod common;
+
+use common::settled_fleet;
+use foxledge_core::{names::CentreName, time::ClockTime};
+use foxledge_flows::{ListReading, source::ReadMode};
+use foxledge_gossip::{FleetEffect, FleetEvent, FleetMember, MemberOptions, ReadOrder};
+
+fn events(member: &mut FleetMember) -> Vec<FleetEvent> {
+    let event = |effect| match effect {
+        FleetEffect::Event(event) => Some(event),
+        _ => None,
+    };
+    member.take_effects().into_iter().filter_map(event).collect()
+}
+
+// Guards against answers of the store that change nothing and leave no line.
+#[test]
+fn older_answer_told() {
+    let address = "10.1.0.1:7000".parse().expect("is an address");
+    let options = MemberOptions::new(address, CentreName::new("toledo"));
+    let mut member = FleetMember::new(options, ClockTime::ZERO);
+    let all = ReadOrder::All(ReadMode::Newest);
+    let now = ClockTime::from_micros(1_000_000);
+    member.on_reading(now, all, Ok(ListReading::whole(Vec::new(), 9)));
+    events(&mut member);
+    member.on_reading(now, all, Ok(ListReading::whole(Vec::new(), 7)));
+    let told = events(&mut member);
+    let passed_over = FleetEvent::ReadingPassedOver {
+        order: "all",
+        epoch: 0,
+        revision: 7,
+        items: 0,
+        known_revision: 9,
+        confirmed_age_ms: Some(0),
+    };
+    assert!(told.contains(&passed_over), "{told:?}");
+}
+
+// Guards against a restored store that nobody can tell from a slow one.
+#[test]
+fn epoch_change_told() {
+    let mut fleet = settled_fleet(&[3, 2], 1);
+    let revision = fleet.store.head;
+    fleet.store.restore(0);
+    fleet.store_changed();
+    fleet.run(2_000);
+    let is_told = |event: &FleetEvent| matches!(event, FleetEvent::StoreEpochChanged { epoch: 1, former_epoch: Some(0), revision: at, .. } if *at == revision);
+    let told = fleet.seats.iter().flat_map(|seat| &seat.events).filter(|(_, event)| is_told(event));
+    assert!(told.count() > 0, "nobody tells");
+}
--- a/crates/foxledge-soak/src/store.rs
+++ b/crates/foxledge-soak/src/store.rs
@@ -10,8 +10,9 @@
 use anyhow::Result;
 use axum::{
     Json, Router,
-    extract::{Query, State},
+    extract::{Query, Request, State},
     http::StatusCode,
+    middleware::{self, Next},
     response::{IntoResponse, Response},
     routing::get,
 };
@@ -38,10 +39,19 @@
     log: Vec<(u64, Value)>,
     revision: u64,
     floor: u64,
+    /// Rises each time the store comes back from a copy.
+    era: u64,
     mode: StoreMode,
     calls: u64,
 }
 
+/// `StoreCopy` is what a store held at one moment.
+#[derive(Clone)]
+pub struct StoreCopy {
+    items: BTreeMap<String, Value>,
+    revision: u64,
+}
+
 /// `StandInStore` holds items under revisions, and their history.
 #[derive(Clone)]
 pub struct StandInStore {
@@ -80,6 +90,7 @@
             log: Vec::new(),
             revision: 100,
             floor: 100,
+            era: 1,
             mode: StoreMode::Serving,
             calls: 0,
         };
@@ -88,6 +99,7 @@
         let router = Router::new()
             .route("/foxledge/kv-range", get(range))
             .route("/foxledge/kv-watch", get(watch))
+            .layer(middleware::from_fn_with_state(store.clone(), tell_era))
             .with_state(store.clone());
         tokio::spawn(async move { axum::serve(listener, router).await });
         Ok(store)
@@ -137,6 +149,24 @@
         state.log.clear();
     }
 
+    /// Copies what the store holds now.
+    pub fn copy(&self) -> StoreCopy {
+        let state = self.lock();
+        StoreCopy { items: state.items.clone(), revision: state.revision }
+    }
+
+    /// Comes back from a copy: what was written since is gone, and its revisions are given out
+    /// again.
+    pub fn restore(&self, copy: &StoreCopy) {
+        let mut state = self.lock();
+        state.items.clone_from(&copy.items);
+        state.log.clear();
+        (state.revision, state.floor) = (copy.revision, copy.revision);
+        state.era += 1;
+        drop(state);
+        self.changed.notify_waiters();
+    }
+
     /// Changes how the store answers.
     pub fn set_mode(&self, mode: StoreMode) {
         self.lock().mode = mode;
@@ -171,7 +201,7 @@
 
     fn events_after(&self, prefix: &str, after: u64) -> Result<(Vec<Value>, u64), StatusCode> {
         let state = self.lock();
-        if after < state.floor {
+        if after < state.floor || after > state.revision {
             return Err(StatusCode::GONE);
         }
         let is_wanted = |(revision, item): &&(u64, Value)| {
@@ -186,6 +216,13 @@
     }
 }
 
+async fn tell_era(State(store): State<StandInStore>, call: Request, next: Next) -> Response {
+    let mut answer = next.run(call).await;
+    let era = store.lock().era;
+    answer.headers_mut().insert("store-era", era.into());
+    answer
+}
+
 async fn range(State(store): State<StandInStore>, Query(query): Query<RangeQuery>) -> Response {
     if let Some(refusal) = store.admit().await {
         return refusal;
--- a/crates/foxledge-soak/tests/store_client.rs
+++ b/crates/foxledge-soak/tests/store_client.rs
@@ -115,6 +115,20 @@
     });
 }
 
+#[test]
+fn epoch_told() {
+    run(async {
+        let (store, address) = store_with_entries(2).await;
+        let mut client = StoreClient::new(address);
+        let reading = client.read_all(ReadMode::Newest).await.expect("is read");
+        assert_eq!(reading.epoch, 1);
+        store.restore(&store.copy());
+        assert_eq!(client.read_first().await.expect("is read").epoch, 2);
+        let watched = client.read_all(ReadMode::MaybeOld).await.expect("is read");
+        assert_eq!(watched.epoch, 2);
+    });
+}
+
 #[test]
 fn refusals_told() {
     run(async {
