--- /dev/null
+++ b/crates/foxledge-gossip/tests/restored_store.rs
@@ -0,0 +1,91 @@
+//! A store that comes back from an older copy of itself.
+
+mod common;
+
+use std::collections::BTreeMap;
+
+use common::{StoreState, VirtualFleet, settled_fleet};
+use foxledge_flows::rows::{LIMITS_KEY, RowValue, backend_key};
+use foxledge_gossip::FleetMember;
+
+/// Time in which a change must be in force, in milliseconds.
+const IN_FORCE_MS: u64 = 3_000;
+/// Time that the store is away, in milliseconds.
+const AWAY_MS: u64 = 2_600;
+
+/// A fleet whose store has lost the newest three versions and is back.
+fn restored_fleet(counts: &[usize], seed: u64) -> VirtualFleet {
+    let mut fleet = settled_fleet(counts, seed);
+    for version in 2..=4 {
+        fleet.store.publish(version, 10 + version as usize);
+        fleet.store_changed();
+        fleet.run(2_000);
+    }
+    let members = 0..fleet.seats.len();
+    fleet.store_state = members.map(|member| (member, StoreState::Refusing)).collect();
+    fleet.store_changed();
+    fleet.run(AWAY_MS);
+    fleet.store.restore(3);
+    fleet.store_state.clear();
+    fleet
+}
+
+fn has_version(member: &FleetMember, version: u64) -> bool {
+    member.list().version() == version
+}
+
+/// What a list says, by key; what is gone isn't in it.
+fn known(member: &FleetMember) -> BTreeMap<String, RowValue> {
+    let rows = member.list().rows();
+    let rows = rows.filter_map(|row| Some((row.key.clone(), row.value.clone()?)));
+    rows.filter(|(_, value)| !matches!(value, RowValue::Removed(_))).collect()
+}
+
+// Guards against a new version that nobody takes, as its revision was given out before.
+#[test]
+fn reused_revision_in_force() {
+    for (counts, seed) in [(vec![7], 1), (vec![3, 2, 2], 2), (vec![30, 30], 3)] {
+        let mut fleet = restored_fleet(&counts, seed);
+        fleet.run(500);
+        fleet.store.publish(5, 12);
+        fleet.store_changed();
+        let all_have = |fleet: &VirtualFleet| fleet.members().all(|one| has_version(one, 5));
+        let took = fleet.run_until(IN_FORCE_MS, all_have);
+        assert!(took.is_some(), "{counts:?}: not in force after {IN_FORCE_MS} ms");
+    }
+}
+
+// Guards against new flows to a backend server whose leave has a revision given out before.
+#[test]
+fn reused_revision_leave() {
+    let mut fleet = restored_fleet(&[3, 2, 2], 4);
+    fleet.run(500);
+    fleet.store.register(7, true);
+    fleet.store_changed();
+    let key = backend_key("i-7");
+    let is_leaving = |member: &FleetMember| matches!(known(member).get(&key), Some(RowValue::Backend(backend)) if backend.draining);
+    let all_know = |fleet: &VirtualFleet| fleet.members().all(is_leaving);
+    let took = fleet.run_until(IN_FORCE_MS, all_know);
+    assert!(took.is_some(), "some don't know of the leave after {IN_FORCE_MS} ms");
+}
+
+// Guards against instances that hold different lists under one revision.
+#[test]
+fn one_list_after_restore() {
+    let mut fleet = restored_fleet(&[3, 2, 2], 5);
+    // As many changes as were lost: the last has the revision that is known.
+    fleet.run(500);
+    fleet.store.register(7, true);
+    fleet.store.remove(8);
+    fleet.store.publish(5, 4);
+    fleet.store_changed();
+    fleet.run(IN_FORCE_MS);
+    let mut lists: Vec<_> = fleet.members().map(known).collect();
+    let first = lists.pop().expect("there are members");
+    assert!(matches!(&first[LIMITS_KEY], RowValue::Limits(limits) if limits.version == 5));
+    assert_eq!(first.keys().filter(|key| key.starts_with("route/")).count(), 4);
+    assert!(!first.contains_key(&backend_key("i-8")));
+    for list in lists {
+        assert_eq!(list, first);
+    }
+}
