Order revisions by the epoch of the store's history

Cause: a store that comes back from an older copy gives revisions out again. A whole reading with a revision below the known one was passed over, and confirmed the list all the same; a watch from the known revision got 410, which led to the next such reading. What was written until revisions reached the known one was never seen.

Now a revision holds the epoch in its upper 24 bits and the store's number below (revisions.rs), so that lists, rows, cursors, claims and messages order what a restored store holds after all that came before, by the comparisons that they have. platform/ composes it from Store-Era once; a watch that another epoch answers, and pages of two epochs, are read anew. A reading of an older epoch confirms nothing and counts as a failed call. Logs, reports and metrics show the store's own numbers beside the epoch. Messages have form 4: builds of form 3 would watch the store from revisions that it doesn't have.

What it uncovers: passing over also hid that a restored store holds an older version of the operators' list, which is now put in force.

--- a/crates/foxledge-ctl/src/packets.rs
+++ b/crates/foxledge-ctl/src/packets.rs
@@ -67,12 +67,16 @@
         None => "never confirmed".to_owned(),
     };
     let mut text = format!(
-        "{} in {}: {}\nlist: version {}, revision {}, {age}\nroutes: {}  peers: {}  flows: {}{}\n\n",
+        "{} in {}: {}\nlist: version {}, revision {}{}, {age}\nroutes: {}  peers: {}  flows: {}{}\n\n",
         word(&report["instance"]),
         word(&report["data_centre"]),
         word(&report["phase"]),
         list["version"],
         list["revision"],
+        match list["epoch"].as_u64() {
+            Some(epoch) if epoch > 0 => format!(" of epoch {epoch}"),
+            _ => String::new(),
+        },
         list["routes"],
         list["peers"],
         report["routing"]["flows"],
--- a/crates/foxledge-daemon/src/packets/fleet_part.rs
+++ b/crates/foxledge-daemon/src/packets/fleet_part.rs
@@ -6,7 +6,7 @@
     audit::{AuditChange, AuditKind},
     time::ClockTime,
 };
-use foxledge_flows::{HealthNote, ListReading, SourceError};
+use foxledge_flows::{HealthNote, ListReading, SourceError, revisions::number_of};
 use foxledge_gossip::{FleetEffect, FleetEvent, LARGEST_MESSAGE, ReadOrder};
 use serde::Serialize;
 use stakker::{CX, FixedTimerKey, after, call, fail, fwd_to};
@@ -247,7 +247,7 @@
 
     fn set_list_metrics(&self) {
         let member = self.context.member.borrow();
-        self.context.metrics.list_revision.set(member.list().head() as i64);
+        self.context.metrics.list_revision.set(number_of(member.list().head()) as i64);
         self.context.metrics.list_version.set(member.list().version() as i64);
     }
 
--- a/crates/foxledge-daemon/src/packets/flow_lines.rs
+++ b/crates/foxledge-daemon/src/packets/flow_lines.rs
@@ -5,7 +5,7 @@
 use foxledge_core::{names::CentreName, time::ClockTime};
 use foxledge_flows::{
     Backend, BackendNews, DropReason, EndReason, EvacuationChange, EvacuationNews, FlowStall,
-    HealthNote, NoteKind, OpenReason, RefuseReason,
+    HealthNote, NoteKind, OpenReason, RefuseReason, revisions::serialize_number,
 };
 use serde::Serialize;
 
@@ -17,6 +17,7 @@
     pub(super) sequence: u32,
     #[serde(flatten)]
     pub(super) detail: FlowDetail<'a>,
+    #[serde(serialize_with = "serialize_number")]
     pub(super) list_revision: u64,
     pub(super) list_age_ms: Option<u64>,
 }
@@ -73,6 +74,7 @@
         address: SocketAddrV4,
         incarnation: u64,
         former_incarnation: u64,
+        #[serde(serialize_with = "serialize_number")]
         backend_revision: u64,
     },
     /// Its entry tells of the same start at another place: it gets no new flows.
@@ -82,6 +84,7 @@
         address: SocketAddrV4,
         told_address: SocketAddrV4,
         incarnation: u64,
+        #[serde(serialize_with = "serialize_number")]
         backend_revision: u64,
     },
 }
@@ -93,6 +96,7 @@
     /// Its backend servers get no new flows. A data centre without any may be misspelled.
     EvacuationBegun {
         data_centre: &'a CentreName,
+        #[serde(serialize_with = "serialize_number")]
         revision: u64,
         backends: usize,
         list_age_ms: Option<u64>,
@@ -100,6 +104,7 @@
     /// It is taken back.
     EvacuationEnded {
         data_centre: &'a CentreName,
+        #[serde(serialize_with = "serialize_number")]
         revision: u64,
         backends: usize,
         after_ms: u64,
@@ -149,6 +154,7 @@
     age_ms: u64,
     running: u32,
     flows: u32,
+    #[serde(serialize_with = "serialize_number")]
     backend_revision: u64,
 }
 
--- a/crates/foxledge-daemon/src/packets/life_part.rs
+++ b/crates/foxledge-daemon/src/packets/life_part.rs
@@ -7,6 +7,7 @@
     time::ClockTime,
 };
 use foxledge_engine::EnginePhase;
+use foxledge_flows::revisions::{epoch_of, number_of};
 use foxledge_settings::load_packet_settings;
 use serde::Serialize;
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
@@ -59,7 +60,7 @@
 #[serde(tag = "event", rename_all = "snake_case")]
 enum LifeLine<'a> {
     /// Flows are taken from now on.
-    Serving { version: u64, revision: u64, list_age_ms: Option<u64> },
+    Serving { version: u64, epoch: u64, revision: u64, list_age_ms: Option<u64> },
     /// A planned stop began.
     StopBegun { signal: i32, limit_ms: u64 },
     /// A signal that changes nothing.
@@ -125,7 +126,8 @@
         let member = self.context.member.borrow();
         let line = LifeLine::Serving {
             version: member.list().version(),
-            revision: member.list().head(),
+            epoch: epoch_of(member.list().head()),
+            revision: number_of(member.list().head()),
             list_age_ms: self.context.confirmed_age_ms(),
         };
         self.context.note("serving", &line);
--- a/crates/foxledge-daemon/src/packets/reports.rs
+++ b/crates/foxledge-daemon/src/packets/reports.rs
@@ -9,6 +9,7 @@
 use foxledge_flows::{
     Backend, Evacuation, FlowKey, FlowRouter, HealthClass,
     placement::PlacementRank,
+    revisions::{epoch_of, number_of, serialize_number},
     rows::{ListRow, RowValue},
 };
 use foxledge_gossip::{FleetMember, RefusedItem};
@@ -41,6 +42,7 @@
     /// Flows open there by this instance's own view.
     pub flows: u32,
     /// Revision of its entry.
+    #[serde(serialize_with = "serialize_number")]
     pub revision: u64,
     /// Names the start of its process; 0 when the platform tells nothing of starts.
     pub incarnation: u64,
@@ -52,6 +54,7 @@
     /// The data centre.
     pub data_centre: String,
     /// Revision of the operators' wish.
+    #[serde(serialize_with = "serialize_number")]
     pub revision: u64,
     /// Time since this instance heard of it, in milliseconds.
     pub age_ms: u64,
@@ -136,7 +139,10 @@
 pub struct MemberReport {
     /// The operators' version of the list.
     pub version: u64,
+    /// Epoch of the store's history; it rises when the store lost changes.
+    pub epoch: u64,
     /// The store's revision.
+    #[serde(serialize_with = "serialize_number")]
     pub revision: u64,
     /// Time since the store confirmed the list.
     pub confirmed_age_ms: Option<u64>,
@@ -157,6 +163,7 @@
         let is_route = |row: &&ListRow| matches!(row.value, Some(RowValue::Route(_)));
         MemberReport {
             version: list.version(),
+            epoch: epoch_of(list.head()),
             revision: list.head(),
             confirmed_age_ms: member.confirmed_at().map(|at| now.since(at).as_millis() as u64),
             is_reader: member.is_reading(),
@@ -232,7 +239,7 @@
         ExplainReport {
             flow: key.to_string(),
             route: explanation.route.as_ref().map(|route| route.name.to_string()),
-            route_revision: explanation.route.as_ref().map(|route| route.revision),
+            route_revision: explanation.route.as_ref().map(|route| number_of(route.revision)),
             service: explanation.service.as_ref().map(ToString::to_string),
             choice: explanation.choice.as_ref().and_then(|(index, _)| name(*index)),
             rank: explanation.choice.map(|(_, rank)| rank),
--- a/crates/foxledge-flows/src/decisions.rs
+++ b/crates/foxledge-flows/src/decisions.rs
@@ -10,6 +10,7 @@
     health::HealthClass,
     packet::FlowKey,
     placement::{PlacementCandidate, PlacementRank},
+    revisions::serialize_number,
     routes::FlowRoute,
 };
 
@@ -65,6 +66,7 @@
     /// The route that decided.
     pub route: Arc<str>,
     /// Its revision.
+    #[serde(serialize_with = "serialize_number")]
     pub route_revision: u64,
     /// Which copy of the opening packet, from 0.
     pub copy: u32,
--- a/crates/foxledge-flows/src/lib.rs
+++ b/crates/foxledge-flows/src/lib.rs
@@ -37,6 +37,7 @@
 pub mod list;
 pub mod packet;
 pub mod placement;
+pub mod revisions;
 pub mod rows;
 pub mod source;
 
--- a/crates/foxledge-flows/src/source.rs
+++ b/crates/foxledge-flows/src/source.rs
@@ -4,7 +4,10 @@
 
 use thiserror::Error;
 
-use crate::rows::{BackendRow, LimitsRow, RouteRow, ServiceRow};
+use crate::{
+    revisions::{epoch_of, revision_of},
+    rows::{BackendRow, LimitsRow, RouteRow, ServiceRow},
+};
 
 /// `ConfigReading` is the operators' list as published, whole.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -102,6 +105,24 @@
             | ItemChange::Malformed { revision, .. } => *revision,
         }
     }
+
+    fn set_epoch(&mut self, epoch: u64) {
+        let revision = match self {
+            ItemChange::Backend { revision, backend, .. } => {
+                if backend.created > 0 {
+                    backend.created = revision_of(epoch, backend.created);
+                }
+                revision
+            }
+            ItemChange::Config { revision, .. }
+            | ItemChange::BackendGone { revision, .. }
+            | ItemChange::BackendRefused { revision, .. }
+            | ItemChange::EvacuationBegun { revision, .. }
+            | ItemChange::EvacuationEnded { revision, .. }
+            | ItemChange::Malformed { revision, .. } => revision,
+        };
+        *revision = revision_of(epoch, *revision);
+    }
 }
 
 /// `ListReading` is an answer of the store: items, and the revision up to which they are complete.
@@ -111,8 +132,6 @@
     pub items: Vec<ItemChange>,
     /// The store's revision.
     pub head: u64,
-    /// Epoch of the store's history; 0 when the store tells none.
-    pub epoch: u64,
     /// Set when there are more items than these.
     pub is_part: bool,
 }
@@ -120,14 +139,23 @@
 impl ListReading {
     /// A reading to which nothing is missing.
     pub fn whole(items: Vec<ItemChange>, head: u64) -> ListReading {
-        ListReading { items, head, epoch: 0, is_part: false }
+        ListReading { items, head, is_part: false }
     }
 
-    /// Sets the epoch of the store's history from which the reading comes.
+    /// The reading with its revisions in an epoch of the store's history, where they were
+    /// the store's own numbers before.
     pub fn of_epoch(mut self, epoch: u64) -> ListReading {
-        self.epoch = epoch;
+        self.head = revision_of(epoch, self.head);
+        for item in &mut self.items {
+            item.set_epoch(epoch);
+        }
         self
     }
+
+    /// Epoch of the store's history from which the reading comes; 0 when the store tells none.
+    pub fn epoch(&self) -> u64 {
+        epoch_of(self.head)
+    }
 }
 
 /// `ReadMode` is how new a whole reading must be.
@@ -145,6 +173,14 @@
     /// The history that a watch asked for is gone; a whole reading is needed.
     #[error("the history is gone")]
     HistoryGone,
+    /// The answer comes from an older epoch of the store's history than the list.
+    #[error("epoch {answered} of the store's history, {known} is known")]
+    OlderEpoch {
+        /// Epoch of the answer.
+        answered: u64,
+        /// Epoch of the list.
+        known: u64,
+    },
     /// The store turned the call away.
     #[error("turned away with status {0}")]
     Refused(u16),
@@ -164,6 +200,7 @@
     pub fn word(&self) -> &'static str {
         match self {
             SourceError::HistoryGone => "history_gone",
+            SourceError::OlderEpoch { .. } => "older_epoch",
             SourceError::Refused(_) => "refused",
             SourceError::Timeout(_) => "timeout",
             SourceError::Connection(_) => "connection",
--- a/crates/foxledge-gossip/src/effects.rs
+++ b/crates/foxledge-gossip/src/effects.rs
@@ -72,6 +72,8 @@
     ListTaken {
         /// The operators' version.
         version: u64,
+        /// Epoch of the store's history.
+        epoch: u64,
         /// The store's revision.
         revision: u64,
         /// Revision before.
@@ -87,6 +89,8 @@
     ListPreviewed {
         /// The operators' version.
         version: u64,
+        /// Epoch of the store's history.
+        epoch: u64,
         /// The store's revision.
         revision: u64,
         /// Rows of the part.
--- a/crates/foxledge-gossip/src/learning.rs
+++ b/crates/foxledge-gossip/src/learning.rs
@@ -3,7 +3,10 @@
 use std::net::SocketAddrV4;
 
 use foxledge_core::time::ClockTime;
-use foxledge_flows::rows::ListRow;
+use foxledge_flows::{
+    revisions::{epoch_of, number_of},
+    rows::ListRow,
+};
 use rand::Rng;
 
 use crate::{
@@ -147,8 +150,9 @@
         if !rows.is_empty() {
             let event = FleetEvent::ListTaken {
                 version: self.list.version(),
-                revision: self.list.head(),
-                former_revision: former,
+                epoch: epoch_of(self.list.head()),
+                revision: number_of(self.list.head()),
+                former_revision: number_of(former),
                 rows: rows.len(),
                 source,
                 confirmed_age_ms: self.confirmed_ms(now),
--- a/crates/foxledge-gossip/src/messages.rs
+++ b/crates/foxledge-gossip/src/messages.rs
@@ -15,8 +15,9 @@
 /// Names the form of messages: those of another form have another digest.
 ///
 /// Builds of form 2 drop what they don't know of a row and hand the rest on under the right
-/// revision. Beside them, instances of this form keep to themselves and the store.
-const MESSAGE_FORM: u64 = 3;
+/// revision, those of form 3 know no epoch in revisions. Beside them, instances of this form
+/// keep to themselves and the store.
+const MESSAGE_FORM: u64 = 4;
 
 /// `FleetMessage` is one datagram between instances.
 #[derive(Clone, PartialEq, Message)]
--- a/crates/foxledge-gossip/src/previewing.rs
+++ b/crates/foxledge-gossip/src/previewing.rs
@@ -3,6 +3,7 @@
 use foxledge_core::time::ClockTime;
 use foxledge_flows::{
     ListReading,
+    revisions::{epoch_of, number_of},
     rows::{ListRow, RemovedRow, RowValue},
 };
 use rand::Rng;
@@ -38,7 +39,8 @@
         let head = reading.head;
         let rows = self.list.preview(reading.items);
         let version = rows.iter().find_map(version_of).unwrap_or(0);
-        let event = FleetEvent::ListPreviewed { version, revision: head, rows: rows.len() };
+        let (epoch, revision) = (epoch_of(head), number_of(head));
+        let event = FleetEvent::ListPreviewed { version, epoch, revision, rows: rows.len() };
         self.effects.push(FleetEffect::Event(event));
         self.effects.push(FleetEffect::Rows(rows.clone()));
         self.preview = ListPreview::new(rows, head);
--- a/crates/foxledge-gossip/src/reading.rs
+++ b/crates/foxledge-gossip/src/reading.rs
@@ -1,7 +1,11 @@
 //! Reading the store: when, how, and what its answers change.
 
 use foxledge_core::time::ClockTime;
-use foxledge_flows::{ListReading, SourceError, source::ReadMode};
+use foxledge_flows::{
+    ListReading, SourceError,
+    revisions::{epoch_of, number_of},
+    source::ReadMode,
+};
 
 use crate::{
     effects::{FleetEffect, FleetEvent, ReadOrder},
@@ -114,11 +118,17 @@
 
     /// Takes an answer of the store, and tells everybody what it brought.
     pub(crate) fn take_reading(&mut self, now: ClockTime, order: ReadOrder, reading: ListReading) {
+        self.note_reading(now, order, &reading);
+        let known = epoch_of(self.list.head());
+        if reading.epoch() < known {
+            // What was true before the store came back from a copy confirms nothing.
+            let error = SourceError::OlderEpoch { answered: reading.epoch(), known };
+            return self.take_failure(now, &error);
+        }
         let failures = self.election.succeeded(now);
         if failures > 0 {
             self.effects.push(FleetEffect::Event(FleetEvent::StoreRegained { failures }));
         }
-        self.note_reading(now, order, &reading);
         let scope = match order {
             ReadOrder::All(_) => ReadingScope::Everything,
             ReadOrder::First | ReadOrder::Watch { .. } => ReadingScope::Changes,
@@ -168,22 +178,23 @@
     /// Notes what an answer tells of the store's history, if that is news.
     fn note_reading(&mut self, now: ClockTime, order: ReadOrder, reading: &ListReading) {
         let known_revision = self.list.head();
-        if self.store_epoch != Some(reading.epoch) {
-            let former_epoch = self.store_epoch.replace(reading.epoch);
+        let epoch = reading.epoch();
+        if self.store_epoch != Some(epoch) {
+            let former_epoch = self.store_epoch.replace(epoch);
             self.effects.push(FleetEffect::Event(FleetEvent::StoreEpochChanged {
-                epoch: reading.epoch,
+                epoch,
                 former_epoch,
-                revision: reading.head,
-                known_revision,
+                revision: number_of(reading.head),
+                known_revision: number_of(known_revision),
             }));
         }
         if reading.head < known_revision {
             self.effects.push(FleetEffect::Event(FleetEvent::ReadingPassedOver {
                 order: order.word(),
-                epoch: reading.epoch,
-                revision: reading.head,
+                epoch,
+                revision: number_of(reading.head),
                 items: reading.items.len(),
-                known_revision,
+                known_revision: number_of(known_revision),
                 confirmed_age_ms: self.confirmed_ms(now),
             }));
         }
--- a/crates/foxledge-gossip/src/refused.rs
+++ b/crates/foxledge-gossip/src/refused.rs
@@ -4,6 +4,7 @@
 
 use foxledge_flows::{
     ItemChange, ListReading,
+    revisions::serialize_number,
     rows::{LIMITS_KEY, backend_key, service_key},
 };
 use serde::Serialize;
@@ -18,6 +19,7 @@
     /// Where it lies.
     pub key: String,
     /// Its revision.
+    #[serde(serialize_with = "serialize_number")]
     pub revision: u64,
     /// What is wrong with it.
     pub fault: String,
--- a/crates/foxledge-gossip/tests/common/mod.rs
+++ b/crates/foxledge-gossip/tests/common/mod.rs
@@ -10,6 +10,7 @@
 use foxledge_core::{names::CentreName, time::ClockTime};
 use foxledge_flows::{
     HealthNote, ItemChange, ListReading, SourceError,
+    revisions::{epoch_of, number_of, revision_of},
     rows::{BackendRow, LimitsRow, ListRow, RouteRow, ServiceRow},
     source::{ConfigReading, ReadMode},
 };
@@ -204,6 +205,11 @@
         self.record();
     }
 
+    /// The revision as members know it.
+    pub fn revision(&self) -> u64 {
+        revision_of(self.epoch, self.head)
+    }
+
     /// Forgets the history up to now.
     pub fn compact(&mut self) {
         self.floor = self.head;
@@ -245,7 +251,9 @@
     }
 
     fn after(&self, after: u64) -> Result<ListReading, SourceError> {
-        if after < self.floor || after > self.head {
+        let is_of_epoch = epoch_of(after) == self.epoch;
+        let after = number_of(after);
+        if !is_of_epoch || after < self.floor || after > self.head {
             return Err(SourceError::HistoryGone);
         }
         let items = self.log.iter().filter(|(revision, _)| *revision > after);
@@ -617,7 +625,7 @@
             }
             (StoreState::Serving, ReadOrder::All(ReadMode::Newest)) => Ok(self.store.all()),
             (StoreState::Serving, ReadOrder::Watch { after, wait_ms }) => {
-                if self.store.head == after && self.store.floor <= after {
+                if self.store.revision() == after && self.store.floor <= self.store.head {
                     self.watches.push((member, start, order));
                     let end = self.now_us + wait_ms * 1_000;
                     return self.push(end, Event::WatchEnd { member, start, order });
--- /dev/null
+++ b/crates/foxledge-gossip/tests/held_config.rs
@@ -0,0 +1,107 @@
+//! The operators' list that stays in force when the store comes back with an older one.
+
+mod common;
+
+use std::collections::BTreeMap;
+
+use common::{Seat, VirtualFleet, settled_fleet};
+use foxledge_flows::rows::{LIMITS_KEY, RowValue};
+
+/// What the rows that a member put in force say together, by key; versions never fall.
+fn in_force(seat: &Seat) -> BTreeMap<String, RowValue> {
+    let mut rows = BTreeMap::new();
+    let mut newest = 0;
+    for row in &seat.rows {
+        if let Some(RowValue::Limits(limits)) = &row.value {
+            assert!(limits.version >= newest, "{} after {newest}", limits.version);
+            newest = limits.version;
+        }
+        match &row.value {
+            Some(RowValue::Removed(_)) | None => drop(rows.remove(&row.key)),
+            Some(value) => drop(rows.insert(row.key.clone(), value.clone())),
+        }
+    }
+    rows
+}
+
+fn version(rows: &BTreeMap<String, RowValue>) -> u64 {
+    match &rows[LIMITS_KEY] {
+        RowValue::Limits(limits) => limits.version,
+        other => panic!("{other:?}"),
+    }
+}
+
+fn routes(rows: &BTreeMap<String, RowValue>) -> usize {
+    rows.keys().filter(|key| key.starts_with("route/")).count()
+}
+
+fn assert_in_force(fleet: &VirtualFleet, wanted: u64, count: usize) {
+    for (index, seat) in fleet.seats.iter().enumerate() {
+        let rows = in_force(seat);
+        assert_eq!((version(&rows), routes(&rows)), (wanted, count), "member {index}");
+    }
+}
+
+/// Publishes a version with some routes.
+fn publish(fleet: &mut VirtualFleet, version: u64, routes: usize) {
+    fleet.store.publish(version, routes);
+    fleet.store_changed();
+    fleet.run(2_500);
+}
+
+/// A fleet whose store has lost versions 3 and 4; version 4 has more routes than 2, and others.
+fn restored_fleet(seed: u64) -> VirtualFleet {
+    let mut fleet = settled_fleet(&[3, 2], seed);
+    for (version, routes) in [(2, 6), (3, 9), (4, 12)] {
+        publish(&mut fleet, version, routes);
+    }
+    assert_in_force(&fleet, 4, 12);
+    fleet.store.restore(2);
+    fleet.store_changed();
+    fleet.run(1_500);
+    fleet
+}
+
+// Guards against a list of the operators that goes back to an older one in a running instance.
+#[test]
+fn older_list_held_off() {
+    let mut fleet = restored_fleet(1);
+    assert_in_force(&fleet, 4, 12);
+    // The operator writes again what was lost.
+    publish(&mut fleet, 4, 12);
+    assert_in_force(&fleet, 4, 12);
+    publish(&mut fleet, 5, 7);
+    assert_in_force(&fleet, 5, 7);
+}
+
+// Guards against routes that only the lost list had and that stay when a newer one comes.
+#[test]
+fn newer_list_replaces_held() {
+    let mut fleet = restored_fleet(2);
+    publish(&mut fleet, 5, 8);
+    assert_in_force(&fleet, 5, 8);
+}
+
+// Guards against an older list by a store that is restored once more while one is held.
+#[test]
+fn second_restore_held_off() {
+    let mut fleet = restored_fleet(3);
+    fleet.store.restore(1);
+    fleet.store_changed();
+    fleet.run(1_500);
+    assert_in_force(&fleet, 4, 12);
+    publish(&mut fleet, 5, 3);
+    assert_in_force(&fleet, 5, 3);
+}
+
+// Guards against instances that differ for good, as some started with the older list.
+#[test]
+fn starters_agree() {
+    let mut fleet = restored_fleet(4);
+    fleet.kill(1);
+    fleet.seats[1].rows.clear();
+    fleet.start(1);
+    fleet.run(2_000);
+    publish(&mut fleet, 5, 8);
+    assert_in_force(&fleet, 5, 8);
+}
--- a/crates/foxledge-soak/src/store.rs
+++ b/crates/foxledge-soak/src/store.rs
@@ -90,7 +90,7 @@
             log: Vec::new(),
             revision: 100,
             floor: 100,
-            era: 1,
+            era: 0,
             mode: StoreMode::Serving,
             calls: 0,
         };
--- a/crates/foxledge-soak/tests/store_client.rs
+++ b/crates/foxledge-soak/tests/store_client.rs
@@ -6,7 +6,11 @@
     time::Duration,
 };
 
-use foxledge_flows::{ItemChange, ListSource, SourceError, source::ReadMode};
+use foxledge_flows::{
+    ItemChange, ListSource, SourceError,
+    revisions::{epoch_of, revision_of},
+    source::ReadMode,
+};
 use foxledge_platform::StoreClient;
 use foxledge_soak::{
     links::{LinkFault, StoreLink},
@@ -119,13 +123,40 @@
 fn epoch_told() {
     run(async {
         let (store, address) = store_with_entries(2).await;
+        store.restore(&store.copy());
         let mut client = StoreClient::new(address);
         let reading = client.read_all(ReadMode::Newest).await.expect("is read");
-        assert_eq!(reading.epoch, 1);
+        assert_eq!(reading.epoch(), 1);
         store.restore(&store.copy());
-        assert_eq!(client.read_first().await.expect("is read").epoch, 2);
-        let watched = client.read_all(ReadMode::MaybeOld).await.expect("is read");
-        assert_eq!(watched.epoch, 2);
+        assert_eq!(client.read_first().await.expect("is read").epoch(), 2);
+        let reading = client.read_all(ReadMode::MaybeOld).await.expect("is read");
+        assert_eq!(reading.epoch(), 2);
+        assert_eq!(reading.head, revision_of(2, 103));
+        assert!(reading.items.iter().all(|item| epoch_of(item.revision()) == 2));
+    });
+}
+
+// Guards against changes of a restored store under revisions that were given out before.
+#[test]
+fn restored_store_watched() {
+    run(async {
+        let (store, address) = store_with_entries(2).await;
+        let mut client = StoreClient::new(address);
+        let copy = store.copy();
+        store.remove("servers/i-00000002");
+        let head = client.read_all(ReadMode::Newest).await.expect("is read").head;
+        store.restore(&copy);
+        assert_eq!(client.watch(head, 20).await, Err(SourceError::HistoryGone));
+        // The store has reached the revision again.
+        for state in ["draining", "ready"] {
+            store.put("servers/i-00000001", &server(1, state));
+        }
+        assert_eq!(client.watch(head, 20).await, Err(SourceError::HistoryGone));
+        let head = client.read_all(ReadMode::Newest).await.expect("is read").head;
+        store.remove("servers/i-00000002");
+        let reading = client.watch(head, 1_000).await.expect("is answered");
+        let gone = ItemChange::BackendGone { revision: head + 1, id: "i-00000002".to_owned() };
+        assert_eq!(reading.items, [gone]);
     });
 }
 
