Hold the operators' list in force while a restored store has an older one

What callers would see: after a restore of the store, routes that had been removed back in force and added ones refused, until operators write again.

Cause: the older version of a restored store has a newer revision, as its epoch is newer, and replaced the list in force in running instances.

Now what is in force is held apart from the list (held_config.rs, in_force.rs): the list of rows follows the store strictly, as instances tell each other its changes row by row and must start from the same; the router gets rows of the operators' list again once the store's version isn't older, as the difference from what it has. A router part that starts anew takes what is in force. Lines config_held and config_released, metric foxledge_config_held, store_version in the status.

Weighed and left: holding the newer version inside the list itself. Instances would hold different lists under one revision, and the rows that one tells as changes wouldn't fit another's.

An instance that starts between the restore and the operators' next write serves the older version: it knows no other (docs/incidents).

--- a/crates/foxledge-daemon/src/packets/fleet_part.rs
+++ b/crates/foxledge-daemon/src/packets/fleet_part.rs
@@ -248,7 +248,8 @@
     fn set_list_metrics(&self) {
         let member = self.context.member.borrow();
         self.context.metrics.list_revision.set(number_of(member.list().head()) as i64);
-        self.context.metrics.list_version.set(member.list().version() as i64);
+        self.context.metrics.list_version.set(member.version_in_force() as i64);
+        self.context.metrics.config_held.set(i64::from(member.holds_config()));
     }
 
     fn set_timer(&mut self, cx: CX![]) {
--- a/crates/foxledge-daemon/src/packets/flow_part.rs
+++ b/crates/foxledge-daemon/src/packets/flow_part.rs
@@ -107,8 +107,7 @@
         drop(settings);
         let mut router = FlowRouter::new(options);
         let member = context.member.borrow();
-        let rows: Vec<_> = member.list().rows().cloned().collect();
-        router.take_rows(context.clock.now(), &rows);
+        router.take_rows(context.clock.now(), &member.all_in_force());
         if let Some(at) = member.confirmed_at() {
             router.set_confirmed(at);
         }
--- a/crates/foxledge-daemon/src/packets/life_part.rs
+++ b/crates/foxledge-daemon/src/packets/life_part.rs
@@ -125,7 +125,7 @@
         self.set_phase(EnginePhase::Serving, "the list is known");
         let member = self.context.member.borrow();
         let line = LifeLine::Serving {
-            version: member.list().version(),
+            version: member.version_in_force(),
             epoch: epoch_of(member.list().head()),
             revision: number_of(member.list().head()),
             list_age_ms: self.context.confirmed_age_ms(),
--- a/crates/foxledge-daemon/src/packets/metrics.rs
+++ b/crates/foxledge-daemon/src/packets/metrics.rs
@@ -39,6 +39,8 @@
     pub list_revision: IntGauge,
     /// Operators' version of the list.
     pub list_version: IntGauge,
+    /// 1 while the store has an older version of the operators' list than is in force.
+    pub config_held: IntGauge,
     /// Age of the store's last confirmation; -1 before the first.
     pub list_age_ms: IntGauge,
     /// Other instances that are known.
@@ -100,6 +102,7 @@
             ejected: gauge(r, "backends_ejected", "Backend servers without new flows"),
             list_revision: gauge(r, "list_revision", "Revision of the list"),
             list_version: gauge(r, "list_version", "Operators' version of the list"),
+            config_held: gauge(r, "config_held", "1 while the store has an older version"),
             list_age_ms: gauge(r, "list_age_milliseconds", "Age of the last confirmation"),
             peers: gauge(r, "peers", "Other instances that are known"),
             is_reader: gauge(r, "is_reader", "1 while this instance reads the store"),
--- a/crates/foxledge-daemon/src/packets/reports.rs
+++ b/crates/foxledge-daemon/src/packets/reports.rs
@@ -10,7 +10,6 @@
     Backend, Evacuation, FlowKey, FlowRouter, HealthClass,
     placement::PlacementRank,
     revisions::{epoch_of, number_of, serialize_number},
-    rows::{ListRow, RowValue},
 };
 use foxledge_gossip::{FleetMember, RefusedItem};
 use serde::Serialize;
@@ -137,8 +136,10 @@
 /// `MemberReport` is what an instance knows of list and fleet.
 #[derive(Clone, Debug, Serialize)]
 pub struct MemberReport {
-    /// The operators' version of the list.
+    /// The operators' version in force.
     pub version: u64,
+    /// The store's version: older for as long as a restored store lacks the one in force.
+    pub store_version: u64,
     /// Epoch of the store's history; it rises when the store lost changes.
     pub epoch: u64,
     /// The store's revision.
@@ -160,15 +161,15 @@
     /// Describes a member at `now`.
     pub fn new(member: &FleetMember, now: ClockTime) -> MemberReport {
         let list = member.list();
-        let is_route = |row: &&ListRow| matches!(row.value, Some(RowValue::Route(_)));
         MemberReport {
-            version: list.version(),
+            version: member.version_in_force(),
+            store_version: list.version(),
             epoch: epoch_of(list.head()),
             revision: list.head(),
             confirmed_age_ms: member.confirmed_at().map(|at| now.since(at).as_millis() as u64),
             is_reader: member.is_reading(),
             peers: member.peer_count(),
-            routes: list.rows().filter(is_route).count(),
+            routes: member.routes_in_force(),
             refused_items: member.refused_items().cloned().collect(),
         }
     }
--- /dev/null
+++ b/crates/foxledge-flows/src/held_config.rs
@@ -0,0 +1,63 @@
+//! The operators' list that stays in force while a restored store holds an older one.
+//!
+//! A store that comes back from an older copy has lost the newest versions until operators write
+//! them again. [`FleetList`] follows the store, as instances tell each other its changes; what is
+//! in force doesn't go back to an older version.
+
+use std::collections::HashMap;
+
+use crate::{
+    list::FleetList,
+    list_rows::removal,
+    rows::{ListRow, RowValue, is_config_key},
+};
+
+/// `HeldConfig` is the operators' list in force, of an older epoch than the store's.
+#[derive(Clone, Debug)]
+pub struct HeldConfig {
+    version: u64,
+    rows: HashMap<String, ListRow>,
+}
+
+impl HeldConfig {
+    /// The operators' list that rows tell; none where they tell no version.
+    pub fn of<'a>(rows: impl Iterator<Item = &'a ListRow>) -> Option<HeldConfig> {
+        let rows = rows.filter(|row| is_listed_config(row));
+        let rows: HashMap<_, _> = rows.map(|row| (row.key.clone(), row.clone())).collect();
+        let version = rows.values().find_map(|row| match &row.value {
+            Some(RowValue::Limits(limits)) => Some(limits.version),
+            _ => None,
+        })?;
+        Some(HeldConfig { version, rows })
+    }
+
+    /// Its version.
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+
+    /// Its rows.
+    pub fn rows(&self) -> impl Iterator<Item = &ListRow> {
+        self.rows.values()
+    }
+
+    /// Number of its routes.
+    pub fn route_count(&self) -> usize {
+        self.rows.values().filter(|row| matches!(row.value, Some(RowValue::Route(_)))).count()
+    }
+
+    /// The rows that lead from it to the operators' list of `list`.
+    pub fn changes_to(&self, list: &FleetList) -> Vec<ListRow> {
+        let is_new =
+            |row: &&ListRow| self.rows.get(&row.key).is_none_or(|known| known.value != row.value);
+        let listed = list.rows().filter(|row| is_listed_config(row));
+        let mut changes: Vec<_> = listed.filter(is_new).cloned().collect();
+        let gone = self.rows.values().filter(|row| !list.holds(&row.key));
+        changes.extend(gone.map(|row| removal(row, list.head())));
+        changes
+    }
+}
+
+fn is_listed_config(row: &ListRow) -> bool {
+    is_config_key(&row.key) && !matches!(row.value, Some(RowValue::Removed(_)) | None)
+}
--- a/crates/foxledge-flows/src/lib.rs
+++ b/crates/foxledge-flows/src/lib.rs
@@ -20,6 +20,7 @@
 mod ends;
 mod evacuations;
 mod evidence;
+mod held_config;
 mod latency;
 mod learning;
 mod list_rows;
@@ -50,6 +51,7 @@
 };
 pub use evacuations::{Evacuation, EvacuationChange, EvacuationNews};
 pub use health::{HealthClass, HealthNote, HealthState, NoteKind, SilenceWitness};
+pub use held_config::HeldConfig;
 pub use latency::LatencyGauge;
 pub use list::FleetList;
 pub use mechanisms::{MechanismSet, RouterMechanism};
--- a/crates/foxledge-flows/src/rows.rs
+++ b/crates/foxledge-flows/src/rows.rs
@@ -239,6 +239,11 @@
     format!("service/{name}")
 }
 
+/// True for keys of rows that the operators' list makes.
+pub fn is_config_key(key: &str) -> bool {
+    key == LIMITS_KEY || key.starts_with("route/") || key.starts_with("service/")
+}
+
 /// Key of the row of a data centre's evacuation.
 pub fn evacuation_key(data_centre: &str) -> String {
     format!("evacuation/{data_centre}")
--- a/crates/foxledge-gossip/src/copies.rs
+++ b/crates/foxledge-gossip/src/copies.rs
@@ -185,6 +185,7 @@
                 if known == 0 && head < self.preview.head() {
                     return;
                 }
+                self.hold_config(head);
                 let taken = match is_copy {
                     true => self.list.take_copy(now, rows, head, floor),
                     false => self.list.take_changes(now, rows, head),
--- a/crates/foxledge-gossip/src/effects.rs
+++ b/crates/foxledge-gossip/src/effects.rs
@@ -146,6 +146,27 @@
         /// Time since the store last confirmed the list.
         confirmed_age_ms: Option<u64>,
     },
+    /// A restored store has an older version of the operators' list; the newer one stays in
+    /// force.
+    ConfigHeld {
+        /// The version in force.
+        held_version: u64,
+        /// The store's version.
+        version: u64,
+        /// Epoch of the store's history.
+        epoch: u64,
+        /// The store's revision.
+        revision: u64,
+    },
+    /// The store's version is in force again.
+    ConfigReleased {
+        /// The version.
+        version: u64,
+        /// Epoch of the store's history.
+        epoch: u64,
+        /// The store's revision.
+        revision: u64,
+    },
     /// An item of the store can't be understood.
     ItemRefused(RefusedItem),
     /// An instance of the own data centre was heard of for the first time since its start.
@@ -221,6 +242,8 @@
             FleetEvent::StoreRegained { .. } => "store_regained",
             FleetEvent::StoreEpochChanged { .. } => "store_epoch_changed",
             FleetEvent::ReadingPassedOver { .. } => "reading_passed_over",
+            FleetEvent::ConfigHeld { .. } => "config_held",
+            FleetEvent::ConfigReleased { .. } => "config_released",
             FleetEvent::ItemRefused(_) => "item_refused",
             FleetEvent::PeerFound { .. } => "peer_found",
             FleetEvent::PeerLost { .. } => "peer_lost",
--- a/crates/foxledge-gossip/src/learning.rs
+++ b/crates/foxledge-gossip/src/learning.rs
@@ -147,6 +147,7 @@
         if former == 0 && self.list.head() > 0 {
             rows.extend(self.end_preview());
         }
+        let rows = self.rows_in_force(rows);
         if !rows.is_empty() {
             let event = FleetEvent::ListTaken {
                 version: self.list.version(),
--- a/crates/foxledge-gossip/src/lib.rs
+++ b/crates/foxledge-gossip/src/lib.rs
@@ -15,6 +15,7 @@
 mod effects;
 mod election;
 mod evidence;
+mod in_force;
 mod learning;
 mod member;
 mod messages;
--- a/crates/foxledge-gossip/src/member.rs
+++ b/crates/foxledge-gossip/src/member.rs
@@ -3,7 +3,7 @@
 use std::{collections::HashMap, net::SocketAddrV4};
 
 use foxledge_core::time::ClockTime;
-use foxledge_flows::{FleetList, ListReading, SourceError};
+use foxledge_flows::{FleetList, HeldConfig, ListReading, SourceError};
 use rand::{Rng, SeedableRng, rngs::StdRng};
 
 use crate::{
@@ -48,6 +48,10 @@
     pub(crate) rng: StdRng,
     /// The list as it is known.
     pub(crate) list: FleetList,
+    /// The operators' list in force, while the store has an older one.
+    pub(crate) held: Option<HeldConfig>,
+    /// Its version, once that was told.
+    pub(crate) held_version: Option<u64>,
     /// The part of it that serves before all is known.
     pub(crate) preview: ListPreview,
     /// The instances that are known.
@@ -122,6 +126,8 @@
             card,
             rng,
             list: FleetList::new(),
+            held: None,
+            held_version: None,
             preview: ListPreview::default(),
             peers: PeerTable::new(options.data_centre.as_str()),
             pull: None,
--- a/crates/foxledge-gossip/src/preview.rs
+++ b/crates/foxledge-gossip/src/preview.rs
@@ -21,6 +21,11 @@
         ListPreview { rows, head }
     }
 
+    /// The rows of the part.
+    pub(crate) fn rows(&self) -> impl Iterator<Item = &ListRow> {
+        self.rows.iter()
+    }
+
     /// Takes the rows out, as the list itself serves from now on.
     pub(crate) fn take_rows(&mut self) -> Vec<ListRow> {
         std::mem::take(&mut self.rows)
--- a/crates/foxledge-gossip/src/reading.rs
+++ b/crates/foxledge-gossip/src/reading.rs
@@ -146,6 +146,7 @@
             self.start_at = now.after_millis(START_RETRY_MS);
             return;
         }
+        self.hold_config(head);
         let (rows, is_newest) = match order {
             ReadOrder::First => (self.list.take_reading(now, reading), false),
             ReadOrder::All(mode) => {
--- a/crates/foxledge-gossip/tests/held_config.rs
+++ b/crates/foxledge-gossip/tests/held_config.rs
@@ -74,6 +74,23 @@
     assert_in_force(&fleet, 5, 7);
 }
 
+// Guards against an older list in a router that starts anew while a newer one is held.
+#[test]
+fn restarted_router_keeps_newer() {
+    let fleet = restored_fleet(5);
+    for member in fleet.members() {
+        let rows: BTreeMap<_, _> = member
+            .all_in_force()
+            .into_iter()
+            .filter(|row| !matches!(row.value, Some(RowValue::Removed(_))))
+            .filter_map(|row| Some((row.key, row.value?)))
+            .collect();
+        assert_eq!((version(&rows), routes(&rows)), (4, 12));
+        assert_eq!((member.version_in_force(), member.routes_in_force()), (4, 12));
+        assert!(member.holds_config());
+    }
+}
+
 // Guards against routes that only the lost list had and that stay when a newer one comes.
 #[test]
 fn newer_list_replaces_held() {
