Keep planned leaves when the store comes back from an older copy

What callers would see: new flows to a backend server that had said it leaves, after the store came back with its entry from before, until it writes again or the entry lapses; then two seconds more, as a lapse.

Cause: the newest row decides whether a backend server leaves, and a restored store's rows are newer whatever they say.

Now a leave that its own entry told holds for that start against rows of later epochs that don't repeat it. Within an epoch a leave can be withdrawn as before, another start isn't touched, and an entry that another writer had spoiled is believed again.

Ruled out: ordering entries by their counter of writes. It would add bytes to each row, and an entry that is rewritten unchanged makes no event.

Evidence: leave_outlives_restore, red before (opened in place of refused); start_after_leave_served, spoiled_before_restore_served and leave_withdrawn hold on both. All tests of foxledge-flows pass.

--- a/crates/foxledge-flows/src/backend_table.rs
+++ b/crates/foxledge-flows/src/backend_table.rs
@@ -180,6 +180,7 @@
         let address = spec.address()?;
         self.retire_address(address, &row.key, now);
         let mut newer = Backend::new(now, row, spec, address, gone);
+        newer.take_leave(row, spec);
         let Some(index) = self.by_key.get(row.key.as_str()).copied() else {
             self.add(newer);
             return None;
@@ -200,7 +201,7 @@
         }
         known.gone_at = gone;
         known.revision = row.revision;
-        known.is_draining = spec.draining;
+        known.take_leave(row, spec);
         if known.is_same_process(&newer) {
             known.slots = newer.slots;
             known.warm_at = newer.warm_at;
--- a/crates/foxledge-flows/src/backends.rs
+++ b/crates/foxledge-flows/src/backends.rs
@@ -11,7 +11,8 @@
     cold::FlowWindow,
     health::HealthState,
     latency::LatencyGauge,
-    rows::{BackendRow, ListRow},
+    revisions::epoch_of,
+    rows::{BackendRow, ListRow, RowValue},
 };
 
 /// How long a backend server whose entry vanished may still get new flows, in
@@ -54,6 +55,8 @@
     pub slots: u32,
     /// It is leaving: no new flows.
     pub is_draining: bool,
+    /// Revision at which its own entry last said that it leaves.
+    pub leave_revision: Option<u64>,
     /// When it will be warm.
     pub warm_at: ClockTime,
     /// New flows that this instance sent there lately while it was cold.
@@ -102,6 +105,7 @@
             data_centre: CentreName::new(&spec.data_centre),
             slots: spec.slots.max(1),
             is_draining: spec.draining,
+            leave_revision: None,
             warm_at: now.after_millis(u64::from(spec.warm_in_ms)),
             cold_flows: FlowWindow::default(),
             gone_at,
@@ -136,6 +140,19 @@
         !self.warm_at.is_past(now)
     }
 
+    /// Takes what a newer row of the same start says of its leave.
+    ///
+    /// A restored store may hold the entry from before the leave, which the process doesn't
+    /// take back.
+    pub(crate) fn take_leave(&mut self, row: &ListRow, spec: &BackendRow) {
+        let is_own_entry = matches!(row.value, Some(RowValue::Backend(_)));
+        if is_own_entry && spec.draining {
+            self.leave_revision = Some(row.revision);
+        }
+        let has_left = self.leave_revision.is_some_and(|at| epoch_of(at) < epoch_of(row.revision));
+        self.is_draining = spec.draining || has_left;
+    }
+
     /// True when an entry as this one's can be of the same process.
     pub(crate) fn is_same_process(&self, other: &Backend) -> bool {
         self.incarnation == other.incarnation
