Wait for lost entries to be written again after a restore of the store

What callers would see: refusals while all entries of a service were lost for a moment, and the reset of a live flow whose backend server's entry was lost, at an instance that never knew it: the fault we count as the worst.

Cause: grace of vanished entries begins anew, and absence becomes sure 2.2 s later, only where the store was away for 2.5 s. A restored store lacks entries after a shorter outage as well.

Now a list of a newer epoch comes as FleetEffect::Restored, and counts as such a gap: the grace of entries that were in it begins anew, and nothing is taken for surely absent until 2.2 s of confirmations later.

Evidence: lost_entries_bridged and lost_entry_resets_nothing, red with take_restored doing no more than take_rows (refused at 5.1 s; reset 0.2 s after the restore in place of 2.2 s).

--- a/crates/foxledge-daemon/src/packets/fleet_part.rs
+++ b/crates/foxledge-daemon/src/packets/fleet_part.rs
@@ -193,6 +193,12 @@
                     call!([life], consider_serving());
                 }
             }
+            FleetEffect::Restored(rows) => {
+                self.set_list_metrics();
+                if let Some(flows) = directory.get::<FlowPart>() {
+                    call!([flows], take_restored(rows));
+                }
+            }
             FleetEffect::Confirmed(at) => {
                 if let Some(flows) = directory.get::<FlowPart>() {
                     call!([flows], take_confirmation(at));
--- a/crates/foxledge-daemon/src/packets/flow_part.rs
+++ b/crates/foxledge-daemon/src/packets/flow_part.rs
@@ -124,16 +124,26 @@
     /// Takes rows of the list that changed.
     pub fn take_rows(&mut self, cx: CX![], rows: Vec<ListRow>) {
         self.router.take_rows(self.context.clock.now(), &rows);
+        self.log_list_news();
+        if self.held_until.is_some() && self.context.member.borrow().can_serve() {
+            self.held_until = None;
+            self.drain(cx);
+        }
+    }
+
+    /// Takes rows of a list of a store that came back from an older copy.
+    pub fn take_restored(&mut self, _cx: CX![], rows: Vec<ListRow>) {
+        self.router.take_restored(self.context.clock.now(), &rows);
+        self.log_list_news();
+    }
+
+    fn log_list_news(&mut self) {
         for news in self.router.take_backend_news() {
             self.log_news(&news);
         }
         for news in self.router.take_evacuation_news() {
             self.log_evacuation(&news);
         }
-        if self.held_until.is_some() && self.context.member.borrow().can_serve() {
-            self.held_until = None;
-            self.drain(cx);
-        }
     }
 
     /// Takes the time of a confirmation of the list.
--- a/crates/foxledge-flows/src/backend_table.rs
+++ b/crates/foxledge-flows/src/backend_table.rs
@@ -8,7 +8,7 @@
 };
 
 use crate::{
-    backends::{Backend, BackendNews, LAPSE_MS, is_away, token_of},
+    backends::{Backend, BackendNews, LAPSE_MS, token_of},
     rows::{BackendRow, ListRow, RowValue},
 };
 
@@ -144,16 +144,13 @@
         old
     }
 
-    /// Lets the grace of entries that vanished begin anew when the store was away between
-    /// two confirmations, and they were in their grace at the first.
+    /// Lets the grace of entries that vanished begin anew when the store was away or came back
+    /// from a copy between two confirmations, and they were in their grace at the first.
     ///
     /// Entries that lapse as the store goes away are back some two seconds after its
     /// return. Counted from the lapse, the grace is over at the return, and an instance
     /// that missed what happened in between refuses flows that all others serve.
     pub fn renew_grace(&mut self, former: ClockTime, confirmed: ClockTime) {
-        if !is_away(former, confirmed) {
-            return;
-        }
         for backend in self.slots.iter_mut().flatten() {
             let is_in_grace = |gone: &ClockTime| !gone.after_millis(LAPSE_MS).is_past(former);
             if backend.gone_at.as_ref().is_some_and(is_in_grace) {
--- a/crates/foxledge-flows/src/learning.rs
+++ b/crates/foxledge-flows/src/learning.rs
@@ -34,6 +34,13 @@
         self.backends.forget(now);
     }
 
+    /// Takes rows of a list of a newer epoch: the store came back from an older copy, and what
+    /// it lost is written again.
+    pub fn take_restored(&mut self, now: ClockTime, rows: &[ListRow]) {
+        self.note_gap(self.confirmed_at.unwrap_or(now), now);
+        self.take_rows(now, rows);
+    }
+
     /// What rows changed in what is believed of backend servers since the last call.
     pub fn take_backend_news(&mut self) -> Vec<BackendNews> {
         std::mem::take(&mut self.news)
@@ -67,11 +74,8 @@
 
     /// Notes when the store last confirmed that the list is the newest.
     pub fn set_confirmed(&mut self, at: ClockTime) {
-        if let Some(former) = self.confirmed_at {
-            self.backends.renew_grace(former, at);
-            if is_away(former, at) {
-                self.unbroken_since = None;
-            }
+        if let Some(former) = self.confirmed_at.filter(|former| is_away(*former, at)) {
+            self.note_gap(former, at);
         }
         self.confirmed_at = Some(at);
         self.unbroken_since.get_or_insert(at);
@@ -79,6 +83,12 @@
         self.is_in_doubt = false;
     }
 
+    /// Notes that entries may have been lost between two moments, and are written again.
+    fn note_gap(&mut self, from: ClockTime, until: ClockTime) {
+        self.backends.renew_grace(from, until);
+        self.unbroken_since = None;
+    }
+
     /// Notes that this process stood still: until the next confirmation, and until all
     /// that waited has been read ([`FlowRouter::check_overdue`]), nothing is refused, and
     /// openings speak against no backend server.
--- a/crates/foxledge-flows/tests/restored_entries.rs
+++ b/crates/foxledge-flows/tests/restored_entries.rs
@@ -61,3 +61,44 @@
     router.take_rows(at(400), &[restored(&backend(1, "desk", NEAR, 8))]);
     assert_eq!(open_flow(&mut router, 410, key(1, 2)), Some(1));
 }
+
+// Guards against refusals while entries that were lost are written again, after an outage too
+// short for the store to count as away.
+#[test]
+fn lost_entries_bridged() {
+    let one = backend(1, "desk", NEAR, 2);
+    let mut router = desk_router(std::slice::from_ref(&one));
+    router.set_confirmed(at(900));
+    // Its entry had lapsed a while before the store came back without it.
+    router.take_rows(at(1_000), &[removed(&one, 6, 0)]);
+    router.set_confirmed(at(1_500));
+    router.take_restored(at(3_000), &[limits(1, revision_of(1, 1))]);
+    router.set_confirmed(at(3_000));
+    assert_eq!(open_flow(&mut router, 5_100, key(1, 1)), Some(1));
+    router.set_confirmed(at(5_250));
+    assert_eq!(router.on_packet(at(5_260), &opening(key(1, 2), 0)), REFUSED);
+}
+
+// Guards against the reset of a live flow whose backend server's entry was lost: an instance
+// that never knew it must wait until entries can be back.
+#[test]
+fn lost_entry_resets_nothing() {
+    let one = backend(1, "desk", NEAR, 2);
+    let mut router = desk_router(std::slice::from_ref(&one));
+    for now in (1_000..=10_000).step_by(1_000) {
+        router.set_confirmed(at(now));
+    }
+    router.take_restored(at(10_100), &[restored(&one)]);
+    let unknown = data(key(1, 1), 77, 500, 1);
+    let decisions: Vec<_> = (0..12)
+        .map(|count| {
+            let now = 10_150 + count * 200;
+            router.set_confirmed(at(now));
+            router.on_packet(at(now + 1), &unknown)
+        })
+        .collect();
+    let is_reset = |decision: &FlowDecision| matches!(decision, FlowDecision::Refuse(_));
+    let first = decisions.iter().position(is_reset).expect("is reset once it is surely gone");
+    // 2.2 s from the first confirmation after the restore.
+    assert_eq!(first, 12 - 1, "{decisions:?}");
+}
--- a/crates/foxledge-gossip/src/effects.rs
+++ b/crates/foxledge-gossip/src/effects.rs
@@ -54,6 +54,8 @@
     Read(ReadOrder),
     /// Rows changed in the list.
     Rows(Vec<ListRow>),
+    /// Rows differ in the list of a store that came back from an older copy.
+    Restored(Vec<ListRow>),
     /// The store confirmed the list as the newest at this time.
     Confirmed(ClockTime),
     /// Another instance observed a backend server.
--- a/crates/foxledge-gossip/src/learning.rs
+++ b/crates/foxledge-gossip/src/learning.rs
@@ -148,7 +148,8 @@
             rows.extend(self.end_preview());
         }
         let rows = self.rows_in_force(rows);
-        if !rows.is_empty() {
+        let is_restored = former > 0 && epoch_of(former) < epoch_of(self.list.head());
+        if is_restored || !rows.is_empty() {
             let event = FleetEvent::ListTaken {
                 version: self.list.version(),
                 epoch: epoch_of(self.list.head()),
@@ -158,7 +159,10 @@
                 source,
                 confirmed_age_ms: self.confirmed_ms(now),
             };
-            self.effects.push(FleetEffect::Rows(rows));
+            self.effects.push(match is_restored {
+                true => FleetEffect::Restored(rows),
+                false => FleetEffect::Rows(rows),
+            });
             self.effects.push(FleetEffect::Event(event));
         }
         self.list.forget_removed(now);
--- a/crates/foxledge-gossip/tests/common/mod.rs
+++ b/crates/foxledge-gossip/tests/common/mod.rs
@@ -560,7 +560,7 @@
                 }
                 FleetEffect::Note(note) => self.seats[index].notes.push(note),
                 FleetEffect::Packet(bytes) => self.seats[index].packets.push(bytes),
-                FleetEffect::Rows(rows) => {
+                FleetEffect::Rows(rows) | FleetEffect::Restored(rows) => {
                     self.seats[index].changes += 1;
                     self.seats[index].rows.extend(rows);
                     let member = self.seats[index].member.as_ref();
