Let a restored store's evacuations wait until operators have written again

What callers would see: new flows to a data centre on which operators work, as the copy lacks the wish; or refusals, as a data centre that was taken back counts as evacuated once more beside the one that is.

Cause: wishes are taken as the restored store has them, before operators have written again what it lost.

Now rows of evacuations that come with a restore count 2.2 s later, unless another for the same data centre comes first; wishes written after the restore count at once.

Evidence: lost_wish_kept (flow placed in the evacuated data centre) and withdrawn_wish_waits (refused), red with take_restored without the wait; all tests of foxledge-flows pass.

--- a/crates/foxledge-daemon/src/packets/flow_part.rs
+++ b/crates/foxledge-daemon/src/packets/flow_part.rs
@@ -149,8 +149,9 @@
     /// Takes the time of a confirmation of the list.
     pub fn take_confirmation(&mut self, _cx: CX![], at: ClockTime) {
         let now = self.context.clock.now();
-        let mut member = self.context.member.borrow_mut();
         self.router.set_confirmed(at);
+        self.log_list_news();
+        let mut member = self.context.member.borrow_mut();
         self.router.set_others(member.peer_count());
         self.router.set_neighbours(now, member.neighbours(now));
     }
--- a/crates/foxledge-flows/src/evacuations.rs
+++ b/crates/foxledge-flows/src/evacuations.rs
@@ -3,7 +3,8 @@
 //! Operators evacuate a data centre before work on it. Open flows stay where they are; new ones
 //! go to other data centres from the moment at which an instance hears of it, and come back when
 //! it is taken back. The wish is a row of the list: it travels, starts and never goes back to an
-//! older state as routes do.
+//! older state as routes do. What a restored store says of wishes waits until operators have had
+//! the time to write again what it lost.
 
 use std::collections::BTreeMap;
 
@@ -49,11 +50,36 @@
 #[derive(Clone, Debug, Default)]
 pub struct EvacuationTable {
     begun: BTreeMap<CentreName, Evacuation>,
+    /// Rows of a restored store by key, and when they count.
+    deferred: BTreeMap<String, (ClockTime, ListRow)>,
 }
 
 impl EvacuationTable {
     /// Takes a row; rows of other kinds change nothing.
     pub fn take(&mut self, now: ClockTime, row: &ListRow) -> Option<EvacuationNews> {
+        self.deferred.remove(&row.key);
+        self.apply(now, row)
+    }
+
+    /// Lets a row of a restored store count from `until` on, unless another comes before; false
+    /// for rows of other kinds.
+    pub fn defer(&mut self, until: ClockTime, row: &ListRow) -> bool {
+        let is_wish = row.key.starts_with(&evacuation_key(""));
+        if is_wish {
+            self.deferred.insert(row.key.clone(), (until, row.clone()));
+        }
+        is_wish
+    }
+
+    /// Takes the deferred rows that count by now.
+    pub fn take_due(&mut self, now: ClockTime) -> Vec<EvacuationNews> {
+        let is_due = |(until, _): &(ClockTime, ListRow)| until.is_past(now);
+        let due: Vec<_> =
+            self.deferred.values().filter(|one| is_due(one)).map(|(_, row)| row.clone()).collect();
+        due.iter().filter_map(|row| self.take(now, row)).collect()
+    }
+
+    fn apply(&mut self, now: ClockTime, row: &ListRow) -> Option<EvacuationNews> {
         match &row.value {
             Some(RowValue::Extension(extension)) => match extension.value()? {
                 ExtensionValue::Evacuation(wish) => self.begin(now, row, &wish.data_centre),
--- a/crates/foxledge-flows/src/learning.rs
+++ b/crates/foxledge-flows/src/learning.rs
@@ -8,7 +8,7 @@
 };
 
 use crate::{
-    backends::{Backend, BackendNews, is_away},
+    backends::{Backend, BackendNews, LAPSE_MS, is_away},
     evacuations::{Evacuation, EvacuationChange, EvacuationNews},
     mechanisms::RouterMechanism,
     router::FlowRouter,
@@ -38,7 +38,10 @@
     /// it lost is written again.
     pub fn take_restored(&mut self, now: ClockTime, rows: &[ListRow]) {
         self.note_gap(self.confirmed_at.unwrap_or(now), now);
-        self.take_rows(now, rows);
+        let until = now.after_millis(LAPSE_MS);
+        let is_other = |row: &&ListRow| !self.evacuations.defer(until, row);
+        let others: Vec<_> = rows.iter().filter(is_other).cloned().collect();
+        self.take_rows(now, &others);
     }
 
     /// What rows changed in what is believed of backend servers since the last call.
@@ -78,6 +81,9 @@
             self.note_gap(former, at);
         }
         self.confirmed_at = Some(at);
+        for news in self.evacuations.take_due(at) {
+            self.note_evacuation(at, news);
+        }
         self.unbroken_since.get_or_insert(at);
         self.sure_since.get_or_insert(at);
         self.is_in_doubt = false;
--- a/crates/foxledge-flows/tests/restored_entries.rs
+++ b/crates/foxledge-flows/tests/restored_entries.rs
@@ -102,3 +102,47 @@
     // 2.2 s from the first confirmation after the restore.
     assert_eq!(first, 12 - 1, "{decisions:?}");
 }
+
+/// A router with backend servers near and far.
+fn two_centres() -> foxledge_flows::FlowRouter {
+    desk_router(&[backend(1, "desk", NEAR, 2), backend(2, "desk", FAR, 2)])
+}
+
+// Guards against new flows to an evacuated data centre while the store lacks the wish.
+#[test]
+fn lost_wish_kept() {
+    let mut router = two_centres();
+    router.take_rows(at(100), &[evacuation(NEAR, 5)]);
+    router.take_restored(at(1_000), &[removed(&evacuation(NEAR, 5), revision_of(1, 4), 0)]);
+    router.set_confirmed(at(1_900));
+    assert_eq!(open_flow(&mut router, 1_910, key(1, 1)), Some(2));
+    // Written again, it holds for good.
+    router.take_rows(at(2_000), &[restored(&evacuation(NEAR, 6))]);
+    router.set_confirmed(at(9_000));
+    assert_eq!(open_flow(&mut router, 9_010, key(1, 2)), Some(2));
+    // One that isn't written again ends.
+    let mut router = two_centres();
+    router.take_rows(at(100), &[evacuation(NEAR, 5)]);
+    router.take_restored(at(1_000), &[removed(&evacuation(NEAR, 5), revision_of(1, 4), 0)]);
+    router.set_confirmed(at(3_300));
+    assert_eq!(open_flow(&mut router, 3_310, key(1, 3)), Some(1));
+}
+
+// Guards against refusals as a data centre that was taken back is evacuated once more, by a
+// wish that operators have withdrawn since.
+#[test]
+fn withdrawn_wish_waits() {
+    let mut router = two_centres();
+    router.take_rows(at(100), &[evacuation(FAR, 8)]);
+    let rows = [restored(&evacuation(NEAR, 4)), removed(&evacuation(FAR, 8), revision_of(1, 6), 0)];
+    router.take_restored(at(1_000), &rows);
+    router.set_confirmed(at(1_900));
+    assert_eq!(open_flow(&mut router, 1_910, key(1, 1)), Some(1));
+    router.take_rows(at(2_000), &[restored(&evacuation(FAR, 9))]);
+    router.take_rows(at(2_010), &[removed(&evacuation(NEAR, 4), revision_of(1, 10), 0)]);
+    router.set_confirmed(at(9_000));
+    assert_eq!(open_flow(&mut router, 9_010, key(1, 2)), Some(1));
+    // A wish that comes after the restore counts at once.
+    router.take_rows(at(9_100), &[restored(&evacuation(NEAR, 11))]);
+    assert!(router.evacuations().any(|(centre, _)| centre.as_str() == NEAR));
+}
