Follow a restored store that has lost the operators' list, and generate restores

What the generated sequences found: a store restored from before the first list of the operators left that list in the rows of running instances, and not in those of new ones, under one revision. The next version then came as the changes of one to the other, whose list lacked the rest.

Cause: without a list of the operators the known one stays. That holds within an epoch; in a newer one the list of rows follows the store, and the held list stays in force.

known_is_published restores the store by up to 12 revisions (Restore), stays as strict in each epoch, and holds two things more: the version in force never falls in a process, and at the end what is in force is the operators' list row by row, everywhere.

--- a/crates/foxledge-flows/src/list.rs
+++ b/crates/foxledge-flows/src/list.rs
@@ -14,9 +14,10 @@
         evacuation, is_of_config, is_of_own_item, is_removed, item_row_key, newest_of_each, placed,
         removal, retirement, vanished_number, with_open_flows,
     },
+    revisions::epoch_of,
     rows::{
-        ExtensionValue, LIMITS_KEY, ListRow, RowValue, backend_key, evacuation_key, route_key,
-        service_key,
+        ExtensionValue, LIMITS_KEY, ListRow, RowValue, backend_key, evacuation_key, is_config_key,
+        route_key, service_key,
     },
     source::{ConfigReading, ItemChange, ListReading},
 };
@@ -99,7 +100,7 @@
 
     /// True when routes are known, so that flows can be placed.
     pub fn has_routes(&self) -> bool {
-        self.rows.contains_key(LIMITS_KEY)
+        self.holds(LIMITS_KEY)
     }
 
     /// Number of rows, removed ones included.
@@ -164,10 +165,15 @@
         }
         let head = reading.head;
         let listed: BTreeSet<String> = reading.items.iter().filter_map(item_row_key).collect();
+        // Without a list of the operators the known one stays, unless a restored store lost it.
+        let is_config = |item: &ItemChange| matches!(item, ItemChange::Config { .. });
+        let has_lost_config =
+            epoch_of(head) > epoch_of(self.head) && !reading.items.iter().any(is_config);
+        let is_lost = |row: &ListRow| has_lost_config && is_config_key(&row.key);
         let gone: Vec<_> = self
             .rows
             .values()
-            .filter(|row| is_of_own_item(row))
+            .filter(|row| is_of_own_item(row) || is_lost(row) && !is_removed(row))
             .filter(|row| row.revision <= head && !listed.contains(&row.key))
             .map(|row| removal(row, head))
             .collect();
--- a/crates/foxledge-gossip/src/member.rs
+++ b/crates/foxledge-gossip/src/member.rs
@@ -156,6 +156,11 @@
         }
     }
 
+    /// True when all routes are known, by the list or as they were before the store lost them.
+    fn knows_routes(&self) -> bool {
+        self.list.has_routes() || self.holds_config()
+    }
+
     /// The list as it is known.
     pub fn list(&self) -> &FleetList {
         &self.list
@@ -199,7 +204,7 @@
     /// When [`FleetMember::on_time`] is due next.
     pub fn next_at(&self, now: ClockTime) -> ClockTime {
         let mut next = self.beat_at;
-        if !self.list.has_routes() {
+        if !self.knows_routes() {
             next = next.min(self.ask_at);
         }
         if let Some(pull) = &self.pull {
@@ -231,7 +236,7 @@
 
     /// Does what is due.
     pub fn on_time(&mut self, now: ClockTime) {
-        if !self.list.has_routes() && self.ask_at.is_past(now) {
+        if !self.knows_routes() && self.ask_at.is_past(now) {
             let wait = if self.preview.is_known() { ASK_REST_MS } else { ASK_MS };
             self.ask_at = now.after_millis(wait);
             self.ask_seeds(now);
--- a/crates/foxledge-gossip/src/previewing.rs
+++ b/crates/foxledge-gossip/src/previewing.rs
@@ -28,7 +28,7 @@
 impl FleetMember {
     /// True when flows can be placed: by the list, or by a part of it.
     pub fn can_serve(&self) -> bool {
-        self.list.has_routes() || self.preview.has_routes()
+        self.list.has_routes() || self.preview.has_routes() || self.holds_config()
     }
 
     /// Takes a part of the list; the rest comes from peers, or is read later.
--- a/crates/foxledge-gossip/tests/common/mod.rs
+++ b/crates/foxledge-gossip/tests/common/mod.rs
@@ -50,7 +50,7 @@
     pub epoch: u64,
     pub calls: u64,
     pub cheap_calls: u64,
-    /// Everything that was published, as it stood at each revision.
+    /// Everything that was published, as it stood at each revision as members know it.
     pub history: BTreeMap<u64, Vec<ItemChange>>,
     /// Revisions by which a reading is behind that may be old.
     pub lag: u64,
@@ -219,9 +219,14 @@
     /// Comes back from a copy some revisions old: what was written since is gone, and its
     /// revisions are given out again.
     pub fn restore(&mut self, revisions: u64) {
-        let until = ..=self.head.saturating_sub(revisions);
-        let Some((head, items)) = self.history.range(until).next_back() else { return };
-        (self.head, self.floor) = (*head, *head);
+        let first = revision_of(self.epoch, 0);
+        let until = revision_of(self.epoch, self.head.saturating_sub(revisions));
+        let mut copies = self.history.range(first..);
+        // A copy is never older than the one from which the store came back before.
+        let Some(oldest) = copies.next() else { return };
+        let (copy, items) = self.history.range(first..=until).next_back().unwrap_or(oldest);
+        let head = number_of(*copy);
+        (self.head, self.floor) = (head, head);
         self.items = items.iter().map(|item| (key_of(item), item.clone())).collect();
         self.log.clear();
         self.epoch += 1;
@@ -235,7 +240,7 @@
     }
 
     fn record(&mut self) {
-        self.history.insert(self.head, self.items.values().cloned().collect());
+        self.history.insert(self.revision(), self.items.values().cloned().collect());
     }
 
     fn all(&self) -> ListReading {
@@ -245,9 +250,9 @@
 
     /// Everything as it stood some revisions ago.
     fn all_of_old(&self) -> ListReading {
-        let until = ..=self.head.saturating_sub(self.lag);
-        let Some((head, items)) = self.history.range(until).next_back() else { return self.all() };
-        ListReading::whole(items.clone(), *head).of_epoch(self.epoch)
+        let until = ..=revision_of(self.epoch, self.head.saturating_sub(self.lag));
+        let Some((at, items)) = self.history.range(until).next_back() else { return self.all() };
+        ListReading::whole(items.clone(), number_of(*at)).of_epoch(epoch_of(*at))
     }
 
     fn after(&self, after: u64) -> Result<ListReading, SourceError> {
--- a/crates/foxledge-gossip/tests/random_lists.rs
+++ b/crates/foxledge-gossip/tests/random_lists.rs
@@ -9,7 +9,7 @@
     FleetList, ItemChange,
     rows::{
         EvacuationRow, ExtensionValue, LIMITS_KEY, RouteRow, RowValue, ServiceRow, backend_key,
-        evacuation_key, route_key, service_key,
+        evacuation_key, is_config_key, route_key, service_key,
     },
 };
 use proptest::prelude::*;
@@ -40,6 +40,7 @@
     TakeBack { centre: usize },
     Remove { backend: u64 },
     DropHistory,
+    Restore { revisions: u64 },
     AgeReadings { revisions: u64 },
     Kill { member: usize },
     Start { member: usize },
@@ -64,6 +65,7 @@
         3 => (0..CENTRES.len()).prop_map(|centre| Step::Evacuate { centre }),
         3 => (0..CENTRES.len()).prop_map(|centre| Step::TakeBack { centre }),
         2 => Just(Step::DropHistory),
+        2 => (0..12_u64).prop_map(|revisions| Step::Restore { revisions }),
         1 => (0..6_u64).prop_map(|revisions| Step::AgeReadings { revisions }),
         3 => member.clone().prop_map(|member| Step::Kill { member }),
         3 => member.clone().prop_map(|member| Step::Start { member }),
@@ -87,6 +89,8 @@
     heads: [u64; MEMBERS],
     /// Changes of its list up to then.
     changes: [u64; MEMBERS],
+    /// The version that each process of a member had in force.
+    versions: [u64; MEMBERS],
 }
 
 impl Run {
@@ -97,7 +101,13 @@
         }
         let mut fleet = settle(fleet);
         fleet.message_us = MESSAGE_US;
-        Run { fleet, version: 1, heads: [0; MEMBERS], changes: [0; MEMBERS] }
+        Run {
+            fleet,
+            version: 1,
+            heads: [0; MEMBERS],
+            changes: [0; MEMBERS],
+            versions: [0; MEMBERS],
+        }
     }
 
     fn take(&mut self, step: Step) {
@@ -124,6 +134,10 @@
                 self.fleet.store_changed();
             }
             Step::DropHistory => self.fleet.store.compact(),
+            Step::Restore { revisions } => {
+                self.fleet.store.restore(revisions);
+                self.fleet.store_changed();
+            }
             Step::AgeReadings { revisions } => self.fleet.store.lag = revisions,
             Step::Kill { member } => self.kill(member),
             Step::Start { member } => {
@@ -166,7 +180,7 @@
 
     fn kill(&mut self, member: usize) {
         self.fleet.kill(member);
-        self.heads[member] = 0;
+        (self.heads[member], self.versions[member]) = (0, 0);
     }
 
     fn heal(&mut self) {
@@ -189,7 +203,9 @@
     fn look(&mut self) {
         for (index, seat) in self.fleet.seats.iter().enumerate() {
             let Some(member) = &seat.member else { continue };
-            let head = member.list().head();
+            let (head, version) = (member.list().head(), member.version_in_force());
+            let former = std::mem::replace(&mut self.versions[index], version);
+            assert!(version >= former, "member {index}: version {version} after {former}");
             assert!(head >= self.heads[index], "member {index} went back to {head}");
             let is_known = (self.heads[index], self.changes[index]) == (head, seat.changes);
             (self.heads[index], self.changes[index]) = (head, seat.changes);
@@ -216,7 +232,22 @@
             }
         }
         self.run(HEALED_MS);
-        assert!(self.fleet.all_know(self.fleet.store.head), "some don't know the newest list");
+        assert!(
+            self.fleet.all_know(self.fleet.store.revision()),
+            "some don't know the newest list"
+        );
+        self.publish(0b1010_1010, 1);
+        self.run(HEALED_MS);
+        let newest = self.fleet.store.history.values().next_back().expect("was published");
+        let newest = of_config(&published(newest));
+        for (index, member) in self.fleet.members().enumerate() {
+            let rows = member.all_in_force();
+            let rows = rows.iter().filter_map(|row| Some((row.key.clone(), row.value.clone()?)));
+            let rows: BTreeMap<_, _> =
+                rows.filter(|(_, value)| !matches!(value, RowValue::Removed(_))).collect();
+            let held = differences(&newest, &of_config(&rows));
+            assert!(held.is_empty(), "member {index} has another list in force: {held:#?}");
+        }
     }
 }
 
@@ -257,6 +288,12 @@
     rows
 }
 
+/// The rows of the operators' list alone.
+fn of_config(rows: &BTreeMap<String, RowValue>) -> BTreeMap<String, RowValue> {
+    let rows = rows.iter().filter(|(key, _)| is_config_key(key));
+    rows.map(|(key, value)| (key.clone(), value.clone())).collect()
+}
+
 /// The key of a backend server's entry that another writer spoiled.
 fn spoiled_key(item: &ItemChange) -> Option<String> {
     match item {
@@ -297,7 +334,8 @@
     #![proptest_config(ProptestConfig { cases: 200, failure_persistence: None, ..ProptestConfig::default() })]
 
     // Symptom: an instance says that it knows the list of a revision and holds another.
-    // Sequence: any; changes, starts, cuts, losses, a store that fails or forgets.
+    // Sequence: any; changes, starts, cuts, losses, a store that fails, forgets or comes back
+    //   from an older copy.
     // Cause: rows of several ways (answers of the store, news, copies) are put together.
     #[test]
     fn known_is_published(steps in prop::collection::vec(any_step(), 1..60)) {
