Tie a transfer of rows to one process of its giver

Cause: instances may have the same rows under different revisions, as a row that doesn't change keeps its own. An instance that hands on a copy and starts anew midway gets its list from another; rows that lie before the asker's cursor then are never sent, and count as gone. Restores only make it likelier: an instance that started from the store and one that followed changes differ at any time.

Now a page names its sender's process, and a transfer begins anew when that changes.

Ruled out: rows that move during one process's transfer, as revisions of rows only rise.

--- a/crates/foxledge-gossip/src/copies.rs
+++ b/crates/foxledge-gossip/src/copies.rs
@@ -153,6 +153,7 @@
                 claims: if index == 0 { self.claim_messages(now, MOST_CLAIMS) } else { Vec::new() },
                 is_busy: false,
                 peers: Vec::new(),
+                incarnation: self.card.incarnation,
             };
             self.send(to, MessageBody::Page(message));
             let Some(next) = next else {
--- a/crates/foxledge-gossip/src/messages.rs
+++ b/crates/foxledge-gossip/src/messages.rs
@@ -285,4 +285,7 @@
     /// Instances that may serve instead.
     #[prost(message, repeated, tag = "10")]
     pub peers: Vec<HeardPeer>,
+    /// Of the sender's process.
+    #[prost(fixed64, tag = "11")]
+    pub incarnation: u64,
 }
--- a/crates/foxledge-gossip/src/pulls.rs
+++ b/crates/foxledge-gossip/src/pulls.rs
@@ -29,6 +29,10 @@
     pub from: SocketAddrV4,
     /// Ticket of the question that is out.
     pub ticket: u32,
+    /// Revision that was known at the begin.
+    known: u64,
+    /// The peer's process; none before its first page.
+    incarnation: Option<u64>,
     cursor: ListCursor,
     is_copy: bool,
     rows: Vec<ListRow>,
@@ -70,6 +74,8 @@
         ListPull {
             from,
             ticket,
+            known,
+            incarnation: None,
             cursor,
             is_copy: known == 0,
             rows: Vec::new(),
@@ -109,8 +115,21 @@
         PullStep::Wait
     }
 
+    /// Begins the transfer again, from another process of the peer.
+    ///
+    /// That may have the same rows under other revisions, so that some of them lie before a
+    /// cursor that came from its former process.
+    fn begin_again(&mut self, now: ClockTime) -> PullStep {
+        let (from, ticket) = (self.from, self.ticket);
+        *self = ListPull { tries: self.tries, ..ListPull::new(now, from, ticket, self.known) };
+        self.ask_again()
+    }
+
     /// Takes the page whose turn it is.
     fn take_next(&mut self, now: ClockTime, page: PageMessage) -> PullStep {
+        if *self.incarnation.get_or_insert(page.incarnation) != page.incarnation {
+            return self.begin_again(now);
+        }
         if page.is_copy && !self.is_copy {
             // The peer can't tell the changes since what is known here.
             self.is_copy = true;
--- a/crates/foxledge-gossip/tests/random_lists.rs
+++ b/crates/foxledge-gossip/tests/random_lists.rs
@@ -346,3 +346,38 @@
         run.finish();
     }
 }
+
+// Guards against a copy of which one part comes from before its giver's start and one from
+// after: rows that lie before the cursor in the new process would count as gone.
+#[test]
+fn giver_starts_during_copy() {
+    let steps = [
+        Step::Evacuate { centre: 1 },
+        Step::Publish { routes: 0, first: 0 },
+        Step::DropHistory,
+        Step::Run { millis: 361 },
+        Step::Publish { routes: 191, first: 1 },
+        Step::Start { member: 4 },
+        Step::Start { member: 0 },
+        Step::Run { millis: 7_357 },
+        Step::Start { member: 0 },
+        Step::TakeBack { centre: 0 },
+        Step::Lose { percent: 26 },
+        Step::Run { millis: 741 },
+        Step::Start { member: 2 },
+        Step::Publish { routes: 4, first: 0 },
+        Step::Run { millis: 403 },
+        Step::Publish { routes: 4, first: 0 },
+        Step::Start { member: 1 },
+        Step::Restore { revisions: 0 },
+        Step::Run { millis: 1 },
+        Step::Publish { routes: 180, first: 0 },
+        Step::Run { millis: 415 },
+        Step::Kill { member: 1 },
+    ];
+    let mut run = Run::new();
+    for step in steps {
+        run.take(step);
+    }
+    run.finish();
+}
