Let the soak's store come back from older copies

The range restores adds StoreRestored: a copy of up to 8 s, the store silent for 0.1 to 4 s, back from the copy with the next era; operators write again after 50 ms, backend servers after 1.5 s, entries of dead ones lapse. The promises are the same ones: leaves, routes and evacuations within their bounds, no reset of a flow whose backend server lives.

--- a/crates/foxledge-soak/src/faults.rs
+++ b/crates/foxledge-soak/src/faults.rs
@@ -14,13 +14,15 @@
     links::{LinkFault, PeerFault},
     plan::{RestartPlace, SoakFault, SpoiledValue},
     store::StoreMode,
-    world::{SoakWorld, centre_of},
+    world::{SoakWorld, centre_of, evacuation_key},
 };
 
 /// Time in which a planned stop of a backend server goes on after its report.
 const DRAIN: Duration = Duration::from_millis(3_500);
 /// Time from the store's return until lapsed entries are back.
 const LAPSE_BACK: Duration = Duration::from_millis(1_500);
+/// Time from the store's return until operators have written again what it lost.
+const WRITTEN_AGAIN: Duration = Duration::from_millis(50);
 /// Time after a death until the entry lapses.
 const ENTRY_LAPSES: Duration = Duration::from_millis(3_600);
 /// Time after a death until its address is given to another.
@@ -55,6 +57,9 @@
             store_away(&world, mode, for_ms).await;
         }
         SoakFault::StoreCompact => world.store.compact(),
+        SoakFault::StoreRestored { age_ms, away_ms } => {
+            store_restored(&world, age_ms, away_ms).await;
+        }
         SoakFault::StoreLapse { for_ms } => store_lapse(&world, for_ms).await,
         SoakFault::StoreLink { instance, how, for_ms } => {
             store_link(&world, instance, how, for_ms).await;
@@ -100,7 +105,7 @@
 /// Evacuates a data centre unless it is, and takes it back.
 async fn evacuate(world: &Arc<SoakWorld>, centre: usize, for_ms: u64) {
     let data_centre = centre_of(centre);
-    let key = format!("op/evacuate/{data_centre}");
+    let key = evacuation_key(data_centre);
     if !world.ledger.evacuated(data_centre) {
         return;
     }
@@ -154,6 +159,32 @@
     world.register_live();
 }
 
+/// Brings the store back from a copy; operators write again at once, backend servers with their
+/// next heartbeats. Entries of those that are dead lapse.
+async fn store_restored(world: &Arc<SoakWorld>, age_ms: u64, away_ms: u64) {
+    let copy = world.store.copy();
+    sleep(Duration::from_millis(age_ms)).await;
+    world.store.set_mode(StoreMode::Silent);
+    for _ in 0..away_ms.div_ceil(100) {
+        world.ledger.disturb_store();
+        sleep(Duration::from_millis(100)).await;
+    }
+    world.store.restore(&copy);
+    world.store.set_mode(StoreMode::Serving);
+    world.ledger.disturb_store();
+    sleep(WRITTEN_AGAIN).await;
+    world.write_again();
+    sleep(LAPSE_BACK).await;
+    world.ledger.disturb_store();
+    world.register_live();
+    world.report_leaving();
+    sleep(ENTRY_LAPSES - LAPSE_BACK).await;
+    let live = world.registered_keys();
+    for key in world.store.keys("servers/").into_iter().filter(|key| !live.contains(key)) {
+        world.store.remove(&key);
+    }
+}
+
 async fn store_link(world: &Arc<SoakWorld>, instance: usize, how: u32, for_ms: u64) {
     let fault = match how {
         0 => LinkFault::Cut,
@@ -238,7 +269,9 @@
     let Some(leaving) = world.take_backend(backend) else { return };
     world.start_backend(&leaving.place.service, None).await;
     leaving.drain(&world.store);
+    world.note_leaving(&leaving.place);
     sleep(DRAIN).await;
+    world.forget_leaving(&leaving.place);
     world.store.remove(&leaving.key());
     leaving.end().await;
 }
--- a/crates/foxledge-soak/src/main.rs
+++ b/crates/foxledge-soak/src/main.rs
@@ -31,6 +31,7 @@
         Some("control") => FaultRange::Control,
         Some("entries") => FaultRange::Entries,
         Some("evacuations") => FaultRange::Evacuations,
+        Some("restores") => FaultRange::Restores,
         _ => FaultRange::Packets,
     };
     let mut broken = 0;
@@ -62,7 +63,7 @@
                 .value_name("NAME")
                 .default_value("packets")
                 .help("Faults that come; seeds of before this option was made are of control")
-                .value_parser(["control", "packets", "entries", "evacuations"]),
+                .value_parser(["control", "packets", "entries", "evacuations", "restores"]),
         )
         .arg(
             Arg::new("binary")
--- a/crates/foxledge-soak/src/plan.rs
+++ b/crates/foxledge-soak/src/plan.rs
@@ -32,12 +32,14 @@
     Entries,
     /// These, and evacuations of data centres.
     Evacuations,
+    /// These, and a store that comes back from older copies.
+    Restores,
 }
 
 impl FaultRange {
     /// True when backend servers tell in their entries when they started.
     pub fn tells_starts(self) -> bool {
-        matches!(self, FaultRange::Entries | FaultRange::Evacuations)
+        matches!(self, FaultRange::Entries | FaultRange::Evacuations | FaultRange::Restores)
     }
 }
 
@@ -127,6 +129,13 @@
         /// Time in milliseconds that the store is away.
         for_ms: u64,
     },
+    /// The store comes back from an older copy, and what was lost is written again.
+    StoreRestored {
+        /// Age of the copy when the store goes away, in milliseconds.
+        age_ms: u64,
+        /// Time in milliseconds that the store is away.
+        away_ms: u64,
+    },
     /// An instance's way to the store is harmed.
     StoreLink {
         /// Which instance.
@@ -293,6 +302,7 @@
         FaultRange::Packets => 25,
         FaultRange::Entries => 34,
         FaultRange::Evacuations => 40,
+        FaultRange::Restores => 46,
     };
     match rng.random_range(0..kinds) {
         0..3 => SoakFault::Kill { instance, down_ms: rng.random_range(100..2_500) },
@@ -315,7 +325,11 @@
             place: if rng.random_bool(0.6) { RestartPlace::Same } else { RestartPlace::Other },
         },
         30..32 => SoakFault::EntrySpoiled { backend, value: any_value(rng), for_ms },
-        34.. => SoakFault::Evacuate {
+        40.. => SoakFault::StoreRestored {
+            age_ms: rng.random_range(0..8_000),
+            away_ms: rng.random_range(100..4_000),
+        },
+        34..40 => SoakFault::Evacuate {
             centre: rng.random_range(0..2),
             for_ms: rng.random_range(2_000..12_000),
         },
--- a/crates/foxledge-soak/src/promises.rs
+++ b/crates/foxledge-soak/src/promises.rs
@@ -120,6 +120,11 @@
         self.lock().evacuated.insert(data_centre.to_owned(), Instant::now()).is_none()
     }
 
+    /// True while a data centre is evacuated.
+    pub fn is_evacuated(&self, data_centre: &str) -> bool {
+        self.lock().evacuated.contains_key(data_centre)
+    }
+
     /// Notes that a data centre is about to be taken back.
     pub fn taken_back(&self, data_centre: &str) {
         let mut state = self.lock();
--- a/crates/foxledge-soak/src/store.rs
+++ b/crates/foxledge-soak/src/store.rs
@@ -167,6 +167,12 @@
         self.changed.notify_waiters();
     }
 
+    /// Keys of the items whose keys begin so.
+    pub fn keys(&self, prefix: &str) -> Vec<String> {
+        let state = self.lock();
+        state.items.keys().filter(|key| key.starts_with(prefix)).cloned().collect()
+    }
+
     /// Changes how the store answers.
     pub fn set_mode(&self, mode: StoreMode) {
         self.lock().mode = mode;
--- a/crates/foxledge-soak/src/world.rs
+++ b/crates/foxledge-soak/src/world.rs
@@ -65,6 +65,10 @@
     next_backend: AtomicU64,
     version: AtomicU64,
     moving: Mutex<Vec<Option<usize>>>,
+    /// The operators' newest list.
+    newest_list: Mutex<Value>,
+    /// Backend servers that have said that they leave, and run on.
+    leaving: Mutex<Vec<BackendPlace>>,
     pub(crate) is_ending: AtomicBool,
 }
 
@@ -119,6 +123,8 @@
             next_backend: AtomicU64::new(0),
             version: AtomicU64::new(0),
             moving: Mutex::new(vec![Some(0); usize::from(MOVING)]),
+            newest_list: Mutex::default(),
+            leaving: Mutex::default(),
             is_ending: AtomicBool::new(false),
         });
         for service in SERVICES {
@@ -270,6 +276,43 @@
         }
     }
 
+    /// Writes again what operators want: the newest list, and which data centres are evacuated.
+    pub fn write_again(&self) {
+        let _moving = self.lock_moving();
+        self.store.put("op/config", &lock(&self.newest_list));
+        for centre in (0..2).map(centre_of) {
+            let key = evacuation_key(centre);
+            match self.ledger.is_evacuated(centre) {
+                true => self.store.put(&key, &json!({})),
+                false => self.store.remove(&key),
+            }
+        }
+    }
+
+    /// Notes that a backend server has said that it leaves.
+    pub fn note_leaving(&self, place: &BackendPlace) {
+        lock(&self.leaving).push(place.clone());
+    }
+
+    /// Notes that it is about to end.
+    pub fn forget_leaving(&self, place: &BackendPlace) {
+        lock(&self.leaving).retain(|other| other.number != place.number);
+    }
+
+    /// Writes the entries of all backend servers that leave.
+    pub fn report_leaving(&self) {
+        for place in lock(&self.leaving).iter() {
+            self.store.put(&place.key(), &place.entry("draining"));
+        }
+    }
+
+    /// Keys of the entries of all backend servers that run, those that leave included.
+    pub fn registered_keys(&self) -> Vec<String> {
+        let mut keys = self.live_keys();
+        keys.extend(lock(&self.leaving).iter().map(BackendPlace::key));
+        keys
+    }
+
     /// The service that isn't `service`.
     pub fn other_service(&self, service: &str) -> String {
         let other = SERVICES.iter().find(|name| **name != service);
@@ -312,6 +355,7 @@
             "limits": {"idle_timeout_ms": 15_000},
         });
         self.store.put("op/config", &config);
+        *lock(&self.newest_list) = config;
         for (index, service) in moving.iter().enumerate() {
             let service = service.map(|index| SERVICES[index].to_owned());
             self.ledger.route_published(MOVING_PORT + index as u16, service);
@@ -323,18 +367,28 @@
     }
 
     pub(crate) fn lock_instances(&self) -> MutexGuard<'_, Vec<RunningInstance>> {
-        self.instances.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.instances)
     }
 
     fn lock_backends(&self) -> MutexGuard<'_, Vec<StandInBackend>> {
-        self.backends.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.backends)
     }
 
     fn lock_moving(&self) -> MutexGuard<'_, Vec<Option<usize>>> {
-        self.moving.lock().unwrap_or_else(PoisonError::into_inner)
+        lock(&self.moving)
     }
 }
 
+/// Locks what is whole between two statements, so that a panic elsewhere can't have spoilt it.
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// The key of the wish that a data centre be evacuated.
+pub(crate) fn evacuation_key(data_centre: &str) -> String {
+    format!("op/evacuate/{data_centre}")
+}
+
 /// The data centre of an instance or a backend server.
 pub(crate) fn centre_of(index: usize) -> &'static str {
     ["toledo", "erie"][index % 2]
--- a/crates/foxledge-soak/tests/short_soak.rs
+++ b/crates/foxledge-soak/tests/short_soak.rs
@@ -53,6 +53,11 @@
     assert_kept(SoakOptions::new(9_000).seconds(12).range(FaultRange::Evacuations));
 }
 
+#[test]
+fn store_restores() {
+    assert_kept(SoakOptions::new(11_000).seconds(12).range(FaultRange::Restores));
+}
+
 #[test]
 fn plan_by_seed() {
     let options = SoakOptions::new(7);
