Write again only what the soak's store has lost

With every entry written anew after a restore the store's revisions passed the known one within a second, and the range said little. The platform's entries don't change when nothing in them does.

--- a/crates/foxledge-soak/src/faults.rs
+++ b/crates/foxledge-soak/src/faults.rs
@@ -176,8 +176,7 @@
     world.write_again();
     sleep(LAPSE_BACK).await;
     world.ledger.disturb_store();
-    world.register_live();
-    world.report_leaving();
+    world.register_again();
     sleep(ENTRY_LAPSES - LAPSE_BACK).await;
     let live = world.registered_keys();
     for key in world.store.keys("servers/").into_iter().filter(|key| !live.contains(key)) {
--- a/crates/foxledge-soak/src/store.rs
+++ b/crates/foxledge-soak/src/store.rs
@@ -110,6 +110,15 @@
         self.put_bytes(key, value.to_string().as_bytes());
     }
 
+    /// Writes an item unless it lies there as it is.
+    pub fn put_again(&self, key: &str, value: &Value) {
+        let text = BASE64_STANDARD.encode(value.to_string());
+        let is_there = self.lock().items.get(key).is_some_and(|item| item["value"] == text);
+        if !is_there {
+            self.put(key, value);
+        }
+    }
+
     /// Writes an item of any bytes.
     pub fn put_bytes(&self, key: &str, value: &[u8]) {
         let mut state = self.lock();
--- a/crates/foxledge-soak/src/world.rs
+++ b/crates/foxledge-soak/src/world.rs
@@ -279,16 +279,27 @@
     /// Writes again what operators want: the newest list, and which data centres are evacuated.
     pub fn write_again(&self) {
         let _moving = self.lock_moving();
-        self.store.put("op/config", &lock(&self.newest_list));
+        self.store.put_again("op/config", &lock(&self.newest_list));
         for centre in (0..2).map(centre_of) {
             let key = evacuation_key(centre);
             match self.ledger.is_evacuated(centre) {
-                true => self.store.put(&key, &json!({})),
+                true => self.store.put_again(&key, &json!({})),
                 false => self.store.remove(&key),
             }
         }
     }
 
+    /// Writes again the entries of all backend servers that run, where the store lost them.
+    pub fn register_again(&self) {
+        for backend in self.lock_backends().iter() {
+            self.store.put_again(&backend.key(), &backend.place.entry("ready"));
+            self.ledger.backend_ready(backend.place.number);
+        }
+        for place in lock(&self.leaving).iter() {
+            self.store.put_again(&place.key(), &place.entry("draining"));
+        }
+    }
+
     /// Notes that a backend server has said that it leaves.
     pub fn note_leaving(&self, place: &BackendPlace) {
         lock(&self.leaving).push(place.clone());
@@ -299,13 +310,6 @@
         lock(&self.leaving).retain(|other| other.number != place.number);
     }
 
-    /// Writes the entries of all backend servers that leave.
-    pub fn report_leaving(&self) {
-        for place in lock(&self.leaving).iter() {
-            self.store.put(&place.key(), &place.entry("draining"));
-        }
-    }
-
     /// Keys of the entries of all backend servers that run, those that leave included.
     pub fn registered_keys(&self) -> Vec<String> {
         let mut keys = self.live_keys();
--- a/crates/foxledge-soak/tests/short_soak.rs
+++ b/crates/foxledge-soak/tests/short_soak.rs
@@ -20,6 +20,15 @@
     assert!(report.breaches.is_empty(), "{report}");
 }
 
+/// Runs all at the same time.
+fn assert_all_kept(all: Vec<SoakOptions>) {
+    let runs: Vec<_> =
+        all.into_iter().map(|options| thread::spawn(move || assert_kept(options))).collect();
+    for run in runs {
+        run.join().expect("keeps its promises");
+    }
+}
+
 #[test]
 fn calm_serves_all() {
     let report = run_soak(SoakOptions::new(1).seconds(4).fault_every_ms(0), &daemon());
@@ -53,9 +62,11 @@
     assert_kept(SoakOptions::new(9_000).seconds(12).range(FaultRange::Evacuations));
 }
 
+// Guards against lists that stay as they were once a restored store gives revisions out again.
 #[test]
 fn store_restores() {
-    assert_kept(SoakOptions::new(11_000).seconds(12).range(FaultRange::Restores));
+    let restores = |seed| SoakOptions::new(seed).seconds(12).range(FaultRange::Restores);
+    assert_all_kept([11_000, 11_001, 11_004].map(restores).into());
 }
 
 #[test]
@@ -98,10 +109,5 @@
     let control = FAILED_SEEDS.map(|(seed, seconds)| SoakOptions::new(seed).seconds(seconds));
     let entries = FAILED_ENTRY_SEEDS
         .map(|(seed, seconds)| SoakOptions::new(seed).seconds(seconds).range(FaultRange::Entries));
-    let all: Vec<_> = control.into_iter().chain(entries).collect();
-    let runs: Vec<_> =
-        all.into_iter().map(|options| thread::spawn(move || assert_kept(options))).collect();
-    for run in runs {
-        run.join().expect("keeps its promises");
-    }
+    assert_all_kept(control.into_iter().chain(entries).collect());
 }
