Hand the held list of the operators to instances that start

What callers would see: an instance that starts between a restore of the store and the operators' next write serves the older version: it refuses routes that all others serve.

Cause: rows of the list follow the store, and nothing else was told.

Now heartbeats tell of a held version; an instance whose version in force is older asks for it, page by page, and holds it as well. Nothing is added to heartbeats while nobody holds a list. Losses don't begin a transfer anew, as a version has the same rows wherever it is held.

Weighed and left: silence in place of refusals by starters. It needs the same news, and callers' copies find another instance only by chance.

--- a/crates/foxledge-flows/src/held_config.rs
+++ b/crates/foxledge-flows/src/held_config.rs
@@ -1,13 +1,12 @@
 //! The operators' list that stays in force while a restored store holds an older one.
 //!
 //! A store that comes back from an older copy has lost the newest versions until operators write
-//! them again. [`FleetList`] follows the store, as instances tell each other its changes; what is
+//! them again. [`FleetList`](crate::FleetList) follows the store, as instances tell each other its changes; what is
 //! in force doesn't go back to an older version.
 
-use std::collections::HashMap;
+use std::{collections::BTreeMap, ops::Bound};
 
 use crate::{
-    list::FleetList,
     list_rows::removal,
     rows::{ListRow, RowValue, is_config_key},
 };
@@ -16,14 +15,14 @@
 #[derive(Clone, Debug)]
 pub struct HeldConfig {
     version: u64,
-    rows: HashMap<String, ListRow>,
+    rows: BTreeMap<String, ListRow>,
 }
 
 impl HeldConfig {
     /// The operators' list that rows tell; none where they tell no version.
     pub fn of<'a>(rows: impl Iterator<Item = &'a ListRow>) -> Option<HeldConfig> {
         let rows = rows.filter(|row| is_listed_config(row));
-        let rows: HashMap<_, _> = rows.map(|row| (row.key.clone(), row.clone())).collect();
+        let rows: BTreeMap<_, _> = rows.map(|row| (row.key.clone(), row.clone())).collect();
         let version = rows.values().find_map(|row| match &row.value {
             Some(RowValue::Limits(limits)) => Some(limits.version),
             _ => None,
@@ -36,24 +35,36 @@
         self.version
     }
 
-    /// Its rows.
+    /// Its rows, by key.
     pub fn rows(&self) -> impl Iterator<Item = &ListRow> {
         self.rows.values()
     }
 
+    /// Some rows after a key, and whether more follow; `fits` tells whether one more has room.
+    pub fn page(&self, after: &str, mut fits: impl FnMut(&ListRow) -> bool) -> (usize, bool) {
+        let from = (Bound::Excluded(after), Bound::Unbounded);
+        let mut count = 0;
+        for (_, row) in self.rows.range::<str, _>(from) {
+            if !fits(row) && count > 0 {
+                return (count, true);
+            }
+            count += 1;
+        }
+        (count, false)
+    }
+
     /// Number of its routes.
     pub fn route_count(&self) -> usize {
         self.rows.values().filter(|row| matches!(row.value, Some(RowValue::Route(_)))).count()
     }
 
-    /// The rows that lead from it to the operators' list of `list`.
-    pub fn changes_to(&self, list: &FleetList) -> Vec<ListRow> {
+    /// The rows that lead from it to another, with those that are gone removed at `revision`.
+    pub fn changes_to(&self, other: &HeldConfig, revision: u64) -> Vec<ListRow> {
         let is_new =
             |row: &&ListRow| self.rows.get(&row.key).is_none_or(|known| known.value != row.value);
-        let listed = list.rows().filter(|row| is_listed_config(row));
-        let mut changes: Vec<_> = listed.filter(is_new).cloned().collect();
-        let gone = self.rows.values().filter(|row| !list.holds(&row.key));
-        changes.extend(gone.map(|row| removal(row, list.head())));
+        let mut changes: Vec<_> = other.rows().filter(is_new).cloned().collect();
+        let gone = self.rows().filter(|row| !other.rows.contains_key(&row.key));
+        changes.extend(gone.map(|row| removal(row, revision)));
         changes
     }
 }
--- a/crates/foxledge-gossip/src/copies.rs
+++ b/crates/foxledge-gossip/src/copies.rs
@@ -14,7 +14,7 @@
 };
 
 /// Bytes of rows in one page: beside them are three readers at most, of 70 bytes.
-const PAGE_BUDGET: usize = 1_100;
+pub(crate) const PAGE_BUDGET: usize = 1_100;
 /// Instances that are served with rows at a time. A copy that goes out alone is whole
 /// soonest, and from then on two can hand it on. With two and three at a time, 300
 /// instances know a list of 3,000 backend servers as soon, and 0.021 and 0.024 GB go
--- a/crates/foxledge-gossip/src/in_force.rs
+++ b/crates/foxledge-gossip/src/in_force.rs
@@ -34,8 +34,9 @@
         let Some(held) = self.held.take() else { return rows };
         rows.retain(|row| !is_config_key(&row.key));
         let (version, store_version) = (held.version(), self.list.version());
-        if store_version >= version {
-            rows.extend(held.changes_to(&self.list));
+        let listed = HeldConfig::of(self.list.rows()).filter(|_| store_version >= version);
+        if let Some(listed) = listed {
+            rows.extend(held.changes_to(&listed, self.list.head()));
             self.note_held(None);
             return rows;
         }
@@ -45,7 +46,7 @@
     }
 
     /// Tells which version is held off from now on, if that is news.
-    fn note_held(&mut self, held_version: Option<u64>) {
+    pub(crate) fn note_held(&mut self, held_version: Option<u64>) {
         let former = std::mem::replace(&mut self.held_version, held_version);
         if former == held_version {
             return;
--- a/crates/foxledge-gossip/src/learning.rs
+++ b/crates/foxledge-gossip/src/learning.rs
@@ -38,6 +38,7 @@
         self.leave_reading_to_seeds(now, from, &beat);
         let former = self.list.head();
         self.learn_rows(now, from, &beat);
+        self.consider_held(now, from, &beat);
         let is_confirmed = self.confirm();
         if beat.wants_answer && beat.head == 0 {
             self.tell_starter(now, from);
--- a/crates/foxledge-gossip/src/lib.rs
+++ b/crates/foxledge-gossip/src/lib.rs
@@ -11,6 +11,7 @@
 //! time go in, [`FleetEffect`]s come out.
 
 pub mod backend_evidence;
+mod config_pull;
 mod copies;
 mod effects;
 mod election;
--- a/crates/foxledge-gossip/src/member.rs
+++ b/crates/foxledge-gossip/src/member.rs
@@ -7,6 +7,7 @@
 use rand::{Rng, SeedableRng, rngs::StdRng};
 
 use crate::{
+    config_pull::ConfigPull,
     effects::{FleetEffect, ReadOrder},
     election::ReaderElection,
     evidence::EvidenceTable,
@@ -52,6 +53,8 @@
     pub(crate) held: Option<HeldConfig>,
     /// Its version, once that was told.
     pub(crate) held_version: Option<u64>,
+    /// The transfer of one that another instance holds.
+    pub(crate) config_pull: Option<ConfigPull>,
     /// The part of it that serves before all is known.
     pub(crate) preview: ListPreview,
     /// The instances that are known.
@@ -127,6 +130,7 @@
             rng,
             list: FleetList::new(),
             held: None,
+            config_pull: None,
             held_version: None,
             preview: ListPreview::default(),
             peers: PeerTable::new(options.data_centre.as_str()),
@@ -263,6 +267,8 @@
                 self.answer_tokens(now, from, &question);
             }
             Some(MessageBody::TokenAnswer(answer)) => self.take_vanished(now, answer),
+            Some(MessageBody::ConfigQuestion(question)) => self.answer_config(from, &question),
+            Some(MessageBody::ConfigPage(page)) => self.take_config_page(now, from, page),
             Some(MessageBody::Packet(packet)) => {
                 self.effects.push(FleetEffect::Packet(packet.bytes));
             }
--- a/crates/foxledge-gossip/src/messages.rs
+++ b/crates/foxledge-gossip/src/messages.rs
@@ -23,7 +23,7 @@
 #[derive(Clone, PartialEq, Message)]
 pub struct FleetMessage {
     /// Of what kind.
-    #[prost(oneof = "MessageBody", tags = "1, 2, 3, 4, 5, 6, 7")]
+    #[prost(oneof = "MessageBody", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9")]
     pub body: Option<MessageBody>,
 }
 
@@ -81,6 +81,40 @@
     /// A caller's packet that the sender can't place.
     #[prost(message, tag = "7")]
     Packet(RelayedPacket),
+    /// Question for the operators' list that is held.
+    #[prost(message, tag = "8")]
+    ConfigQuestion(ConfigQuestion),
+    /// Rows of it.
+    #[prost(message, tag = "9")]
+    ConfigPage(ConfigPage),
+}
+
+/// `ConfigQuestion` asks for rows of the operators' list that the receiver holds.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct ConfigQuestion {
+    /// Its version.
+    #[prost(uint64, tag = "1")]
+    pub version: u64,
+    /// Key after which rows are wanted; empty for the first.
+    #[prost(string, tag = "2")]
+    pub after: String,
+}
+
+/// `ConfigPage` is some rows of the operators' list that the sender holds.
+#[derive(Clone, PartialEq, Message)]
+pub struct ConfigPage {
+    /// Its version.
+    #[prost(uint64, tag = "1")]
+    pub version: u64,
+    /// The question's key.
+    #[prost(string, tag = "2")]
+    pub after: String,
+    /// The rows, by key.
+    #[prost(message, optional, tag = "3")]
+    pub rows: Option<PackedRows>,
+    /// More follow after the last row.
+    #[prost(bool, tag = "4")]
+    pub has_more: bool,
 }
 
 /// `RelayedPacket` is a caller's packet, as it came.
@@ -168,6 +202,10 @@
     /// The newest of this came to the sender's data centre from another one.
     #[prost(bool, tag = "11")]
     pub has_crossed: bool,
+    /// Version of the operators' list that the sender holds, as the store has an older one; 0
+    /// when it holds none.
+    #[prost(uint64, tag = "12")]
+    pub held_version: u64,
 }
 
 /// `HeardPeer` is an instance and how long ago somebody last heard from it.
--- a/crates/foxledge-gossip/src/spreading.rs
+++ b/crates/foxledge-gossip/src/spreading.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddrV4;
 
 use foxledge_core::time::ClockTime;
-use foxledge_flows::list::ListCursor;
+use foxledge_flows::{HeldConfig, list::ListCursor};
 use rand::{Rng, seq::IndexedRandom};
 
 use crate::{
@@ -251,6 +251,7 @@
             wants_answer: false,
             peer_count: self.peers.len() as u32,
             has_crossed: self.news_from == NewsOrigin::Far,
+            held_version: self.held.as_ref().map_or(0, HeldConfig::version),
         }
     }
 
--- a/crates/foxledge-gossip/tests/held_config.rs
+++ b/crates/foxledge-gossip/tests/held_config.rs
@@ -111,6 +111,47 @@
     assert_in_force(&fleet, 5, 3);
 }
 
+// Guards against instances that serve an older list than others, as they started from the
+// restored store.
+#[test]
+fn starters_take_held() {
+    let mut fleet = restored_fleet(6);
+    for index in [1, 4] {
+        fleet.kill(index);
+        fleet.seats[index].rows.clear();
+        fleet.start(index);
+    }
+    fleet.run(2_500);
+    assert_in_force(&fleet, 4, 12);
+    // What they hold goes on to the next ones.
+    for index in [0, 2, 3] {
+        fleet.kill(index);
+        fleet.seats[index].rows.clear();
+        fleet.start(index);
+    }
+    fleet.run(2_500);
+    assert_in_force(&fleet, 4, 12);
+    publish(&mut fleet, 5, 8);
+    assert_in_force(&fleet, 5, 8);
+}
+
+// Guards against a held list that never arrives whole, as it takes many pages and some are lost.
+#[test]
+fn long_list_taken() {
+    let mut fleet = settled_fleet(&[3, 2], 7);
+    publish(&mut fleet, 2, 6);
+    publish(&mut fleet, 3, 1_400);
+    fleet.store.restore(1);
+    fleet.store_changed();
+    fleet.run(1_500);
+    fleet.loss = 0.05;
+    fleet.kill(1);
+    fleet.seats[1].rows.clear();
+    fleet.start(1);
+    fleet.run(6_000);
+    assert_in_force(&fleet, 3, 1_400);
+}
+
 // Guards against instances that differ for good, as some started with the older list.
 #[test]
 fn starters_agree() {
