Name the epoch in the audit trail of lists

After a restore the trail would show a list that goes back (26 -> 23) without a reason. The new value names the epoch where there is one.

Evidence: clippy and formatter; no test reads that text.

--- a/crates/foxledge-daemon/src/packets/fleet_part.rs
+++ b/crates/foxledge-daemon/src/packets/fleet_part.rs
@@ -243,9 +243,15 @@
             FleetEvent::ReadingPassedOver { .. } => metrics.readings_passed_over.inc(),
             _ => {}
         }
-        if let FleetEvent::ListTaken { version, revision, former_revision, source, .. } = event {
+        if let FleetEvent::ListTaken { version, epoch, revision, former_revision, source, .. } =
+            event
+        {
+            let newer = match epoch {
+                0 => revision.to_string(),
+                _ => format!("{revision} of epoch {epoch}"),
+            };
             let change = AuditChange::new(AuditKind::ListAccepted, format!("version {version}"))
-                .values(former_revision.to_string(), revision.to_string())
+                .values(former_revision.to_string(), newer)
                 .because("newer", source.as_str());
             self.context.record(change);
         }
