--- a/crates/foxledge-gossip/src/copies.rs
+++ b/crates/foxledge-gossip/src/copies.rs
@@ -16,9 +16,7 @@
 /// Bytes of rows in one page: beside them are three readers at most, of 70 bytes.
 pub(crate) const PAGE_BUDGET: usize = 1_100;
 /// Instances that are served with rows at a time. A copy that goes out alone is whole
-/// soonest, and from then on two can hand it on. With two and three at a time, 300
-/// instances know a list of 3,000 backend servers as soon, and 0.021 and 0.024 GB go
-/// between data centres in place of 0.018.
+/// soonest, and from then on two can hand it on.
 const MOST_SERVED: usize = 1;
 /// How long an instance counts as being served after its last question, in milliseconds.
 const SERVED_MS: u64 = 120;
@@ -26,8 +24,7 @@
 const BUSY_MS: u64 = 20;
 
 /// Wait for an instance nearby that has the list before a whole copy is asked for far away,
-/// in milliseconds: some of each data centre read it at once. With 200 to 400 ms the last of
-/// 300 instances knew a list of 3,000 backend servers 0.2 s later.
+/// in milliseconds: some of each data centre read it at once.
 const FAR_COPY_MS: u64 = 60;
 /// Spread of that wait in milliseconds.
 const FAR_COPY_SPREAD_MS: u64 = 100;
@@ -63,8 +60,7 @@
     /// True when a part of the list serves, and the whole can come from somebody nearby
     /// sooner or later.
     ///
-    /// When 300 instances start before 3,000 backend servers, a copy is 90 KB. Two thirds of
-    /// them came from other data centres, 7.6 MB; with the wait one in ten to twenty does.
+    /// Copies from other data centres cost more, and are most of what starts send there.
     fn can_wait_for_near(&self, from: SocketAddrV4) -> bool {
         let is_first = self.list.head() == 0 && self.preview.is_known();
         is_first && !self.peers.is_near(&from)
--- a/crates/foxledge-gossip/src/election.rs
+++ b/crates/foxledge-gossip/src/election.rs
@@ -28,11 +28,10 @@
 const MOST_CLAIMS: usize = 6;
 /// First wait after a failed call in milliseconds; doubles with each.
 const RETRY_MS: u64 = 200;
-/// Instances whose calls tell soon enough that the store serves again. Where it turns a third
-/// of them away, all of these are among those once in 6,000 times.
+/// Instances whose calls tell soon enough that the store serves again, even where it turns
+/// some of them away.
 const FIRST_RANKS: usize = 8;
-/// Wait of all others after a failed call in milliseconds. While the store is down for 5 s,
-/// half of a fleet calls it; with the waits of the first, 87 instances do so 325 times.
+/// Wait of all others after a failed call in milliseconds: in an outage half of a fleet calls.
 const LATE_RETRY_MS: u64 = 3_000;
 /// Longest wait after a failed call in milliseconds.
 const LONGEST_RETRY_MS: u64 = 1_000;
@@ -41,7 +40,7 @@
 const BATCH_MS: u64 = 100;
 /// The same after an answer that brought changes, as more follow when backend servers are
 /// replaced: each call of the store has its price, and a change is in force a quarter of a
-/// second later at most. With 10 changes a second two readers call 8 times in place of 19.
+/// second later at most.
 const CHANGES_BATCH_MS: u64 = 250;
 
 /// `ReaderRank` orders instances as readers, the best first.
--- a/crates/foxledge-gossip/src/learning.rs
+++ b/crates/foxledge-gossip/src/learning.rs
@@ -26,8 +26,8 @@
 /// Wait before an instance reads a first list by itself when many start together, in
 /// milliseconds.
 const TOGETHER_MS: u64 = 20;
-/// Spread of that wait in milliseconds. The first answers for 300 instances take the store's
-/// link for 0.3 s in any case; spread over 450 ms, the last instance served 90 ms later.
+/// Spread of that wait in milliseconds, about as long as the store's link is taken by the first
+/// answers to a large fleet.
 const TOGETHER_SPREAD_MS: u64 = 180;
 
 impl FleetMember {
--- a/crates/foxledge-gossip/src/member.rs
+++ b/crates/foxledge-gossip/src/member.rs
@@ -30,9 +30,8 @@
 /// Shortest wait of any other instance before it reads at its start, in milliseconds.
 const START_MS: u64 = 10;
 /// Spread of these waits in milliseconds, so that a fleet that starts at once
-/// doesn't read the store at once: the first that have the list serve the others.
-/// With 30 and 120 ms, 127 of 300 instances read it in place of 267, but small fleets
-/// that lost power serve later: 0.0004 of requests were lost by it.
+/// doesn't read the store at once: the first that have the list serve the others. Longer
+/// waits let small fleets serve later.
 const START_SPREAD_MS: u64 = 50;
 /// Time between two questions to the seeds while no list is known, in milliseconds.
 const ASK_MS: u64 = 100;
--- a/crates/foxledge-gossip/src/messages.rs
+++ b/crates/foxledge-gossip/src/messages.rs
@@ -286,8 +286,7 @@
 
 /// Pages that answer one question, sent together.
 ///
-/// One page a question would take a way there and back for each: a list of
-/// 1,400 routes has some 80 pages, and on a busy instance each way takes 10 ms.
+/// One page a question would take a way there and back for each of a long list's pages.
 pub const BURST: u32 = 8;
 
 /// `PageMessage` is some rows after a cursor.
--- a/crates/foxledge-gossip/src/preview.rs
+++ b/crates/foxledge-gossip/src/preview.rs
@@ -1,9 +1,8 @@
 //! A first part of a large list, on which flows are served until all of it is known.
 //!
-//! When 300 instances start together before 3,000 backend servers, the store's link of
-//! 1 Gbit/s carries 750 KB to each of them: all are served at once, and each has its
-//! list after two seconds. One answer holds 500 items, the operators' list among them:
-//! enough to place new flows.
+//! When a large fleet starts together, the store's link carries the whole list to each
+//! instance: all are served at once, and each has its list late. One answer holds the operators'
+//! list and some backend servers: enough to place new flows.
 
 use foxledge_flows::rows::{LIMITS_KEY, ListRow};
 
--- a/crates/foxledge-gossip/src/previewing.rs
+++ b/crates/foxledge-gossip/src/previewing.rs
@@ -15,14 +15,11 @@
 };
 
 /// Time in which peers may bring the rest, in milliseconds, before it is read: those that
-/// read it at once have it after some 0.6 s, an instance of a twentieth of a core
-/// measured, and hand it on from then.
+/// read it at once need about as long, and hand it on from then.
 const REST_MS: u64 = 600;
-/// Spread of that time in milliseconds. Of 300 instances, 222 and 243 got the rest from
-/// peers in it, in two runs.
+/// Spread of that time in milliseconds, in which most get the rest from peers.
 const REST_SPREAD_MS: u64 = 900;
-/// One of this many instances reads the rest at once, so that there are peers that have
-/// it: some 33 of 300, whose 750 KB take the store's link of 1 Gbit/s for 0.2 s.
+/// One of this many instances reads the rest at once, so that there are peers that have it.
 const EAGER: u32 = 10;
 
 impl FleetMember {
--- a/crates/foxledge-gossip/src/pulls.rs
+++ b/crates/foxledge-gossip/src/pulls.rs
@@ -12,9 +12,9 @@
 
 /// Wait for a page in milliseconds.
 ///
-/// The way is some milliseconds, but an instance with a twentieth of a core that
-/// serves several others takes a hundred for eight pages. Asked again too early it
-/// makes them all a second time, and with many askers nothing ever ends.
+/// The way is some milliseconds, but a slow instance that serves several others takes much
+/// longer. Asked again too early it makes all pages a second time, and with many askers nothing
+/// ever ends.
 const PAGE_MS: u64 = 200;
 /// Questions for one page before the peer is given up.
 const MOST_TRIES: u32 = 3;
@@ -100,7 +100,7 @@
     ///
     /// Pages are sent together, and the network may hand them over in another order: one
     /// that comes before its turn is kept. Were it dropped, it would be asked for again
-    /// after [`PAGE_MS`], and of a list of 85 pages hardly one transfer ended.
+    /// after [`PAGE_MS`], and a transfer of many pages would hardly ever end.
     pub fn take(&mut self, now: ClockTime, page: PageMessage) -> PullStep {
         if page.index < self.next_index || page.index >= BURST {
             return PullStep::Wait;
--- a/crates/foxledge-gossip/src/reading.rs
+++ b/crates/foxledge-gossip/src/reading.rs
@@ -20,8 +20,8 @@
 /// Age of the last confirmation at which everything is read in place of changes,
 /// in milliseconds.
 ///
-/// A watch brings every list published since, whole: thirty lists of 1,400
-/// routes are 10 MB, which take 8 s on a link of 10 Mbit/s.
+/// A watch brings every list published since, whole, which is more than all of the store once
+/// there are several.
 const FAR_BEHIND_MS: u64 = 4_000;
 /// Wait of a watch that only asks whether a list is still the newest, in milliseconds.
 const GLANCE_MS: u64 = 20;
@@ -82,8 +82,7 @@
     /// Number of instances that are ranked before this one, as far as is known.
     ///
     /// Of a large fleet few are heard of at a time, and ranked among those alone each has a
-    /// good rank: half of 87 and all of 300 instances called a store that was down for 5 s.
-    /// Those heard of stand for all others.
+    /// good rank. Those heard of stand for all others.
     fn rank(&self, now: ClockTime) -> usize {
         let live = self.peers.live(now).count();
         let rank = self.election.rank_among(self.peers.live(now));
--- a/crates/foxledge-gossip/src/spreading.rs
+++ b/crates/foxledge-gossip/src/spreading.rs
@@ -26,18 +26,17 @@
 /// Age of the last confirmation at which peers are asked for a newer one, in
 /// milliseconds: a reader's period of 1.1 s and some room.
 pub(crate) const DOUBT_MS: u64 = 1_250;
-/// Peers of the own data centre that news are passed on to. With three, one
-/// epidemic reaches 94 of 100; the next, a second later, the rest.
+/// Peers of the own data centre that news are passed on to. One epidemic misses a few, the
+/// next reaches them.
 pub(crate) const NEAR_FANOUT: usize = 3;
 /// Peers of each other data centre that a reader tells at first hand.
 const FAR_FANOUT: usize = 2;
 /// Time between the two questions, in milliseconds.
 const DOUBT_AGAIN_MS: u64 = 250;
-/// Instances of a large data centre that pass news on to each other one, on average: one
-/// of four, as in a small one, would be 19 of 75.
+/// Instances of a large data centre that pass news on to each other one, on average.
 const FAR_TELLERS: u32 = 3;
-/// The same for news that came from another data centre: that one tells all others. It takes
-/// a cut between two for this to be needed, and one teller of 50 for each to get round it.
+/// The same for news that came from another data centre: that one tells all others, and this
+/// is needed only round a cut between two.
 const FAR_RETELLERS: u32 = 1;
 /// Instances of a data centre up to which one of four passes news on, as this many make
 /// the same number of them.
@@ -45,8 +44,8 @@
 /// Readers told with each heartbeat.
 pub(crate) const MOST_CLAIMS: usize = 3;
 /// Shortest time between two heartbeats that tell of instances and of all readers, in
-/// milliseconds: a little less than a reader's period, whose news are the usual ones.
-/// With each message these were 300 of 470 bytes.
+/// milliseconds: a little less than a reader's period, whose news are the usual ones. They
+/// would be most of each message.
 const WHOLE_MS: u64 = 900;
 
 /// `NewsOrigin` is where the newest news of the list came from.
@@ -94,10 +93,8 @@
     /// Asks a seed for an answer, as no list or no peer is known; a seed asks the others.
     ///
     /// When a fleet starts at once, a seed answers a hundred instances before it gets to
-    /// anything else, the list included. Asked by all others together it needs three
-    /// times as long: when 300 instances all waited for the whole list, the last had it
-    /// after 1,112 ms in place of 419, in virtual time. A seed that is dead costs its
-    /// askers one period of questions.
+    /// anything else, the list included, and asked by all others together it needs three
+    /// times as long. A seed that is dead costs its askers one period of questions.
     pub(crate) fn ask_seeds(&mut self, now: ClockTime) {
         let own = self.options.address;
         let mut seeds = self.options.seeds.clone();
