Take no entry of another epoch for the newer holder of an address

What callers would see: the reset of a live flow, the fault we count as the worst: a backend server's entry lapses, and the store comes back from a copy in which the former holder of its address is still listed. That entry has the newer revision, so that the flow's backend server counts as replaced, and its grace ends.

Cause: 'registered after it' was told by revisions, and between epochs these say what was read later, not what was written later.

Now only entries of one epoch are compared; between epochs the other evidence of death decides, which is slower and safe.

Evidence: former_entry_replaces_nobody, red before (End, AddressTaken).

--- a/crates/foxledge-flows/src/backend_table.rs
+++ b/crates/foxledge-flows/src/backend_table.rs
@@ -9,6 +9,7 @@
 
 use crate::{
     backends::{Backend, BackendNews, LAPSE_MS, token_of},
+    revisions::epoch_of,
     rows::{BackendRow, ListRow, RowValue},
 };
 
@@ -116,13 +117,17 @@
     }
 
     /// True when another backend server that is listed has the address of one that is gone, and
-    /// registered after it.
+    /// registered after it. Between epochs that can't be told: a restored store may list who had
+    /// the address before.
     pub fn is_replaced(&self, index: usize) -> bool {
         let Some(gone) = self.get(index) else { return false };
         let Some(indexes) = self.by_address.get(&gone.address) else { return false };
         let others = indexes.iter().filter(|other| **other != index);
         let mut others = others.filter_map(|other| self.get(*other));
-        others.any(|other| other.gone_at.is_none() && other.revision > gone.revision)
+        let is_later = |other: &Backend| {
+            other.revision > gone.revision && epoch_of(other.revision) == epoch_of(gone.revision)
+        };
+        others.any(|other| other.gone_at.is_none() && is_later(other))
     }
 
     /// Forgets those that are gone for longer than flows last; returns their indexes.
@@ -175,7 +180,7 @@
         gone: Option<ClockTime>,
     ) -> Option<BackendNews> {
         let address = spec.address()?;
-        self.retire_address(address, &row.key, now);
+        self.retire_address(address, row, now);
         let mut newer = Backend::new(now, row, spec, address, gone);
         newer.take_leave(row, spec);
         let Some(index) = self.by_key.get(row.key.as_str()).copied() else {
@@ -210,12 +215,15 @@
         Some(BackendNews::Contradicted { index, address })
     }
 
-    /// Ends the grace of one that is gone when another has its address: it can't live.
-    fn retire_address(&mut self, address: SocketAddrV4, key: &str, now: ClockTime) {
+    /// Ends the grace of one that is gone when another has its address in the same epoch: it
+    /// can't live.
+    fn retire_address(&mut self, address: SocketAddrV4, row: &ListRow, now: ClockTime) {
         let Some(indexes) = self.by_address.get(&address) else { return };
         for index in indexes {
             let Some(backend) = self.slots[*index].as_mut() else { continue };
-            if &*backend.key != key && backend.gone_at.is_some_and(|gone| gone <= now) {
+            let is_other =
+                *backend.key != *row.key && epoch_of(backend.revision) == epoch_of(row.revision);
+            if is_other && backend.gone_at.is_some_and(|gone| gone <= now) {
                 backend.is_draining = true;
             }
         }
--- a/crates/foxledge-flows/src/held_config.rs
+++ b/crates/foxledge-flows/src/held_config.rs
@@ -1,8 +1,8 @@
 //! The operators' list that stays in force while a restored store holds an older one.
 //!
 //! A store that comes back from an older copy has lost the newest versions until operators write
-//! them again. [`FleetList`](crate::FleetList) follows the store, as instances tell each other its changes; what is
-//! in force doesn't go back to an older version.
+//! them again. [`FleetList`](crate::FleetList) follows the store, as instances tell each other
+//! its changes; what is in force doesn't go back to an older version.
 
 use std::{collections::BTreeMap, ops::Bound};
 
@@ -40,7 +40,8 @@
         self.rows.values()
     }
 
-    /// Some rows after a key, and whether more follow; `fits` tells whether one more has room.
+    /// Number of rows after a key that have room together, one at least, and whether more follow;
+    /// `fits` tells whether one more has room.
     pub fn page(&self, after: &str, mut fits: impl FnMut(&ListRow) -> bool) -> (usize, bool) {
         let from = (Bound::Excluded(after), Bound::Unbounded);
         let mut count = 0;
--- a/crates/foxledge-flows/tests/restored_entries.rs
+++ b/crates/foxledge-flows/tests/restored_entries.rs
@@ -146,3 +146,23 @@
     router.take_rows(at(9_100), &[restored(&evacuation(NEAR, 11))]);
     assert!(router.evacuations().any(|(centre, _)| centre.as_str() == NEAR));
 }
+
+// Guards against the reset of a live flow, as the entry that had the address before its backend
+// server's is back with the copy.
+#[test]
+fn former_entry_replaces_nobody() {
+    let former = backend(2, "desk", NEAR, 1);
+    let mut spec = backend_spec(1, "desk", NEAR);
+    spec.ip = backend_spec(2, "desk", NEAR).ip;
+    let one = backend_row(spec, 5);
+    let mut router = desk_router(std::slice::from_ref(&one));
+    let number = open_flow(&mut router, 50, key(1, 1)).expect("is served");
+    // Its entry lapses, and the store comes back without it.
+    router.take_rows(at(100), &[removed(&one, 6, 0)]);
+    router.take_restored(at(200), &[restored(&former)]);
+    router.set_confirmed(at(201));
+    let decision = router.on_packet(at(210), &data(key(1, 1), number as u32, 500, 1));
+    assert!(matches!(decision, FlowDecision::Forward { .. }), "{decision:?}");
+    // It is within its grace, as nobody has taken its address since.
+    assert!(router.backends().any(|one| one.number == 1 && router.takes_flows(at(220), one)));
+}
