Bring the gauge of held lists up to date when it ends without a change

An operator who writes the same version again changes no row, so that foxledge_config_held stayed 1. The events set it as well now. The store's list is compared with the held one only once its version allows, instead of with each change. Found by reading the change; no test reads the gauge.

--- a/crates/foxledge-daemon/src/packets/fleet_part.rs
+++ b/crates/foxledge-daemon/src/packets/fleet_part.rs
@@ -241,6 +241,10 @@
             }
             FleetEvent::StoreEpochChanged { epoch, .. } => metrics.store_epoch.set(*epoch as i64),
             FleetEvent::ReadingPassedOver { .. } => metrics.readings_passed_over.inc(),
+            // The rows in force may be the same before and after.
+            FleetEvent::ConfigHeld { .. } | FleetEvent::ConfigReleased { .. } => {
+                self.set_list_metrics();
+            }
             _ => {}
         }
         if let FleetEvent::ListTaken { version, epoch, revision, former_revision, source, .. } =
--- a/crates/foxledge-gossip/src/in_force.rs
+++ b/crates/foxledge-gossip/src/in_force.rs
@@ -34,8 +34,9 @@
         let Some(held) = self.held.take() else { return rows };
         rows.retain(|row| !is_config_key(&row.key));
         let (version, store_version) = (held.version(), self.list.version());
-        let listed = HeldConfig::of(self.list.rows()).filter(|_| store_version >= version);
-        if let Some(listed) = listed {
+        if store_version >= version
+            && let Some(listed) = HeldConfig::of(self.list.rows())
+        {
             rows.extend(held.changes_to(&listed, self.list.head()));
             self.note_held(None);
             return rows;
