--- a/crates/foxledge-gossip/tests/restored_store.rs
+++ b/crates/foxledge-gossip/tests/restored_store.rs
@@ -4,7 +4,7 @@
 
 use std::collections::BTreeMap;
 
-use common::{StoreState, VirtualFleet, settled_fleet};
+use common::{StoreState, VirtualFleet, settle, settled_fleet};
 use foxledge_flows::rows::{LIMITS_KEY, RowValue, backend_key};
 use foxledge_gossip::FleetMember;
 
@@ -89,3 +89,24 @@
         assert_eq!(list, first);
     }
 }
+
+// Guards against a large fleet that hears late of a restored list, as each instance takes a copy.
+#[test]
+fn large_fleet_follows() {
+    let mut fleet = VirtualFleet::new(&[50, 50, 50], 6);
+    for number in 100..1_600 {
+        fleet.store.register(number, false);
+    }
+    let mut fleet = settle(fleet);
+    // A slow instance's work for a message, and the store's link.
+    (fleet.message_us, fleet.item_ns) = (450, 2_000);
+    fleet.store.publish(2, 12);
+    fleet.store_changed();
+    fleet.run(2_000);
+    fleet.store.restore(1);
+    fleet.store.publish(3, 12);
+    fleet.store_changed();
+    let all_have = |fleet: &VirtualFleet| fleet.members().all(|one| has_version(one, 3));
+    let took = fleet.run_until(IN_FORCE_MS, all_have);
+    assert!(took.is_some(), "not in force after {IN_FORCE_MS} ms");
+}
