Hold the soak's store in a mode by one loop

The restore repeated the loop of store_away, as it comes back from its copy before it serves again. Both use hold_store and store_back now; order and times are the same.

--- a/crates/foxledge-soak/src/faults.rs
+++ b/crates/foxledge-soak/src/faults.rs
@@ -138,11 +138,20 @@
 }
 
 async fn store_away(world: &Arc<SoakWorld>, mode: StoreMode, for_ms: u64) {
+    hold_store(world, mode, for_ms).await;
+    store_back(world);
+}
+
+/// Holds the store in a mode that is a disturbance as long as it lasts.
+async fn hold_store(world: &Arc<SoakWorld>, mode: StoreMode, for_ms: u64) {
     world.store.set_mode(mode);
     for _ in 0..for_ms.div_ceil(100) {
         world.ledger.disturb_store();
         sleep(Duration::from_millis(100)).await;
     }
+}
+
+fn store_back(world: &Arc<SoakWorld>) {
     world.store.set_mode(StoreMode::Serving);
     world.ledger.disturb_store();
 }
@@ -164,14 +173,9 @@
 async fn store_restored(world: &Arc<SoakWorld>, age_ms: u64, away_ms: u64) {
     let copy = world.store.copy();
     sleep(Duration::from_millis(age_ms)).await;
-    world.store.set_mode(StoreMode::Silent);
-    for _ in 0..away_ms.div_ceil(100) {
-        world.ledger.disturb_store();
-        sleep(Duration::from_millis(100)).await;
-    }
+    hold_store(world, StoreMode::Silent, away_ms).await;
     world.store.restore(&copy);
-    world.store.set_mode(StoreMode::Serving);
-    world.ledger.disturb_store();
+    store_back(world);
     sleep(WRITTEN_AGAIN).await;
     world.write_again();
     sleep(LAPSE_BACK).await;
