Read the operators' version of a row in one place

The list, the held list and the preview each matched on the row of limits. ListRow::config_version serves all three; nothing else changes.

--- a/crates/foxledge-flows/src/held_config.rs
+++ b/crates/foxledge-flows/src/held_config.rs
@@ -23,10 +23,7 @@
     pub fn of<'a>(rows: impl Iterator<Item = &'a ListRow>) -> Option<HeldConfig> {
         let rows = rows.filter(|row| is_listed_config(row));
         let rows: BTreeMap<_, _> = rows.map(|row| (row.key.clone(), row.clone())).collect();
-        let version = rows.values().find_map(|row| match &row.value {
-            Some(RowValue::Limits(limits)) => Some(limits.version),
-            _ => None,
-        })?;
+        let version = rows.values().find_map(ListRow::config_version)?;
         Some(HeldConfig { version, rows })
     }
 
--- a/crates/foxledge-flows/src/list.rs
+++ b/crates/foxledge-flows/src/list.rs
@@ -92,10 +92,7 @@
 
     /// The operators' version of the routes; 0 while none is known.
     pub fn version(&self) -> u64 {
-        match self.rows.get(LIMITS_KEY).and_then(|row| row.value.as_ref()) {
-            Some(RowValue::Limits(limits)) => limits.version,
-            _ => 0,
-        }
+        self.rows.get(LIMITS_KEY).and_then(ListRow::config_version).unwrap_or(0)
     }
 
     /// True when routes are known, so that flows can be placed.
--- a/crates/foxledge-flows/src/rows.rs
+++ b/crates/foxledge-flows/src/rows.rs
@@ -22,6 +22,16 @@
     pub value: Option<RowValue>,
 }
 
+impl ListRow {
+    /// The operators' version, if the row tells it.
+    pub fn config_version(&self) -> Option<u64> {
+        match &self.value {
+            Some(RowValue::Limits(limits)) => Some(limits.version),
+            _ => None,
+        }
+    }
+}
+
 /// `RowValue` is what a row says.
 #[derive(Clone, PartialEq, Oneof)]
 pub enum RowValue {
--- a/crates/foxledge-gossip/src/previewing.rs
+++ b/crates/foxledge-gossip/src/previewing.rs
@@ -35,7 +35,7 @@
         }
         let head = reading.head;
         let rows = self.list.preview(reading.items);
-        let version = rows.iter().find_map(version_of).unwrap_or(0);
+        let version = rows.iter().find_map(ListRow::config_version).unwrap_or(0);
         let (epoch, revision) = (epoch_of(head), number_of(head));
         let event = FleetEvent::ListPreviewed { version, epoch, revision, rows: rows.len() };
         self.effects.push(FleetEffect::Event(event));
@@ -61,13 +61,6 @@
     }
 }
 
-fn version_of(row: &ListRow) -> Option<u64> {
-    match &row.value {
-        Some(RowValue::Limits(limits)) => Some(limits.version),
-        _ => None,
-    }
-}
-
 /// The row of something that left as planned: it gets no grace.
 fn gone(row: ListRow, revision: u64) -> ListRow {
     let backend = match row.value {
