Tell who calls the store, and why

Each reading now has a reason: in the metric store_readings_total and, but for usual waits for changes, in a log line store_called with what was known. A virtual fleet of any size (fleet_scale) counts calls by order and reason, each page of a whole reading one, and bytes by kind of message and by moment.

--- a/crates/foxledge-daemon/src/packets/fleet_part.rs
+++ b/crates/foxledge-daemon/src/packets/fleet_part.rs
@@ -7,7 +7,7 @@
     time::ClockTime,
 };
 use foxledge_flows::{HealthNote, ListReading, SourceError, revisions::number_of};
-use foxledge_gossip::{FleetEffect, FleetEvent, LARGEST_MESSAGE, ReadOrder};
+use foxledge_gossip::{FleetEffect, FleetEvent, LARGEST_MESSAGE, ReadCall, ReadOrder};
 use serde::Serialize;
 use stakker::{CX, FixedTimerKey, after, call, fail, fwd_to};
 use stakker_mio::{
@@ -174,16 +174,21 @@
         self.set_timer(cx);
     }
 
+    fn call_store(&self, call: ReadCall) {
+        let metrics = &self.context.metrics;
+        let labels = [call.order.word(), call.reason.word()];
+        metrics.store_readings.with_label_values(&labels).inc();
+        if self.context.side.send(SideOrder::Read(call.order)).is_err() {
+            // The side thread is gone, and its end is being reported.
+            metrics.store_calls.with_label_values(&["unsent"]).inc();
+        }
+    }
+
     fn carry_out_one(&mut self, effect: FleetEffect) {
         let directory = &self.context.directory;
         match effect {
             FleetEffect::Send { to, bytes } => self.send(SocketAddr::V4(to), &bytes),
-            FleetEffect::Read(order) => {
-                if self.context.side.send(SideOrder::Read(order)).is_err() {
-                    // The side thread is gone, and its end is being reported.
-                    self.context.metrics.store_calls.with_label_values(&["unsent"]).inc();
-                }
-            }
+            FleetEffect::Read(call) => self.call_store(call),
             FleetEffect::Rows(rows) => {
                 self.set_list_metrics();
                 if let Some(flows) = directory.get::<FlowPart>() {
--- a/crates/foxledge-daemon/src/packets/metrics.rs
+++ b/crates/foxledge-daemon/src/packets/metrics.rs
@@ -57,6 +57,8 @@
     pub evacuated: IntGauge,
     /// Calls of the store by outcome.
     pub store_calls: IntCounterVec,
+    /// Readings of the store by what was asked and why; a whole one takes several calls.
+    pub store_readings: IntCounterVec,
     /// Epoch of the store's history in its last answer to this instance.
     pub store_epoch: IntGauge,
     /// Answers of the store that were older than the list.
@@ -116,6 +118,12 @@
             evacuation_news: counters(r, "evacuations_total", "Data centres by change", &["kind"]),
             evacuated: gauge(r, "evacuated_centres", "Data centres that are evacuated"),
             store_calls: counters(r, "store_calls_total", "Calls of the store", &["outcome"]),
+            store_readings: counters(
+                r,
+                "store_readings_total",
+                "Readings of the store",
+                &["order", "reason"],
+            ),
             store_epoch: gauge(r, "store_epoch", "Epoch of the store's history"),
             readings_passed_over: counter(
                 r,
--- a/crates/foxledge-gossip/src/effects.rs
+++ b/crates/foxledge-gossip/src/effects.rs
@@ -40,6 +40,50 @@
     }
 }
 
+/// `ReadReason` is why the store is called.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum ReadReason {
+    /// No list is known yet.
+    Start,
+    /// A part of the list is known, and nobody has handed over the rest.
+    Rest,
+    /// This instance reads, and waits for changes.
+    Changes,
+    /// Whether the list is the newest is to be known at once.
+    Unsure,
+    /// The last confirmation is so old that changes are more than the whole.
+    FarBehind,
+    /// The history that a watch asked for is gone.
+    HistoryGone,
+    /// The last call had no answer.
+    Unanswered,
+}
+
+impl ReadReason {
+    /// The reason's word, as in metrics.
+    pub fn word(self) -> &'static str {
+        match self {
+            ReadReason::Start => "start",
+            ReadReason::Rest => "rest",
+            ReadReason::Changes => "changes",
+            ReadReason::Unsure => "unsure",
+            ReadReason::FarBehind => "far_behind",
+            ReadReason::HistoryGone => "history_gone",
+            ReadReason::Unanswered => "unanswered",
+        }
+    }
+}
+
+/// `ReadCall` is a call of the store and its reason.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ReadCall {
+    /// What is asked.
+    pub order: ReadOrder,
+    /// Why.
+    pub reason: ReadReason,
+}
+
 /// `FleetEffect` is one thing to do.
 #[derive(Clone, Debug, PartialEq)]
 pub enum FleetEffect {
@@ -51,7 +95,7 @@
         bytes: Vec<u8>,
     },
     /// Call the store; one call at a time is out.
-    Read(ReadOrder),
+    Read(ReadCall),
     /// Rows changed in the list.
     Rows(Vec<ListRow>),
     /// Rows differ in the list of a store that came back from an older copy.
@@ -105,6 +149,19 @@
         /// Live instances that are ranked before this one.
         rank: usize,
     },
+    /// The store is called, for another reason than to wait for changes.
+    StoreCalled {
+        /// What is asked.
+        order: &'static str,
+        /// Why.
+        reason: ReadReason,
+        /// Revision up to which the list is known.
+        known_revision: u64,
+        /// Time since the store last confirmed it.
+        confirmed_age_ms: Option<u64>,
+        /// Live instances that are ranked before this one.
+        rank: usize,
+    },
     /// This instance leaves reading to others.
     ReadingEnded {
         /// Other readers that were heard of.
@@ -239,6 +296,7 @@
             FleetEvent::ListTaken { .. } => "list_taken",
             FleetEvent::ListPreviewed { .. } => "list_previewed",
             FleetEvent::ReadingBegun { .. } => "reading_begun",
+            FleetEvent::StoreCalled { .. } => "store_called",
             FleetEvent::ReadingEnded { .. } => "reading_ended",
             FleetEvent::StoreLost { .. } => "store_lost",
             FleetEvent::StoreRegained { .. } => "store_regained",
--- a/crates/foxledge-gossip/src/lib.rs
+++ b/crates/foxledge-gossip/src/lib.rs
@@ -35,7 +35,7 @@
 mod telling;
 mod vanished;
 
-pub use effects::{FleetEffect, FleetEvent, ReadOrder};
+pub use effects::{FleetEffect, FleetEvent, ReadCall, ReadOrder, ReadReason};
 pub use member::FleetMember;
 pub use messages::{FleetMessage, LARGEST_MESSAGE};
 pub use options::MemberOptions;
--- a/crates/foxledge-gossip/src/member.rs
+++ b/crates/foxledge-gossip/src/member.rs
@@ -8,7 +8,7 @@
 
 use crate::{
     config_pull::ConfigPull,
-    effects::{FleetEffect, ReadOrder},
+    effects::{FleetEffect, ReadOrder, ReadReason},
     election::ReaderElection,
     evidence::EvidenceTable,
     messages::{FleetMessage, MessageBody, PeerCard},
@@ -88,8 +88,8 @@
     pub(crate) doubt_at: Option<ClockTime>,
     /// Items of the store that can't be understood.
     pub(crate) refused: RefusedTable,
-    /// The list must be read whole, as the history is gone or too long.
-    pub(crate) needs_copy: bool,
+    /// Why the list must be read whole; none while changes will do.
+    pub(crate) copy_reason: Option<ReadReason>,
     /// A seed was heard of that starts at the same time.
     pub(crate) is_together: bool,
     /// From when on the next message to others tells all that a heartbeat can.
@@ -147,7 +147,7 @@
             called_at: now,
             doubt_at: None,
             refused: RefusedTable::default(),
-            needs_copy: false,
+            copy_reason: None,
             is_together: false,
             whole_at: now,
             beat_at: now.after_millis(BEAT_MS),
--- a/crates/foxledge-gossip/src/reading.rs
+++ b/crates/foxledge-gossip/src/reading.rs
@@ -8,7 +8,7 @@
 };
 
 use crate::{
-    effects::{FleetEffect, FleetEvent, ReadOrder},
+    effects::{FleetEffect, FleetEvent, ReadCall, ReadOrder, ReadReason},
     election::{ReaderClaim, ReaderElection},
     member::FleetMember,
     refused::ReadingScope,
@@ -55,13 +55,27 @@
                 .push(FleetEffect::Event(FleetEvent::ReadingBegun { confirmed_age_ms, rank }));
         }
         if self.election.call_at().is_some_and(|at| at.is_past(now)) {
-            self.election.called();
-            self.called_at = now;
-            let order = self.next_order(now);
-            self.effects.push(FleetEffect::Read(order));
+            let call = self.next_call(now);
+            self.call_store(now, call);
         }
     }
 
+    fn call_store(&mut self, now: ClockTime, call: ReadCall) {
+        self.election.called();
+        self.called_at = now;
+        if call.reason != ReadReason::Changes {
+            let event = FleetEvent::StoreCalled {
+                order: call.order.word(),
+                reason: call.reason,
+                known_revision: number_of(self.list.head()),
+                confirmed_age_ms: self.confirmed_ms(now),
+                rank: self.rank(now),
+            };
+            self.effects.push(FleetEffect::Event(event));
+        }
+        self.effects.push(FleetEffect::Read(call));
+    }
+
     /// Reads a first list, in the way that is cheap for the store and may be old.
     ///
     /// That doesn't make this instance a reader: whether the list is the newest
@@ -70,13 +84,11 @@
         if self.election.is_waiting() || !self.start_at.is_past(now) {
             return;
         }
-        self.election.called();
-        self.called_at = now;
-        let order = match self.preview.is_known() {
-            true => ReadOrder::All(ReadMode::MaybeOld),
-            false => ReadOrder::First,
+        let (order, reason) = match self.preview.is_known() {
+            true => (ReadOrder::All(ReadMode::MaybeOld), ReadReason::Rest),
+            false => (ReadOrder::First, ReadReason::Start),
         };
-        self.effects.push(FleetEffect::Read(order));
+        self.call_store(now, ReadCall { order, reason });
     }
 
     /// Number of instances that are ranked before this one, as far as is known.
@@ -102,17 +114,21 @@
     }
 
     /// The next call of the store: everything, or what changed.
-    fn next_order(&self, now: ClockTime) -> ReadOrder {
+    fn next_call(&self, now: ClockTime) -> ReadCall {
         let is_far_behind =
             self.confirmed_at.is_some_and(|at| at.after_millis(FAR_BEHIND_MS).is_past(now));
-        if self.needs_copy || is_far_behind {
-            return ReadOrder::All(ReadMode::Newest);
+        let far_behind = is_far_behind.then_some(ReadReason::FarBehind);
+        if let Some(reason) = self.copy_reason.or(far_behind) {
+            return ReadCall { order: ReadOrder::All(ReadMode::Newest), reason };
         }
         let is_sure = self
             .confirmed_at
             .is_some_and(|at| !at.after_millis(self.options.watch_ms).is_past(now));
-        let wait_ms = if is_sure { self.options.watch_ms } else { GLANCE_MS };
-        ReadOrder::Watch { after: self.list.head(), wait_ms }
+        let (wait_ms, reason) = match is_sure {
+            true => (self.options.watch_ms, ReadReason::Changes),
+            false => (GLANCE_MS, ReadReason::Unsure),
+        };
+        ReadCall { order: ReadOrder::Watch { after: self.list.head(), wait_ms }, reason }
     }
 
     /// Takes an answer of the store, and tells everybody what it brought.
@@ -149,7 +165,7 @@
         let (rows, is_newest) = match order {
             ReadOrder::First => (self.list.take_reading(now, reading), false),
             ReadOrder::All(mode) => {
-                self.needs_copy = false;
+                self.copy_reason = None;
                 (self.list.take_reading(now, reading), mode == ReadMode::Newest)
             }
             ReadOrder::Watch { .. } => (self.list.take_watch(now, reading), true),
@@ -215,7 +231,7 @@
     /// Takes the failure of a call, and leaves reading to others if they are served.
     pub(crate) fn take_failure(&mut self, now: ClockTime, error: &SourceError) {
         if *error == SourceError::HistoryGone {
-            self.needs_copy = true;
+            self.copy_reason = Some(ReadReason::HistoryGone);
             self.election.succeeded(now);
             return;
         }
@@ -226,7 +242,7 @@
                 .push(FleetEffect::Event(FleetEvent::StoreLost { error, confirmed_age_ms }));
         }
         if matches!(error, SourceError::Timeout(_)) && self.list.head() > 0 {
-            self.needs_copy = true;
+            self.copy_reason.get_or_insert(ReadReason::Unanswered);
         }
         let rank = self.rank(now);
         self.election.failed(now, rank);
--- a/crates/foxledge-gossip/tests/common/mod.rs
+++ b/crates/foxledge-gossip/tests/common/mod.rs
@@ -14,7 +14,7 @@
     rows::{BackendRow, LimitsRow, ListRow, RouteRow, ServiceRow},
     source::{ConfigReading, ReadMode},
 };
-use foxledge_gossip::{FleetEffect, FleetEvent, FleetMember, MemberOptions, ReadOrder};
+use foxledge_gossip::{FleetEffect, FleetEvent, FleetMember, MemberOptions, ReadCall, ReadOrder};
 use rand::{Rng, SeedableRng, rngs::StdRng};
 
 /// Time that the store takes for an answer, in microseconds.
@@ -54,6 +54,10 @@
     pub history: BTreeMap<u64, Vec<ItemChange>>,
     /// Revisions by which a reading is behind that may be old.
     pub lag: u64,
+    /// Calls by what was asked, each page of a whole reading one.
+    pub pages: BTreeMap<(&'static str, &'static str), u64>,
+    /// Keeps no history: that of thousands of items would fill the memory.
+    pub is_brief: bool,
 }
 
 pub struct Seat {
@@ -107,12 +111,16 @@
     pub far_bytes: u64,
     /// The same by kind of message: heartbeats, questions, pages, evidence.
     pub far_kinds: BTreeMap<&'static str, u64>,
+    /// Bytes that members sent, by kind of message.
+    pub kinds: BTreeMap<&'static str, u64>,
     /// Work of a member for each message in or out, in microseconds.
     pub message_us: u64,
     /// Until when the store's link is taken by answers.
     link_until: u64,
     /// Time that the store's link takes for one item, in nanoseconds.
     pub item_ns: u64,
+    /// Time that each further page of a whole reading takes, in microseconds.
+    pub page_us: u64,
 }
 
 impl VirtualStore {
@@ -239,7 +247,20 @@
         self.record();
     }
 
+    /// Counts the calls of an answer with so many items; returns them.
+    fn count_pages(&mut self, call: ReadCall, items: usize) -> u64 {
+        let pages = match call.order {
+            ReadOrder::All(_) => items.div_ceil(PAGE_ITEMS).max(1) as u64,
+            ReadOrder::First | ReadOrder::Watch { .. } => 1,
+        };
+        *self.pages.entry((call.order.word(), call.reason.word())).or_default() += pages;
+        pages
+    }
+
     fn record(&mut self) {
+        if self.is_brief {
+            return;
+        }
         self.history.insert(self.revision(), self.items.values().cloned().collect());
     }
 
@@ -250,6 +271,9 @@
 
     /// Everything as it stood some revisions ago.
     fn all_of_old(&self) -> ListReading {
+        if self.is_brief {
+            return self.all();
+        }
         let until = ..=revision_of(self.epoch, self.head.saturating_sub(self.lag));
         let Some((at, items)) = self.history.range(until).next_back() else { return self.all() };
         ListReading::whole(items.clone(), number_of(*at)).of_epoch(epoch_of(*at))
@@ -301,9 +325,11 @@
             jitter_us: 0,
             far_bytes: 0,
             far_kinds: BTreeMap::new(),
+            kinds: BTreeMap::new(),
             message_us: 0,
             link_until: 0,
             item_ns: 0,
+            page_us: 0,
         };
         for (centre, count) in counts.iter().enumerate() {
             for index in 0..*count {
@@ -558,7 +584,7 @@
         for effect in effects {
             match effect {
                 FleetEffect::Send { to, bytes } => self.send(index, address, to, bytes),
-                FleetEffect::Read(order) => self.call(index, start, order),
+                FleetEffect::Read(call) => self.call(index, start, call),
                 FleetEffect::Event(event) => {
                     let at = (self.now_us - START_US) / 1_000;
                     self.seats[index].events.push((at, event));
@@ -584,6 +610,7 @@
         let busy_from = self.seats[index].busy_until.max(self.now_us);
         self.seats[index].busy_until = busy_from + self.message_us;
         self.seats[index].sent_bytes += bytes.len() as u64;
+        *self.kinds.entry(kind_of(&bytes)).or_default() += bytes.len() as u64;
         self.largest = self.largest.max(bytes.len());
         self.newest.push_back(bytes.clone());
         if self.newest.len() > NEWEST {
@@ -604,7 +631,8 @@
         self.push(at, Event::Datagram { member, from, bytes });
     }
 
-    fn call(&mut self, member: usize, start: u64, order: ReadOrder) {
+    fn call(&mut self, member: usize, start: u64, call: ReadCall) {
+        let order = call.order;
         match order {
             ReadOrder::First | ReadOrder::All(ReadMode::MaybeOld) => self.store.cheap_calls += 1,
             _ => self.store.calls += 1,
@@ -631,6 +659,7 @@
             (StoreState::Serving, ReadOrder::All(ReadMode::Newest)) => Ok(self.store.all()),
             (StoreState::Serving, ReadOrder::Watch { after, wait_ms }) => {
                 if self.store.revision() == after && self.store.floor <= self.store.head {
+                    self.store.count_pages(call, 0);
                     self.watches.push((member, start, order));
                     let end = self.now_us + wait_ms * 1_000;
                     return self.push(end, Event::WatchEnd { member, start, order });
@@ -638,9 +667,10 @@
                 self.store.after(after)
             }
         };
-        let items = answer.as_ref().map_or(0, |reading| reading.items.len() as u64);
-        self.link_until = self.link_until.max(self.now_us) + items * self.item_ns / 1_000;
-        let at = self.link_until + STORE_US;
+        let items = answer.as_ref().map_or(0, |reading| reading.items.len());
+        let pages = self.store.count_pages(call, items);
+        self.link_until = self.link_until.max(self.now_us) + items as u64 * self.item_ns / 1_000;
+        let at = self.link_until + STORE_US + (pages - 1) * self.page_us;
         self.push(at, Event::Answer { member, start, order, answer });
     }
 
