Keep instances that start or are behind from calling the store together

Causes, by the reasons that calls now have: - An instance that is behind waited for no rank.

Now an instance that is behind counts on peers until none has handed it rows for 0.5 s, and spreads its call over 0.5 s by its rank; one that knows nobody waits 0.5 to 1.5 s for a word, unless it is a seed; a list of more than one answer is asked for changes first, and read whole when the answer can't be used, be it too large, too late or the history gone. An answer over the largest size counts as malformed, so that it isn't asked for again and again.

--- a/crates/foxledge-gossip/src/copies.rs
+++ b/crates/foxledge-gossip/src/copies.rs
@@ -216,7 +216,10 @@
                     self.spread(now, self.list.head(), None);
                 }
             }
-            PullStep::Wait => self.pull = Some(pull),
+            PullStep::Wait => {
+                self.note_progress(now);
+                self.pull = Some(pull);
+            }
             PullStep::Lost => {}
         }
     }
--- a/crates/foxledge-gossip/src/effects.rs
+++ b/crates/foxledge-gossip/src/effects.rs
@@ -56,7 +56,7 @@
     FarBehind,
     /// The history that a watch asked for is gone.
     HistoryGone,
-    /// The last call had no answer.
+    /// The last call had no answer, or none that could be read.
     Unanswered,
 }
 
--- a/crates/foxledge-gossip/src/election.rs
+++ b/crates/foxledge-gossip/src/election.rs
@@ -63,6 +63,11 @@
         bytes[4..].copy_from_slice(&card.port.to_be_bytes());
         ReaderRank { narrowness: u32::MAX - card.link_mbps, hash: xxh3_64(&bytes) }
     }
+
+    /// A place within a span that differs between instances.
+    pub fn spread_over(self, span: u64) -> u64 {
+        self.hash % span
+    }
 }
 
 /// `ReaderClaim` is a reader's last answer from the store, as heard.
--- a/crates/foxledge-gossip/src/learning.rs
+++ b/crates/foxledge-gossip/src/learning.rs
@@ -149,6 +149,9 @@
         former: u64,
         source: String,
     ) {
+        if self.list.head() > former {
+            self.note_progress(now);
+        }
         if former == 0 && self.list.head() > 0 {
             rows.extend(self.end_preview());
         }
--- a/crates/foxledge-gossip/src/member.rs
+++ b/crates/foxledge-gossip/src/member.rs
@@ -9,7 +9,7 @@
 use crate::{
     config_pull::ConfigPull,
     effects::{FleetEffect, ReadOrder, ReadReason},
-    election::ReaderElection,
+    election::{ReaderElection, ReaderRank},
     evidence::EvidenceTable,
     messages::{FleetMessage, MessageBody, PeerCard},
     options::MemberOptions,
@@ -33,6 +33,11 @@
 /// doesn't read the store at once: the first that have the list serve the others. Longer
 /// waits let small fleets serve later.
 const START_SPREAD_MS: u64 = 50;
+/// Wait for a word of any other instance before a list is confirmed at the store, in
+/// milliseconds: until then each instance of a fleet that starts ranks itself first.
+const LONELY_MS: u64 = 500;
+/// Spread of that wait in milliseconds.
+const LONELY_SPREAD_MS: u64 = 1_000;
 /// Time between two questions to the seeds while no list is known, in milliseconds.
 const ASK_MS: u64 = 100;
 /// The same while a part of the list serves: seeds of a large fleet have more to do.
@@ -86,6 +91,10 @@
     pub(crate) called_at: ClockTime,
     /// When peers are asked for a newer confirmation; none after the second time.
     pub(crate) doubt_at: Option<ClockTime>,
+    /// When peers count as handing over no more rows.
+    pub(crate) stalled_at: ClockTime,
+    /// When an instance that has heard of no other counts as the only one.
+    pub(crate) lonely_at: ClockTime,
     /// Items of the store that can't be understood.
     pub(crate) refused: RefusedTable,
     /// Why the list must be read whole; none while changes will do.
@@ -123,6 +132,11 @@
             Some(place) => SEED_START_MS * (place as u64 + 1),
             None => START_MS + rng.random_range(0..START_SPREAD_MS),
         };
+        let are_others = options.seeds.iter().any(|seed| *seed != options.address);
+        let lonely = match place {
+            None if are_others => LONELY_MS + ReaderRank::of(&card).spread_over(LONELY_SPREAD_MS),
+            _ => 0,
+        };
         FleetMember {
             election: ReaderElection::new(&card),
             card,
@@ -146,6 +160,8 @@
             store_epoch: None,
             called_at: now,
             doubt_at: None,
+            stalled_at: now,
+            lonely_at: now.after_millis(lonely),
             refused: RefusedTable::default(),
             copy_reason: None,
             is_together: false,
--- a/crates/foxledge-gossip/src/reading.rs
+++ b/crates/foxledge-gossip/src/reading.rs
@@ -23,6 +23,9 @@
 /// A watch brings every list published since, whole, which is more than all of the store once
 /// there are several.
 const FAR_BEHIND_MS: u64 = 4_000;
+/// Rows of a list that one answer of the store holds: a longer one takes several calls, and
+/// changes are asked for first, however old the last confirmation is.
+const SHORT_LIST: usize = 500;
 /// Wait of a watch that only asks whether a list is still the newest, in milliseconds.
 const GLANCE_MS: u64 = 20;
 /// Changes that one message holds with room to spare: when more come between two calls, they
@@ -30,6 +33,11 @@
 const FEW_CHANGES: usize = 8;
 /// Wait after a first reading that failed, in milliseconds.
 const START_RETRY_MS: u64 = 250;
+/// Time without rows from a peer after which an instance that is behind can't count on any, in
+/// milliseconds.
+const STALLED_MS: u64 = 500;
+/// Time over which instances that are behind spread their calls, in milliseconds.
+const BEHIND_SPREAD_MS: u64 = 500;
 /// Wait for somebody's word that a first list is the newest, in milliseconds.
 const UNSURE_MS: u64 = 100;
 
@@ -103,21 +111,39 @@
 
     /// When this instance begins to read unless it hears of a confirmation before.
     pub(crate) fn read_at(&self, now: ClockTime) -> ClockTime {
-        let rank = self.rank(now);
-        // Others have read what is new and it doesn't get here: they can't help.
-        let is_behind = self.election.is_behind(now, self.list.head());
-        let patience = if is_behind { 0 } else { ReaderElection::patience_ms(rank) };
-        match self.confirmed_at {
-            Some(at) => at.after_millis(self.options.takeover_ms + patience),
-            None => self.start_at.after_millis(UNSURE_MS + patience),
+        let at = match self.confirmed_at {
+            Some(at) => at.after_millis(self.options.takeover_ms),
+            None => self.start_at.after_millis(UNSURE_MS),
+        };
+        if self.election.is_behind(now, self.list.head()) {
+            return at.max(self.stalled_at).after_millis(self.behind_patience_ms(now));
         }
+        if self.confirmed_at.is_none() && self.peers.live(now).next().is_none() {
+            return at.max(self.lonely_at);
+        }
+        at.after_millis(ReaderElection::patience_ms(self.rank(now)))
+    }
+
+    /// How long this instance waits beside others that are behind as well, in milliseconds.
+    ///
+    /// Those that have read what is new can't help once nothing has come for some time; the
+    /// rank only keeps a whole fleet from reading in one moment.
+    fn behind_patience_ms(&self, now: ClockTime) -> u64 {
+        let fleet = self.peers.fleet_size().max(1);
+        BEHIND_SPREAD_MS * self.rank(now).min(fleet) as u64 / fleet as u64
+    }
+
+    /// Notes that a peer has handed over a part of the list, so that more will come.
+    pub(crate) fn note_progress(&mut self, now: ClockTime) {
+        self.stalled_at = now.after_millis(STALLED_MS);
     }
 
     /// The next call of the store: everything, or what changed.
     fn next_call(&self, now: ClockTime) -> ReadCall {
         let is_far_behind =
             self.confirmed_at.is_some_and(|at| at.after_millis(FAR_BEHIND_MS).is_past(now));
-        let far_behind = is_far_behind.then_some(ReadReason::FarBehind);
+        let is_short = self.list.len() <= SHORT_LIST;
+        let far_behind = (is_far_behind && is_short).then_some(ReadReason::FarBehind);
         if let Some(reason) = self.copy_reason.or(far_behind) {
             return ReadCall { order: ReadOrder::All(ReadMode::Newest), reason };
         }
@@ -241,7 +267,8 @@
             self.effects
                 .push(FleetEffect::Event(FleetEvent::StoreLost { error, confirmed_age_ms }));
         }
-        if matches!(error, SourceError::Timeout(_)) && self.list.head() > 0 {
+        let is_unusable = matches!(error, SourceError::Timeout(_) | SourceError::Malformed(_));
+        if is_unusable && self.list.head() > 0 {
             self.copy_reason.get_or_insert(ReadReason::Unanswered);
         }
         let rank = self.rank(now);
--- /dev/null
+++ b/crates/foxledge-gossip/tests/calls_at_scale.rs
@@ -0,0 +1,82 @@
+//! Calls of the store by a large fleet before a large list, each page of a whole reading one.
+
+mod common;
+
+use common::{StoreState, VirtualFleet};
+
+/// 300 instances in six data centres, the first three of each with wide links.
+fn large_fleet(backends: u64) -> VirtualFleet {
+    let mut fleet = VirtualFleet::new(&[50; 6], 1);
+    fleet.store.is_brief = true;
+    for number in 1..=backends {
+        fleet.store.register(number, false);
+    }
+    fleet.store.publish(1, 20);
+    (fleet.message_us, fleet.item_ns, fleet.page_us) = (450, 2_000, 4_000);
+    for (index, seat) in fleet.seats.iter_mut().enumerate() {
+        seat.link_mbps = if index % 50 < 3 { 200 } else { 20 };
+    }
+    fleet
+}
+
+/// Calls that count, without the cheap ones.
+fn calls(fleet: &VirtualFleet) -> u64 {
+    let pages = fleet.store.pages.iter();
+    pages.filter(|((order, _), _)| ["all", "watch"].contains(order)).map(|(_, count)| count).sum()
+}
+
+// Guards against a fleet that reads the whole list, instance by instance, after an outage.
+#[test]
+fn outage_with_large_list() {
+    let mut fleet = large_fleet(3_000);
+    fleet.start_all();
+    fleet.run(10_000);
+    let before = calls(&fleet);
+    fleet.store_state = (0..300).map(|index| (index, StoreState::Refusing)).collect();
+    fleet.store_changed();
+    fleet.run(4_500);
+    fleet.store_state.clear();
+    fleet.store.publish(2, 20);
+    fleet.store_changed();
+    let head = fleet.store.head;
+    let took = fleet.run_until(3_000, |fleet| fleet.all_know(head));
+    fleet.run(2_000);
+    let calls = calls(&fleet) - before;
+    println!("{calls} calls, {took:?} ms: {:?}", fleet.store.pages);
+    assert!(took.is_some_and(|took| took <= 1_500), "{took:?} ms");
+    // Eight instances whose waits double from 0.2 to 1 s, and one in 0.12 s more, twice; then
+    // the readers.
+    assert!(calls <= 8 * 8 + 2 * 28 + 20, "{calls} calls");
+}
+
+// Guards against instances that start together and each ask the store whether it has news.
+#[test]
+fn start_with_growing_list() {
+    let mut fleet = large_fleet(0);
+    fleet.start_all();
+    fleet.run(1_000);
+    for number in 1..=3_000 {
+        fleet.store.register(number, false);
+        fleet.store_changed();
+        fleet.run(2);
+    }
+    let head = fleet.store.head;
+    let took = fleet.run_until(5_000, |fleet| fleet.all_know(head));
+    println!("{} calls, {took:?} ms: {:?}", calls(&fleet), fleet.store.pages);
+    assert!(took.is_some_and(|took| took <= 2_000), "{took:?} ms");
+    // Ten a second by the reader, one a second by another, and some until those are known.
+    assert!(calls(&fleet) <= 11 * 10 + 60, "{} calls", calls(&fleet));
+}
+
+// Guards against instances that ask the store as soon as they start, since they know nobody yet
+// and rank themselves first.
+#[test]
+fn start_knowing_nobody() {
+    let mut fleet = large_fleet(0);
+    // Seeds take long to answer all.
+    fleet.message_us = 2_000;
+    fleet.start_all();
+    fleet.run(3_000);
+    println!("{} calls: {:?}", calls(&fleet), fleet.store.pages);
+    assert!(calls(&fleet) <= 300 / 3, "{} calls", calls(&fleet));
+}
