Let the second reader of the store call once a second

Cause: where two instances read the store, both call after each change. The second one's answers tell nobody anything while the first lives: it is there so that a change waits for less than the take-over when the first dies.

A reader that hears of a better ranked one pauses for 1 s after each answer. Its first call after that one's death brings what it has missed.

Tests: one_reader_calls (300 changes in 6 s, two readers) was 66 calls, now 36. second_reader_follows holds a change to 1.5 s when either is killed right after a change: 227 ms before, 1,223 ms now for the one that calls. The rule of the users' sites is 3 s and more; news that the first reader's death costs a second are the price, once a death.

Tried and reverted: a second reader that doesn't tell that nothing has changed.

Conclusion: kept.

--- a/crates/foxledge-gossip/src/election.rs
+++ b/crates/foxledge-gossip/src/election.rs
@@ -35,6 +35,9 @@
 const LATE_RETRY_MS: u64 = 3_000;
 /// Longest wait after a failed call in milliseconds.
 const LONGEST_RETRY_MS: u64 = 1_000;
+/// The same while a better ranked reader is heard of, in milliseconds: its answers reach all, and
+/// if it dies, changes are read this much later at most.
+const STANDBY_MS: u64 = 1_000;
 /// Shortest time from one call's answer to the next call, in milliseconds:
 /// changes that come together are read together.
 const BATCH_MS: u64 = 100;
@@ -158,13 +161,14 @@
     /// Notes a call's success; returns how many had failed before.
     pub fn succeeded(&mut self, now: ClockTime) -> u32 {
         self.is_waiting = false;
-        self.next_at = now.after_millis(BATCH_MS);
+        let pause = if self.is_standby(now) { STANDBY_MS } else { BATCH_MS };
+        self.next_at = now.after_millis(pause);
         std::mem::take(&mut self.failures)
     }
 
     /// Notes that the last answer brought changes: the next call leaves time for more.
     pub fn expect_more(&mut self, now: ClockTime) {
-        self.next_at = now.after_millis(CHANGES_BATCH_MS);
+        self.next_at = self.next_at.max(now.after_millis(CHANGES_BATCH_MS));
     }
 
     /// Notes that a call failed; `rank` is this instance's among the live ones.
@@ -206,6 +210,11 @@
         self.claims.iter().filter(move |claim| is_fresh(claim, now)).filter(is_other)
     }
 
+    /// True when a better ranked instance reads.
+    fn is_standby(&self, now: ClockTime) -> bool {
+        self.other_readers(now).any(|claim| ReaderRank::of(&claim.card) < self.rank)
+    }
+
     /// True when all who read have narrower links than this instance.
     pub fn is_wider(&self, now: ClockTime) -> bool {
         let mut readers = self.other_readers(now).peekable();
--- a/crates/foxledge-gossip/tests/quiet_fleet.rs
+++ b/crates/foxledge-gossip/tests/quiet_fleet.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use common::{StoreState, settled_fleet};
+use common::{StoreState, VirtualFleet, settled_fleet};
 use foxledge_flows::{HealthNote, NoteKind};
 
 #[test]
@@ -46,9 +46,8 @@
     // close together share messages, and an instance's bytes don't grow with the fleet.
     for counts in [&[2, 2, 2, 1][..], &[21, 24, 19, 23], &[75, 75, 75, 75]] {
         let mut fleet = settled_fleet(counts, 1);
-        let sent = |fleet: &common::VirtualFleet| {
-            fleet.seats.iter().map(|seat| seat.sent_bytes).sum::<u64>()
-        };
+        let sent =
+            |fleet: &VirtualFleet| fleet.seats.iter().map(|seat| seat.sent_bytes).sum::<u64>();
         let before = sent(&fleet);
         for number in 0..300 {
             fleet.store.register(1_000 + number, false);
@@ -186,3 +185,59 @@
         assert!(took.is_some_and(|took| took <= 2_000), "{counts:?}: {took:?} ms");
     }
 }
+
+/// Two readers in different data centres, as after a cut between these.
+fn two_readers() -> VirtualFleet {
+    let mut fleet = settled_fleet(&[10, 10], 1);
+    for near in 0..10 {
+        for far in 10..20 {
+            fleet.cut.insert((near, far));
+            fleet.cut.insert((far, near));
+        }
+    }
+    fleet.run(4_000);
+    fleet.cut.clear();
+    fleet.run(3_000);
+    assert_eq!(fleet.readers(), 2);
+    fleet
+}
+
+// Guards against two readers that both call the store after each change.
+#[test]
+fn one_reader_calls() {
+    let mut fleet = two_readers();
+    let before = fleet.store.calls;
+    for number in 0..300 {
+        fleet.store.register(1_000 + number, false);
+        fleet.store_changed();
+        fleet.run(20);
+    }
+    let calls = fleet.store.calls - before;
+    println!("{calls} calls in 6 s");
+    // Five a second by the one, one a second by the other, and room.
+    assert!(calls <= 6 * 5 + 6 * 2, "{calls} calls");
+}
+
+// Guards against changes that wait for long where the one of two readers that calls dies.
+#[test]
+fn second_reader_follows() {
+    for first in 0..20 {
+        let mut fleet = two_readers();
+        let reads = |fleet: &VirtualFleet, index: usize| {
+            fleet.seats[index].member.as_ref().is_some_and(|one| one.is_reading())
+        };
+        if !reads(&fleet, first) {
+            continue;
+        }
+        fleet.store.register(1_000, false);
+        fleet.store_changed();
+        fleet.run(30);
+        fleet.kill(first);
+        fleet.store.register(1_001, false);
+        fleet.store_changed();
+        let head = fleet.store.head;
+        let took = fleet.run_until(3_000, |fleet| fleet.all_know(head));
+        println!("reader {first} killed: {took:?} ms");
+        assert!(took.is_some_and(|took| took <= 1_500), "reader {first} killed: {took:?} ms");
+    }
+}
