Play growth and a loss of power in the virtual fleet, and count far bytes

fleet_scale starts a fleet while its list grows, too, and takes power from 55% of it. Seen at 582 x 6,000 (virtual): of 16.0 MB that go between data centres while the list grows 14.3 are pages that were asked for far away, and the busiest instance sends 876 KB/s where the middle one sends 16; after an outage of 4.5 s 397 instances ask the store whether they are sure.

--- a/crates/foxledge-gossip/examples/fleet_scale.rs
+++ b/crates/foxledge-gossip/examples/fleet_scale.rs
@@ -7,7 +7,7 @@
 #[path = "../tests/common/mod.rs"]
 mod common;
 
-use common::VirtualFleet;
+use common::{StoreState, VirtualFleet};
 
 /// Data centres.
 const CENTRES: usize = 6;
@@ -17,6 +17,11 @@
 const ITEM_NS: u64 = 2_000;
 /// Time of each further page of a whole reading, in microseconds.
 const PAGE_US: u64 = 4_000;
+/// Instances of each data centre with wide links.
+const WIDE: usize = 6;
+/// Backend servers that register together, and the time until the next do, in milliseconds.
+const GROWTH_BATCH: u64 = 20;
+const GROWTH_MS: u64 = 20;
 /// Routes without traffic.
 const ROUTES: usize = 150;
 
@@ -28,6 +33,7 @@
     far: u64,
     pages: BTreeMap<(&'static str, &'static str), u64>,
     kinds: BTreeMap<&'static str, u64>,
+    far_kinds: BTreeMap<&'static str, u64>,
 }
 
 impl MomentMeter {
@@ -39,6 +45,7 @@
             far: fleet.far_bytes,
             pages: fleet.store.pages.clone(),
             kinds: fleet.kinds.clone(),
+            far_kinds: fleet.far_kinds.clone(),
         }
     }
 
@@ -52,7 +59,7 @@
             .collect();
         rates.sort_by(f64::total_cmp);
         println!(
-            "{},{},{seconds:.1},{},{:.1},{:.1},{},{},{}",
+            "{},{},{seconds:.1},{},{:.1},{:.1},{},{},{},{}",
             fleet.seats.len(),
             self.name,
             took.map_or_else(|| "-".to_owned(), |ms| ms.to_string()),
@@ -61,6 +68,7 @@
             (fleet.far_bytes - self.far) / 1_000,
             grown(&fleet.store.pages, &self.pages),
             grown(&fleet.kinds, &self.kinds),
+            grown(&fleet.far_kinds, &self.far_kinds),
         );
     }
 }
@@ -108,94 +116,104 @@
     meter.print(fleet, took);
 }
 
+/// The store turns away the instances that `is_meant` names, and those that read it.
+fn turn_away(fleet: &mut VirtualFleet, is_meant: impl Fn(usize) -> bool) {
+    let reads = |seat: &common::Seat| seat.member.as_ref().is_some_and(|one| one.is_reading());
+    let seats = fleet.seats.iter().enumerate();
+    let meant = seats.filter(|(index, seat)| is_meant(*index) || reads(seat));
+    fleet.store_state = meant.map(|(index, _)| (index, StoreState::Refusing)).collect();
+    fleet.store_changed();
+}
+
+/// A fleet that hasn't started, of which six instances in each data centre have wide links.
+fn new_fleet(instances: usize) -> VirtualFleet {
+    let in_centre = (instances / CENTRES).max(WIDE);
+    let mut fleet = VirtualFleet::new(&[in_centre; CENTRES], 1);
+    (fleet.message_us, fleet.item_ns, fleet.page_us) = (MESSAGE_US, ITEM_NS, PAGE_US);
+    fleet.store.is_brief = true;
+    for (index, seat) in fleet.seats.iter_mut().enumerate() {
+        seat.link_mbps = if index % in_centre < WIDE { 200 } else { 20 };
+    }
+    fleet.store.publish(1, ROUTES);
+    fleet
+}
+
+/// A fleet that starts before its backend servers do.
+fn play_growth(instances: usize, backends: u64) {
+    let mut fleet = new_fleet(instances);
+    let grow = |fleet: &mut VirtualFleet| {
+        fleet.start_all();
+        fleet.run(300);
+        for number in 1..=backends {
+            fleet.store.register(number, false);
+            if number % GROWTH_BATCH == 0 {
+                fleet.store_changed();
+                fleet.run(GROWTH_MS);
+            }
+        }
+        fleet.store_changed();
+    };
+    play(&mut fleet, "starts while the list grows", grow, 20_000, 2_000);
+}
+
+/// A fleet before a published list, and what may happen to it.
+fn play_moments(instances: usize, backends: u64) {
+    let mut fleet = new_fleet(instances);
+    for number in 1..=backends {
+        fleet.store.register(number, false);
+    }
+    let fleet = &mut fleet;
+    play(fleet, "all start", VirtualFleet::start_all, 20_000, 2_000);
+    play(fleet, "quiet", |_| (), 0, 10_000);
+    play(fleet, "100 changes", |fleet| change(fleet, 1, 100, 50), 5_000, 2_000);
+    play(fleet, "history dropped", |fleet| drop_history(fleet, 100_000), 10_000, 3_000);
+    let amid_changes = |fleet: &mut VirtualFleet| {
+        for round in 0..3 {
+            change(fleet, 200 + round * 40, 40, 50);
+            drop_history(fleet, 200_000 + round * 100);
+        }
+    };
+    play(fleet, "dropped amid changes", amid_changes, 10_000, 3_000);
+    let restart = |fleet: &mut VirtualFleet| {
+        let some = (0..fleet.seats.len()).step_by(18);
+        some.clone().for_each(|index| fleet.kill(index));
+        fleet.run(2_000);
+        some.for_each(|index| fleet.start(index));
+        change(fleet, 1_000, 20, 50);
+    };
+    play(fleet, "one in eighteen starts", restart, 10_000, 3_000);
+    let outage = |fleet: &mut VirtualFleet| {
+        turn_away(fleet, |_| true);
+        fleet.run(4_500);
+        fleet.store_state.clear();
+        fleet.store.publish(2, ROUTES);
+        fleet.store_changed();
+    };
+    play(fleet, "store away 4.5 s", outage, 10_000, 3_000);
+    let some_turned_away = |fleet: &mut VirtualFleet| {
+        turn_away(fleet, |index| index % 3 == 0);
+        change(fleet, 2_000, 90, 100);
+        fleet.store_state.clear();
+    };
+    play(fleet, "a third turned away 9 s", some_turned_away, 10_000, 3_000);
+    let lose_power = |fleet: &mut VirtualFleet| {
+        let some = (0..fleet.seats.len()).filter(|index| index % 20 < 11);
+        some.clone().for_each(|index| fleet.kill(index));
+        fleet.run(2_000);
+        some.for_each(|index| fleet.start(index));
+    };
+    play(fleet, "55% lose power", lose_power, 20_000, 3_000);
+}
+
 fn main() {
     let size = |place: usize, usual: u64| {
         env::args().nth(place).and_then(|word| word.parse().ok()).unwrap_or(usual)
     };
     let (instances, backends) = (size(1, 584) as usize, size(2, 6_000));
-    let mut fleet = VirtualFleet::new(&[instances / CENTRES; CENTRES], 1);
-    (fleet.message_us, fleet.item_ns, fleet.store.is_brief) = (MESSAGE_US, ITEM_NS, true);
-    fleet.page_us = PAGE_US;
-    for seat in &mut fleet.seats {
-        seat.link_mbps = 20;
-    }
-    for index in 0..CENTRES * 6 {
-        let place = (index % CENTRES) * (instances / CENTRES) + index / CENTRES;
-        fleet.seats[place].link_mbps = 200;
-    }
-    for number in 1..=backends {
-        fleet.store.register(number, false);
-    }
-    fleet.store.publish(1, ROUTES);
     println!(
-        "instances,moment,seconds,all know after ms,middle KB/s,busiest KB/s,far KB,calls,bytes by kind"
-    );
-    play(&mut fleet, "all start", VirtualFleet::start_all, 20_000, 2_000);
-    play(&mut fleet, "quiet", |_| (), 0, 10_000);
-    play(&mut fleet, "100 changes", |fleet| change(fleet, 1, 100, 50), 5_000, 2_000);
-    play(&mut fleet, "history dropped", |fleet| drop_history(fleet, 100_000), 10_000, 3_000);
-    play(
-        &mut fleet,
-        "dropped amid changes",
-        |fleet| {
-            for round in 0..3 {
-                change(fleet, 200 + round * 40, 40, 50);
-                drop_history(fleet, 200_000 + round * 100);
-            }
-        },
-        10_000,
-        3_000,
-    );
-    play(
-        &mut fleet,
-        "one in eighteen starts",
-        |fleet| {
-            for index in (0..fleet.seats.len()).step_by(18) {
-                fleet.kill(index);
-            }
-            fleet.run(2_000);
-            for index in (0..fleet.seats.len()).step_by(18) {
-                fleet.start(index);
-            }
-            change(fleet, 1_000, 20, 50);
-        },
-        10_000,
-        3_000,
-    );
-    play(
-        &mut fleet,
-        "store away 4.5 s",
-        |fleet| {
-            let all = 0..fleet.seats.len();
-            fleet.store_state = all.map(|index| (index, common::StoreState::Refusing)).collect();
-            fleet.store_changed();
-            fleet.run(4_500);
-            fleet.store_state.clear();
-            fleet.store.publish(2, ROUTES);
-            fleet.store_changed();
-        },
-        10_000,
-        3_000,
-    );
-    play(
-        &mut fleet,
-        "a third turned away 9 s",
-        |fleet| {
-            let some = (0..fleet.seats.len()).step_by(3);
-            fleet.store_state = some.map(|index| (index, common::StoreState::Refusing)).collect();
-            let readers: Vec<_> = (0..fleet.seats.len())
-                .filter(|index| {
-                    fleet.seats[*index].member.as_ref().is_some_and(|one| one.is_reading())
-                })
-                .collect();
-            fleet
-                .store_state
-                .extend(readers.into_iter().map(|index| (index, common::StoreState::Refusing)));
-            fleet.store_changed();
-            change(fleet, 2_000, 90, 100);
-            fleet.store_state.clear();
-        },
-        10_000,
-        3_000,
+        "instances,moment,seconds,all know after ms,middle KB/s,busiest KB/s,far KB,calls,\
+         bytes by kind,far bytes by kind"
     );
+    play_growth(instances, backends);
+    play_moments(instances, backends);
 }
