Give peers a moment when a newer list is heard of

Cause: an instance that is behind counted on peers for 0.5 s after their last rows.

The moment begins anew when a newer list is first heard of.

--- a/crates/foxledge-gossip/src/learning.rs
+++ b/crates/foxledge-gossip/src/learning.rs
@@ -97,7 +97,10 @@
     }
 
     /// Takes readers' last answers from the store; what is told of this instance is known.
+    ///
+    /// Where that tells of a newer list, peers have a moment to hand it over.
     pub(crate) fn learn_claims(&mut self, now: ClockTime, claims: &[ClaimMessage]) {
+        let was_behind = self.election.is_behind(now, self.list.head());
         for message in claims {
             let Some(card) = message.card.clone() else { continue };
             if card.address() == Some(self.options.address) {
@@ -107,6 +110,9 @@
             let claim = ReaderClaim { card, serial: message.serial, at, head: message.head };
             self.election.take_claim(claim);
         }
+        if !was_behind && self.election.is_behind(now, self.list.head()) {
+            self.note_progress(now);
+        }
     }
 
     /// Takes changed rows, or asks for them when the heartbeat has too few.
--- a/crates/foxledge-gossip/src/reading.rs
+++ b/crates/foxledge-gossip/src/reading.rs
@@ -133,7 +133,7 @@
         BEHIND_SPREAD_MS * self.rank(now).min(fleet) as u64 / fleet as u64
     }
 
-    /// Notes that a peer has handed over a part of the list, so that more will come.
+    /// Notes that peers are at handing over what is newer.
     pub(crate) fn note_progress(&mut self, now: ClockTime) {
         self.stalled_at = now.after_millis(STALLED_MS);
     }
