--- a/crates/foxledge-soak/src/instances.rs
+++ b/crates/foxledge-soak/src/instances.rs
@@ -46,10 +46,33 @@
     pub seeds: Vec<SocketAddrV4>,
 }
 
+/// `BuildSet` is the daemons that instances run, in turns from start to start.
+#[derive(Clone, Debug)]
+pub struct BuildSet(Vec<PathBuf>);
+
+impl BuildSet {
+    /// The same daemon at each start.
+    pub fn one(binary: PathBuf) -> BuildSet {
+        BuildSet(vec![binary])
+    }
+
+    /// Another daemon beside.
+    pub fn and(mut self, binary: PathBuf) -> BuildSet {
+        self.0.push(binary);
+        self
+    }
+
+    fn at_turn(&self, turn: usize) -> &Path {
+        &self.0[turn % self.0.len()]
+    }
+}
+
 /// `RunningInstance` is an instance that may be running.
 pub struct RunningInstance {
     place: InstancePlace,
-    binary: PathBuf,
+    builds: BuildSet,
+    /// Counts starts; instances begin at different counts.
+    turn: usize,
     settings: PathBuf,
     log: PathBuf,
     child: Option<Child>,
@@ -66,14 +89,19 @@
     /// # Errors
     ///
     /// When the folder can't be written.
-    pub fn prepare(place: InstancePlace, binary: &Path, folder: &Path) -> Result<RunningInstance> {
+    pub fn prepare(
+        place: InstancePlace,
+        builds: &BuildSet,
+        turn: usize,
+        folder: &Path,
+    ) -> Result<RunningInstance> {
         let settings = folder.join(format!("{}.toml", place.name));
         let log = folder.join(format!("{}.log", place.name));
         fs::write(&settings, settings_text(&place))?;
-        let binary = binary.to_owned();
         Ok(RunningInstance {
             place,
-            binary,
+            builds: builds.clone(),
+            turn,
             settings,
             log,
             child: None,
@@ -90,7 +118,8 @@
     /// When the program can't be started.
     pub fn start(&mut self) -> Result<()> {
         let log = File::options().create(true).append(true).open(&self.log)?;
-        let child = Command::new(&self.binary)
+        let binary = self.builds.at_turn(self.turn);
+        let child = Command::new(binary)
             .arg("packets")
             .arg("--config")
             .arg(&self.settings)
@@ -98,8 +127,9 @@
             .stderr(log.try_clone()?)
             .stdout(log)
             .spawn()
-            .with_context(|| format!("can't start {}", self.binary.display()))?;
+            .with_context(|| format!("can't start {}", binary.display()))?;
         self.child = Some(child);
+        self.turn += 1;
         self.started_at = Instant::now();
         self.stop_by = None;
         Ok(())
--- a/crates/foxledge-soak/src/lib.rs
+++ b/crates/foxledge-soak/src/lib.rs
@@ -20,5 +20,6 @@
 mod watches;
 pub mod world;
 
+pub use instances::BuildSet;
 pub use plan::{FaultPlan, FaultRange, SoakOptions};
 pub use soak::{SoakReport, run_soak};
--- a/crates/foxledge-soak/src/main.rs
+++ b/crates/foxledge-soak/src/main.rs
@@ -4,7 +4,7 @@
 
 use anyhow::{Context, Result};
 use clap::{Arg, Command, value_parser};
-use foxledge_soak::{FaultRange, SoakOptions, run_soak};
+use foxledge_soak::{BuildSet, FaultRange, SoakOptions, run_soak};
 
 fn main() -> ExitCode {
     match run() {
@@ -27,6 +27,10 @@
         Some(binary) => binary.clone(),
         None => std::env::current_exe()?.with_file_name("foxledged"),
     };
+    let builds = match matches.get_one::<PathBuf>("other-binary") {
+        Some(other) => BuildSet::one(binary).and(other.clone()),
+        None => BuildSet::one(binary),
+    };
     let range = match matches.get_one::<String>("range").map(String::as_str) {
         Some("control") => FaultRange::Control,
         Some("entries") => FaultRange::Entries,
@@ -41,7 +45,7 @@
             .instances(number("instances") as usize)
             .fault_every_ms(number("every"))
             .range(range);
-        let report = run_soak(options, &binary).with_context(|| format!("seed {seed}"))?;
+        let report = run_soak(options, &builds).with_context(|| format!("seed {seed}"))?;
         println!("{report}");
         broken += usize::from(!report.breaches.is_empty());
     }
@@ -65,6 +69,13 @@
                 .help("Faults that come; seeds of before this option was made are of control")
                 .value_parser(["control", "packets", "entries", "evacuations", "restores"]),
         )
+        .arg(
+            Arg::new("other-binary")
+                .long("other-binary")
+                .value_name("FILE")
+                .help("Another build of the daemon, in turns with the first at each start")
+                .value_parser(value_parser!(PathBuf)),
+        )
         .arg(
             Arg::new("binary")
                 .long("binary")
--- a/crates/foxledge-soak/src/soak.rs
+++ b/crates/foxledge-soak/src/soak.rs
@@ -14,7 +14,7 @@
 use crate::{
     callers::CallerHost,
     faults::carry_out,
-    instances::RunningInstance,
+    instances::{BuildSet, RunningInstance},
     nets::take_net,
     plan::{FaultPlan, SoakOptions},
     watches::{probe_routes, watch_empty, watch_processes},
@@ -71,19 +71,19 @@
     }
 }
 
-/// Runs one seed with `binary` as the daemon.
+/// Runs one seed with `builds` as the daemons.
 ///
 /// # Errors
 ///
 /// When something couldn't be started; a broken promise is no error but in the report.
-pub fn run_soak(options: SoakOptions, binary: &Path) -> Result<SoakReport> {
+pub fn run_soak(options: SoakOptions, builds: &BuildSet) -> Result<SoakReport> {
     let runtime = runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build()?;
     // Several runs of a process may have the same seed, but not the same network.
     let (net, hold) = take_net()?;
     let name = format!("foxledge-soak-{}-{}-{net}", std::process::id(), options.seed);
     let folder = std::env::temp_dir().join(name);
     std::fs::create_dir_all(&folder)?;
-    let report = runtime.block_on(run(options, net, binary, &folder))?;
+    let report = runtime.block_on(run(options, net, builds, &folder))?;
     drop(hold);
     if report.breaches.is_empty() {
         std::fs::remove_dir_all(&folder)?;
@@ -91,8 +91,13 @@
     Ok(report)
 }
 
-async fn run(options: SoakOptions, net: u8, binary: &Path, folder: &Path) -> Result<SoakReport> {
-    let world = SoakWorld::start(options, net, binary, folder).await?;
+async fn run(
+    options: SoakOptions,
+    net: u8,
+    builds: &BuildSet,
+    folder: &Path,
+) -> Result<SoakReport> {
+    let world = SoakWorld::start(options, net, builds, folder).await?;
     let hosts = start_callers(&world).await?;
     wait_ready(&world).await?;
     tokio::spawn(watch_processes(world.clone()));
--- a/crates/foxledge-soak/src/world.rs
+++ b/crates/foxledge-soak/src/world.rs
@@ -17,7 +17,7 @@
 
 use crate::{
     backends::{BackendPlace, StandInBackend},
-    instances::{InstancePlace, RunningInstance},
+    instances::{BuildSet, InstancePlace, RunningInstance},
     links::{PacketLoss, PeerLinks, StoreLink},
     plan::{RestartPlace, SoakOptions},
     promises::PromiseLedger,
@@ -76,7 +76,7 @@
     pub(crate) async fn start(
         options: SoakOptions,
         net: u8,
-        binary: &Path,
+        builds: &BuildSet,
         folder: &Path,
     ) -> Result<Arc<SoakWorld>> {
         let address = |block: u8, index: usize, port: u16| {
@@ -107,7 +107,7 @@
                 store: address(5, index, STORE_PORT),
                 seeds: public.iter().take(3).copied().collect(),
             };
-            instances.push(RunningInstance::prepare(place, binary, folder)?);
+            instances.push(RunningInstance::prepare(place, builds, index, folder)?);
         }
         let world = Arc::new(SoakWorld {
             options,
--- a/crates/foxledge-soak/tests/short_soak.rs
+++ b/crates/foxledge-soak/tests/short_soak.rs
@@ -2,7 +2,7 @@
 
 use std::{path::PathBuf, thread};
 
-use foxledge_soak::{FaultPlan, FaultRange, SoakOptions, run_soak};
+use foxledge_soak::{BuildSet, FaultPlan, FaultRange, SoakOptions, run_soak};
 
 /// The daemon beside the test's folder; `cargo test --workspace` builds it.
 fn daemon() -> PathBuf {
@@ -15,7 +15,7 @@
 }
 
 fn assert_kept(options: SoakOptions) {
-    let report = run_soak(options, &daemon()).expect("runs");
+    let report = run_soak(options, &BuildSet::one(daemon())).expect("runs");
     println!("{report}");
     assert!(report.breaches.is_empty(), "{report}");
 }
@@ -31,7 +31,8 @@
 
 #[test]
 fn calm_serves_all() {
-    let report = run_soak(SoakOptions::new(1).seconds(4).fault_every_ms(0), &daemon());
+    let report =
+        run_soak(SoakOptions::new(1).seconds(4).fault_every_ms(0), &BuildSet::one(daemon()));
     let report = report.expect("runs");
     assert!(report.breaches.is_empty(), "{report}");
     assert_eq!(report.during.1, 0, "{report}");
