Bound what an instance spends on pages of changes, and name others that have them

Cause: while a list grows by 1,000 rows a second, the reader tells three instances nearby and two in each other data centre of each answer, and each of them asks it for the rows: 7.9 MB in 9 s at 582 x 6,000, 48 times the list, where the middle instance sends 16 KB/s. It grows with the number of those told times the rows, and the reader's place doesn't change.

An instance spends 160 KB/s on pages of changes, 0.2 s ahead at most. Who begins a transfer beyond that is named others that have the rows, as while another is being served. A transfer that goes on isn't broken off. Whole copies stay bounded by the number of instances that are served at a time.

Tried before: refusing in the middle of transfers, too: 1,274 MB of pages, and the list never known by all. Asking the teller where one is near in place of any holder nearby: 840 KB/s.

Test: reader_hands_on was red with 532 KB/s (300 x 3,000), 209 now.

--- a/crates/foxledge-gossip/src/copies.rs
+++ b/crates/foxledge-gossip/src/copies.rs
@@ -1,9 +1,10 @@
 //! Rows asked of others and given to them, page by page.
 
-use std::net::SocketAddrV4;
+use std::{net::SocketAddrV4, time::Duration};
 
 use foxledge_core::time::ClockTime;
 use foxledge_flows::list::{ChangeReach, ListCursor};
+use prost::Message;
 use rand::Rng;
 
 use crate::{
@@ -18,6 +19,11 @@
 /// Instances that are served with rows at a time. A copy that goes out alone is whole
 /// soonest, and from then on two can hand it on.
 const MOST_SERVED: usize = 1;
+/// Bytes a second that an instance spends on pages of changes; who asks for more is named others
+/// that have them. Whole copies are bounded by the number of instances served.
+const CHANGES_BYTES_PER_S: u64 = 160_000;
+/// How far pages may run ahead of that, in milliseconds.
+const PAGES_AHEAD_MS: u64 = 200;
 /// How long an instance counts as being served after its last question, in milliseconds.
 const SERVED_MS: u64 = 120;
 /// Shortest wait before another question after one was turned away, in milliseconds.
@@ -115,6 +121,11 @@
             return self.send_busy(now, from, pull.ticket);
         }
         let reach = self.reach_for(pull);
+        // A transfer that goes on isn't broken off: its rows would be sent twice.
+        let begins = pull.known == Some(pull.revision) && reach != ChangeReach::None;
+        if begins && self.pages_paid_at > now.after_millis(PAGES_AHEAD_MS) {
+            return self.send_busy(now, from, pull.ticket);
+        }
         let cursor = match pull.is_copy == (reach == ChangeReach::None) {
             true => ListCursor { revision: pull.revision, key: pull.key.as_str().into() },
             false => ListCursor::start(),
@@ -178,6 +189,8 @@
                 peers: Vec::new(),
                 incarnation: self.card.incarnation,
             };
+            let cost = message.encoded_len() as u64 * 1_000_000 / CHANGES_BYTES_PER_S;
+            self.pages_paid_at = self.pages_paid_at.max(now).after(Duration::from_micros(cost));
             self.send(to, MessageBody::Page(message));
             let Some(next) = next else {
                 self.served.remove(&to);
--- a/crates/foxledge-gossip/src/member.rs
+++ b/crates/foxledge-gossip/src/member.rs
@@ -75,6 +75,8 @@
     pub(crate) evidence: EvidenceTable,
     /// When it is told next; none while there is nothing to tell.
     pub(crate) round_at: Option<ClockTime>,
+    /// When the pages of changes that were sent are paid for by their budget.
+    pub(crate) pages_paid_at: ClockTime,
     /// When the budget allows the next round.
     pub(crate) free_at: ClockTime,
     /// When the store last confirmed the list, as far as is known.
@@ -152,6 +154,7 @@
             served: HashMap::new(),
             evidence: EvidenceTable::default(),
             round_at: None,
+            pages_paid_at: now,
             free_at: now,
             confirmed_at: None,
             told_at: ClockTime::ZERO,
--- a/crates/foxledge-gossip/tests/calls_at_scale.rs
+++ b/crates/foxledge-gossip/tests/calls_at_scale.rs
@@ -80,3 +80,31 @@
     println!("{} calls: {:?}", calls(&fleet), fleet.store.pages);
     assert!(calls(&fleet) <= 300 / 3, "{} calls", calls(&fleet));
 }
+
+// Guards against a reader that hands a growing list to all that hear of it, and against transfers
+// that are broken off and begun anew without end.
+#[test]
+fn reader_hands_on() {
+    let mut fleet = large_fleet(0);
+    fleet.message_us = 200;
+    fleet.start_all();
+    fleet.run(1_000);
+    let before: Vec<_> = fleet.seats.iter().map(|seat| seat.sent_bytes).collect();
+    let start = fleet.now_us;
+    for number in 1..=3_000 {
+        fleet.store.register(number, false);
+        if number % 20 == 0 {
+            fleet.store_changed();
+            fleet.run(20);
+        }
+    }
+    let head = fleet.store.head;
+    let took = fleet.run_until(5_000, |fleet| fleet.all_know(head));
+    let rate = |bytes: u64| bytes * 1_000 / (fleet.now_us - start);
+    let sent = fleet.seats.iter().zip(before).map(|(seat, before)| seat.sent_bytes - before);
+    let busiest = rate(sent.max().unwrap_or_default());
+    println!("all know {took:?} ms later, the busiest sends {busiest} KB/s");
+    assert!(took.is_some_and(|took| took <= 2_000), "{took:?} ms");
+    // 160 for pages, and what it tells.
+    assert!(busiest <= 240, "{busiest} KB/s");
+}
