Hold no place for an instance that the page budget turns away

Found on reading the change: who was turned away by the budget still counted as being served for 120 ms, so that first copies for instances that start were turned away with it. The budget is looked at first, and a transfer over gaps is begun by a setting of its own in place of a fifth argument.

--- a/crates/foxledge-gossip/src/copies.rs
+++ b/crates/foxledge-gossip/src/copies.rs
@@ -94,8 +94,10 @@
 
     fn pull_from(&mut self, now: ClockTime, from: SocketAddrV4) {
         let ticket = self.rng.random();
-        let takes_gaps = !self.list.is_uneven();
-        let pull = ListPull::new(now, from, ticket, self.list.head(), takes_gaps);
+        let mut pull = ListPull::new(now, from, ticket, self.list.head());
+        if !self.list.is_uneven() {
+            pull = pull.over_gaps();
+        }
         let question = pull.question();
         self.pull = Some(pull);
         self.pull_at = None;
@@ -117,13 +119,8 @@
 
     /// Answers a question for rows with pages, or turns it away.
     pub(crate) fn answer_pull(&mut self, now: ClockTime, from: SocketAddrV4, pull: &PullMessage) {
-        if !self.admit_pull(now, from) {
-            return self.send_busy(now, from, pull.ticket);
-        }
         let reach = self.reach_for(pull);
-        // A transfer that goes on isn't broken off: its rows would be sent twice.
-        let begins = pull.known == Some(pull.revision) && reach != ChangeReach::None;
-        if begins && self.pages_paid_at > now.after_millis(PAGES_AHEAD_MS) {
+        if self.is_over_budget(now, pull, reach) || !self.admit_pull(now, from) {
             return self.send_busy(now, from, pull.ticket);
         }
         let cursor = match pull.is_copy == (reach == ChangeReach::None) {
@@ -133,6 +130,14 @@
         self.send_pages(now, from, pull.ticket, cursor, reach);
     }
 
+    /// True when changes are asked for that the budget doesn't allow now.
+    ///
+    /// A transfer that goes on isn't broken off: its rows would be sent twice.
+    fn is_over_budget(&self, now: ClockTime, pull: &PullMessage, reach: ChangeReach) -> bool {
+        let begins = pull.known == Some(pull.revision) && reach != ChangeReach::None;
+        begins && self.pages_paid_at > now.after_millis(PAGES_AHEAD_MS)
+    }
+
     /// How the asker can be told what it lacks.
     fn reach_for(&self, pull: &PullMessage) -> ChangeReach {
         match pull.known {
--- a/crates/foxledge-gossip/src/pulls.rs
+++ b/crates/foxledge-gossip/src/pulls.rs
@@ -87,14 +87,8 @@
 }
 
 impl ListPull {
-    /// Begins a transfer of what changed after `known`; `takes_gaps` when also over a gap.
-    pub fn new(
-        now: ClockTime,
-        from: SocketAddrV4,
-        ticket: u32,
-        known: u64,
-        takes_gaps: bool,
-    ) -> ListPull {
+    /// Begins a transfer of what changed after `known`.
+    pub fn new(now: ClockTime, from: SocketAddrV4, ticket: u32, known: u64) -> ListPull {
         let cursor = if known == 0 { ListCursor::start() } else { ListCursor::after(known) };
         ListPull {
             from,
@@ -103,7 +97,7 @@
             incarnation: None,
             cursor,
             is_copy: known == 0,
-            takes_gaps,
+            takes_gaps: false,
             has_gap: false,
             rows: Vec::new(),
             next_index: 0,
@@ -113,6 +107,11 @@
         }
     }
 
+    /// Takes changes over a gap as well, as nothing newer than `known` is held.
+    pub fn over_gaps(self) -> ListPull {
+        ListPull { takes_gaps: true, ..self }
+    }
+
     /// The question for the next page.
     pub fn question(&self) -> PullMessage {
         PullMessage {
@@ -148,8 +147,8 @@
     /// That may have the same rows under other revisions, so that some of them lie before a
     /// cursor that came from its former process.
     fn begin_again(&mut self, now: ClockTime) -> PullStep {
-        let anew = ListPull::new(now, self.from, self.ticket, self.known, self.takes_gaps);
-        *self = ListPull { tries: self.tries, ..anew };
+        let anew = ListPull::new(now, self.from, self.ticket, self.known);
+        *self = ListPull { tries: self.tries, takes_gaps: self.takes_gaps, ..anew };
         self.ask_again()
     }
 
