--- a/crates/foxledge-gossip/src/member.rs
+++ b/crates/foxledge-gossip/src/member.rs
@@ -35,9 +35,9 @@
 const START_SPREAD_MS: u64 = 50;
 /// Wait for a word of any other instance before a list is confirmed at the store, in
 /// milliseconds: until then each instance of a fleet that starts ranks itself first.
-const LONELY_MS: u64 = 500;
+const ISOLATED_MS: u64 = 500;
 /// Spread of that wait in milliseconds.
-const LONELY_SPREAD_MS: u64 = 1_000;
+const ISOLATED_SPREAD_MS: u64 = 1_000;
 /// Time between two questions to the seeds while no list is known, in milliseconds.
 const ASK_MS: u64 = 100;
 /// The same while a part of the list serves: seeds of a large fleet have more to do.
@@ -96,7 +96,7 @@
     /// When peers count as handing over no more rows.
     pub(crate) stalled_at: ClockTime,
     /// When an instance that has heard of no other counts as the only one.
-    pub(crate) lonely_at: ClockTime,
+    pub(crate) isolated_at: ClockTime,
     /// Items of the store that can't be understood.
     pub(crate) refused: RefusedTable,
     /// Why the list must be read whole; none while changes will do.
@@ -135,8 +135,10 @@
             None => START_MS + rng.random_range(0..START_SPREAD_MS),
         };
         let are_others = options.seeds.iter().any(|seed| *seed != options.address);
-        let lonely = match place {
-            None if are_others => LONELY_MS + ReaderRank::of(&card).spread_over(LONELY_SPREAD_MS),
+        let isolated_ms = match place {
+            None if are_others => {
+                ISOLATED_MS + ReaderRank::of(&card).spread_over(ISOLATED_SPREAD_MS)
+            }
             _ => 0,
         };
         FleetMember {
@@ -164,7 +166,7 @@
             called_at: now,
             doubt_at: None,
             stalled_at: now,
-            lonely_at: now.after_millis(lonely),
+            isolated_at: now.after_millis(isolated_ms),
             refused: RefusedTable::default(),
             copy_reason: None,
             is_together: false,
--- a/crates/foxledge-gossip/src/reading.rs
+++ b/crates/foxledge-gossip/src/reading.rs
@@ -119,7 +119,7 @@
             return at.max(self.stalled_at).after_millis(self.behind_patience_ms(now));
         }
         if self.confirmed_at.is_none() && self.peers.live(now).next().is_none() {
-            return at.max(self.lonely_at);
+            return at.max(self.isolated_at);
         }
         at.after_millis(ReaderElection::patience_ms(self.rank(now)))
     }
--- a/crates/foxledge-gossip/tests/store_epoch.rs
+++ b/crates/foxledge-gossip/tests/store_epoch.rs
@@ -4,8 +4,10 @@
 
 use common::settled_fleet;
 use foxledge_core::{names::CentreName, time::ClockTime};
-use foxledge_flows::{ListReading, source::ReadMode};
-use foxledge_gossip::{FleetEffect, FleetEvent, FleetMember, MemberOptions, ReadOrder};
+use foxledge_flows::{ListReading, SourceError, source::ReadMode};
+use foxledge_gossip::{
+    FleetEffect, FleetEvent, FleetMember, MemberOptions, ReadCall, ReadOrder, ReadReason,
+};
 
 fn events(member: &mut FleetMember) -> Vec<FleetEvent> {
     let event = |effect| match effect {
@@ -50,3 +52,31 @@
     let told = fleet.seats.iter().flat_map(|seat| &seat.events).filter(|(_, event)| is_told(event));
     assert!(told.count() > 0, "nobody tells");
 }
+
+// Guards against changes that are asked for again and again, as their answer can't be read.
+#[test]
+fn unreadable_changes_read_whole() {
+    let address = "10.1.0.1:7000".parse().expect("is an address");
+    let options = MemberOptions::new(address, CentreName::new("toledo"));
+    let mut member = FleetMember::new(options, ClockTime::ZERO);
+    let at = |second: u64| ClockTime::from_micros(second * 1_000_000);
+    let all = ReadOrder::All(ReadMode::Newest);
+    let calls = |member: &mut FleetMember, second: u64| {
+        member.on_time(at(second));
+        let effects = member.take_effects().into_iter();
+        let call = |effect: FleetEffect| match effect {
+            FleetEffect::Read(call) => Some(call),
+            _ => None,
+        };
+        effects.filter_map(call).collect::<Vec<_>>()
+    };
+    member.on_reading(at(1), all, Ok(ListReading::whole(Vec::new(), 9)));
+    let asked = calls(&mut member, 3);
+    let watch = asked.last().expect("asks").order;
+    assert!(matches!(watch, ReadOrder::Watch { after: 9, .. }), "{asked:?}");
+    let error = SourceError::Malformed("more than 8 bytes".to_owned());
+    member.on_reading(at(4), watch, Err(error));
+    let asked = calls(&mut member, 5);
+    let whole = ReadCall { order: all, reason: ReadReason::Unanswered };
+    assert!(asked.contains(&whole), "{asked:?}");
+}
--- a/crates/foxledge-soak/tests/store_client.rs
+++ b/crates/foxledge-soak/tests/store_client.rs
@@ -241,3 +241,19 @@
         assert!(client.read_first().await.is_ok());
     });
 }
+
+// Guards against changes that are asked for again and again, as their answer is too large.
+#[test]
+fn too_large_told() {
+    run(async {
+        let (store, address) = store_with_entries(1).await;
+        let mut client = StoreClient::new(address);
+        let head = client.read_all(ReadMode::Newest).await.expect("is read").head;
+        let padding = "x".repeat(3 << 20);
+        for version in 8..11 {
+            store.put("op/config", &json!({ "version": version, "padding": padding }));
+        }
+        let answer = client.watch(head, 20_000).await;
+        assert!(matches!(answer, Err(SourceError::Malformed(_))), "{answer:?}");
+    });
+}
