Say what the budget for pages counts

Found on reading the change: whole copies count against the budget too, so that an instance that has just handed one over (190 KB, 1.2 s of it) names others to those that ask it for changes, while comments spoke of pages of changes alone. Behaviour stays as it was tested and measured; whether copies should count is open. The example's third argument is told as well.

--- a/crates/foxledge-gossip/examples/fleet_scale.rs
+++ b/crates/foxledge-gossip/examples/fleet_scale.rs
@@ -1,6 +1,7 @@
 //! What a large fleet costs by moment: calls of the store, bytes, times, in virtual time.
 //!
-//! `fleet_scale INSTANCES BACKENDS` prints one CSV line a moment.
+//! `fleet_scale INSTANCES BACKENDS` prints one CSV line a moment; with a third argument the first
+//! moment alone, a start while the list grows.
 
 use std::{collections::BTreeMap, env, fmt};
 
--- a/crates/foxledge-gossip/src/copies.rs
+++ b/crates/foxledge-gossip/src/copies.rs
@@ -19,8 +19,9 @@
 /// Instances that are served with rows at a time. A copy that goes out alone is whole
 /// soonest, and from then on two can hand it on.
 const MOST_SERVED: usize = 1;
-/// Bytes a second that an instance spends on pages of changes; who asks for more is named others
-/// that have them. Whole copies are bounded by the number of instances served.
+/// Bytes a second that an instance spends on pages; who asks for changes beyond is named others
+/// that have them. Whole copies count as well, but are bounded by the number of instances served
+/// alone.
 const CHANGES_BYTES_PER_S: u64 = 160_000;
 /// How far pages may run ahead of that, in milliseconds.
 const PAGES_AHEAD_MS: u64 = 200;
--- a/crates/foxledge-gossip/src/member.rs
+++ b/crates/foxledge-gossip/src/member.rs
@@ -75,7 +75,7 @@
     pub(crate) evidence: EvidenceTable,
     /// When it is told next; none while there is nothing to tell.
     pub(crate) round_at: Option<ClockTime>,
-    /// When the pages of changes that were sent are paid for by their budget.
+    /// When the pages that were sent, whole copies included, are paid for by their budget.
     pub(crate) pages_paid_at: ClockTime,
     /// When the budget allows the next round.
     pub(crate) free_at: ClockTime,
