--- a/review/2/case.rs
+++ b/review/2/case.rs
@@ -21,9 +21,9 @@
 const DEADLINE_MS: u64 = 5_000;
 
 const CONFIG: &str = r#"{"version":7,"routes":[
-{"name":"feed","host":"198.18.0.1","prefix":"/443/","type":"idempotent","timeout_ms":5000,"aim_ms":400,"priority":2,"service":"auction-desk","attempts":2},
-{"name":"bid","host":"198.18.0.1","prefix":"/8443/","type":"non_idempotent","timeout_ms":5000,"aim_ms":400,"priority":1,"service":"auction-desk","attempts":2},
-{"name":"upload","host":"198.18.0.2","prefix":"/443/","type":"upload","timeout_ms":5000,"aim_ms":500,"priority":2,"service":"lot-intake","attempts":2}],
+{"name":"feed","host":"127.198.0.1","prefix":"/443/","type":"idempotent","timeout_ms":5000,"aim_ms":400,"priority":2,"service":"auction-desk","attempts":2},
+{"name":"bid","host":"127.198.0.1","prefix":"/8443/","type":"non_idempotent","timeout_ms":5000,"aim_ms":400,"priority":1,"service":"auction-desk","attempts":2},
+{"name":"upload","host":"127.198.0.2","prefix":"/443/","type":"upload","timeout_ms":5000,"aim_ms":500,"priority":2,"service":"lot-intake","attempts":2}],
 "services":[{"name":"auction-desk","health_path":"/health","max_conns":2000,"protocol":"h1","tls":false,"warmup_s":2.0,"warmup_per_s":0.0},
 {"name":"lot-intake","health_path":"/health","max_conns":2000,"protocol":"h1","tls":false,"warmup_s":2.0,"warmup_per_s":0.0}],
 "limits":{"max_header_bytes":16384,"max_body_bytes":262144,"header_timeout_ms":3000,"idle_timeout_ms":15000}}"#;
@@ -98,8 +98,8 @@
             instances.iter().map(|instance| instance.data).collect(),
         )),
     };
-    let feed = SocketAddrV4::new([198, 18, 0, 1].into(), 443);
-    let bid = SocketAddrV4::new([198, 18, 0, 1].into(), 8_443);
+    let feed = SocketAddrV4::new([127, 198, 0, 1].into(), 443);
+    let bid = SocketAddrV4::new([127, 198, 0, 1].into(), 8_443);
     let mut client_count = 0;
     let mut new_client = |service| {
         client_count += 1;
--- a/review/3/case.rs
+++ b/review/3/case.rs
@@ -38,7 +38,7 @@
 fn config(version: u64, has_second: bool) -> String {
     let route = |name: &str, port: u16| {
         format!(
-            "{{\"name\":\"{name}\",\"host\":\"198.18.0.1\",\"prefix\":\"/{port}/\",\"type\":\"idempotent\",\
+            "{{\"name\":\"{name}\",\"host\":\"127.198.0.1\",\"prefix\":\"/{port}/\",\"type\":\"idempotent\",\
              \"timeout_ms\":1000,\"aim_ms\":100,\"priority\":2,\"service\":\"redirect-desk\",\"attempts\":2}}"
         )
     };
@@ -101,8 +101,8 @@
     wait_ready(&instances);
     sleep_ms(3_000);
 
-    let feed = SocketAddrV4::new([198, 18, 0, 1].into(), 443);
-    let second = SocketAddrV4::new([198, 18, 0, 1].into(), 8_443);
+    let feed = SocketAddrV4::new([127, 198, 0, 1].into(), 443);
+    let second = SocketAddrV4::new([127, 198, 0, 1].into(), 8_443);
     let stop = Arc::new(AtomicBool::new(false));
     let tries: Arc<Mutex<Vec<Try>>> = Arc::default();
     let mut threads = Vec::new();
