Log readings of the store whose pages differ in age

Change: a reading carries the revisions of its oldest and newest page; if they differ, a line pages_differ and the metric uneven_readings_total tell it.

--- a/crates/foxledge-daemon/src/packets/fleet_part.rs
+++ b/crates/foxledge-daemon/src/packets/fleet_part.rs
@@ -255,6 +255,7 @@
             }
             FleetEvent::StoreEpochChanged { epoch, .. } => metrics.store_epoch.set(*epoch as i64),
             FleetEvent::ResponseIgnored { .. } => metrics.outdated_readings.inc(),
+            FleetEvent::PagesDiffer { .. } => metrics.uneven_readings.inc(),
             // No rows may have changed, in which case nothing else updates the metrics.
             FleetEvent::ConfigRetained { .. } | FleetEvent::ConfigReleased { .. } => {
                 self.set_list_metrics();
--- a/crates/foxledge-daemon/src/packets/metrics.rs
+++ b/crates/foxledge-daemon/src/packets/metrics.rs
@@ -70,6 +70,8 @@
     pub store_epoch: IntGauge,
     /// Responses of the store that were older than the list.
     pub outdated_readings: IntCounter,
+    /// Readings with pages of different revisions.
+    pub uneven_readings: IntCounter,
     /// Messages between instances, by direction.
     pub messages: IntCounterVec,
     /// Bytes of messages between instances, by direction.
@@ -187,6 +189,11 @@
                 "readings_passed_over_total",
                 "Answers of the store that were older than the list",
             ),
+            uneven_readings: counter(
+                r,
+                "uneven_readings_total",
+                "Readings of the store with pages of different revisions",
+            ),
             messages: counters(r, "messages_total", "Messages of instances", &["direction"]),
             message_bytes: counters(r, "message_bytes_total", "Bytes of them", &["direction"]),
             load_requests: gauges(r, "load_requests", "Requests under way", &LOAD_LABELS),
--- a/crates/foxledge-flows/src/source.rs
+++ b/crates/foxledge-flows/src/source.rs
@@ -131,6 +131,11 @@
     pub items: Vec<ItemChange>,
     /// The store's revision.
     pub head: u64,
+    /// The revision of the oldest page. Pages of one reading may come from replicas of the store
+    /// that differ in age.
+    pub oldest_head: u64,
+    /// The revision of the newest page.
+    pub newest_head: u64,
     /// True if the store holds more items than these.
     pub is_partial: bool,
 }
@@ -138,12 +143,14 @@
 impl ListReading {
     /// Creates a reading that isn't missing any items.
     pub fn complete(items: Vec<ItemChange>, head: u64) -> ListReading {
-        ListReading { items, head, is_partial: false }
+        ListReading { items, head, oldest_head: head, newest_head: head, is_partial: false }
     }
 
     /// Returns the reading with the store's own numbers turned into revisions of an epoch.
     pub fn with_epoch(mut self, epoch: u64) -> ListReading {
-        self.head = revision_of(epoch, self.head);
+        for head in [&mut self.head, &mut self.oldest_head, &mut self.newest_head] {
+            *head = revision_of(epoch, *head);
+        }
         for item in &mut self.items {
             item.set_epoch(epoch);
         }
--- a/crates/foxledge-gossip/src/effects.rs
+++ b/crates/foxledge-gossip/src/effects.rs
@@ -216,6 +216,19 @@
         /// Time since the store last confirmed the list, in milliseconds.
         confirmed_age_ms: Option<u64>,
     },
+    /// The pages of a reading have different revisions.
+    PagesDiffer {
+        /// The query.
+        order: &'static str,
+        /// Revision of the oldest page.
+        oldest_revision: u64,
+        /// Revision of the newest page.
+        newest_revision: u64,
+        /// Number of items in the reading.
+        items: usize,
+        /// Revision up to which the list is known.
+        known_revision: u64,
+    },
     /// The store was restored and has an older version of the operators' list; this instance
     /// retains the newer version in force.
     #[serde(rename = "config_held")]
@@ -318,6 +331,7 @@
             FleetEvent::StoreRegained { .. } => "store_regained",
             FleetEvent::StoreEpochChanged { .. } => "store_epoch_changed",
             FleetEvent::ResponseIgnored { .. } => "reading_passed_over",
+            FleetEvent::PagesDiffer { .. } => "pages_differ",
             FleetEvent::ConfigRetained { .. } => "config_held",
             FleetEvent::ConfigReleased { .. } => "config_released",
             FleetEvent::ItemRefused(_) => "item_refused",
--- a/crates/foxledge-gossip/src/store_reading.rs
+++ b/crates/foxledge-gossip/src/store_reading.rs
@@ -225,7 +225,8 @@
         self.disseminate_widely(now, former_head);
     }
 
-    /// Logs a change of the store's epoch, and a response that is older than the known list.
+    /// Logs a change of the store's epoch, pages of different revisions, and a response that is
+    /// older than the known list.
     fn log_reading(&mut self, now: ClockTime, query: StoreQuery, reading: &ListReading) {
         let known_head = self.list.head();
         let epoch = reading.epoch();
@@ -238,6 +239,15 @@
                 known_revision: number_of(known_head),
             }));
         }
+        if reading.oldest_head < reading.newest_head {
+            self.effects.push(FleetEffect::LogEvent(FleetEvent::PagesDiffer {
+                order: query.as_str(),
+                oldest_revision: number_of(reading.oldest_head),
+                newest_revision: number_of(reading.newest_head),
+                items: reading.items.len(),
+                known_revision: number_of(known_head),
+            }));
+        }
         if reading.head < known_head {
             self.effects.push(FleetEffect::LogEvent(FleetEvent::ResponseIgnored {
                 order: query.as_str(),
--- a/crates/foxledge-gossip/tests/store_epoch.rs
+++ b/crates/foxledge-gossip/tests/store_epoch.rs
@@ -84,3 +84,24 @@
     let full_read = StoreCall { query: all, reason: ReadReason::Unanswered };
     assert!(store_calls.contains(&full_read), "{store_calls:?}");
 }
+
+// Operators must be able to tell a reading of replicas that differ in age from a single state.
+#[test]
+fn logs_pages_of_different_revisions() {
+    let address = "10.1.0.1:7000".parse().expect("is an address");
+    let options = MemberOptions::new(address, CentreName::new("toledo"));
+    let mut member = FleetMember::new(options, ClockTime::ZERO);
+    let query = StoreQuery::All(ReadMode::Serializable);
+    let reading =
+        ListReading { oldest_head: 7, newest_head: 9, ..ListReading::complete(Vec::new(), 7) };
+    member.handle_store_response(ClockTime::from_micros(1_000_000), query, Ok(reading));
+    let logged = drain_events(&mut member);
+    let differ = FleetEvent::PagesDiffer {
+        order: "all_maybe_old",
+        oldest_revision: 7,
+        newest_revision: 9,
+        items: 0,
+        known_revision: 0,
+    };
+    assert!(logged.contains(&differ), "{logged:?}");
+}
