Complete the first page of the store by the pages that follow it

Seen: an instance that had started on the first page of a long list read the whole list again for the rest. Cause: the rest was taken for a list of its own, which must not be older than the page in use. Change: the client remembers where the first page ended, and the remainder is joined with that page. A remainder of another epoch gives the page up, and the whole list is read as before. One page less a start. full_list_removes_missing_backends_of_partial_list got its whole list by the reading that is gone; it now gets it from a peer with the same check, and a new test has the store's remainder and the removal by watch.

--- a/crates/foxledge-daemon/src/packets/side.rs
+++ b/crates/foxledge-daemon/src/packets/side.rs
@@ -148,6 +148,7 @@
     while let Some(SideCommand::CallStore(query)) = commands.recv().await {
         let response = match query {
             StoreQuery::FirstPage => source.read_first_page().await,
+            StoreQuery::Remainder => source.read_remainder().await,
             StoreQuery::All(mode) => source.read_all(mode).await,
             StoreQuery::Watch { after, wait_ms } => source.watch(after, wait_ms).await,
         };
--- a/crates/foxledge-flows/src/source.rs
+++ b/crates/foxledge-flows/src/source.rs
@@ -146,6 +146,15 @@
         ListReading { items, head, oldest_head: head, newest_head: head, is_partial: false }
     }
 
+    /// Returns a reading of the items of two parts.
+    pub fn joined_with(mut self, later: ListReading) -> ListReading {
+        self.items.extend(later.items);
+        self.oldest_head = self.oldest_head.min(later.oldest_head);
+        self.newest_head = self.newest_head.max(later.newest_head);
+        self.is_partial = later.is_partial;
+        self
+    }
+
     /// Returns the reading with the store's own numbers turned into revisions of an epoch.
     pub fn with_epoch(mut self, epoch: u64) -> ListReading {
         for head in [&mut self.head, &mut self.oldest_head, &mut self.newest_head] {
@@ -225,6 +234,9 @@
     /// return old items.
     fn read_first_page(&mut self) -> SourceFuture<'_>;
 
+    /// Reads the items that follow the first page that was read last, in the same mode.
+    fn read_remainder(&mut self) -> SourceFuture<'_>;
+
     /// Reads all items.
     fn read_all(&mut self, mode: ReadMode) -> SourceFuture<'_>;
 
--- a/crates/foxledge-gossip/src/effects.rs
+++ b/crates/foxledge-gossip/src/effects.rs
@@ -17,6 +17,8 @@
 pub enum StoreQuery {
     /// Reads the first page only; it may be stale.
     FirstPage,
+    /// Reads the pages after the first one; they may be stale.
+    Remainder,
     /// Reads everything.
     All(ReadMode),
     /// Waits for changes.
@@ -33,6 +35,7 @@
     pub fn as_str(self) -> &'static str {
         match self {
             StoreQuery::FirstPage => "first",
+            StoreQuery::Remainder => "remainder",
             StoreQuery::All(ReadMode::Linearizable) => "all",
             StoreQuery::All(ReadMode::Serializable) => "all_maybe_old",
             StoreQuery::Watch { .. } => "watch",
--- a/crates/foxledge-gossip/src/partial_list.rs
+++ b/crates/foxledge-gossip/src/partial_list.rs
@@ -4,20 +4,39 @@
 //! are served at the same time, and each receives its list late. A single response contains the
 //! operators' list and some backend servers, which is enough to place new flows.
 
-use foxledge_flows::rows::{LIMITS_KEY, ListRow};
+use foxledge_flows::{
+    ListReading,
+    rows::{LIMITS_KEY, ListRow},
+};
 
 /// The rows of the first part of the list.
 #[derive(Debug, Default)]
 pub(crate) struct PartialList {
     rows: Vec<ListRow>,
+    /// The first page of the store, which its other pages complete; `None` if they can't.
+    first_page: Option<ListReading>,
     /// Revision of the part: older lists aren't applied after it.
     head: u64,
 }
 
 impl PartialList {
-    /// Creates a part of the list as of revision `head`.
-    pub(crate) fn new(rows: Vec<ListRow>, head: u64) -> PartialList {
-        PartialList { rows, head }
+    /// Creates the part with these rows from the first page of the store.
+    pub(crate) fn new(rows: Vec<ListRow>, first_page: ListReading) -> PartialList {
+        let head = first_page.head;
+        PartialList { rows, first_page: Some(first_page), head }
+    }
+
+    /// Returns true while the other pages of the store can complete the first one.
+    pub(crate) fn has_first_page(&self) -> bool {
+        self.first_page.is_some()
+    }
+
+    /// Returns the reading of the first page and the other ones. Returns `None`, and gives up the
+    /// first page, if they are of different epochs.
+    pub(crate) fn join_remainder(&mut self, remainder: ListReading) -> Option<ListReading> {
+        let first_page = self.first_page.take()?;
+        let is_same_epoch = first_page.epoch() == remainder.epoch();
+        is_same_epoch.then(|| first_page.joined_with(remainder))
     }
 
     /// Returns the rows of the part.
@@ -27,6 +46,7 @@
 
     /// Removes and returns the rows, because the whole list is used from now on.
     pub(crate) fn drain_rows(&mut self) -> Vec<ListRow> {
+        self.first_page = None;
         std::mem::take(&mut self.rows)
     }
 
--- a/crates/foxledge-gossip/src/partial_start.rs
+++ b/crates/foxledge-gossip/src/partial_start.rs
@@ -35,13 +35,13 @@
             return;
         }
         let head = reading.head;
-        let rows = self.list.partial_rows(reading.items);
+        let rows = self.list.partial_rows(reading.items.clone());
         let version = rows.iter().find_map(ListRow::config_version).unwrap_or(0);
         let (epoch, revision) = (epoch_of(head), number_of(head));
         let event = FleetEvent::PartialListApplied { version, epoch, revision, rows: rows.len() };
         self.effects.push(FleetEffect::LogEvent(event));
         self.effects.push(FleetEffect::ApplyRows(rows.clone()));
-        self.partial_list = PartialList::new(rows, head);
+        self.partial_list = PartialList::new(rows, reading);
         let is_seed = self.options.seeds.contains(&self.options.address);
         let wait = match is_seed || self.rng.random_ratio(1, EAGER_READER_RATIO) {
             true => 0,
--- a/crates/foxledge-gossip/src/store_reading.rs
+++ b/crates/foxledge-gossip/src/store_reading.rs
@@ -94,9 +94,12 @@
         if self.election.is_call_pending() || !self.first_read_at.is_past(now) {
             return;
         }
-        let (query, reason) = match self.partial_list.was_received() {
-            true => (StoreQuery::All(ReadMode::Serializable), ReadReason::Remainder),
-            false => (StoreQuery::FirstPage, ReadReason::Start),
+        let (query, reason) = if self.partial_list.has_first_page() {
+            (StoreQuery::Remainder, ReadReason::Remainder)
+        } else if self.partial_list.was_received() {
+            (StoreQuery::All(ReadMode::Serializable), ReadReason::Remainder)
+        } else {
+            (StoreQuery::FirstPage, ReadReason::Start)
         };
         self.call_store(now, StoreCall { query, reason });
     }
@@ -167,6 +170,11 @@
         query: StoreQuery,
         reading: ListReading,
     ) {
+        let reading = match query {
+            StoreQuery::Remainder => self.partial_list.join_remainder(reading),
+            _ => Some(reading),
+        };
+        let Some(reading) = reading else { return self.handle_unusable_remainder(now) };
         self.log_reading(now, query, &reading);
         let known = epoch_of(self.list.head());
         if reading.epoch() < known {
@@ -174,13 +182,12 @@
             let error = SourceError::OlderEpoch { answered: reading.epoch(), known };
             return self.handle_store_failure(now, &error);
         }
-        let failures = self.election.record_success(now);
-        if failures > 0 {
-            self.effects.push(FleetEffect::LogEvent(FleetEvent::StoreRegained { failures }));
-        }
+        self.record_store_success(now);
         let scope = match query {
             StoreQuery::All(_) => ReadingScope::Complete,
-            StoreQuery::FirstPage | StoreQuery::Watch { .. } => ReadingScope::Changes,
+            StoreQuery::FirstPage | StoreQuery::Remainder | StoreQuery::Watch { .. } => {
+                ReadingScope::Changes
+            }
         };
         for item in self.refused_table.record_reading(&reading, scope) {
             self.effects.push(FleetEffect::LogEvent(FleetEvent::ItemRefused(item)));
@@ -197,7 +204,9 @@
         }
         self.retain_config_across_restore(head);
         let (rows, is_newest) = match query {
-            StoreQuery::FirstPage => (self.list.apply_reading(now, reading), false),
+            StoreQuery::FirstPage | StoreQuery::Remainder => {
+                (self.list.apply_reading(now, reading), false)
+            }
             StoreQuery::All(mode) => {
                 self.full_read_reason = None;
                 (self.list.apply_reading(now, reading), mode == ReadMode::Linearizable)
@@ -225,6 +234,22 @@
         self.disseminate_widely(now, former_head);
     }
 
+    fn record_store_success(&mut self, now: ClockTime) {
+        let failures = self.election.record_success(now);
+        if failures > 0 {
+            self.effects.push(FleetEffect::LogEvent(FleetEvent::StoreRegained { failures }));
+        }
+    }
+
+    /// Handles pages that don't complete the first one: the store was restored in between, or a
+    /// peer has sent the list.
+    fn handle_unusable_remainder(&mut self, now: ClockTime) {
+        self.record_store_success(now);
+        if self.list.head() == 0 {
+            self.first_read_at = now.after_millis(FIRST_READ_RETRY_MS);
+        }
+    }
+
     /// Logs a change of the store's epoch, pages of different revisions, and a response that is
     /// older than the known list.
     fn log_reading(&mut self, now: ClockTime, query: StoreQuery, reading: &ListReading) {
--- a/crates/foxledge-gossip/tests/common/mod.rs
+++ b/crates/foxledge-gossip/tests/common/mod.rs
@@ -24,7 +24,7 @@
 const STORE_RESPONSE_US: u64 = 4_000;
 /// Virtual time at which a simulation starts, in microseconds.
 const START_US: u64 = 3_600_000_000;
-/// Maximum number of items in one response.
+/// Maximum number of items in one response, unless a test sets another.
 const MAX_PAGE_ITEMS: usize = 500;
 /// Number of recent datagrams that are kept.
 const MAX_RECENT_DATAGRAMS: usize = 200;
@@ -74,6 +74,10 @@
     pub history: BTreeMap<u64, Vec<ItemChange>>,
     /// Number of revisions by which possibly stale reads are behind.
     pub stale_revisions: u64,
+    /// Number of revisions by which later pages of possibly stale reads are older than the first.
+    pub aged_revisions: u64,
+    /// Maximum number of items in one response; 0 for the usual one.
+    pub max_page_items: usize,
     /// Calls by query and reason; each page of a full read counts as one.
     pub page_counts: BTreeMap<(&'static str, &'static str), u64>,
     /// Number of revisions by which the first half of the next full read is older than the rest.
@@ -122,6 +126,8 @@
     pub store: VirtualStore,
     pub store_state: HashMap<usize, StoreState>,
     watches: Vec<(usize, u64, StoreQuery)>,
+    /// The last key of the first page that each instance read last.
+    first_page_ends: HashMap<usize, String>,
     pub cut_links: HashSet<(usize, usize)>,
     pub loss_rate: f64,
     rng: StdRng,
@@ -274,7 +280,9 @@
     /// Counts the calls of a response with this many items, and returns their number.
     fn count_pages(&mut self, call: StoreCall, items: usize) -> u64 {
         let pages = match call.query {
-            StoreQuery::All(_) => items.div_ceil(MAX_PAGE_ITEMS).max(1) as u64,
+            StoreQuery::All(_) | StoreQuery::Remainder => {
+                items.div_ceil(self.max_page_items()).max(1) as u64
+            }
             StoreQuery::FirstPage | StoreQuery::Watch { .. } => 1,
         };
         *self.page_counts.entry((call.query.as_str(), call.reason.as_str())).or_default() += pages;
@@ -303,16 +311,50 @@
         let middle = self.items.keys().nth(self.items.len() / 2).cloned().unwrap_or_default();
         let former = stale.iter().filter(|item| key_of(item) < middle).cloned();
         let later = self.items.range(middle.clone()..).map(|(_, item)| item.clone());
-        let items = former.chain(later).collect();
-        ListReading::complete(items, number_of(*head)).with_epoch(self.epoch)
+        let former = ListReading::complete(former.collect(), number_of(*head));
+        let later = ListReading::complete(later.collect(), self.head);
+        former.joined_with(later).with_epoch(self.epoch)
+    }
+
+    fn max_page_items(&self) -> usize {
+        if self.max_page_items > 0 { self.max_page_items } else { MAX_PAGE_ITEMS }
+    }
+
+    /// Returns the first page of a possibly stale read, and the key of its last item.
+    fn read_first_page(&self) -> (ListReading, String) {
+        let mut reading = self.read_stale(self.stale_revisions);
+        reading.is_partial = reading.items.len() > self.max_page_items();
+        reading.items.truncate(self.max_page_items());
+        let last_key = reading.items.last().map(key_of).unwrap_or_default();
+        (reading, last_key)
+    }
+
+    /// Returns the items after a key, from a possibly stale read of later pages.
+    fn read_later_pages(&self, after: &str) -> ListReading {
+        let mut reading = self.read_stale(self.stale_revisions + self.aged_revisions);
+        reading.items.retain(|item| key_of(item).as_str() > after);
+        reading
     }
 
-    /// Returns all items as they stood `stale_revisions` ago.
-    fn read_stale(&self) -> ListReading {
+    /// Returns all pages of a possibly stale read.
+    fn read_stale_pages(&self) -> Result<ListReading, SourceError> {
+        let (first, last_key) = self.read_first_page();
+        if !first.is_partial {
+            return Ok(first);
+        }
+        let later = self.read_later_pages(&last_key);
+        if later.epoch() != first.epoch() {
+            return Err(SourceError::HistoryGone);
+        }
+        Ok(first.joined_with(later))
+    }
+
+    /// Returns all items as they stood some revisions ago.
+    fn read_stale(&self, revisions: u64) -> ListReading {
         if self.is_history_disabled {
             return self.read();
         }
-        let until = ..=revision_of(self.epoch, self.head.saturating_sub(self.stale_revisions));
+        let until = ..=revision_of(self.epoch, self.head.saturating_sub(revisions));
         let Some((head, items)) = self.history.range(until).next_back() else { return self.read() };
         ListReading::complete(items.clone(), number_of(*head)).with_epoch(epoch_of(*head))
     }
@@ -354,6 +396,7 @@
             store: VirtualStore::default(),
             store_state: HashMap::new(),
             watches: Vec::new(),
+            first_page_ends: HashMap::new(),
             cut_links: HashSet::new(),
             loss_rate: 0.0,
             rng: StdRng::seed_from_u64(seed),
@@ -705,9 +748,9 @@
     fn call_store(&mut self, index: usize, start_number: u64, call: StoreCall) {
         let query = call.query;
         match query {
-            StoreQuery::FirstPage | StoreQuery::All(ReadMode::Serializable) => {
-                self.store.stale_read_calls += 1
-            }
+            StoreQuery::FirstPage
+            | StoreQuery::Remainder
+            | StoreQuery::All(ReadMode::Serializable) => self.store.stale_read_calls += 1,
             _ => self.store.calls += 1,
         }
         let state = self.store_state.get(&index).copied().unwrap_or(StoreState::Serving);
@@ -721,13 +764,16 @@
             }
             (StoreState::Refusing, _) => Err(SourceError::UnexpectedStatus(503)),
             (StoreState::Serving, StoreQuery::FirstPage) => {
-                let mut reading = self.store.read_stale();
-                reading.is_partial = reading.items.len() > MAX_PAGE_ITEMS;
-                reading.items.truncate(MAX_PAGE_ITEMS);
+                let (reading, last_key) = self.store.read_first_page();
+                self.first_page_ends.insert(index, last_key);
                 Ok(reading)
             }
+            (StoreState::Serving, StoreQuery::Remainder) => {
+                let last_key = self.first_page_ends.get(&index).cloned().unwrap_or_default();
+                Ok(self.store.read_later_pages(&last_key))
+            }
             (StoreState::Serving, StoreQuery::All(ReadMode::Serializable)) => {
-                Ok(self.store.read_stale())
+                self.store.read_stale_pages()
             }
             (StoreState::Serving, StoreQuery::All(ReadMode::Linearizable)) => {
                 Ok(self.store.read_pages())
--- a/crates/foxledge-gossip/tests/simultaneous_start.rs
+++ b/crates/foxledge-gossip/tests/simultaneous_start.rs
@@ -139,11 +139,8 @@
     assert!(calls <= 60, "{calls} instances read the rest");
 }
 
-// An instance serves by a partial list, and a backend server in it leaves before the whole list is
-// known. The whole list never contained that backend server, so nothing says that it was removed;
-// it must not get new flows for ever.
-#[test]
-fn full_list_removes_missing_backends_of_partial_list() {
+/// Returns a fleet of which one instance serves by a partial list.
+fn fleet_with_partial_list() -> VirtualFleet {
     // The seed is down, so that the rest isn't read at once.
     let mut fleet = unstarted_fleet(&[2], 600, 3);
     fleet.start(1);
@@ -151,7 +148,19 @@
         fleet.run_until(200, |fleet| fleet.members().all(|member| member.can_serve())).is_some()
     );
     assert!(!fleet.all_have_list(1));
+    fleet
+}
+
+// An instance serves by a partial list, and a backend server in it leaves before the whole list is
+// known. The whole list never contained that backend server, so nothing says that it was removed;
+// it must not get new flows for ever.
+#[test]
+fn full_list_removes_missing_backends_of_partial_list() {
+    let mut fleet = fleet_with_partial_list();
     fleet.store.remove(5);
+    // The seed reads the whole list and sends it.
+    fleet.store_state.insert(1, StoreState::Unresponsive);
+    fleet.start(0);
     let head = fleet.store.head;
     assert!(fleet.run_until(3_000, |fleet| fleet.all_have_list(head)).is_some());
     let is_removed = |row: &ListRow| match &row.value {
@@ -164,6 +173,20 @@
     assert!(fleet.instances[1].applied_rows.iter().any(is_removed));
 }
 
+// The same if the rest is read from the store: the first page still contains the backend server.
+#[test]
+fn watch_removes_missing_backends_of_partial_list() {
+    let mut fleet = fleet_with_partial_list();
+    fleet.store.remove(5);
+    let head = fleet.store.head;
+    assert!(fleet.run_until(3_000, |fleet| fleet.all_have_list(head)).is_some());
+    let is_removal = |row: &&ListRow| {
+        row.key == "backend/i-5" && matches!(row.value, Some(RowValue::Removed(_)))
+    };
+    assert!(fleet.instances[1].applied_rows.iter().any(|row| is_removal(&row)));
+    assert!(fleet.members().all(|member| member.list().rows().any(|row| is_removal(&row))));
+}
+
 // An instance reads a partial list, and a peer with an older list sends it a snapshot. The older
 // list must not replace the partial one.
 #[test]
--- a/crates/foxledge-soak/tests/store_client.rs
+++ b/crates/foxledge-soak/tests/store_client.rs
@@ -88,6 +88,19 @@
     });
 }
 
+#[test]
+fn remainder_follows_first_page() {
+    run(async {
+        let (_store, address) = store_with_entries(40).await;
+        let mut client = StoreClient::new(address);
+        let first = client.read_first_page().await.expect("is read");
+        let remainder = client.read_remainder().await.expect("is read");
+        assert_eq!((remainder.items.len(), remainder.is_partial), (29, false));
+        let whole = client.read_all(ReadMode::Serializable).await.expect("is read");
+        assert_eq!(first.joined_with(remainder), whole);
+    });
+}
+
 #[test]
 fn watch_returns_changes() {
     run(async {
