Take a reading of the store as complete up to its oldest page

Hypotheses: the missing changes were never read (the watch continues after a revision that not all pages have), or they were read and lost in the list. pages_differ decides: oldest_revision=617 newest_revision=619, and all three instances watched from 619. Cause: the revision of the first page stood for the whole reading, which holds for pages of rising age alone. Replicas that serve serializable reads may differ in age either way. Change: a reading is complete up to its oldest page and carries the newest one.

--- a/crates/foxledge-flows/src/list.rs
+++ b/crates/foxledge-flows/src/list.rs
@@ -11,8 +11,8 @@
 
 use crate::{
     list_rows::{
-        evacuation_row, invalid_entry_row, is_config_row, is_item_row, is_removed, item_row_key,
-        keep_known_backend, newest_by_key, removal_row, removed_backend_number, with_positions,
+        evacuation_row, is_config_row, is_item_row, is_removed, item_row_key, keep_known_backend,
+        newest_by_key, removal_row, removed_backend_number, tombstone_row, with_positions,
     },
     revisions::epoch_of,
     rows::{
@@ -75,13 +75,26 @@
     pub next: Option<ListCursor>,
 }
 
+/// The revisions between which a list is known.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ListBounds {
+    /// The revision up to which the list is complete.
+    pub head: u64,
+    /// The lowest revision such that all changes after it, and after every later one, are
+    /// available.
+    pub floor: u64,
+    /// The revision of the newest page that the list was read from. While it is above the head, the
+    /// list may contain newer rows, and lack rows that were removed after the head.
+    pub newest_page: u64,
+}
+
 /// A span of revisions in which rows may have been added and removed unnoticed, as the whole list
 /// was read at its end.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 struct ListGap {
     /// The revision up to which the list was complete before.
     after: u64,
-    /// The revision of the whole reading.
+    /// The revision of the newest page of the whole reading.
     until: u64,
 }
 
@@ -104,6 +117,7 @@
     removal_times: HashMap<Arc<str>, ClockTime>,
     head: u64,
     floor: u64,
+    newest_page: u64,
     /// The gaps, oldest first; none reaches below the floor.
     gaps: Vec<ListGap>,
 }
@@ -122,7 +136,12 @@
     /// Returns the lowest revision such that all changes after it, and after every later one, are
     /// available.
     pub fn floor(&self) -> u64 {
-        self.gaps.last().map_or(self.floor, |gap| gap.until.max(self.floor))
+        self.gaps.iter().map(|gap| gap.until).fold(self.floor, u64::max)
+    }
+
+    /// Returns the revisions between which the list is known.
+    pub fn bounds(&self) -> ListBounds {
+        ListBounds { head: self.head, floor: self.floor(), newest_page: self.newest_page }
     }
 
     /// Returns whether the changes since `revision` are available to an instance that knows the
@@ -137,11 +156,13 @@
         }
     }
 
-    /// Returns true if rows newer than the head are known.
+    /// Returns true if the list may contain rows newer than the head, or lack rows that were removed
+    /// after it.
     ///
-    /// The pages of a whole reading aren't a snapshot: later pages may contain newer rows.
+    /// The pages of a whole reading aren't a snapshot: some may be newer than others.
     pub fn has_rows_past_head(&self) -> bool {
-        self.by_revision.last().is_some_and(|(revision, _)| *revision > self.head)
+        self.newest_page > self.head
+            || self.by_revision.last().is_some_and(|(revision, _)| *revision > self.head)
     }
 
     /// Returns the operators' version of the routes; 0 while none is known.
@@ -172,47 +193,59 @@
     /// Applies the changes up to `head`. Returns the rows that were new to this list.
     pub fn apply_changes(&mut self, now: ClockTime, rows: Vec<ListRow>, head: u64) -> Vec<ListRow> {
         let former_head = self.head;
-        let changed: Vec<_> = rows.into_iter().filter(|row| row.revision > former_head).collect();
+        let changed: Vec<_> = rows
+            .into_iter()
+            .filter(|row| row.revision > former_head && !self.is_superseded(row))
+            .collect();
         let applied = changed.into_iter().filter_map(|row| self.insert_row(now, row)).collect();
         self.head = self.head.max(head);
         applied
     }
 
     /// Applies the changes up to `head` from an instance that read the whole list, across the
-    /// resulting gap. Returns the rows that were new to this list.
+    /// resulting gap. Returns the rows that were new to this list. `bounds` are those of the
+    /// sender's list.
     pub fn apply_changes_across_gap(
         &mut self,
         now: ClockTime,
         rows: Vec<ListRow>,
-        head: u64,
+        bounds: ListBounds,
     ) -> Vec<ListRow> {
-        let former_head = self.head;
-        let applied = self.apply_changes(now, rows, head);
-        self.record_gap(former_head);
+        let former = self.bounds();
+        let applied = self.apply_changes(now, rows, bounds.head);
+        self.newest_page = self.newest_page.max(bounds.newest_page);
+        self.record_gap(former, bounds.head.max(bounds.floor));
         applied
     }
 
     /// Applies a full transfer and removes rows that it lacks.
     ///
-    /// A snapshot that isn't newer than this list is ignored. `floor` is the floor of the sender's
+    /// A snapshot that isn't newer than this list is ignored. `bounds` are those of the sender's
     /// list.
     pub fn apply_snapshot(
         &mut self,
         now: ClockTime,
         rows: Vec<ListRow>,
-        head: u64,
-        floor: u64,
+        bounds: ListBounds,
     ) -> Vec<ListRow> {
+        let head = bounds.head;
         if head <= self.head {
             return Vec::new();
         }
-        let rows = newest_by_key(rows);
+        let mut rows = newest_by_key(rows);
+        let is_newer_config =
+            |row: &ListRow| row.key == LIMITS_KEY && row.revision >= self.config_revision();
+        let keeps_config = self.config_revision() > head && !rows.iter().any(is_newer_config);
+        if keeps_config {
+            rows.retain(|row| !is_config_key(&row.key));
+        }
         let listed: BTreeSet<&str> = rows.iter().map(|row| row.key.as_str()).collect();
         let removals: Vec<_> = self
             .rows
             .values()
             .filter(|row| !is_removed(row) && row.revision <= head)
             .filter(|row| !listed.contains(row.key.as_str()))
+            .filter(|row| !(keeps_config && is_config_key(&row.key)))
             .map(|row| removal_row(row, head))
             .collect();
         let rows: Vec<_> =
@@ -221,7 +254,8 @@
             rows.into_iter().filter_map(|row| self.insert_row(now, row)).collect();
         applied.extend(removals.into_iter().filter_map(|row| self.insert_row(now, row)));
         self.head = head;
-        self.raise_floor(floor);
+        self.newest_page = self.newest_page.max(bounds.newest_page);
+        self.raise_floor(bounds.floor);
         applied
     }
 
@@ -230,7 +264,7 @@
         if reading.head < self.head {
             return Vec::new();
         }
-        let head = reading.head;
+        let (head, newest_page) = (reading.head, reading.newest_head);
         let listed: BTreeSet<String> = reading.items.iter().filter_map(item_row_key).collect();
         // If the reading lacks the operators' list, the known one stays, unless a restored store
         // lost it.
@@ -247,11 +281,14 @@
             .collect();
         let mut applied = self.apply_items(now, reading.items);
         applied.extend(removals.into_iter().filter_map(|row| self.insert_row(now, row)));
-        let former_head = std::mem::replace(&mut self.head, head);
+        let former = self.bounds();
+        self.head = head;
+        self.newest_page = self.newest_page.max(newest_page);
         // Rows that were added and removed since this list was last complete aren't in the reading.
         // An instance that knows the list up to a revision in between may know such a row, and
-        // would keep it for ever if it got only the changes known here.
-        self.record_gap(former_head);
+        // would keep it for ever if it got only the changes known here. The same holds for routes
+        // that were removed after the head if the operators' list comes from a newer page.
+        self.record_gap(former, head.max(self.config_revision()));
         applied
     }
 
@@ -346,13 +383,16 @@
         }
     }
 
-    /// Records a gap: the list was complete up to `former_head` and is again up to its head.
-    fn record_gap(&mut self, former_head: u64) {
-        if former_head == 0 || epoch_of(former_head) < epoch_of(self.head) {
-            return self.raise_floor(self.head);
+    /// Records a gap: the list was known between the bounds `former`, and all changes after `until`
+    /// will be known.
+    fn record_gap(&mut self, former: ListBounds, until: u64) {
+        // A list that lacked rows at its former head doesn't know that they are gone.
+        let was_complete = former.head > 0 && former.newest_page <= former.head;
+        if !was_complete || epoch_of(former.head) < epoch_of(self.head) {
+            return self.raise_floor(until);
         }
-        if former_head < self.head {
-            self.gaps.push(ListGap { after: former_head, until: self.head });
+        if former.head < until {
+            self.gaps.push(ListGap { after: former.head, until });
         }
         if self.gaps.len() > MAX_GAPS {
             let oldest = self.gaps.remove(0);
@@ -360,6 +400,17 @@
         }
     }
 
+    /// Returns the revision of the operators' list.
+    fn config_revision(&self) -> u64 {
+        self.rows.get(LIMITS_KEY).map_or(0, |row| row.revision)
+    }
+
+    /// Returns true for a row of a version of the operators' list that a known one has replaced: a
+    /// page past the head may have contained a newer version.
+    fn is_superseded(&self, row: &ListRow) -> bool {
+        is_config_key(&row.key) && row.revision < self.config_revision()
+    }
+
     fn raise_floor(&mut self, floor: u64) {
         self.floor = self.floor.max(floor);
         let floor = self.floor;
@@ -404,25 +455,29 @@
                 value: Some(RowValue::Backend(backend)),
             }],
             ItemChange::BackendRemoved { revision, id } => {
-                self.removal_rows(&backend_key(&id), revision)
+                vec![self.removal_row(backend_key(&id), revision)]
             }
             ItemChange::EvacuationBegun { revision, data_centre } => {
                 vec![evacuation_row(revision, data_centre)]
             }
             ItemChange::EvacuationEnded { revision, data_centre } => {
-                self.removal_rows(&evacuation_key(&data_centre), revision)
+                vec![self.removal_row(evacuation_key(&data_centre), revision)]
             }
             ItemChange::BackendInvalid { revision, id, .. } => {
-                vec![invalid_entry_row(backend_key(&id), revision)]
+                vec![tombstone_row(backend_key(&id), revision)]
             }
             ItemChange::Malformed { .. } => Vec::new(),
         }
     }
 
-    /// Returns the removal of a row if the row is known.
-    fn removal_rows(&self, key: &str, revision: u64) -> Vec<ListRow> {
-        let known = self.rows.get(key);
-        known.map(|row| removal_row(row, revision)).into_iter().collect()
+    /// Returns the removal of a row, also of an unknown one: the newest page of a reading lacks rows
+    /// that were removed after the head, and an instance that knows such a row receives its changes
+    /// from this one.
+    fn removal_row(&self, key: String, revision: u64) -> ListRow {
+        match self.rows.get(key.as_str()) {
+            Some(row) => removal_row(row, revision),
+            None => tombstone_row(key, revision),
+        }
     }
 
     /// Returns the rows that differ from the operators' list in force.
@@ -430,6 +485,9 @@
     /// An unchanged row keeps its revision, so that instances pass on one row for one changed
     /// route. At 350 routes that is about 60 bytes instead of 20 KB.
     fn config_rows(&self, revision: u64, config: ConfigReading) -> Vec<ListRow> {
+        if revision < self.config_revision() {
+            return Vec::new();
+        }
         let mut listed = BTreeSet::new();
         let mut rows = Vec::new();
         let limits = (LIMITS_KEY.to_owned(), RowValue::Limits(config.limits));
--- a/crates/foxledge-flows/src/list_rows.rs
+++ b/crates/foxledge-flows/src/list_rows.rs
@@ -97,10 +97,10 @@
     matches!(row.value, Some(RowValue::Removed(_)) | None)
 }
 
-/// Creates the row of a backend server's entry that can't be decoded, without a backend server. It
-/// is added even if no valid entry was known, as an instance that receives its list from this one
-/// may know one.
-pub(crate) fn invalid_entry_row(key: String, revision: u64) -> ListRow {
+/// Creates the row of a removed item of which nothing is known, or of an entry that can't be
+/// decoded. It is added even if no valid entry was known, as an instance that receives its list
+/// from this one may know one.
+pub(crate) fn tombstone_row(key: String, revision: u64) -> ListRow {
     let removed = RemovedRow { backend: None, age_ms: 0 };
     ListRow { key, revision, value: Some(RowValue::Removed(removed)) }
 }
--- a/crates/foxledge-flows/src/source.rs
+++ b/crates/foxledge-flows/src/source.rs
@@ -129,12 +129,10 @@
 pub struct ListReading {
     /// The items.
     pub items: Vec<ItemChange>,
-    /// The store's revision.
+    /// The store's revision at the oldest page. Pages aren't one snapshot: they are read one after
+    /// the other, and possibly from replicas of the store that differ in age.
     pub head: u64,
-    /// The revision of the oldest page. Pages of one reading may come from replicas of the store
-    /// that differ in age.
-    pub oldest_head: u64,
-    /// The revision of the newest page.
+    /// The store's revision at the newest page.
     pub newest_head: u64,
     /// True if the store holds more items than these.
     pub is_partial: bool,
@@ -143,13 +141,13 @@
 impl ListReading {
     /// Creates a reading that isn't missing any items.
     pub fn complete(items: Vec<ItemChange>, head: u64) -> ListReading {
-        ListReading { items, head, oldest_head: head, newest_head: head, is_partial: false }
+        ListReading { items, head, newest_head: head, is_partial: false }
     }
 
     /// Returns a reading of the items of two parts.
     pub fn joined_with(mut self, later: ListReading) -> ListReading {
         self.items.extend(later.items);
-        self.oldest_head = self.oldest_head.min(later.oldest_head);
+        self.head = self.head.min(later.head);
         self.newest_head = self.newest_head.max(later.newest_head);
         self.is_partial = later.is_partial;
         self
@@ -157,9 +155,8 @@
 
     /// Returns the reading with the store's own numbers turned into revisions of an epoch.
     pub fn with_epoch(mut self, epoch: u64) -> ListReading {
-        for head in [&mut self.head, &mut self.oldest_head, &mut self.newest_head] {
-            *head = revision_of(epoch, *head);
-        }
+        self.head = revision_of(epoch, self.head);
+        self.newest_head = revision_of(epoch, self.newest_head);
         for item in &mut self.items {
             item.set_epoch(epoch);
         }
--- a/crates/foxledge-flows/tests/common/mod.rs
+++ b/crates/foxledge-flows/tests/common/mod.rs
@@ -8,6 +8,7 @@
 use foxledge_core::{names::CentreName, time::ClockTime};
 use foxledge_flows::{
     FlowDecision, FlowKey, FlowPacket, FlowRouter, PacketKind, RouterOptions,
+    list::ListBounds,
     rows::{
         BackendRow, EvacuationRow, ExtensionValue, LIMITS_KEY, LimitsRow, ListRow, RemovedRow,
         RouteRow, RowValue, ServiceRow, ServiceShare, backend_key, evacuation_key, route_key,
@@ -45,6 +46,11 @@
     ListRow { key: LIMITS_KEY.to_owned(), revision, value: Some(RowValue::Limits(limits)) }
 }
 
+/// Returns the bounds of a list that is complete up to `head`.
+pub fn bounds_at(head: u64) -> ListBounds {
+    ListBounds { head, ..ListBounds::default() }
+}
+
 pub fn backend_spec(number: u64, service: &str, centre: &str) -> BackendRow {
     BackendRow {
         number,
--- a/crates/foxledge-flows/tests/invalid_entries.rs
+++ b/crates/foxledge-flows/tests/invalid_entries.rs
@@ -91,7 +91,7 @@
     let items = vec![config, invalid_item(21, 1), valid_item(11, 2)];
     reading.apply_reading(clock_at(100), ListReading::complete(items.clone(), 21));
     let mut copied = FleetList::new();
-    copied.apply_snapshot(clock_at(100), all_rows(&watching), 21, 0);
+    copied.apply_snapshot(clock_at(100), all_rows(&watching), bounds_at(21));
     for list in [&watching, &reading, &copied] {
         let rows = all_rows(list);
         let row =
--- a/crates/foxledge-flows/tests/list_order.rs
+++ b/crates/foxledge-flows/tests/list_order.rs
@@ -5,7 +5,7 @@
 use common::*;
 use foxledge_flows::{
     FleetList, ItemChange, ListReading,
-    list::{ChangeCoverage, ListCursor},
+    list::{ChangeCoverage, ListBounds, ListCursor},
     rows::{LimitsRow, RouteRow, RowValue},
     source::ConfigReading,
 };
@@ -66,7 +66,8 @@
     apply_items(&mut list, vec![config_item(2, 9, &["b"]), backend_item(1, 8)], 9);
     assert_eq!(apply_items(&mut list, vec![config_item(1, 5, &["a"]), backend_item(1, 4)], 5), 0);
     assert!(
-        list.apply_snapshot(clock_at(1), vec![route_row("a", 443, "desk", 5)], 6, 0).is_empty()
+        list.apply_snapshot(clock_at(1), vec![route_row("a", 443, "desk", 5)], bounds_at(6))
+            .is_empty()
     );
     assert!(list.apply_changes(clock_at(1), vec![route_row("a", 443, "desk", 7)], 7).is_empty());
     assert_eq!(listed_keys(&list), ["backend/i-1", "limits", "route/b"]);
@@ -100,12 +101,7 @@
     assert_eq!(list.floor(), 50);
     // A snapshot of a peer's list has the peer's floor.
     let mut received = FleetList::new();
-    received.apply_snapshot(
-        clock_at(20),
-        list.rows().cloned().collect(),
-        list.head(),
-        list.floor(),
-    );
+    received.apply_snapshot(clock_at(20), list.rows().cloned().collect(), list.bounds());
     assert_eq!((received.head(), received.floor()), (56, 50));
 }
 
@@ -149,7 +145,7 @@
             None => break,
         }
     }
-    received.apply_snapshot(clock_at(0), rows, list.head(), list.floor());
+    received.apply_snapshot(clock_at(0), rows, list.bounds());
     assert_eq!(listed_keys(&received), listed_keys(&list));
     assert!(list.page(clock_at(0), &ListCursor::after_revision(9), 900).rows.is_empty());
     assert_eq!(list.page(clock_at(0), &ListCursor::after_revision(3), 100_000).rows.len(), 301);
@@ -257,7 +253,7 @@
     list.apply_watch(clock_at(10), ListReading::complete(items, 8));
     assert_eq!(listed_keys(&list), ["limits", "route/a"]);
     let rows = peer.rows().cloned().collect();
-    let applied = list.apply_snapshot(clock_at(20), rows, peer.head(), peer.floor());
+    let applied = list.apply_snapshot(clock_at(20), rows, peer.bounds());
     assert_eq!(listed_keys(&list), ["limits", "route/a", "route/b"]);
     // A peer that requests the changes since the removal gets the row.
     assert!(applied.iter().any(|row| row.key == "route/b" && row.revision > 8));
@@ -272,10 +268,10 @@
     list.apply_watch(clock_at(10), ListReading::complete(vec![config_item(3, 9, &["a"])], 9));
     let snapshot =
         vec![limits_row(1, 5), route_row("a", 443, "desk", 5), limits_row(3, 9), limits_row(4, 11)];
-    list.apply_snapshot(clock_at(20), snapshot, 12, 2);
+    list.apply_snapshot(clock_at(20), snapshot, bounds_at(12));
     assert_eq!((list.version(), list.head()), (4, 12));
     // A snapshot of the same revision changes nothing.
-    assert!(list.apply_snapshot(clock_at(30), vec![limits_row(1, 5)], 12, 2).is_empty());
+    assert!(list.apply_snapshot(clock_at(30), vec![limits_row(1, 5)], bounds_at(12)).is_empty());
     assert_eq!(list.version(), 4);
 }
 
@@ -289,7 +285,7 @@
         5,
     );
     let mut peer = FleetList::new();
-    peer.apply_snapshot(clock_at(0), list.rows().cloned().collect(), 5, list.floor());
+    peer.apply_snapshot(clock_at(0), list.rows().cloned().collect(), list.bounds());
     apply_items(
         &mut list,
         vec![config_item(3, 20, &["a", "c"]), backend_item(2, 4), backend_item(3, 22)],
@@ -298,7 +294,7 @@
     assert_eq!(list.coverage_since(5), ChangeCoverage::AcrossGap);
     let rows = list.page(clock_at(0), &ListCursor::after_revision(5), 100_000).rows;
     assert!(!rows.iter().any(|row| row.key == "backend/i-2"), "didn't change");
-    peer.apply_changes_across_gap(clock_at(10), rows, list.head());
+    peer.apply_changes_across_gap(clock_at(10), rows, list.bounds());
     assert_eq!(listed_keys(&peer), listed_keys(&list));
     assert_eq!((peer.head(), peer.version()), (30, 3));
     assert_eq!(peer.coverage_since(5), ChangeCoverage::AcrossGap);
@@ -320,7 +316,7 @@
         [Unavailable, AcrossGap, Unavailable, Unavailable, Unavailable, Complete, Complete]
     );
     assert_eq!(list.floor(), 30);
-    ahead.apply_snapshot(clock_at(10), list.rows().cloned().collect(), list.head(), list.floor());
+    ahead.apply_snapshot(clock_at(10), list.rows().cloned().collect(), list.bounds());
     assert_eq!(listed_keys(&ahead), listed_keys(&list));
 }
 
@@ -360,3 +356,127 @@
     list.apply_watch(clock_at(0), ListReading::complete(vec![backend_item(1, 9)], 10));
     assert!(!list.has_rows_past_head());
 }
+
+/// Returns a reading whose first page has the revision 9 and whose second page is three older.
+fn uneven_reading() -> ListReading {
+    let first = ListReading::complete(vec![config_item(3, 9, &["a"]), backend_item(1, 3)], 9);
+    first.joined_with(ListReading::complete(vec![backend_item(2, 4)], 6))
+}
+
+// Guards against changes that are never read: those that the newest page has and the oldest lacks.
+#[test]
+fn uneven_reading_is_complete_up_to_oldest_page() {
+    let mut list = FleetList::new();
+    list.apply_reading(clock_at(0), uneven_reading());
+    assert_eq!((list.head(), list.version()), (6, 3));
+    assert!(list.has_rows_past_head());
+    let items = vec![backend_item(3, 7), backend_item(2, 8), config_item(3, 9, &["a"])];
+    list.apply_watch(clock_at(10), ListReading::complete(items, 9));
+    assert_eq!(
+        listed_keys(&list),
+        ["backend/i-1", "backend/i-2", "backend/i-3", "limits", "route/a"]
+    );
+    assert!(!list.has_rows_past_head());
+}
+
+// Guards against a peer that keeps a route that was removed after the head: the newer page lacks the
+// route, and nothing says that it is gone.
+#[test]
+fn changes_before_newer_version_are_unavailable() {
+    use ChangeCoverage::{AcrossGap, Complete, Unavailable};
+    let mut list = FleetList::new();
+    list.apply_reading(clock_at(0), uneven_reading());
+    assert_eq!(list.bounds(), ListBounds { head: 6, floor: 9, newest_page: 9 });
+    list.apply_watch(clock_at(10), ListReading::complete(Vec::new(), 12));
+    let coverages = [6, 8, 9, 10].map(|revision| list.coverage_since(revision));
+    assert_eq!(coverages, [Unavailable, Unavailable, Complete, Complete]);
+    let mut list = FleetList::new();
+    apply_items(&mut list, vec![config_item(1, 1, &["a"]), backend_item(1, 3)], 5);
+    list.apply_reading(clock_at(0), uneven_reading());
+    list.apply_watch(clock_at(10), ListReading::complete(Vec::new(), 12));
+    let coverages = [5, 6, 8, 9].map(|revision| list.coverage_since(revision));
+    assert_eq!(coverages, [AcrossGap, Unavailable, Unavailable, Complete]);
+}
+
+// Guards against a peer that keeps an entry that was removed between the pages of a reading: the
+// list with the reading never knew it.
+#[test]
+fn removal_of_unknown_rows_is_passed_on() {
+    let config = config_item(1, 2, &["a"]);
+    let evacuation =
+        |revision| ItemChange::EvacuationBegun { revision, data_centre: "centre-1".to_owned() };
+    let mut peer = FleetList::new();
+    apply_items(
+        &mut peer,
+        vec![config.clone(), backend_item(1, 3), backend_item(2, 4), evacuation(5)],
+        6,
+    );
+    let mut list = FleetList::new();
+    let first = ListReading::complete(vec![config, backend_item(1, 3)], 6);
+    list.apply_reading(clock_at(0), first.joined_with(ListReading::complete(Vec::new(), 9)));
+    let removals = vec![
+        ItemChange::BackendRemoved { revision: 8, id: "i-2".to_owned() },
+        ItemChange::EvacuationEnded { revision: 9, data_centre: "centre-1".to_owned() },
+    ];
+    list.apply_watch(clock_at(10), ListReading::complete(removals, 9));
+    assert_eq!(list.coverage_since(6), ChangeCoverage::Complete);
+    let rows = list.page(clock_at(20), &ListCursor::after_revision(6), 100_000).rows;
+    peer.apply_changes(clock_at(20), rows, list.head());
+    assert_eq!(listed_keys(&peer), ["backend/i-1", "limits", "route/a"]);
+    assert_eq!(listed_keys(&list), listed_keys(&peer));
+}
+
+// Guards against the same at an instance that got the differences from the one with the reading.
+#[test]
+fn gap_of_uneven_reading_is_passed_on() {
+    let mut list = FleetList::new();
+    apply_items(&mut list, vec![config_item(1, 1, &["a"]), backend_item(1, 3)], 5);
+    let mut peer = list.clone();
+    list.apply_reading(clock_at(0), uneven_reading());
+    let rows = list.page(clock_at(0), &ListCursor::after_revision(5), 100_000).rows;
+    peer.apply_changes_across_gap(clock_at(10), rows, list.bounds());
+    assert_eq!(peer.bounds(), ListBounds { head: 6, floor: 9, newest_page: 9 });
+    assert_eq!(peer.coverage_since(7), ChangeCoverage::Unavailable);
+}
+
+// Guards against a peer that keeps an entry that the newest page of a former reading lacked already:
+// the next reading can't tell that it is gone.
+#[test]
+fn gap_after_uneven_reading_is_not_offered() {
+    let config = config_item(1, 2, &["a"]);
+    let first = ListReading::complete(vec![config.clone()], 9);
+    let mut list = FleetList::new();
+    list.apply_reading(clock_at(0), first.joined_with(ListReading::complete(Vec::new(), 6)));
+    let mut copied = FleetList::new();
+    copied.apply_snapshot(clock_at(5), list.rows().cloned().collect(), list.bounds());
+    for mut list in [list, copied] {
+        assert!(list.has_rows_past_head());
+        apply_items(&mut list, vec![config.clone()], 12);
+        assert_eq!(list.coverage_since(6), ChangeCoverage::Unavailable);
+        assert!(!list.has_rows_past_head());
+    }
+}
+
+// Guards against a return to an older version at an instance whose first page had a newer one.
+#[test]
+fn older_version_does_not_replace_newer_page() {
+    let mut list = FleetList::new();
+    list.apply_reading(clock_at(0), uneven_reading());
+    let is_config = |row: &foxledge_flows::rows::ListRow| !row.key.starts_with("backend/");
+    let mut peer = FleetList::new();
+    apply_items(&mut peer, vec![config_item(2, 7, &["a", "b"]), backend_item(1, 3)], 8);
+    let snapshot: Vec<_> = peer.rows().cloned().collect();
+    let changes = vec![limits_row(2, 7), route_row("b", 443, "desk", 7)];
+    let items = vec![config_item(2, 7, &["a", "b"])];
+    let mut lists = [list.clone(), list.clone(), list];
+    let applied = [
+        lists[0].apply_snapshot(clock_at(10), snapshot, bounds_at(8)),
+        lists[1].apply_changes(clock_at(10), changes, 8),
+        lists[2].apply_watch(clock_at(10), ListReading::complete(items, 8)),
+    ];
+    for (list, applied) in lists.iter().zip(applied) {
+        assert!(!applied.iter().any(is_config), "{applied:?}");
+        assert_eq!((list.head(), list.version()), (8, 3));
+        assert!(!list.contains("route/b"));
+    }
+}
--- a/crates/foxledge-flows/tests/unknown_row_kinds.rs
+++ b/crates/foxledge-flows/tests/unknown_row_kinds.rs
@@ -31,7 +31,7 @@
     let mut older = FleetList::new();
     older.apply_changes(clock_at(0), vec![limits_row(1, 1), unknown_row(2)], 2);
     let mut newer = FleetList::new();
-    newer.apply_snapshot(clock_at(0), rows_of(&older), older.head(), older.floor());
+    newer.apply_snapshot(clock_at(0), rows_of(&older), older.bounds());
     assert!(rows_of(&newer).contains(&unknown_row(2)));
     newer.apply_changes(clock_at(0), vec![unknown_row(5)], 5);
     assert!(rows_of(&newer).contains(&unknown_row(5)));
--- a/crates/foxledge-gossip/src/dissemination.rs
+++ b/crates/foxledge-gossip/src/dissemination.rs
@@ -329,6 +329,10 @@
             coverage,
         ) {
             ((_, Some(_)), _) => HeartbeatRows::default(),
+            // Only a page says that the gap ends after the head.
+            (_, ChangeCoverage::AcrossGap) if self.list.has_rows_past_head() => {
+                HeartbeatRows::default()
+            }
             ((rows, None), ChangeCoverage::AcrossGap) => {
                 HeartbeatRows { base: None, gap_base: Some(base), rows: Some(rows) }
             }
--- a/crates/foxledge-gossip/src/heartbeat_handling.rs
+++ b/crates/foxledge-gossip/src/heartbeat_handling.rs
@@ -4,6 +4,7 @@
 
 use foxledge_core::time::ClockTime;
 use foxledge_flows::{
+    list::ListBounds,
     revisions::{epoch_of, number_of},
     rows::ListRow,
 };
@@ -156,7 +157,10 @@
         let rows = heartbeat.rows.clone().map(PackedRows::unpack).unwrap_or_default();
         let rows = match has_all_changes {
             true => self.list.apply_changes(now, rows, heartbeat.head),
-            false => self.list.apply_changes_across_gap(now, rows, heartbeat.head),
+            false => {
+                let bounds = ListBounds { head: heartbeat.head, ..ListBounds::default() };
+                self.list.apply_changes_across_gap(now, rows, bounds)
+            }
         };
         self.publish_changed_rows(now, rows, known_head, from.to_string());
     }
--- a/crates/foxledge-gossip/src/list_pull.rs
+++ b/crates/foxledge-gossip/src/list_pull.rs
@@ -3,7 +3,10 @@
 use std::{collections::BTreeMap, net::SocketAddrV4};
 
 use foxledge_core::time::ClockTime;
-use foxledge_flows::{list::ListCursor, rows::ListRow};
+use foxledge_flows::{
+    list::{ListBounds, ListCursor},
+    rows::ListRow,
+};
 
 use crate::{
     messages::{PAGES_PER_REQUEST, PullPage, PullRequest},
@@ -77,10 +80,8 @@
         rows: Vec<ListRow>,
         /// Kind of the rows.
         kind: TransferKind,
-        /// Revision up to which the peer knows the list.
-        head: u64,
-        /// Revision after which the peer knows every change.
-        floor: u64,
+        /// Revisions between which the peer knows the list.
+        bounds: ListBounds,
     },
     /// The peer doesn't respond and is given up.
     Abandoned,
@@ -171,8 +172,9 @@
         let Some(last) = rows.last().filter(|_| page.has_more) else {
             self.rows.extend(rows);
             let rows = std::mem::take(&mut self.rows);
-            let PullPage { head, floor, .. } = page;
-            return PullStep::Complete { rows, kind: self.kind(), head, floor };
+            let PullPage { head, floor, newest_page, .. } = page;
+            let bounds = ListBounds { head, floor, newest_page };
+            return PullStep::Complete { rows, kind: self.kind(), bounds };
         };
         self.cursor = ListCursor { revision: last.revision, key: last.key.as_str().into() };
         self.rows.extend(rows);
--- a/crates/foxledge-gossip/src/list_transfer.rs
+++ b/crates/foxledge-gossip/src/list_transfer.rs
@@ -3,7 +3,7 @@
 use std::{net::SocketAddrV4, time::Duration};
 
 use foxledge_core::time::ClockTime;
-use foxledge_flows::list::{ChangeCoverage, ListCursor};
+use foxledge_flows::list::{ChangeCoverage, ListBounds, ListCursor};
 use prost::Message;
 use rand::Rng;
 
@@ -198,6 +198,7 @@
         mut cursor: ListCursor,
         coverage: ChangeCoverage,
     ) {
+        let ListBounds { head, floor, newest_page } = self.list.bounds();
         for index in 0..PAGES_PER_REQUEST {
             let (rows, next) = self.pack_page(now, &cursor, MAX_PAGE_ROW_BYTES);
             let message = PullPage {
@@ -207,8 +208,9 @@
                 rows: Some(rows),
                 is_snapshot: coverage == ChangeCoverage::Unavailable,
                 has_gap: coverage == ChangeCoverage::AcrossGap,
-                head: self.list.head(),
-                floor: self.list.floor(),
+                head,
+                floor,
+                newest_page,
                 confirmations: if index == 0 {
                     self.confirmation_messages(now, MAX_CONFIRMATIONS)
                 } else {
@@ -249,19 +251,19 @@
                 self.send_message(peer, MessageBody::PullRequest(request));
                 self.pull = Some(pull);
             }
-            PullStep::Complete { rows, kind, head, floor } => {
-                let former_head = self.list.head();
+            PullStep::Complete { rows, kind, bounds } => {
+                let (former_head, head) = (self.list.head(), bounds.head);
                 if former_head == 0 && head < self.partial_list.head() {
                     return;
                 }
                 self.retain_config_across_restore(head);
                 let changed_rows = match kind {
-                    TransferKind::Snapshot => self.list.apply_snapshot(now, rows, head, floor),
+                    TransferKind::Snapshot => self.list.apply_snapshot(now, rows, bounds),
                     TransferKind::Changes => self.list.apply_changes(now, rows, head),
                     TransferKind::ChangesAcrossGap { known_head }
                         if self.can_apply_gap_after(known_head) =>
                     {
-                        self.list.apply_changes_across_gap(now, rows, head)
+                        self.list.apply_changes_across_gap(now, rows, bounds)
                     }
                     // Updates applied in the meantime may lie within the gap.
                     TransferKind::ChangesAcrossGap { .. } => return self.begin_pull(now, peer),
--- a/crates/foxledge-gossip/src/messages.rs
+++ b/crates/foxledge-gossip/src/messages.rs
@@ -342,6 +342,9 @@
     /// The rows are differences across a gap in the history.
     #[prost(bool, tag = "12")]
     pub has_gap: bool,
+    /// Revision of the newest page of the store that the sender's list was read from.
+    #[prost(uint64, tag = "13")]
+    pub newest_page: u64,
 }
 
 /// `LoadMessage` holds the load of services: by instance of the same data centre, or by data
--- a/crates/foxledge-gossip/src/partial_list.rs
+++ b/crates/foxledge-gossip/src/partial_list.rs
@@ -26,11 +26,6 @@
         PartialList { rows, first_page: Some(first_page), head }
     }
 
-    /// Returns true while the other pages of the store can complete the first one.
-    pub(crate) fn has_first_page(&self) -> bool {
-        self.first_page.is_some()
-    }
-
     /// Returns the reading of the first page and the other ones. Returns `None`, and gives up the
     /// first page, if they are of different epochs.
     pub(crate) fn join_remainder(&mut self, remainder: ListReading) -> Option<ListReading> {
--- a/crates/foxledge-gossip/src/store_reading.rs
+++ b/crates/foxledge-gossip/src/store_reading.rs
@@ -94,12 +94,12 @@
         if self.election.is_call_pending() || !self.first_read_at.is_past(now) {
             return;
         }
-        let (query, reason) = if self.partial_list.has_first_page() {
-            (StoreQuery::Remainder, ReadReason::Remainder)
-        } else if self.partial_list.was_received() {
-            (StoreQuery::All(ReadMode::Serializable), ReadReason::Remainder)
-        } else {
-            (StoreQuery::FirstPage, ReadReason::Start)
+        let (query, reason) = match self.full_read_reason {
+            Some(reason) => (StoreQuery::All(ReadMode::Linearizable), reason),
+            None if self.partial_list.was_received() => {
+                (StoreQuery::Remainder, ReadReason::Remainder)
+            }
+            None => (StoreQuery::FirstPage, ReadReason::Start),
         };
         self.call_store(now, StoreCall { query, reason });
     }
@@ -197,7 +197,8 @@
         }
         let former_head = self.list.head();
         let head = reading.head;
-        if former_head == 0 && head < self.partial_list.head() {
+        let contains_first_page = query == StoreQuery::Remainder;
+        if former_head == 0 && head < self.partial_list.head() && !contains_first_page {
             // The list is older than the partial list that is used already.
             self.first_read_at = now.after_millis(FIRST_READ_RETRY_MS);
             return;
@@ -246,7 +247,7 @@
     fn handle_unusable_remainder(&mut self, now: ClockTime) {
         self.record_store_success(now);
         if self.list.head() == 0 {
-            self.first_read_at = now.after_millis(FIRST_READ_RETRY_MS);
+            self.full_read_reason = Some(ReadReason::HistoryGone);
         }
     }
 
@@ -264,10 +265,10 @@
                 known_revision: number_of(known_head),
             }));
         }
-        if reading.oldest_head < reading.newest_head {
+        if reading.head < reading.newest_head {
             self.effects.push(FleetEffect::LogEvent(FleetEvent::PagesDiffer {
                 order: query.as_str(),
-                oldest_revision: number_of(reading.oldest_head),
+                oldest_revision: number_of(reading.head),
                 newest_revision: number_of(reading.newest_head),
                 items: reading.items.len(),
                 known_revision: number_of(known_head),
--- a/crates/foxledge-gossip/tests/random_lists.rs
+++ b/crates/foxledge-gossip/tests/random_lists.rs
@@ -26,6 +26,8 @@
 /// Numbers of backend servers that stay. With them a snapshot takes more pages than respond to one
 /// request.
 const PERMANENT_BACKENDS: std::ops::Range<u64> = 100..250;
+/// Number of items of a page of the store: a whole reading takes four or five.
+const PAGE_ITEMS: usize = 40;
 /// Work for each message, in microseconds: a snapshot takes some 50 ms, and lists change meanwhile.
 const MESSAGE_COST_US: u64 = 2_000;
 /// Interval between checks of what the members know, in milliseconds.
@@ -45,6 +47,7 @@
     Restore { revisions: u64 },
     ServeStaleReadings { revisions: u64 },
     TearReading { revisions: u64 },
+    AgeLaterPages { revisions: u64 },
     Kill { member: usize },
     Start { member: usize },
     Pause { member: usize, duration_ms: u64 },
@@ -71,6 +74,7 @@
         2 => (0..12_u64).prop_map(|revisions| Step::Restore { revisions }),
         1 => (0..6_u64).prop_map(|revisions| Step::ServeStaleReadings { revisions }),
         2 => (1..8_u64).prop_map(|revisions| Step::TearReading { revisions }),
+        2 => (0..8_u64).prop_map(|revisions| Step::AgeLaterPages { revisions }),
         3 => member.clone().prop_map(|member| Step::Kill { member }),
         3 => member.clone().prop_map(|member| Step::Start { member }),
         2 => (member.clone(), 100..6_000_u64)
@@ -105,6 +109,7 @@
         }
         let mut fleet = settle(fleet);
         fleet.message_cost_us = MESSAGE_COST_US;
+        fleet.store.max_page_items = PAGE_ITEMS;
         FaultRun {
             fleet,
             version: 1,
@@ -143,7 +148,12 @@
                 self.fleet.answer_watches();
             }
             Step::ServeStaleReadings { revisions } => self.fleet.store.stale_revisions = revisions,
-            Step::TearReading { revisions } => self.fleet.store.torn_revisions = revisions,
+            Step::TearReading { revisions } => {
+                self.fleet.store.torn_revisions = revisions;
+            }
+            Step::AgeLaterPages { revisions } => {
+                self.fleet.store.aged_revisions = revisions;
+            }
             Step::Kill { member } => self.kill(member),
             Step::Start { member } => {
                 self.kill(member);
--- a/crates/foxledge-gossip/tests/reading_pages.rs
+++ b/crates/foxledge-gossip/tests/reading_pages.rs
@@ -2,7 +2,11 @@
 
 mod common;
 
+use std::collections::BTreeMap;
+
 use common::VirtualFleet;
+use foxledge_flows::rows::{ListRow, RowValue};
+use foxledge_gossip::FleetMember;
 
 /// Number of items of a page.
 const PAGE_ITEMS: usize = 10;
@@ -18,6 +22,15 @@
     fleet
 }
 
+/// Returns the backend servers that a member knows, by key, and whether they are draining.
+fn known_backends(member: &FleetMember) -> BTreeMap<String, bool> {
+    let backend = |row: &ListRow| match &row.value {
+        Some(RowValue::Backend(backend)) => Some((row.key.clone(), backend.draining)),
+        _ => None,
+    };
+    member.list().rows().filter_map(backend).collect()
+}
+
 // Guards against an instance that stays on the first page because a replica with the rest is older.
 #[test]
 fn older_remainder_completes_list() {
@@ -33,3 +46,42 @@
     let head = fleet.store.head;
     assert!(fleet.run_until(200, |fleet| fleet.all_have_list(head)).is_some());
 }
+
+// Guards against changes that are never read because a later page is older than the first: flows of
+// a new backend server are reset, and new flows go to one that is draining.
+#[test]
+fn changes_missing_in_older_pages_are_read() {
+    for counts in [&[1][..], &[1, 1, 1], &[3, 2]] {
+        let mut fleet = unstarted_fleet(counts);
+        fleet.store.register(0x40, false);
+        fleet.store.register(0x3f, true);
+        fleet.store.remove(0x3e);
+        fleet.store.aged_revisions = 3;
+        fleet.start_all();
+        fleet.run(5_000);
+        for member in fleet.members() {
+            let backends = known_backends(member);
+            assert_eq!(backends.get("backend/i-40"), Some(&false), "{counts:?}: a new server");
+            assert_eq!(backends.get("backend/i-3f"), Some(&true), "{counts:?}: a draining server");
+            assert_eq!(backends.get("backend/i-3e"), None, "{counts:?}: a removed server");
+        }
+    }
+}
+
+// Guards against a version that is replaced by an older one while the list catches up with the page
+// that had it.
+#[test]
+fn newer_first_page_keeps_its_configuration() {
+    let mut fleet = unstarted_fleet(&[1, 1, 1]);
+    fleet.store.publish(2, 5);
+    fleet.store.publish(3, 4);
+    fleet.store.aged_revisions = 2;
+    fleet.start_all();
+    fleet.run(5_000);
+    for instance in &fleet.instances {
+        let is_dropped_route = |row: &&ListRow| row.key == "route/route-4";
+        assert_eq!(instance.applied_rows.iter().find(is_dropped_route), None);
+        let member = instance.member.as_ref().expect("runs");
+        assert_eq!((member.list().version(), member.effective_route_count()), (3, 4));
+    }
+}
--- a/crates/foxledge-gossip/tests/store_epoch.rs
+++ b/crates/foxledge-gossip/tests/store_epoch.rs
@@ -92,8 +92,8 @@
     let options = MemberOptions::new(address, CentreName::new("toledo"));
     let mut member = FleetMember::new(options, ClockTime::ZERO);
     let query = StoreQuery::All(ReadMode::Serializable);
-    let reading =
-        ListReading { oldest_head: 7, newest_head: 9, ..ListReading::complete(Vec::new(), 7) };
+    let newer = ListReading::complete(Vec::new(), 9);
+    let reading = newer.joined_with(ListReading::complete(Vec::new(), 7));
     member.handle_store_response(ClockTime::from_micros(1_000_000), query, Ok(reading));
     let logged = drain_events(&mut member);
     let differ = FleetEvent::PagesDiffer {
