Confirm a reading of changing pages as of its call

An instance that reads several pages while the store changes took its list, complete up to the first page, for the newest at the time of the last page, some tenths of a second too late on a narrow link. Refusals and resets rest on that time. Cause: the time of the response was joined with the revision of the first page. Change: if a page is newer than the oldest one, the confirmation counts from the call, as it does after a pause. Pages of one revision confirm as before. Evidence: uneven_reading_is_confirmed_as_of_its_call fails without the change (confirmed at 3.8 s instead of 3.0 s). Tests of foxledge-gossip pass.

--- a/crates/foxledge-gossip/src/store_reading.rs
+++ b/crates/foxledge-gossip/src/store_reading.rs
@@ -197,6 +197,7 @@
         }
         let former_head = self.list.head();
         let head = reading.head;
+        let confirmed_at = self.state_time(now, &reading);
         let contains_first_page = query == StoreQuery::Remainder;
         if former_head == 0 && head < self.partial_list.head() && !contains_first_page {
             // The list is older than the partial list that is used already.
@@ -215,7 +216,7 @@
             StoreQuery::Watch { .. } => (self.list.apply_watch(now, reading), true),
         };
         if is_newest {
-            self.record_own_confirmation(now, head);
+            self.record_own_confirmation(confirmed_at, head);
         }
         if former_head > 0 && (1..=MAX_DELAYED_CHANGES).contains(&rows.len()) {
             self.election.delay_next_call(now);
@@ -286,17 +287,21 @@
         }
     }
 
-    /// Records that the store has just responded to this instance.
+    /// Returns the latest time at which the store's state was certainly that of its response.
     ///
     /// A response that arrives after the maximum wait and delay was held up by a pause of this
-    /// process of unknown length. Its confirmation then counts from the time of the call.
-    fn record_own_confirmation(&mut self, now: ClockTime, head: u64) {
+    /// process of unknown length, and the store has changed since the first page if a later one is
+    /// newer. Only the time of the call is certain then.
+    fn state_time(&self, now: ClockTime, reading: &ListReading) -> ClockTime {
+        let max_response_ms = self.options.watch_ms + MAX_RESPONSE_DELAY_MS;
+        let is_late = self.last_call_at.after_millis(max_response_ms).is_past(now);
+        let is_uneven = reading.head < reading.newest_head;
+        if is_late || is_uneven { self.last_call_at } else { now }
+    }
+
+    /// Records that the store's newest revision was `head` at a time.
+    fn record_own_confirmation(&mut self, confirmed_at: ClockTime, head: u64) {
         self.response_serial += 1;
-        let is_late = self
-            .last_call_at
-            .after_millis(self.options.watch_ms + MAX_RESPONSE_DELAY_MS)
-            .is_past(now);
-        let confirmed_at = if is_late { self.last_call_at } else { now };
         let reader = self.descriptor.clone();
         self.election.record_confirmation(StoreConfirmation {
             reader,
--- a/crates/foxledge-gossip/tests/reading_pages.rs
+++ b/crates/foxledge-gossip/tests/reading_pages.rs
@@ -5,8 +5,13 @@
 use std::collections::BTreeMap;
 
 use common::VirtualFleet;
-use foxledge_flows::rows::{ListRow, RowValue};
-use foxledge_gossip::FleetMember;
+use foxledge_core::{names::CentreName, time::ClockTime};
+use foxledge_flows::{
+    ListReading,
+    rows::{ListRow, RowValue},
+    source::ReadMode,
+};
+use foxledge_gossip::{FleetEffect, FleetMember, MemberOptions, StoreQuery};
 
 /// Number of items of a page.
 const PAGE_ITEMS: usize = 10;
@@ -85,3 +90,24 @@
         assert_eq!((member.list().version(), member.effective_route_count()), (3, 4));
     }
 }
+
+// Guards against a list that counts as the newest when the last page was read, although the store
+// has changed since the first.
+#[test]
+fn uneven_reading_is_confirmed_as_of_its_call() {
+    let at = |millis: u64| ClockTime::from_micros(3_600_000_000 + millis * 1_000);
+    let options = MemberOptions::new(
+        "10.1.0.1:7000".parse().expect("is an address"),
+        CentreName::new("toledo"),
+    );
+    let mut member = FleetMember::new(options, at(0));
+    let all = StoreQuery::All(ReadMode::Linearizable);
+    member.handle_store_response(at(0), all, Ok(ListReading::complete(Vec::new(), 9)));
+    member.handle_timers(at(3_000));
+    let is_call = |effect: &FleetEffect| matches!(effect, FleetEffect::CallStore(_));
+    assert!(member.drain_effects().iter().any(is_call));
+    let later = ListReading::complete(Vec::new(), 14);
+    let uneven = ListReading::complete(Vec::new(), 12).joined_with(later);
+    member.handle_store_response(at(3_800), all, Ok(uneven));
+    assert_eq!((member.list().head(), member.confirmed_at()), (12, Some(at(3_000))));
+}
