Log transfers of rows that were given up

Change: a line transfer_abandoned names the peer, the rows that had arrived and the later pages that wait for the next one; the metric transfers_abandoned_total counts them.

--- a/crates/foxledge-daemon/src/packets/fleet_part.rs
+++ b/crates/foxledge-daemon/src/packets/fleet_part.rs
@@ -256,6 +256,7 @@
             FleetEvent::StoreEpochChanged { epoch, .. } => metrics.store_epoch.set(*epoch as i64),
             FleetEvent::ResponseIgnored { .. } => metrics.outdated_readings.inc(),
             FleetEvent::PagesDiffer { .. } => metrics.uneven_readings.inc(),
+            FleetEvent::TransferAbandoned { .. } => metrics.abandoned_transfers.inc(),
             // No rows may have changed, in which case nothing else updates the metrics.
             FleetEvent::ConfigRetained { .. } | FleetEvent::ConfigReleased { .. } => {
                 self.set_list_metrics();
--- a/crates/foxledge-daemon/src/packets/metrics.rs
+++ b/crates/foxledge-daemon/src/packets/metrics.rs
@@ -72,6 +72,8 @@
     pub outdated_readings: IntCounter,
     /// Readings with pages of different revisions.
     pub uneven_readings: IntCounter,
+    /// Transfers of rows from peers that were given up.
+    pub abandoned_transfers: IntCounter,
     /// Messages between instances, by direction.
     pub messages: IntCounterVec,
     /// Bytes of messages between instances, by direction.
@@ -194,6 +196,11 @@
                 "uneven_readings_total",
                 "Readings of the store with pages of different revisions",
             ),
+            abandoned_transfers: counter(
+                r,
+                "transfers_abandoned_total",
+                "Transfers of rows from peers that were given up",
+            ),
             messages: counters(r, "messages_total", "Messages of instances", &["direction"]),
             message_bytes: counters(r, "message_bytes_total", "Bytes of them", &["direction"]),
             load_requests: gauges(r, "load_requests", "Requests under way", &LOAD_LABELS),
--- a/crates/foxledge-gossip/src/effects.rs
+++ b/crates/foxledge-gossip/src/effects.rs
@@ -154,6 +154,17 @@
         /// Number of rows in the first page.
         rows: usize,
     },
+    /// A transfer of rows from a peer was abandoned, as its next page didn't arrive.
+    TransferAbandoned {
+        /// Address of the peer.
+        peer: String,
+        /// Number of rows that had arrived.
+        rows: usize,
+        /// Number of later pages that had arrived.
+        later_pages: usize,
+        /// Revision up to which the list is known.
+        known_revision: u64,
+    },
     /// This instance starts to read the store.
     #[serde(rename = "reading_begun")]
     ReadingStarted {
@@ -327,6 +338,7 @@
         match self {
             FleetEvent::ListApplied { .. } => "list_taken",
             FleetEvent::PartialListApplied { .. } => "list_previewed",
+            FleetEvent::TransferAbandoned { .. } => "transfer_abandoned",
             FleetEvent::ReadingStarted { .. } => "reading_begun",
             FleetEvent::StoreCalled { .. } => "store_called",
             FleetEvent::ReadingEnded { .. } => "reading_ended",
--- a/crates/foxledge-gossip/src/list_pull.rs
+++ b/crates/foxledge-gossip/src/list_pull.rs
@@ -128,6 +128,16 @@
         }
     }
 
+    /// Returns the number of rows that have arrived.
+    pub fn row_count(&self) -> usize {
+        self.rows.len()
+    }
+
+    /// Returns the number of pages that have arrived before the next one.
+    pub fn early_page_count(&self) -> usize {
+        self.early_pages.len()
+    }
+
     /// Handles a page that responds to the outstanding request.
     ///
     /// Pages are sent together and may be reordered by the network: a page that comes too early is
--- a/crates/foxledge-gossip/src/list_transfer.rs
+++ b/crates/foxledge-gossip/src/list_transfer.rs
@@ -3,12 +3,16 @@
 use std::{net::SocketAddrV4, time::Duration};
 
 use foxledge_core::time::ClockTime;
-use foxledge_flows::list::{ChangeCoverage, ListBounds, ListCursor};
+use foxledge_flows::{
+    list::{ChangeCoverage, ListBounds, ListCursor},
+    revisions::number_of,
+};
 use prost::Message;
 use rand::Rng;
 
 use crate::{
     dissemination::MAX_CONFIRMATIONS,
+    effects::{FleetEffect, FleetEvent},
     list_pull::{ListPull, PullStep, TransferKind},
     member::FleetMember,
     messages::{MessageBody, PAGES_PER_REQUEST, PullPage, PullRequest},
@@ -119,10 +123,18 @@
             self.pull = Some(pull);
             return;
         }
+        let later_pages = pull.early_page_count();
         if let PullStep::SendRequest(request) = pull.retry(now) {
             self.send_message(pull.peer, MessageBody::PullRequest(request));
             self.pull = Some(pull);
+            return;
         }
+        self.effects.push(FleetEffect::LogEvent(FleetEvent::TransferAbandoned {
+            peer: pull.peer.to_string(),
+            rows: pull.row_count(),
+            later_pages,
+            known_revision: number_of(self.list.head()),
+        }));
     }
 
     /// Responds to a request for rows with pages, or with a page that says that this instance is
