Leave the names of excluded rows out of a page

Cause: rows are packed until one doesn't fit. That row was cut off again, but the names that it had added to the shared table stayed in the message: with a name of 4,000 bytes it exceeds a datagram. Change: the packer remembers the names up to each row and cuts the table off too. Pages of lists, of retained configurations and of removed backend servers come from it. Evidence: names_of_excluded_rows_are_left_out fails without the change.

--- a/crates/foxledge-gossip/src/packing.rs
+++ b/crates/foxledge-gossip/src/packing.rs
@@ -112,6 +112,8 @@
 pub struct RowPacker {
     name_indexes: HashMap<String, u32>,
     packed: PackedRows,
+    /// Number of names that the rows up to each one refer to.
+    name_counts: Vec<usize>,
 }
 
 impl RowPacker {
@@ -121,15 +123,18 @@
         let row = self.pack(row);
         let mut size = encoded_field_len(row.encoded_len());
         self.packed.rows.push(row);
+        self.name_counts.push(self.packed.names.len());
         for name in &self.packed.names[name_count..] {
             size += encoded_field_len(name.len());
         }
         size
     }
 
-    /// Returns the first `count` of the packed rows.
+    /// Returns the first `count` of the packed rows, with their names.
     pub fn finish(mut self, count: usize) -> PackedRows {
         self.packed.rows.truncate(count);
+        let last_index = count.min(self.name_counts.len()).checked_sub(1);
+        self.packed.names.truncate(last_index.map_or(0, |index| self.name_counts[index]));
         self.packed
     }
 
--- a/crates/foxledge-gossip/tests/packed_rows.rs
+++ b/crates/foxledge-gossip/tests/packed_rows.rs
@@ -116,3 +116,25 @@
     println!("{} bytes a row, {} packed", plain_bytes / 20, packed_bytes / 20);
     assert!(packed_bytes * 2 <= plain_bytes, "{packed_bytes} of {plain_bytes} bytes");
 }
+
+// Guards against a message that is too long because it contains the names of a row that it leaves
+// out.
+#[test]
+fn names_of_excluded_rows_are_left_out() {
+    let row = |number: u64, service: String| {
+        let backend = BackendRow { number, service, ..BackendRow::default() };
+        ListRow {
+            key: format!("backend/i-{number:x}"),
+            revision: number,
+            value: Some(RowValue::Backend(backend)),
+        }
+    };
+    let rows = [row(1, "desk".to_owned()), row(2, "x".repeat(4_000)), row(3, "desk".to_owned())];
+    let mut packer = RowPacker::default();
+    rows.iter().for_each(|row| {
+        packer.push(row);
+    });
+    let packed = packer.finish(1);
+    assert_eq!(packed, PackedRows::pack(&rows[..1]));
+    assert_eq!(packed.unpack(), rows[..1]);
+}
