Send messages that exceed a datagram in fragments

Hypotheses: the page with the long row is lost on its way; transfers are refused by busy peers; readers are elected too late. transfer_abandoned decides: rows=0 later_pages=1, and malformed_total{fault="message"} rises at each instance while no link is disturbed. Cause: a page has at least one row, however long. Sent as one datagram of 4 KB it was cut off by the receiver's buffer and dropped, and with it every change after it. Change: a message that exceeds a datagram is sent in fragments, whatever its kind: pages of the list, of a retained configuration and of removed backend servers, and requests, whose cursor contains a row's key. Receivers join them in a buffer with a deadline and a maximum size. Heartbeats don't carry such a row; those that lack it request it. A removed backend server with a long name no longer keeps all after it out of a response.

--- a/crates/foxledge-gossip/src/dissemination.rs
+++ b/crates/foxledge-gossip/src/dissemination.rs
@@ -13,6 +13,7 @@
 use crate::{
     effects::{FleetEffect, FleetEvent},
     election::StoreConfirmation,
+    fragments::split_message,
     member::{FleetMember, MAX_HEARTBEAT_INTERVAL_MS},
     messages::{
         ConfirmationMessage, FleetMessage, HeartbeatMessage, MAX_BODY_BYTES, MAX_MESSAGE_BYTES,
@@ -329,6 +330,11 @@
             coverage,
         ) {
             ((_, Some(_)), _) => HeartbeatRows::default(),
+            // A single row may exceed the size. Those that lack it request it, so that it isn't sent
+            // to others again and again.
+            ((rows, None), _) if rows.encoded_len() > MAX_HEARTBEAT_ROW_BYTES => {
+                HeartbeatRows::default()
+            }
             // Only a page says that the gap ends after the head.
             (_, ChangeCoverage::AcrossGap) if self.list.has_rows_past_head() => {
                 HeartbeatRows::default()
@@ -370,11 +376,19 @@
         confirmations.map(message).collect()
     }
 
-    /// Sends a message.
+    /// Sends a message, in fragments if it exceeds a datagram.
     pub(crate) fn send_message(&mut self, to: SocketAddrV4, body: MessageBody) {
-        let bytes = FleetMessage { body: Some(body) }.to_datagram();
-        debug_assert!(bytes.len() <= MAX_MESSAGE_BYTES, "{} bytes", bytes.len());
-        self.effects.push(FleetEffect::SendDatagram { to, bytes });
+        let message = FleetMessage { body: Some(body) };
+        let bytes = message.to_datagram();
+        if bytes.len() <= MAX_MESSAGE_BYTES {
+            return self.effects.push(FleetEffect::SendDatagram { to, bytes });
+        }
+        for fragment in split_message(&message, self.rng.random()) {
+            let fragment = FleetMessage { body: Some(MessageBody::Fragment(fragment)) };
+            let bytes = fragment.to_datagram();
+            debug_assert!(bytes.len() <= MAX_MESSAGE_BYTES, "{} bytes", bytes.len());
+            self.effects.push(FleetEffect::SendDatagram { to, bytes });
+        }
     }
 }
 
--- a/crates/foxledge-gossip/src/lib.rs
+++ b/crates/foxledge-gossip/src/lib.rs
@@ -17,6 +17,7 @@
 mod election;
 mod evidence;
 mod evidence_rounds;
+pub mod fragments;
 mod heartbeat_handling;
 mod list_pull;
 mod list_transfer;
@@ -38,6 +39,6 @@
 
 pub use effects::{FleetEffect, FleetEvent, ReadReason, StoreCall, StoreQuery};
 pub use member::FleetMember;
-pub use messages::{FleetMessage, MAX_MESSAGE_BYTES};
+pub use messages::{FleetMessage, MAX_MESSAGE_BYTES, MessageFragment};
 pub use options::MemberOptions;
 pub use refused_items::RefusedItem;
--- a/crates/foxledge-gossip/src/member.rs
+++ b/crates/foxledge-gossip/src/member.rs
@@ -12,6 +12,7 @@
     effects::{FleetEffect, ReadReason, StoreQuery},
     election::{ReaderElection, ReaderRank},
     evidence::EvidenceTable,
+    fragments::{FragmentBuffer, InvalidFragment},
     list_pull::ListPull,
     load_reporting::LoadReporter,
     messages::{FleetMessage, MessageBody, PeerDescriptor},
@@ -73,6 +74,8 @@
     pub(crate) next_pull: Option<(ClockTime, SocketAddrV4)>,
     /// Peers that are being sent rows, each with the time at which it no longer counts as such.
     pub(crate) served_peers: HashMap<SocketAddrV4, ClockTime>,
+    /// Messages of which some fragments have arrived.
+    pub(crate) fragments: FragmentBuffer,
     /// Health evidence of backend servers that is disseminated.
     pub(crate) evidence: EvidenceTable,
     /// Time of the next round of evidence; `None` while there is nothing to send.
@@ -161,6 +164,7 @@
             pull: None,
             next_pull: None,
             served_peers: HashMap::new(),
+            fragments: FragmentBuffer::default(),
             evidence: EvidenceTable::default(),
             next_evidence_round_at: None,
             load_reporter: options.reports_load.then(|| LoadReporter::new(now, &options)),
@@ -299,6 +303,25 @@
     /// Handles a datagram of another instance; returns false if it isn't a valid message.
     pub fn handle_datagram(&mut self, now: ClockTime, from: SocketAddrV4, bytes: &[u8]) -> bool {
         let Some(message) = FleetMessage::from_datagram(bytes) else { return false };
+        match message.body {
+            Some(MessageBody::Fragment(fragment)) => {
+                match self.fragments.insert(now, from, fragment) {
+                    Ok(Some(message)) => self.handle_message(now, from, message),
+                    Ok(None) => true,
+                    Err(InvalidFragment) => false,
+                }
+            }
+            _ => self.handle_message(now, from, message),
+        }
+    }
+
+    /// Handles a whole message of another instance; returns false if it has no valid body.
+    fn handle_message(
+        &mut self,
+        now: ClockTime,
+        from: SocketAddrV4,
+        message: FleetMessage,
+    ) -> bool {
         match message.body {
             Some(MessageBody::Heartbeat(heartbeat)) => self.handle_heartbeat(now, from, heartbeat),
             Some(MessageBody::PullRequest(request)) => {
@@ -318,7 +341,8 @@
             Some(MessageBody::RelayedPacket(packet)) => {
                 self.effects.push(FleetEffect::HandlePacket(packet.bytes));
             }
-            None => return false,
+            // Fragments aren't split again.
+            Some(MessageBody::Fragment(_)) | None => return false,
         }
         true
     }
--- a/crates/foxledge-gossip/src/messages.rs
+++ b/crates/foxledge-gossip/src/messages.rs
@@ -1,4 +1,4 @@
-//! Messages between instances, one to a datagram.
+//! Messages between instances, usually one to a datagram.
 
 use std::net::{Ipv4Addr, SocketAddrV4};
 
@@ -7,7 +7,7 @@
 
 use crate::packing::PackedRows;
 
-/// Maximum size of a message in bytes: it fits an unfragmented datagram on every usual link.
+/// Maximum size of a datagram in bytes, which isn't fragmented on any usual link.
 pub const MAX_MESSAGE_BYTES: usize = 1_400;
 
 /// Maximum size of a message body in bytes: without the digest, the tag of the body and its length.
@@ -22,11 +22,11 @@
 /// therefore exchange no messages with those, and get their list from each other and the store.
 const MESSAGE_FORMAT: u64 = 4;
 
-/// `FleetMessage` is one datagram between instances.
+/// `FleetMessage` is one message between instances.
 #[derive(Clone, PartialEq, Message)]
 pub struct FleetMessage {
     /// Body of the message.
-    #[prost(oneof = "MessageBody", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10")]
+    #[prost(oneof = "MessageBody", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11")]
     pub body: Option<MessageBody>,
 }
 
@@ -93,6 +93,26 @@
     /// Load of services.
     #[prost(message, tag = "10")]
     Load(LoadMessage),
+    /// Part of a message that exceeds one datagram.
+    #[prost(message, tag = "11")]
+    Fragment(MessageFragment),
+}
+
+/// `MessageFragment` is a part of an encoded message that exceeds one datagram.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct MessageFragment {
+    /// Chosen by the sender; the same in all fragments of a message.
+    #[prost(fixed32, tag = "1")]
+    pub message_id: u32,
+    /// Index of the fragment, from 0.
+    #[prost(uint32, tag = "2")]
+    pub index: u32,
+    /// Number of fragments of the message.
+    #[prost(uint32, tag = "3")]
+    pub count: u32,
+    /// The bytes of the message in this fragment.
+    #[prost(bytes = "vec", tag = "4")]
+    pub bytes: Vec<u8>,
 }
 
 /// `ConfigRequest` asks for rows of the operators' list that the receiver retains.
--- a/crates/foxledge-gossip/src/removed_backends.rs
+++ b/crates/foxledge-gossip/src/removed_backends.rs
@@ -56,7 +56,7 @@
             let (mut packer, mut size, mut count) = (RowPacker::default(), 0, 0);
             while let Some(row) = rows.peek() {
                 size += packer.push(row);
-                if size > MAX_RESPONSE_ROW_BYTES {
+                if size > MAX_RESPONSE_ROW_BYTES && count > 0 {
                     break;
                 }
                 count += 1;
--- a/crates/foxledge-gossip/tests/common/mod.rs
+++ b/crates/foxledge-gossip/tests/common/mod.rs
@@ -187,10 +187,19 @@
 
     /// Registers a backend server with its incarnation.
     pub fn register_incarnation(&mut self, number: u64, draining: bool, incarnation: u64) {
+        self.register_entry(number, "desk", draining, incarnation);
+    }
+
+    /// Registers a backend server of a service.
+    pub fn register_service(&mut self, number: u64, service: &str) {
+        self.register_entry(number, service, false, 0);
+    }
+
+    fn register_entry(&mut self, number: u64, service: &str, draining: bool, incarnation: u64) {
         self.head += 1;
         let backend = BackendRow {
             number,
-            service: "desk".to_owned(),
+            service: service.to_owned(),
             ip: number as u32,
             port: 80,
             data_centre: "a".to_owned(),
