Count only rows that are taken as progress of a transfer

Cause: an instance that lacks rows reads the store itself once peers have sent none for 0.5 s. Pages that came before the missing one counted as rows, again with each of three attempts and with each new transfer, so that its turn came by chance. Change: a transfer makes progress when its number of rows grows. Result: tests of newest_list pass.

--- a/crates/foxledge-gossip/src/lib.rs
+++ b/crates/foxledge-gossip/src/lib.rs
@@ -39,6 +39,6 @@
 
 pub use effects::{FleetEffect, FleetEvent, ReadReason, StoreCall, StoreQuery};
 pub use member::FleetMember;
-pub use messages::{FleetMessage, MAX_MESSAGE_BYTES, MessageFragment};
+pub use messages::{FleetMessage, MAX_MESSAGE_BYTES, MessageBody, MessageFragment};
 pub use options::MemberOptions;
 pub use refused_items::RefusedItem;
--- a/crates/foxledge-gossip/src/list_transfer.rs
+++ b/crates/foxledge-gossip/src/list_transfer.rs
@@ -258,7 +258,13 @@
             return;
         }
         self.merge_confirmations(now, &page.confirmations);
-        match pull.handle_page(now, page) {
+        let former_count = pull.row_count();
+        let step = pull.handle_page(now, page);
+        // Later pages may arrive again and again while the next one is lost.
+        if pull.row_count() > former_count {
+            self.record_transfer_progress(now);
+        }
+        match step {
             PullStep::SendRequest(request) => {
                 self.send_message(peer, MessageBody::PullRequest(request));
                 self.pull = Some(pull);
@@ -287,10 +293,7 @@
                     self.disseminate(now, self.list.head(), None);
                 }
             }
-            PullStep::Wait => {
-                self.record_transfer_progress(now);
-                self.pull = Some(pull);
-            }
+            PullStep::Wait => self.pull = Some(pull),
             PullStep::Abandoned => {}
         }
     }
--- a/crates/foxledge-gossip/tests/common/mod.rs
+++ b/crates/foxledge-gossip/tests/common/mod.rs
@@ -16,7 +16,10 @@
     rows::{BackendRow, LimitsRow, ListRow, RouteRow, ServiceRow},
     source::{ConfigReading, ReadMode},
 };
-use foxledge_gossip::{FleetEffect, FleetEvent, FleetMember, MemberOptions, StoreCall, StoreQuery};
+use foxledge_gossip::{
+    FleetEffect, FleetEvent, FleetMember, FleetMessage, MemberOptions, MessageBody, StoreCall,
+    StoreQuery,
+};
 use foxledge_load::{LoadView, LocalLoad};
 use rand::{Rng, SeedableRng, rngs::StdRng};
 
@@ -130,6 +133,8 @@
     first_page_ends: HashMap<usize, String>,
     pub cut_links: HashSet<(usize, usize)>,
     pub loss_rate: f64,
+    /// Whether the first page of each response to a request for rows is lost.
+    pub loses_first_pages: bool,
     rng: StdRng,
     seeds: Vec<SocketAddrV4>,
     pub max_datagram_bytes: usize,
@@ -408,6 +413,7 @@
             first_page_ends: HashMap::new(),
             cut_links: HashSet::new(),
             loss_rate: 0.0,
+            loses_first_pages: false,
             rng: StdRng::seed_from_u64(seed),
             seeds: Vec::new(),
             max_datagram_bytes: 0,
@@ -742,6 +748,9 @@
         if self.cut_links.contains(&(sender, index)) || self.rng.random_bool(self.loss_rate) {
             return;
         }
+        if self.loses_first_pages && is_first_page(&bytes) {
+            return;
+        }
         let is_same_centre =
             self.instances[sender].data_centre == self.instances[index].data_centre;
         if !is_same_centre {
@@ -827,6 +836,14 @@
     }
 }
 
+/// Returns true for the first page with rows in response to a request.
+fn is_first_page(datagram: &[u8]) -> bool {
+    match FleetMessage::from_datagram(datagram).and_then(|message| message.body) {
+        Some(MessageBody::PullPage(page)) => page.index == 0 && !page.is_busy,
+        _ => false,
+    }
+}
+
 /// Returns the kind of a message according to the tag after its digest.
 fn kind_of(datagram: &[u8]) -> &'static str {
     match datagram.get(8).map(|tag| tag >> 3) {
--- a/crates/foxledge-gossip/tests/newest_list.rs
+++ b/crates/foxledge-gossip/tests/newest_list.rs
@@ -254,3 +254,19 @@
         "{readers:?}"
     );
 }
+
+// Guards against instances that wait seconds for a peer whose first page never arrives: its later
+// pages must not count as progress.
+#[test]
+fn pages_out_of_order_do_not_delay_reading() {
+    for seed in 1..=10 {
+        let mut fleet = settled_fleet(&[2, 2, 2], seed);
+        fleet.loses_first_pages = true;
+        fleet.store.publish(2, 100);
+        fleet.answer_watches();
+        let head = fleet.store.head;
+        let elapsed_ms = fleet.run_until(CONVERGENCE_TIMEOUT_MS, |fleet| fleet.all_have_list(head));
+        println!("seed {seed}: {elapsed_ms:?} ms");
+        assert!(elapsed_ms.is_some(), "seed {seed}");
+    }
+}
