Shorten the faults of refused items

An item that can't be decoded is told with the decoder's error, which quotes the value, up to 1 MB of it; 50 such texts are kept. Change: the first 200 characters of a fault are kept and logged. Evidence: refused_items_are_shortened fails without the change.

--- a/crates/foxledge-gossip/src/refused_items.rs
+++ b/crates/foxledge-gossip/src/refused_items.rs
@@ -13,6 +13,9 @@
 /// these is visible from them as well.
 const MAX_REFUSED_ITEMS: usize = 50;
 
+/// Maximum number of characters of a fault that are kept: decoding errors may quote the whole item.
+const MAX_FAULT_CHARS: usize = 200;
+
 /// `RefusedItem` is an item of the store that couldn't be parsed.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize)]
 pub struct RefusedItem {
@@ -96,7 +99,7 @@
     let refused = |key: String, fault: &str| RefusedItem {
         key,
         revision: item.revision(),
-        fault: fault.to_owned(),
+        fault: fault.chars().take(MAX_FAULT_CHARS).collect(),
     };
     match item {
         ItemChange::Malformed { key, fault, .. } => vec![refused(key.clone(), fault)],
--- a/crates/foxledge-gossip/tests/store_epoch.rs
+++ b/crates/foxledge-gossip/tests/store_epoch.rs
@@ -4,9 +4,10 @@
 
 use common::settled_fleet;
 use foxledge_core::{names::CentreName, time::ClockTime};
-use foxledge_flows::{ListReading, SourceError, source::ReadMode};
+use foxledge_flows::{ItemChange, ListReading, SourceError, source::ReadMode};
 use foxledge_gossip::{
-    FleetEffect, FleetEvent, FleetMember, MemberOptions, ReadReason, StoreCall, StoreQuery,
+    FleetEffect, FleetEvent, FleetMember, MemberOptions, ReadReason, RefusedItem, StoreCall,
+    StoreQuery,
 };
 
 fn drain_events(member: &mut FleetMember) -> Vec<FleetEvent> {
@@ -105,3 +106,27 @@
     };
     assert!(logged.contains(&differ), "{logged:?}");
 }
+
+// Guards against log lines and a table of refused items that are as long as what another writer put
+// into the store: decoding errors quote it.
+#[test]
+fn refused_items_are_shortened() {
+    let address = "10.1.0.1:7000".parse().expect("is an address");
+    let options = MemberOptions::new(address, CentreName::new("toledo"));
+    let mut member = FleetMember::new(options, ClockTime::ZERO);
+    let fault = format!("unknown variant `{}`", "\u{e9}".repeat(500_000));
+    let item = ItemChange::BackendInvalid { revision: 9, id: "i-1".to_owned(), fault };
+    let all = StoreQuery::All(ReadMode::Linearizable);
+    let reading = ListReading::complete(vec![item], 9);
+    member.handle_store_response(ClockTime::from_micros(1_000_000), all, Ok(reading));
+    let refused = |event: &FleetEvent| match event {
+        FleetEvent::ItemRefused(item) => Some(item.fault.len()),
+        _ => None,
+    };
+    let logged: Vec<_> = drain_events(&mut member).iter().filter_map(refused).collect();
+    let kept: Vec<_> = member.refused_items().map(|item| item.fault.len()).collect();
+    assert_eq!((logged.len(), kept.len()), (1, 1));
+    assert!(logged.into_iter().chain(kept).all(|length| length <= 500));
+    let is_readable = |item: &RefusedItem| item.fault.starts_with("unknown variant `\u{e9}");
+    assert!(member.refused_items().all(is_readable));
+}
