Remove the whole reading that may be stale, which nothing uses

The first page is completed by its remainder, and by a linearizable reading where that isn't possible.

--- a/crates/foxledge-daemon/src/packets/side.rs
+++ b/crates/foxledge-daemon/src/packets/side.rs
@@ -149,7 +149,7 @@
         let response = match query {
             StoreQuery::FirstPage => source.read_first_page().await,
             StoreQuery::Remainder => source.read_remainder().await,
-            StoreQuery::All(mode) => source.read_all(mode).await,
+            StoreQuery::All => source.read_all().await,
             StoreQuery::Watch { after, wait_ms } => source.watch(after, wait_ms).await,
         };
         events.send(SideEvent::StoreResponse(query, response));
--- a/crates/foxledge-flows/src/source.rs
+++ b/crates/foxledge-flows/src/source.rs
@@ -170,15 +170,6 @@
     }
 }
 
-/// The consistency of a whole reading.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum ReadMode {
-    /// Includes every write that the store had acknowledged.
-    Linearizable,
-    /// Cheap for the store, and possibly seconds old.
-    Serializable,
-}
-
 /// The reason why the store gave no usable response.
 #[derive(Clone, Debug, PartialEq, Eq, Error)]
 pub enum SourceError {
@@ -234,8 +225,8 @@
     /// Reads the items that follow the first page that was read last, in the same mode.
     fn read_remainder(&mut self) -> SourceFuture<'_>;
 
-    /// Reads all items.
-    fn read_all(&mut self, mode: ReadMode) -> SourceFuture<'_>;
+    /// Reads all items, with every write that the store had acknowledged.
+    fn read_all(&mut self) -> SourceFuture<'_>;
 
     /// Waits up to `wait_ms` milliseconds for changes after a revision.
     fn watch(&mut self, after: u64, wait_ms: u64) -> SourceFuture<'_>;
--- a/crates/foxledge-gossip/src/effects.rs
+++ b/crates/foxledge-gossip/src/effects.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddrV4;
 
 use foxledge_core::time::ClockTime;
-use foxledge_flows::{HealthObservation, rows::ListRow, source::ReadMode};
+use foxledge_flows::{HealthObservation, rows::ListRow};
 use serde::Serialize;
 
 use crate::{
@@ -19,8 +19,8 @@
     FirstPage,
     /// Reads the pages after the first one; they may be stale.
     Remainder,
-    /// Reads everything.
-    All(ReadMode),
+    /// Reads everything, as it stands now.
+    All,
     /// Waits for changes.
     Watch {
         /// Revision after which changes are wanted.
@@ -36,8 +36,7 @@
         match self {
             StoreQuery::FirstPage => "first",
             StoreQuery::Remainder => "remainder",
-            StoreQuery::All(ReadMode::Linearizable) => "all",
-            StoreQuery::All(ReadMode::Serializable) => "all_maybe_old",
+            StoreQuery::All => "all",
             StoreQuery::Watch { .. } => "watch",
         }
     }
--- a/crates/foxledge-gossip/src/store_reading.rs
+++ b/crates/foxledge-gossip/src/store_reading.rs
@@ -4,7 +4,6 @@
 use foxledge_flows::{
     ListReading, SourceError,
     revisions::{epoch_of, number_of},
-    source::ReadMode,
 };
 
 use crate::{
@@ -95,7 +94,7 @@
             return;
         }
         let (query, reason) = match self.full_read_reason {
-            Some(reason) => (StoreQuery::All(ReadMode::Linearizable), reason),
+            Some(reason) => (StoreQuery::All, reason),
             None if self.partial_list.was_received() => {
                 (StoreQuery::Remainder, ReadReason::Remainder)
             }
@@ -151,7 +150,7 @@
         let fits_one_response = self.list.len() <= MAX_SINGLE_RESPONSE_ROWS;
         let outdated_reason = (is_outdated && fits_one_response).then_some(ReadReason::Outdated);
         if let Some(reason) = self.full_read_reason.or(outdated_reason) {
-            return StoreCall { query: StoreQuery::All(ReadMode::Linearizable), reason };
+            return StoreCall { query: StoreQuery::All, reason };
         }
         let is_confirmed = self
             .confirmed_at
@@ -184,7 +183,7 @@
         }
         self.record_store_success(now);
         let scope = match query {
-            StoreQuery::All(_) => ReadingScope::Complete,
+            StoreQuery::All => ReadingScope::Complete,
             StoreQuery::FirstPage | StoreQuery::Remainder | StoreQuery::Watch { .. } => {
                 ReadingScope::Changes
             }
@@ -209,9 +208,9 @@
             StoreQuery::FirstPage | StoreQuery::Remainder => {
                 (self.list.apply_reading(now, reading), false)
             }
-            StoreQuery::All(mode) => {
+            StoreQuery::All => {
                 self.full_read_reason = None;
-                (self.list.apply_reading(now, reading), mode == ReadMode::Linearizable)
+                (self.list.apply_reading(now, reading), true)
             }
             StoreQuery::Watch { .. } => (self.list.apply_watch(now, reading), true),
         };
