Let the soak's store have replicas that are behind, and long entries

Replicas are now behind by a number of changes, for the first page and for later ones; the range replicas has them and long entries among restarts of all instances and changes.

--- a/crates/foxledge-soak/src/faults.rs
+++ b/crates/foxledge-soak/src/faults.rs
@@ -13,7 +13,7 @@
     backends::BackendSpec,
     links::{LinkFault, PeerFault},
     plan::{BurstSource, CorruptEntry, RestartAddress, SoakFault},
-    store::StoreMode,
+    store::{ReplicaLag, StoreMode},
     world::{BID_PORT, FEED_PORT, SoakWorld, centre_of, evacuation_key},
 };
 
@@ -85,6 +85,14 @@
         SoakFault::EntryAdded { backend, value, for_ms } => {
             add_entry(&world, backend, value, for_ms).await;
         }
+        SoakFault::LongEntry { name_bytes, for_ms } => {
+            add_long_entry(&world, name_bytes, for_ms).await;
+        }
+        SoakFault::ReplicaLag { lag, for_ms } => {
+            world.store.set_replica_lag(lag);
+            sleep(Duration::from_millis(for_ms)).await;
+            world.store.set_replica_lag(ReplicaLag::default());
+        }
         SoakFault::Evacuate { centre, for_ms } => evacuate(&world, centre, for_ms).await,
         SoakFault::Publish { times } => {
             for _ in 0..times {
@@ -354,6 +362,15 @@
     world.store.remove(&key);
 }
 
+async fn add_long_entry(world: &Arc<SoakWorld>, name_bytes: usize, for_ms: u64) {
+    let Some(mut spec) = world.backend_spec(0) else { return };
+    (spec.number, spec.service) = (UNUSED_NUMBER - 1, "x".repeat(name_bytes));
+    spec.address = world.unused_address();
+    world.store.put(&spec.key(), &spec.entry("ready"));
+    sleep(Duration::from_millis(for_ms)).await;
+    world.store.remove(&spec.key());
+}
+
 /// Returns the value of a corrupt entry. No flow's packets may reach the address in it.
 fn corrupt_value(world: &SoakWorld, spec: &BackendSpec, value: CorruptEntry) -> Vec<u8> {
     let mut entry = spec.entry("ready");
--- a/crates/foxledge-soak/src/main.rs
+++ b/crates/foxledge-soak/src/main.rs
@@ -36,6 +36,7 @@
         Some("entries") => FaultRange::Entries,
         Some("evacuations") => FaultRange::Evacuations,
         Some("restores") => FaultRange::Restores,
+        Some("replicas") => FaultRange::Replicas,
         Some("bursts") => FaultRange::Bursts,
         _ => FaultRange::Packets,
     };
@@ -74,6 +75,7 @@
                     "entries",
                     "evacuations",
                     "restores",
+                    "replicas",
                     "bursts",
                 ]),
         )
--- a/crates/foxledge-soak/src/plan.rs
+++ b/crates/foxledge-soak/src/plan.rs
@@ -2,6 +2,8 @@
 
 use rand::{Rng, SeedableRng, rngs::StdRng};
 
+use crate::store::ReplicaLag;
+
 /// The size, duration and faults of a run.
 #[derive(Clone, Copy, Debug)]
 pub struct SoakOptions {
@@ -37,6 +39,9 @@
     Evacuations,
     /// The faults above, and a store that is restored from older snapshots.
     Restores,
+    /// Replicas of the store that are behind and long entries of other writers, while instances
+    /// start and lists and backend servers change.
+    Replicas,
     /// Bursts of load, with instances that are killed or isolated at the same time. Backend
     /// servers have slots, callers belong to a data centre, and instances report load and refuse
     /// new flows.
@@ -223,6 +228,21 @@
         /// The duration of the fault, in milliseconds.
         for_ms: u64,
     },
+    /// Another writer adds a valid entry of an unknown service with a long name, and removes it
+    /// later.
+    LongEntry {
+        /// The length of the name, in bytes.
+        name_bytes: usize,
+        /// The duration of the fault, in milliseconds.
+        for_ms: u64,
+    },
+    /// The replicas of the store that serve serializable reads are behind.
+    ReplicaLag {
+        /// The number of changes by which they are behind.
+        lag: ReplicaLag,
+        /// The duration of the fault, in milliseconds.
+        for_ms: u64,
+    },
     /// A data centre is evacuated for some time.
     Evacuate {
         /// The index of the data centre, 0 or 1.
@@ -334,6 +354,7 @@
         FaultRange::Entries => 34,
         FaultRange::Evacuations => 40,
         FaultRange::Restores => 46,
+        FaultRange::Replicas => return random_replica_fault(rng, instance, backend),
         FaultRange::Bursts => return random_burst_fault(rng, options, instance),
     };
     match rng.random_range(0..kinds) {
@@ -379,6 +400,28 @@
     }
 }
 
+fn random_replica_fault(rng: &mut StdRng, instance: usize, backend: usize) -> SoakFault {
+    let for_ms = rng.random_range(1_000..6_000);
+    match rng.random_range(0..20) {
+        0..4 => SoakFault::KillAll { down_ms: rng.random_range(200..1_000) },
+        4..6 => SoakFault::Kill { instance, down_ms: rng.random_range(100..2_500) },
+        6..11 => SoakFault::ReplicaLag {
+            lag: ReplicaLag {
+                first_page: rng.random_range(0..8),
+                later_pages: rng.random_range(0..8),
+            },
+            for_ms,
+        },
+        // An entry that delays what comes after it must stay for longer than changes may take.
+        11..14 => SoakFault::LongEntry {
+            name_bytes: rng.random_range(500..4_096),
+            for_ms: for_ms + 6_000,
+        },
+        14..18 => SoakFault::BackendReplaced { backend },
+        _ => SoakFault::Publish { times: rng.random_range(1..6) },
+    }
+}
+
 fn random_burst_fault(rng: &mut StdRng, options: &SoakOptions, instance: usize) -> SoakFault {
     let for_ms = rng.random_range(1_500..4_000);
     let source = match rng.random_range(0..10) {
--- a/crates/foxledge-soak/src/store.rs
+++ b/crates/foxledge-soak/src/store.rs
@@ -1,7 +1,7 @@
 //! A stand-in for the platform's store, over HTTP.
 
 use std::{
-    collections::BTreeMap,
+    collections::{BTreeMap, VecDeque},
     net::SocketAddrV4,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::Duration,
@@ -34,8 +34,20 @@
     Slow(u64),
 }
 
+/// The number of changes by which the replicas that serve serializable reads are behind.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ReplicaLag {
+    /// For the first page of a reading.
+    pub first_page: usize,
+    /// For later pages.
+    pub later_pages: usize,
+}
+
 struct StoreState {
     items: BTreeMap<String, Value>,
+    /// The contents before each of the last changes, the newest first.
+    former: VecDeque<StoreSnapshot>,
+    replica_lag: ReplicaLag,
     history: Vec<(u64, Value)>,
     revision: u64,
     compacted_revision: u64,
@@ -45,6 +57,25 @@
     calls: u64,
 }
 
+impl StoreState {
+    /// Records the contents before a change, for replicas that are behind.
+    fn record_contents(&mut self) {
+        let contents = self.contents();
+        self.former.push_front(contents);
+        self.former.truncate(MAX_REPLICA_LAG);
+    }
+
+    fn contents(&self) -> StoreSnapshot {
+        StoreSnapshot { items: self.items.clone(), revision: self.revision }
+    }
+
+    /// Returns the contents of a replica that is behind by a number of changes.
+    fn replica_contents(&self, lag: usize) -> StoreSnapshot {
+        let former = lag.checked_sub(1).and_then(|index| self.former.get(index));
+        former.cloned().unwrap_or_else(|| self.contents())
+    }
+}
+
 /// The contents of a store at one point in time.
 #[derive(Clone)]
 pub struct StoreSnapshot {
@@ -52,6 +83,9 @@
     revision: u64,
 }
 
+/// The maximum number of changes by which replicas are behind.
+const MAX_REPLICA_LAG: usize = 32;
+
 /// A key-value store with revisions and a history of changes.
 #[derive(Clone)]
 pub struct StandInStore {
@@ -65,6 +99,9 @@
     prefix: String,
     #[serde(default)]
     after: String,
+    /// 1 for a read from a replica that may be behind.
+    #[serde(default)]
+    serializable: u32,
 }
 
 #[derive(Deserialize)]
@@ -87,6 +124,8 @@
     pub async fn start(address: SocketAddrV4) -> Result<StandInStore> {
         let state = StoreState {
             items: BTreeMap::new(),
+            former: VecDeque::new(),
+            replica_lag: ReplicaLag::default(),
             history: Vec::new(),
             revision: 100,
             compacted_revision: 100,
@@ -122,6 +161,7 @@
     /// Writes an item with an arbitrary value.
     pub fn put_bytes(&self, key: &str, value: &[u8]) {
         let mut state = self.lock();
+        state.record_contents();
         state.revision += 1;
         let revision = state.revision;
         let encoded = BASE64_STANDARD.encode(value);
@@ -141,9 +181,11 @@
     /// Removes an item.
     pub fn remove(&self, key: &str) {
         let mut state = self.lock();
-        if state.items.remove(key).is_none() {
+        if !state.items.contains_key(key) {
             return;
         }
+        state.record_contents();
+        state.items.remove(key);
         state.revision += 1;
         let revision = state.revision;
         state
@@ -162,8 +204,7 @@
 
     /// Returns a copy of the current contents.
     pub fn snapshot(&self) -> StoreSnapshot {
-        let state = self.lock();
-        StoreSnapshot { items: state.items.clone(), revision: state.revision }
+        self.lock().contents()
     }
 
     /// Restores a snapshot: later changes are lost, and their revisions are assigned again.
@@ -171,6 +212,7 @@
         let mut state = self.lock();
         state.items.clone_from(&copy.items);
         state.history.clear();
+        state.former.clear();
         (state.revision, state.compacted_revision) = (copy.revision, copy.revision);
         state.epoch += 1;
         drop(state);
@@ -183,6 +225,11 @@
         state.items.keys().filter(|key| key.starts_with(prefix)).cloned().collect()
     }
 
+    /// Sets by how much the replicas that serve serializable reads are behind.
+    pub fn set_replica_lag(&self, lag: ReplicaLag) {
+        self.lock().replica_lag = lag;
+    }
+
     /// Sets how the store responds to requests.
     pub fn set_mode(&self, mode: StoreMode) {
         self.lock().mode = mode;
@@ -249,14 +296,20 @@
         return refusal;
     }
     let state = store.lock();
+    let lag = match (query.serializable, query.after.is_empty()) {
+        (0, _) => 0,
+        (_, true) => state.replica_lag.first_page,
+        (_, false) => state.replica_lag.later_pages,
+    };
+    let contents = state.replica_contents(lag);
     let is_wanted = |(key, _): &(&String, &Value)| {
         key.starts_with(&query.prefix) && (query.after.is_empty() || **key > query.after)
     };
     let mut items: Vec<_> =
-        state.items.iter().filter(is_wanted).map(|(_, item)| item.clone()).collect();
+        contents.items.iter().filter(is_wanted).map(|(_, item)| item.clone()).collect();
     let truncated = items.len() > PAGE_SIZE;
     items.truncate(PAGE_SIZE);
-    let body = json!({"items": items, "truncated": truncated, "as_of": state.revision});
+    let body = json!({"items": items, "truncated": truncated, "as_of": contents.revision});
     Json(body).into_response()
 }
 
--- a/crates/foxledge-soak/tests/short_soak.rs
+++ b/crates/foxledge-soak/tests/short_soak.rs
@@ -71,6 +71,14 @@
     assert_no_breaches_in_any([11_000, 11_001, 11_004].map(restores).into());
 }
 
+// Guards against changes that are never read because pages of the store differ in age, and against a
+// long entry that instances can't pass on.
+#[test]
+fn uneven_replicas_break_no_promise() {
+    let replicas = |seed| SoakOptions::new(seed).seconds(12).range(FaultRange::Replicas);
+    assert_no_breaches_in_any([15_000, 15_001].map(replicas).into());
+}
+
 // Guards against refusals while slots are free, and against a lower served share of urgent
 // requests.
 #[test]
--- a/crates/foxledge-soak/tests/store_client.rs
+++ b/crates/foxledge-soak/tests/store_client.rs
@@ -13,7 +13,7 @@
 use foxledge_platform::StoreClient;
 use foxledge_soak::{
     links::{LinkFault, StoreLink},
-    store::{StandInStore, StoreMode},
+    store::{ReplicaLag, StandInStore, StoreMode},
 };
 use serde_json::json;
 use tokio::{runtime, time::sleep};
@@ -98,6 +98,51 @@
     });
 }
 
+// Guards against a watch that continues after the newest page: changes that the older pages lack
+// would never be read.
+#[test]
+fn reading_of_uneven_replicas_is_as_old_as_its_oldest_page() {
+    run(async {
+        for (first_page, later_pages) in [(0, 2), (2, 0)] {
+            let (store, address) = store_with_entries(40).await;
+            store.put("servers/i-00000001", &server(1, "draining"));
+            store.put("servers/i-00000028", &server(40, "draining"));
+            store.set_replica_lag(ReplicaLag { first_page, later_pages });
+            let mut client = StoreClient::new(address);
+            let first = client.read_first_page().await.expect("is read");
+            let later = client.read_remainder().await.expect("is read");
+            let reading = first.joined_with(later);
+            assert_eq!((reading.head, reading.newest_head), (141, 143));
+            // Linearizable reads aren't behind.
+            let whole = client.read_all().await.expect("is read");
+            assert_eq!((whole.head, whole.newest_head), (143, 143));
+        }
+    });
+}
+
+// Guards against the same within the remainder.
+#[test]
+fn pages_of_one_call_may_differ_in_age() {
+    run(async {
+        let (store, address) = store_with_entries(40).await;
+        let writer = store.clone();
+        let writing = tokio::spawn(async move {
+            for _ in 0..200 {
+                writer.put("servers/i-00000028", &server(40, "ready"));
+                sleep(Duration::from_micros(500)).await;
+            }
+        });
+        let mut client = StoreClient::new(address);
+        let mut uneven = 0;
+        while !writing.is_finished() {
+            let reading = client.read_all().await.expect("is read");
+            uneven += u32::from(reading.head < reading.newest_head);
+            assert!(reading.items.iter().all(|item| item.revision() <= reading.newest_head));
+        }
+        assert!(uneven > 0, "no change came between two pages");
+    });
+}
+
 #[test]
 fn watch_returns_changes() {
     run(async {
