--- a/crates/foxledge-flows/src/list.rs
+++ b/crates/foxledge-flows/src/list.rs
@@ -94,7 +94,8 @@
 struct ListGap {
     /// The revision up to which the list was complete before.
     after: u64,
-    /// The revision of the newest page of the whole reading.
+    /// The revision from which on all changes are known again: that of the whole reading, or of the
+    /// operators' list in it if that is newer.
     until: u64,
 }
 
@@ -117,6 +118,7 @@
     removal_times: HashMap<Arc<str>, ClockTime>,
     head: u64,
     floor: u64,
+    /// The revision of the newest page that the list was read from; see [`ListBounds`].
     newest_page: u64,
     /// The gaps, oldest first; none reaches below the floor.
     gaps: Vec<ListGap>,
@@ -233,6 +235,7 @@
             return Vec::new();
         }
         let mut rows = newest_by_key(rows);
+        // The operators' list may come from a page that is newer than the snapshot.
         let is_newer_config =
             |row: &ListRow| row.key == LIMITS_KEY && row.revision >= self.config_revision();
         let keeps_config = self.config_revision() > head && !rows.iter().any(is_newer_config);
--- a/crates/foxledge-gossip/src/fragments.rs
+++ b/crates/foxledge-gossip/src/fragments.rs
@@ -2,7 +2,7 @@
 //!
 //! Rows have no maximum length: names of services and routes are the operators' choice. Nearly all
 //! messages fit one datagram. One that doesn't is sent in fragments, and lost as a whole if one of
-//! them is lost; its sender is asked again like for any lost message.
+//! them is lost, which is handled like the loss of any message.
 
 use std::{
     collections::{BTreeMap, HashMap},
@@ -21,8 +21,8 @@
 const MAX_FRAGMENTS: u32 = 1_024;
 /// Maximum number of bytes of incomplete messages that are kept.
 pub const MAX_BUFFERED_BYTES: usize = 4 << 20;
-/// Time, in milliseconds, for which an incomplete message is kept. Its fragments are sent at once,
-/// and it is requested again sooner than this.
+/// Time, in milliseconds, for which an incomplete message is kept. Its fragments are sent together,
+/// so that missing ones are lost rather than late.
 pub const INCOMPLETE_TTL_MS: u64 = 500;
 
 /// Splits a message into fragments that fit a datagram each.
