Read rows that no peer can send from the store

Found when the limits of the fragments were tried at their edges. Seen: in the virtual fleet a route with a name of 700,000 bytes was sent in more fragments than a receiver accepts (a row holds the name twice), and one of 600,000 bytes took 42 MB among 60 instances. Cause: the number of fragments came from the size of an item, not from what a receiver takes. Change: a message has at most ten fragments, 13 KB, so that the eight pages of a response fit a socket's usual buffer. A longer row is answered with a page that says so; the instance abandons the transfer, asks no peer again and reads the store within 0.5 s by its rank. A store that fails is called as usual. Lines and metrics tell both ends (row_too_long), and lost fragments (message_incomplete), which left no trace before.

--- a/crates/foxledge-daemon/src/packets/fleet_part.rs
+++ b/crates/foxledge-daemon/src/packets/fleet_part.rs
@@ -256,7 +256,11 @@
             FleetEvent::StoreEpochChanged { epoch, .. } => metrics.store_epoch.set(*epoch as i64),
             FleetEvent::ResponseIgnored { .. } => metrics.outdated_readings.inc(),
             FleetEvent::PagesDiffer { .. } => metrics.uneven_readings.inc(),
-            FleetEvent::TransferAbandoned { .. } => metrics.abandoned_transfers.inc(),
+            FleetEvent::TransferAbandoned { reason, .. } => {
+                metrics.abandoned_transfers.with_label_values(&[reason.as_str()]).inc();
+            }
+            FleetEvent::MessageIncomplete { .. } => metrics.incomplete_messages.inc(),
+            FleetEvent::MessageTooLong { .. } => metrics.unsent_messages.inc(),
             // No rows may have changed, in which case nothing else updates the metrics.
             FleetEvent::ConfigRetained { .. } | FleetEvent::ConfigReleased { .. } => {
                 self.set_list_metrics();
--- a/crates/foxledge-daemon/src/packets/metrics.rs
+++ b/crates/foxledge-daemon/src/packets/metrics.rs
@@ -73,7 +73,11 @@
     /// Readings with pages of different revisions.
     pub uneven_readings: IntCounter,
     /// Transfers of rows from peers that were given up.
-    pub abandoned_transfers: IntCounter,
+    pub abandoned_transfers: IntCounterVec,
+    /// Messages of which some fragments didn't arrive.
+    pub incomplete_messages: IntCounter,
+    /// Messages that weren't sent because of their length.
+    pub unsent_messages: IntCounter,
     /// Messages between instances, by direction.
     pub messages: IntCounterVec,
     /// Bytes of messages between instances, by direction.
@@ -196,10 +200,21 @@
                 "uneven_readings_total",
                 "Readings of the store with pages of different revisions",
             ),
-            abandoned_transfers: counter(
+            abandoned_transfers: counters(
                 r,
                 "transfers_abandoned_total",
                 "Transfers of rows from peers that were given up",
+                &["reason"],
+            ),
+            incomplete_messages: counter(
+                r,
+                "messages_incomplete_total",
+                "Messages of which some fragments didn't arrive",
+            ),
+            unsent_messages: counter(
+                r,
+                "messages_too_long_total",
+                "Messages that exceed what is sent in fragments",
             ),
             messages: counters(r, "messages_total", "Messages of instances", &["direction"]),
             message_bytes: counters(r, "message_bytes_total", "Bytes of them", &["direction"]),
--- a/crates/foxledge-gossip/src/dissemination.rs
+++ b/crates/foxledge-gossip/src/dissemination.rs
@@ -13,7 +13,7 @@
 use crate::{
     effects::{FleetEffect, FleetEvent},
     election::StoreConfirmation,
-    fragments::split_message,
+    fragments::{MAX_SPLIT_BYTES, split_message},
     member::{FleetMember, MAX_HEARTBEAT_INTERVAL_MS},
     messages::{
         ConfirmationMessage, FleetMessage, HeartbeatMessage, MAX_BODY_BYTES, MAX_MESSAGE_BYTES,
@@ -134,6 +134,7 @@
     /// Sends a heartbeat that is due, and removes peers and evidence that have expired.
     pub(crate) fn send_periodic_heartbeat(&mut self, now: ClockTime) {
         self.evidence.remove_expired(now);
+        self.remove_lost_messages(now);
         for loss in self.peers.remove_lost(now) {
             self.remove_lost_peer_load(&loss);
             self.effects.push(FleetEffect::LogEvent(FleetEvent::from_loss(loss)));
@@ -146,6 +147,17 @@
         self.disseminate(now, self.list.head(), None);
     }
 
+    /// Removes messages whose missing fragments are lost.
+    fn remove_lost_messages(&mut self, now: ClockTime) {
+        for lost in self.fragments.remove_expired(now) {
+            self.effects.push(FleetEffect::LogEvent(FleetEvent::MessageIncomplete {
+                peer: lost.from.to_string(),
+                received: lost.received,
+                fragments: lost.count,
+            }));
+        }
+    }
+
     /// Returns true if no other instance of the same data centre is known: there may be none, or
     /// the seeds that were queried at the start knew none.
     fn is_alone_in_centre(&self, now: ClockTime) -> bool {
@@ -383,6 +395,10 @@
         if bytes.len() <= MAX_MESSAGE_BYTES {
             return self.effects.push(FleetEffect::SendDatagram { to, bytes });
         }
+        if bytes.len() > MAX_SPLIT_BYTES {
+            let event = FleetEvent::MessageTooLong { peer: to.to_string(), bytes: bytes.len() };
+            return self.effects.push(FleetEffect::LogEvent(event));
+        }
         for fragment in split_message(&message, self.rng.random()) {
             let fragment = FleetMessage { body: Some(MessageBody::Fragment(fragment)) };
             let bytes = fragment.to_datagram();
--- a/crates/foxledge-gossip/src/effects.rs
+++ b/crates/foxledge-gossip/src/effects.rs
@@ -81,6 +81,26 @@
     }
 }
 
+/// `AbandonReason` is the reason for which a transfer of rows was abandoned.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum AbandonReason {
+    /// The next page didn't arrive in several attempts.
+    PageLost,
+    /// The next row exceeds the longest message, so that only the store can provide it.
+    RowTooLong,
+}
+
+impl AbandonReason {
+    /// Returns the name of the reason in metrics.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            AbandonReason::PageLost => "page_lost",
+            AbandonReason::RowTooLong => "row_too_long",
+        }
+    }
+}
+
 /// `StoreCall` is a query to the store with its reason.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct StoreCall {
@@ -153,8 +173,10 @@
         /// Number of rows in the first page.
         rows: usize,
     },
-    /// A transfer of rows from a peer was abandoned, as its next page didn't arrive.
+    /// A transfer of rows from a peer was abandoned.
     TransferAbandoned {
+        /// The reason.
+        reason: AbandonReason,
         /// Address of the peer.
         peer: String,
         /// Number of rows that had arrived.
@@ -164,6 +186,22 @@
         /// Revision up to which the list is known.
         known_revision: u64,
     },
+    /// Some fragments of a message from a peer didn't arrive.
+    MessageIncomplete {
+        /// Address of the peer.
+        peer: String,
+        /// Number of fragments that arrived.
+        received: usize,
+        /// Number of fragments of the message.
+        fragments: u32,
+    },
+    /// A message wasn't sent, as it exceeds what is sent in fragments.
+    MessageTooLong {
+        /// Address of the receiver.
+        peer: String,
+        /// Size of the message, in bytes.
+        bytes: usize,
+    },
     /// This instance starts to read the store.
     #[serde(rename = "reading_begun")]
     ReadingStarted {
@@ -338,6 +376,8 @@
             FleetEvent::ListApplied { .. } => "list_taken",
             FleetEvent::PartialListApplied { .. } => "list_previewed",
             FleetEvent::TransferAbandoned { .. } => "transfer_abandoned",
+            FleetEvent::MessageIncomplete { .. } => "message_incomplete",
+            FleetEvent::MessageTooLong { .. } => "message_too_long",
             FleetEvent::ReadingStarted { .. } => "reading_begun",
             FleetEvent::StoreCalled { .. } => "store_called",
             FleetEvent::ReadingEnded { .. } => "reading_ended",
--- a/crates/foxledge-gossip/src/fragments.rs
+++ b/crates/foxledge-gossip/src/fragments.rs
@@ -1,8 +1,9 @@
 //! Messages that exceed one datagram: splitting and reassembly.
 //!
-//! Rows have no maximum length: names of services and routes are the operators' choice. Nearly all
-//! messages fit one datagram. One that doesn't is sent in fragments, and lost as a whole if one of
-//! them is lost, which is handled like the loss of any message.
+//! Names of services and routes have any length. Nearly all messages fit one datagram. One that
+//! doesn't is sent in fragments, and lost as a whole if one of them is lost, which is handled like
+//! the loss of any message. Only what fits the socket of a busy receiver is sent this way: an
+//! instance that lacks a longer row reads it from the store.
 
 use std::{
     collections::{BTreeMap, HashMap},
@@ -16,10 +17,12 @@
 
 /// Maximum number of content bytes in a fragment: the other fields and the digest take up to 40.
 const MAX_FRAGMENT_BYTES: usize = MAX_MESSAGE_BYTES - 40;
-/// Maximum number of fragments of a message. One row is at most as long as an item of the store,
-/// which has up to 1 MB.
-const MAX_FRAGMENTS: u32 = 1_024;
-/// Maximum number of bytes of incomplete messages that are kept.
+/// Maximum number of fragments of a message: the pages that respond to one request then fit the
+/// usual receive buffer of a socket.
+const MAX_FRAGMENTS: u32 = 10;
+/// Maximum size of an encoded message that is sent in fragments, in bytes.
+pub const MAX_SPLIT_BYTES: usize = MAX_FRAGMENTS as usize * MAX_FRAGMENT_BYTES;
+/// Maximum number of bytes of incomplete messages that are kept: several hundred of the longest.
 pub const MAX_BUFFERED_BYTES: usize = 4 << 20;
 /// Time, in milliseconds, for which an incomplete message is kept. Its fragments are sent together,
 /// so that missing ones are lost rather than late.
@@ -39,6 +42,17 @@
     chunks.zip(0..).map(fragment).collect()
 }
 
+/// `LostMessage` is a message of which some fragments didn't arrive.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct LostMessage {
+    /// Sender of the message.
+    pub from: SocketAddrV4,
+    /// Number of fragments that arrived.
+    pub received: usize,
+    /// Number of fragments of the message.
+    pub count: u32,
+}
+
 /// `FragmentBuffer` holds the messages of which some fragments have arrived.
 #[derive(Debug, Default)]
 pub struct FragmentBuffer {
@@ -75,7 +89,6 @@
         if !(2..=MAX_FRAGMENTS).contains(&count) || index >= count || bytes.is_empty() {
             return Err(InvalidFragment);
         }
-        self.remove_expired(now);
         if self.size + bytes.len() > MAX_BUFFERED_BYTES {
             return Ok(None);
         }
@@ -105,15 +118,19 @@
         Some(message)
     }
 
-    fn remove_expired(&mut self, now: ClockTime) {
-        let size = &mut self.size;
-        self.messages.retain(|_, message| {
+    /// Removes and returns the messages whose missing fragments are lost.
+    pub fn remove_expired(&mut self, now: ClockTime) -> Vec<LostMessage> {
+        let mut lost = Vec::new();
+        self.messages.retain(|(from, _), message| {
             let is_expired = message.expires_at.is_past(now);
             if is_expired {
-                *size -= message.size();
+                self.size -= message.size();
+                let (received, count) = (message.fragments.len(), message.count);
+                lost.push(LostMessage { from: *from, received, count });
             }
             !is_expired
         });
+        lost
     }
 }
 
--- a/crates/foxledge-gossip/src/lib.rs
+++ b/crates/foxledge-gossip/src/lib.rs
@@ -37,7 +37,7 @@
 mod removed_backends;
 mod store_reading;
 
-pub use effects::{FleetEffect, FleetEvent, ReadReason, StoreCall, StoreQuery};
+pub use effects::{AbandonReason, FleetEffect, FleetEvent, ReadReason, StoreCall, StoreQuery};
 pub use member::FleetMember;
 pub use messages::{FleetMessage, MAX_MESSAGE_BYTES, MessageBody, MessageFragment};
 pub use options::MemberOptions;
--- a/crates/foxledge-gossip/src/list_transfer.rs
+++ b/crates/foxledge-gossip/src/list_transfer.rs
@@ -12,10 +12,11 @@
 
 use crate::{
     dissemination::MAX_CONFIRMATIONS,
-    effects::{FleetEffect, FleetEvent},
+    effects::{AbandonReason, FleetEffect, FleetEvent},
+    fragments::MAX_SPLIT_BYTES,
     list_pull::{ListPull, PullStep, TransferKind},
     member::FleetMember,
-    messages::{MessageBody, PAGES_PER_REQUEST, PullPage, PullRequest},
+    messages::{MAX_MESSAGE_BYTES, MessageBody, PAGES_PER_REQUEST, PullPage, PullRequest},
 };
 
 /// Maximum size of the rows in one page, in bytes. The rest of the message holds up to three
@@ -52,7 +53,7 @@
     /// Requests the changes that are missing here, or a snapshot: from an instance of the same data
     /// centre that has them, or else from `peer`.
     pub(crate) fn begin_pull(&mut self, now: ClockTime, peer: SocketAddrV4) {
-        if self.pull.is_some() {
+        if self.pull.is_some() || self.rows_refused_at.is_some() {
             return;
         }
         let holder = self.pick_same_centre_holder(now);
@@ -129,7 +130,17 @@
             self.pull = Some(pull);
             return;
         }
+        self.log_abandoned_transfer(&pull, later_pages, AbandonReason::PageLost);
+    }
+
+    fn log_abandoned_transfer(
+        &mut self,
+        pull: &ListPull,
+        later_pages: usize,
+        reason: AbandonReason,
+    ) {
         self.effects.push(FleetEffect::LogEvent(FleetEvent::TransferAbandoned {
+            reason,
             peer: pull.peer.to_string(),
             rows: pull.row_count(),
             later_pages,
@@ -213,6 +224,10 @@
         let ListBounds { head, floor, newest_page } = self.list.bounds();
         for index in 0..PAGES_PER_REQUEST {
             let (rows, next) = self.pack_page(now, &cursor, MAX_PAGE_ROW_BYTES);
+            // The other fields are those of a page of usual size.
+            if rows.encoded_len() > MAX_SPLIT_BYTES - MAX_MESSAGE_BYTES {
+                return self.send_too_long_page(to, request_id, index);
+            }
             let message = PullPage {
                 request_id,
                 index,
@@ -229,6 +244,7 @@
                     Vec::new()
                 },
                 is_busy: false,
+                is_too_long: false,
                 peers: Vec::new(),
                 incarnation: self.descriptor.incarnation,
             };
@@ -244,12 +260,37 @@
         }
     }
 
+    /// Responds that the next row exceeds the longest message.
+    fn send_too_long_page(&mut self, to: SocketAddrV4, request_id: u32, index: u32) {
+        self.served_peers.remove(&to);
+        let incarnation = self.descriptor.incarnation;
+        let page = PullPage {
+            request_id,
+            index,
+            incarnation,
+            has_more: true,
+            is_too_long: true,
+            // A build that doesn't know the field before tries again later.
+            is_busy: true,
+            ..PullPage::default()
+        };
+        self.send_message(to, MessageBody::PullPage(page));
+    }
+
     /// Handles a page of the current transfer. The last page applies all rows of it.
     pub(crate) fn handle_pull_page(&mut self, now: ClockTime, page: PullPage) {
         let Some(mut pull) = self.pull.take_if(|pull| pull.request_id == page.request_id) else {
             return;
         };
         let peer = pull.peer;
+        if page.is_too_long {
+            // All peers have the same row. A store that doesn't respond is called as usual.
+            if self.election.failures() == 0 {
+                self.rows_refused_at.get_or_insert(now);
+            }
+            let later_pages = pull.early_page_count();
+            return self.log_abandoned_transfer(&pull, later_pages, AbandonReason::RowTooLong);
+        }
         if page.is_busy {
             self.merge_peers(now, &page.peers);
             let delay_ms = self.rng.random_range(MIN_BUSY_DELAY_MS..MIN_BUSY_DELAY_MS * 3);
--- a/crates/foxledge-gossip/src/messages.rs
+++ b/crates/foxledge-gossip/src/messages.rs
@@ -365,6 +365,9 @@
     /// Revision of the newest page of the store that the sender's list was read from.
     #[prost(uint64, tag = "13")]
     pub newest_page: u64,
+    /// The next row exceeds the longest message; the page has no rows.
+    #[prost(bool, tag = "14")]
+    pub is_too_long: bool,
 }
 
 /// `LoadMessage` holds the load of services: by instance of the same data centre, or by data
--- a/crates/foxledge-gossip/src/removed_backends.rs
+++ b/crates/foxledge-gossip/src/removed_backends.rs
@@ -8,11 +8,13 @@
 use std::net::SocketAddrV4;
 
 use foxledge_core::time::ClockTime;
-use foxledge_flows::token_of;
+use foxledge_flows::{rows::ListRow, token_of};
+use prost::Message;
 use rand::seq::IndexedRandom;
 
 use crate::{
     effects::FleetEffect,
+    fragments::MAX_SPLIT_BYTES,
     member::FleetMember,
     messages::{MessageBody, TokenQuery, TokenResponse},
     packing::RowPacker,
@@ -51,7 +53,8 @@
     ) {
         let tokens = &query.tokens[..query.tokens.len().min(MAX_TOKENS)];
         let rows = self.list.removed_backends(now, |number| tokens.contains(&token_of(number)));
-        let mut rows = rows.iter().peekable();
+        let is_sendable = |row: &&ListRow| row.encoded_len() <= MAX_SPLIT_BYTES / 2;
+        let mut rows = rows.iter().filter(is_sendable).peekable();
         for _ in 0..MAX_RESPONSES {
             let (mut packer, mut size, mut count) = (RowPacker::default(), 0, 0);
             while let Some(row) = rows.peek() {
--- a/crates/foxledge-gossip/src/store_reading.rs
+++ b/crates/foxledge-gossip/src/store_reading.rs
@@ -119,6 +119,9 @@
             Some(at) => at.after_millis(self.options.takeover_ms),
             None => self.first_read_at.after_millis(FIRST_CONFIRMATION_TIMEOUT_MS),
         };
+        if let Some(refused_at) = self.rows_refused_at {
+            return refused_at.after_millis(self.outdated_read_delay_ms(now));
+        }
         if self.election.is_behind(now, self.list.head()) {
             return at.max(self.transfer_stalled_at).after_millis(self.outdated_read_delay_ms(now));
         }
@@ -312,6 +315,7 @@
 
     /// Handles a failed call, and leaves reading to others if the store responds to them.
     pub(crate) fn handle_store_failure(&mut self, now: ClockTime, error: &SourceError) {
+        self.rows_refused_at = None;
         if *error == SourceError::HistoryGone {
             self.full_read_reason = Some(ReadReason::HistoryGone);
             self.election.record_success(now);
