Read a burst of messages to its end

Found while asking what a row can hold up: a response of eight pages in fragments is more than 64 datagrams. Seen: messages of other instances wait in the socket until the next one arrives, here for more than 30 s at an instance without peers; with peers at most as long as their heartbeats. Cause: the socket for messages is read in batches of 64, and becomes ready again only with an arrival. The sockets for callers' packets go on when the loop is idle; this one didn't. Change: it goes on as they do. Evidence: reads_whole_burst_of_messages fails without the change in 3 of 3 runs (not all of 250 messages read within 30 s) and passes with it in 3 of 3.

--- a/crates/foxledge-daemon/src/packets/fleet_part.rs
+++ b/crates/foxledge-daemon/src/packets/fleet_part.rs
@@ -10,7 +10,7 @@
 use foxledge_flows::{HealthObservation, ListReading, SourceError, revisions::number_of};
 use foxledge_gossip::{FleetEffect, FleetEvent, MAX_MESSAGE_BYTES, StoreCall, StoreQuery};
 use serde::Serialize;
-use stakker::{CX, FixedTimerKey, after, call, fail, fwd_to};
+use stakker::{CX, FixedTimerKey, after, call, fail, fwd_to, idle};
 use stakker_mio::{
     MioPoll, MioSource, Ready,
     mio::{Interest, net::UdpSocket},
@@ -149,14 +149,20 @@
     fn read_batch(&mut self, cx: CX![]) {
         self.discard_after_pause();
         let mut buffer = [0; BUFFER_BYTES];
-        for _ in 0..BATCH_LIMIT {
+        let mut count = 0;
+        while count < BATCH_LIMIT {
             match self.socket.recv_from(&mut buffer) {
                 Ok((size, from)) => self.handle_message(&buffer[..size], from),
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => break,
                 Err(error) if error.kind() == io::ErrorKind::Interrupted => continue,
-                Err(error) if error.kind() == io::ErrorKind::ConnectionRefused => continue,
+                Err(error) if error.kind() == io::ErrorKind::ConnectionRefused => {}
                 Err(error) => return fail!(cx, "can't read from the peer socket: {}", error),
             }
+            count += 1;
+        }
+        // The socket becomes ready again only with the next message.
+        if count == BATCH_LIMIT {
+            idle!([cx], read_batch());
         }
         self.apply_effects(cx);
     }
--- a/crates/foxledge-daemon/tests/packet_daemon.rs
+++ b/crates/foxledge-daemon/tests/packet_daemon.rs
@@ -220,3 +220,25 @@
     }
     Ok(())
 }
+
+// Guards against messages of other instances that wait in the socket for the next one: a burst is read
+// in batches, and the socket tells of arrivals only.
+#[test]
+fn reads_whole_burst_of_messages() -> Result<()> {
+    const BURST: u64 = 250;
+    let process = PacketProcess::start()?;
+    let socket = UdpSocket::bind(SocketAddrV4::new(Ipv4Addr::LOCALHOST, 0))?;
+    let label = "foxledge_malformed_total{fault=\"message\"} ";
+    // The stop is shorter than what counts as a pause, after which messages are discarded.
+    process.signal(Signal::STOP)?;
+    for _ in 0..BURST {
+        socket.send_to(&[7; 40], process.peer)?;
+    }
+    process.signal(Signal::CONT)?;
+    wait_until("all are read", START_LIMIT, || {
+        let metrics = process.get("/metrics").unwrap_or_default();
+        let count = metrics.lines().find_map(|line| line.strip_prefix(label));
+        count.and_then(|count| count.parse().ok()) == Some(BURST)
+    })?;
+    Ok(())
+}
