Name uneven lists and what only the store can provide

The size of a row that is sent has one constant for pages and token responses. The check of random_lists passes over uneven lists, as it did over lists with newer rows: while its head is below the newest page, a list may lack what was removed in between, which removal_of_unknown_rows_is_passed_on shows for one. It holds again at the next revision.

--- a/crates/foxledge-flows/src/list.rs
+++ b/crates/foxledge-flows/src/list.rs
@@ -158,11 +158,9 @@
         }
     }
 
-    /// Returns true if the list may contain rows newer than the head, or lack rows that were removed
-    /// after it.
-    ///
-    /// The pages of a whole reading aren't a snapshot: some may be newer than others.
-    pub fn has_rows_past_head(&self) -> bool {
+    /// Returns true while the list may contain rows newer than its head, or lack rows that were
+    /// removed after it: the pages of the reading that it comes from were of different revisions.
+    pub fn is_uneven(&self) -> bool {
         self.newest_page > self.head
             || self.by_revision.last().is_some_and(|(revision, _)| *revision > self.head)
     }
@@ -386,10 +384,9 @@
         }
     }
 
-    /// Records a gap: the list was known between the bounds `former`, and all changes after `until`
-    /// will be known.
+    /// Records that changes between the head of the bounds `former` and `until` aren't all known.
     fn record_gap(&mut self, former: ListBounds, until: u64) {
-        // A list that lacked rows at its former head doesn't know that they are gone.
+        // An uneven list may have lacked rows at its former head, and can't tell that they are gone.
         let was_complete = former.head > 0 && former.newest_page <= former.head;
         if !was_complete || epoch_of(former.head) < epoch_of(self.head) {
             return self.raise_floor(until);
--- a/crates/foxledge-flows/src/source.rs
+++ b/crates/foxledge-flows/src/source.rs
@@ -144,7 +144,7 @@
         ListReading { items, head, newest_head: head, is_partial: false }
     }
 
-    /// Returns a reading of the items of two parts.
+    /// Returns the reading of the items of two parts, which is as old as the older one.
     pub fn joined_with(mut self, later: ListReading) -> ListReading {
         self.items.extend(later.items);
         self.head = self.head.min(later.head);
--- a/crates/foxledge-flows/tests/list_order.rs
+++ b/crates/foxledge-flows/tests/list_order.rs
@@ -353,9 +353,9 @@
 fn rows_past_head_until_watch_catches_up() {
     let mut list = FleetList::new();
     apply_items(&mut list, vec![config_item(1, 5, &["a"]), backend_item(1, 9)], 6);
-    assert!(list.has_rows_past_head());
+    assert!(list.is_uneven());
     list.apply_watch(clock_at(0), ListReading::complete(vec![backend_item(1, 9)], 10));
-    assert!(!list.has_rows_past_head());
+    assert!(!list.is_uneven());
 }
 
 /// Returns a reading whose first page has the revision 9 and whose second page is three older.
@@ -370,14 +370,14 @@
     let mut list = FleetList::new();
     list.apply_reading(clock_at(0), uneven_reading());
     assert_eq!((list.head(), list.version()), (6, 3));
-    assert!(list.has_rows_past_head());
+    assert!(list.is_uneven());
     let items = vec![backend_item(3, 7), backend_item(2, 8), config_item(3, 9, &["a"])];
     list.apply_watch(clock_at(10), ListReading::complete(items, 9));
     assert_eq!(
         listed_keys(&list),
         ["backend/i-1", "backend/i-2", "backend/i-3", "limits", "route/a"]
     );
-    assert!(!list.has_rows_past_head());
+    assert!(!list.is_uneven());
 }
 
 // Guards against a peer that keeps a route that was removed after the head: the newer page lacks the
@@ -451,10 +451,10 @@
     let mut copied = FleetList::new();
     copied.apply_snapshot(clock_at(5), list.rows().cloned().collect(), list.bounds());
     for mut list in [list, copied] {
-        assert!(list.has_rows_past_head());
+        assert!(list.is_uneven());
         apply_items(&mut list, vec![config.clone()], 12);
         assert_eq!(list.coverage_since(6), ChangeCoverage::Unavailable);
-        assert!(!list.has_rows_past_head());
+        assert!(!list.is_uneven());
     }
 }
 
--- a/crates/foxledge-gossip/src/dissemination.rs
+++ b/crates/foxledge-gossip/src/dissemination.rs
@@ -348,9 +348,7 @@
                 HeartbeatRows::default()
             }
             // Only a page says that the gap ends after the head.
-            (_, ChangeCoverage::AcrossGap) if self.list.has_rows_past_head() => {
-                HeartbeatRows::default()
-            }
+            (_, ChangeCoverage::AcrossGap) if self.list.is_uneven() => HeartbeatRows::default(),
             ((rows, None), ChangeCoverage::AcrossGap) => {
                 HeartbeatRows { base: None, gap_base: Some(base), rows: Some(rows) }
             }
--- a/crates/foxledge-gossip/src/fragments.rs
+++ b/crates/foxledge-gossip/src/fragments.rs
@@ -22,6 +22,8 @@
 const MAX_FRAGMENTS: u32 = 10;
 /// Maximum size of an encoded message that is sent in fragments, in bytes.
 pub const MAX_SPLIT_BYTES: usize = MAX_FRAGMENTS as usize * MAX_FRAGMENT_BYTES;
+/// Maximum size of the rows of one message, in bytes: its other fields fit a datagram.
+pub(crate) const MAX_SENT_ROW_BYTES: usize = MAX_SPLIT_BYTES - MAX_MESSAGE_BYTES;
 /// Maximum number of bytes of incomplete messages that are kept: several hundred of the longest.
 pub const MAX_BUFFERED_BYTES: usize = 4 << 20;
 /// Time, in milliseconds, for which an incomplete message is kept. Its fragments are sent together,
--- a/crates/foxledge-gossip/src/heartbeat_handling.rs
+++ b/crates/foxledge-gossip/src/heartbeat_handling.rs
@@ -186,7 +186,7 @@
         source: String,
     ) {
         if self.list.head() > former_head {
-            self.rows_refused_at = None;
+            self.store_needed_since = None;
             self.record_transfer_progress(now);
         }
         if former_head == 0 && self.list.head() > 0 {
--- a/crates/foxledge-gossip/src/list_transfer.rs
+++ b/crates/foxledge-gossip/src/list_transfer.rs
@@ -13,10 +13,10 @@
 use crate::{
     dissemination::MAX_CONFIRMATIONS,
     effects::{AbandonReason, FleetEffect, FleetEvent},
-    fragments::MAX_SPLIT_BYTES,
+    fragments::MAX_SENT_ROW_BYTES,
     list_pull::{ListPull, PullStep, TransferKind},
     member::FleetMember,
-    messages::{MAX_MESSAGE_BYTES, MessageBody, PAGES_PER_REQUEST, PullPage, PullRequest},
+    messages::{MessageBody, PAGES_PER_REQUEST, PullPage, PullRequest},
 };
 
 /// Maximum size of the rows in one page, in bytes. The rest of the message holds up to three
@@ -53,7 +53,7 @@
     /// Requests the changes that are missing here, or a snapshot: from an instance of the same data
     /// centre that has them, or else from `peer`.
     pub(crate) fn begin_pull(&mut self, now: ClockTime, peer: SocketAddrV4) {
-        if self.pull.is_some() || self.rows_refused_at.is_some() {
+        if self.pull.is_some() || self.store_needed_since.is_some() {
             return;
         }
         let holder = self.pick_same_centre_holder(now);
@@ -96,7 +96,7 @@
     /// Returns true if the differences since `revision`, sent across a gap in the history, can be
     /// applied here.
     pub(crate) fn can_apply_gap_after(&self, revision: u64) -> bool {
-        self.list.head() == revision && !self.list.has_rows_past_head()
+        self.list.head() == revision && !self.list.is_uneven()
     }
 
     fn pick_same_centre_holder(&mut self, now: ClockTime) -> Option<SocketAddrV4> {
@@ -108,7 +108,7 @@
     fn start_pull_from(&mut self, now: ClockTime, peer: SocketAddrV4) {
         let request_id = self.rng.random();
         let mut pull = ListPull::new(now, peer, request_id, self.list.head());
-        if !self.list.has_rows_past_head() {
+        if !self.list.is_uneven() {
             pull = pull.accepting_gaps();
         }
         let request = pull.request();
@@ -224,8 +224,7 @@
         let ListBounds { head, floor, newest_page } = self.list.bounds();
         for index in 0..PAGES_PER_REQUEST {
             let (rows, next) = self.pack_page(now, &cursor, MAX_PAGE_ROW_BYTES);
-            // The other fields are those of a page of usual size.
-            if rows.encoded_len() > MAX_SPLIT_BYTES - MAX_MESSAGE_BYTES {
+            if rows.encoded_len() > MAX_SENT_ROW_BYTES {
                 return self.send_too_long_page(to, request_id, index);
             }
             let message = PullPage {
@@ -270,7 +269,7 @@
             incarnation,
             has_more: true,
             is_too_long: true,
-            // A build that doesn't know the field before tries again later.
+            // Builds that don't know `is_too_long` request the rows again later.
             is_busy: true,
             ..PullPage::default()
         };
@@ -284,9 +283,9 @@
         };
         let peer = pull.peer;
         if page.is_too_long {
-            // All peers have the same row. A store that doesn't respond is called as usual.
+            // All peers have the same row. While the store fails, it is called no sooner than usual.
             if self.election.failures() == 0 {
-                self.rows_refused_at.get_or_insert(now);
+                self.store_needed_since.get_or_insert(now);
             }
             let later_pages = pull.early_page_count();
             return self.log_abandoned_transfer(&pull, later_pages, AbandonReason::RowTooLong);
--- a/crates/foxledge-gossip/src/member.rs
+++ b/crates/foxledge-gossip/src/member.rs
@@ -103,9 +103,9 @@
     pub(crate) next_confirmation_query_at: Option<ClockTime>,
     /// Time from which a transfer of rows from peers counts as stalled, unless more rows arrive.
     pub(crate) transfer_stalled_at: ClockTime,
-    /// Time at which a peer refused a row that only the store can provide; `None` after the list
-    /// has advanced.
-    pub(crate) rows_refused_at: Option<ClockTime>,
+    /// Time at which a peer responded that the next row is too long for a message, so that only the
+    /// store can provide it; `None` once the list has advanced or the store has failed.
+    pub(crate) store_needed_since: Option<ClockTime>,
     /// Time from which an instance that has heard from no other assumes that it is the only one.
     pub(crate) isolation_assumed_at: ClockTime,
     /// Items of the store that couldn't be parsed.
@@ -181,7 +181,7 @@
             last_call_at: now,
             next_confirmation_query_at: None,
             transfer_stalled_at: now,
-            rows_refused_at: None,
+            store_needed_since: None,
             isolation_assumed_at: now.after_millis(isolation_ms),
             refused_table: RefusedTable::default(),
             full_read_reason: None,
--- a/crates/foxledge-gossip/src/removed_backends.rs
+++ b/crates/foxledge-gossip/src/removed_backends.rs
@@ -14,7 +14,7 @@
 
 use crate::{
     effects::FleetEffect,
-    fragments::MAX_SPLIT_BYTES,
+    fragments::MAX_SENT_ROW_BYTES,
     member::FleetMember,
     messages::{MessageBody, TokenQuery, TokenResponse},
     packing::RowPacker,
@@ -53,7 +53,7 @@
     ) {
         let tokens = &query.tokens[..query.tokens.len().min(MAX_TOKENS)];
         let rows = self.list.removed_backends(now, |number| tokens.contains(&token_of(number)));
-        let is_sendable = |row: &&ListRow| row.encoded_len() <= MAX_SPLIT_BYTES / 2;
+        let is_sendable = |row: &&ListRow| row.encoded_len() <= MAX_SENT_ROW_BYTES;
         let mut rows = rows.iter().filter(is_sendable).peekable();
         for _ in 0..MAX_RESPONSES {
             let (mut packer, mut size, mut count) = (RowPacker::default(), 0, 0);
--- a/crates/foxledge-gossip/src/store_reading.rs
+++ b/crates/foxledge-gossip/src/store_reading.rs
@@ -119,7 +119,7 @@
             Some(at) => at.after_millis(self.options.takeover_ms),
             None => self.first_read_at.after_millis(FIRST_CONFIRMATION_TIMEOUT_MS),
         };
-        if let Some(refused_at) = self.rows_refused_at {
+        if let Some(refused_at) = self.store_needed_since {
             return refused_at.after_millis(self.outdated_read_delay_ms(now));
         }
         if self.election.is_behind(now, self.list.head()) {
@@ -315,7 +315,7 @@
 
     /// Handles a failed call, and leaves reading to others if the store responds to them.
     pub(crate) fn handle_store_failure(&mut self, now: ClockTime, error: &SourceError) {
-        self.rows_refused_at = None;
+        self.store_needed_since = None;
         if *error == SourceError::HistoryGone {
             self.full_read_reason = Some(ReadReason::HistoryGone);
             self.election.record_success(now);
--- a/crates/foxledge-gossip/tests/compacted_history.rs
+++ b/crates/foxledge-gossip/tests/compacted_history.rs
@@ -77,14 +77,11 @@
     fleet.store.register(0xf00, false);
     fleet.store.torn_revisions = 1;
     fleet.store.compact();
-    let has_rows_past_head = |fleet: &VirtualFleet, index: usize| {
-        fleet.instances[index]
-            .member
-            .as_ref()
-            .is_some_and(|member| member.list().has_rows_past_head())
+    let is_uneven = |fleet: &VirtualFleet, index: usize| {
+        fleet.instances[index].member.as_ref().is_some_and(|member| member.list().is_uneven())
     };
     assert!(
-        fleet.run_until(5_000, |fleet| has_rows_past_head(fleet, 0)).is_some(),
+        fleet.run_until(5_000, |fleet| is_uneven(fleet, 0)).is_some(),
         "the list isn't read in several pages"
     );
     fleet.store.remove(0xf00);
--- a/crates/foxledge-gossip/tests/random_lists.rs
+++ b/crates/foxledge-gossip/tests/random_lists.rs
@@ -234,7 +234,7 @@
                 (self.checked_heads[index], self.changes[index]) == (head, instance.row_changes);
             (self.checked_heads[index], self.changes[index]) = (head, instance.row_changes);
             // A list with rows past its head only guarantees the changes that come after it.
-            if head == 0 || is_unchanged || member.list().has_rows_past_head() {
+            if head == 0 || is_unchanged || member.list().is_uneven() {
                 continue;
             }
             let items = self.fleet.store.history.get(&head).expect("the store had this revision");
