Hold the lines of abandoned transfers and the rows that token responses leave out

pages_out_of_order_do_not_delay_reading expects page_lost in the log, and removed_backend_with_long_name_is_found a row that no message holds among those that are asked for.

--- a/crates/foxledge-gossip/tests/long_rows.rs
+++ b/crates/foxledge-gossip/tests/long_rows.rs
@@ -118,6 +118,7 @@
     let calls = fleet.store.calls;
     fleet.run(5_000);
     let calls = fleet.store.calls - calls;
+    println!("{calls} calls");
     assert!(calls <= 4 * 5 * 10, "{calls} calls in 5 s");
     fleet.store_state.clear();
     let head = fleet.store.head;
@@ -171,11 +172,13 @@
     let mut fleet = settled_fleet(&[2], 1);
     fleet.store.register_service(0x700, &long_name(4_000));
     fleet.store.register(0x701, false);
+    fleet.store.register_service(0x702, &long_name(UNSENDABLE_LENGTH));
     fleet.answer_watches();
     fleet.run(500);
     fleet.kill(1);
-    fleet.store.remove(0x700);
-    fleet.store.remove(0x701);
+    for number in [0x700, 0x701, 0x702] {
+        fleet.store.remove(number);
+    }
     fleet.answer_watches();
     fleet.run(500);
     fleet.isolate(1);
@@ -184,7 +187,7 @@
     fleet.cut_links.clear();
     fleet.run(1_500);
     fleet.instances[1].applied_rows.clear();
-    fleet.query_removed_backends(1, [0x700, 0x701].map(token_of).to_vec());
+    fleet.query_removed_backends(1, [0x700, 0x701, 0x702].map(token_of).to_vec());
     fleet.run(100);
     let rows = fleet.instances[1].applied_rows.iter();
     let removed: Vec<_> = rows
@@ -192,6 +195,9 @@
         .map(|row| row.key.as_str())
         .collect();
     assert_eq!(removed, ["backend/i-700", "backend/i-701"]);
+    let is_unsent =
+        |(_, event): &(u64, FleetEvent)| matches!(event, FleetEvent::MessageTooLong { .. });
+    assert!(!fleet.instances.iter().any(|instance| instance.events.iter().any(is_unsent)));
 }
 
 #[test]
--- a/crates/foxledge-gossip/tests/newest_list.rs
+++ b/crates/foxledge-gossip/tests/newest_list.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::{StoreState, VirtualFleet, settle, settled_fleet};
-use foxledge_gossip::MAX_MESSAGE_BYTES;
+use foxledge_gossip::{AbandonReason, FleetEvent, MAX_MESSAGE_BYTES};
 
 /// Time within which a new list must be in force after its acknowledgement, in milliseconds.
 const CONVERGENCE_TIMEOUT_MS: u64 = 3_000;
@@ -268,5 +268,9 @@
         let elapsed_ms = fleet.run_until(CONVERGENCE_TIMEOUT_MS, |fleet| fleet.all_have_list(head));
         println!("seed {seed}: {elapsed_ms:?} ms");
         assert!(elapsed_ms.is_some(), "seed {seed}");
+        let is_told = |(_, event): &(u64, FleetEvent)| {
+            matches!(event, FleetEvent::TransferAbandoned { reason: AbandonReason::PageLost, .. })
+        };
+        assert!(fleet.instances.iter().any(|instance| instance.events.iter().any(is_told)));
     }
 }
