--- a/review/standins-2/cases.rs
+++ b/review/standins-2/cases.rs
@@ -20,6 +20,7 @@
         "token" => Some(token),
         "settings" => Some(settings),
         "pages" => Some(pages),
+        "split" => Some(split),
         _ => None,
     }
 }
@@ -507,3 +508,124 @@
     world.end();
     broken > 0
 }
+
+/// FAILBACK: after all processes were killed at the same moment, those of a zone without a seed know
+/// each other in groups only, and each group sends to a cold target.
+fn split(record: &Arc<Record>, root: &Path, has_trouble: bool) -> bool {
+    const MACHINES: u8 = 20;
+    const SEEDS: u8 = 3;
+    const ROUNDS: u8 = 6;
+    const WARMUP_S: f64 = 4.0;
+    const WARMUP_PER_S: f64 = 2.0;
+    /// `warmup_per_s` x `warmup_overrun` + `warmup_slack`.
+    const LIMIT: usize = (WARMUP_PER_S * 1.5) as usize + 5;
+    let world = world(record, root, &["alpha", "beta"]);
+    let mut specs: Vec<InstanceSpec> = (1..=SEEDS)
+        .map(|host| instance(&world, &format!("beta-{host}"), "beta", 2, host))
+        .collect();
+    specs.extend((1..=MACHINES).map(|host| instance(&world, &format!("alpha-{host}"), "alpha", 1, host)));
+    world.add_instances(specs);
+    let route = Route { name: "r-feed", port: 443, kind: "idempotent", service: "desk" };
+    put_config(&world, 3, &[route], (WARMUP_S, WARMUP_PER_S));
+    let target = |zone: &str, group: u8, host: u8, warmup_s: f64| TargetSpec {
+        id: format!("i-{:010x}", 0xa000_0000_u64 + 256 * u64::from(group) + u64::from(host)),
+        service: "desk".to_owned(),
+        zone: zone.to_owned(),
+        ip: world.net.ip(group, host),
+        work_ms: 20,
+        warmup_s,
+    };
+    for host in 1..=6 {
+        world.start_target(target("beta", 12, host, 0.0));
+    }
+    world.start_target(target("alpha", 11, 200, 0.0));
+    world.start_all();
+    let all = lock(&world.instances).clone();
+    let knows_all = |one: &Arc<crate::Instance>| {
+        // Those of other zones know eight of alpha's at most.
+        one.spec.zone == "beta"
+            || one.metric("peers").is_some_and(|count| count as usize == all.len() - 1)
+    };
+    let settled_by = record.now() + 50.0;
+    while !all.iter().all(knows_all) {
+        if record.now() > settled_by {
+            world.fail("the machines don't know each other after 50 s");
+        }
+        thread::sleep(Duration::from_millis(500));
+    }
+    record.line("every machine of alpha knows all others");
+    thread::sleep(Duration::from_millis(2500));
+    record.line("traffic starts");
+    let clients: Vec<_> = (1..=60_u8)
+        .map(|host| {
+            let machine = world.net.ip(1, 1 + host % MACHINES);
+            let client = Client::new(&world, world.net.ip(31, host), machine);
+            let world = world.clone();
+            thread::spawn(move || {
+                let service = (world.net.ip(200, 1), 443);
+                thread::sleep(Duration::from_millis(5 * u64::from(host)));
+                let mut next = world.record.now();
+                while !world.stop.load(Ordering::Relaxed) {
+                    next = (next + 0.2).max(world.record.now());
+                    if let Some(mut flow) = client.open(service) {
+                        client.request(&mut flow, "GET /feed", Duration::from_millis(2000));
+                        client.close(&flow);
+                    }
+                    world.record.sleep_until(next);
+                }
+            })
+        })
+        .collect();
+    thread::sleep(Duration::from_millis(1000));
+    let mut cold_targets = Vec::new();
+    for round in 0..ROUNDS {
+        if has_trouble {
+            record.line(&format!("herd_kill, round {round}: all processes are killed and started again"));
+            all.iter().for_each(|one| world.kill_instance(one));
+            thread::sleep(Duration::from_millis(300));
+            // All start within 0.3 s of each other.
+            all.iter().for_each(|one| world.start_instance(one));
+        } else {
+            thread::sleep(Duration::from_millis(300));
+        }
+        thread::sleep(Duration::from_millis(2000));
+        record.line("planned: two empty targets are added in alpha; they are cold for 4 s");
+        cold_targets.extend((1..=2).map(|host| world.start_target(target("alpha", 11, 2 * round + host, WARMUP_S))));
+        thread::sleep(Duration::from_millis(4200));
+        record.line("planned: these targets are emptied");
+        cold_targets.iter().rev().take(2).for_each(|one| world.drain_target(one));
+        let counts: Vec<String> = all
+            .iter()
+            .map(|one| one.metric("peers").map_or_else(|| "-".to_owned(), |count| count.to_string()))
+            .collect();
+        record.line(&format!("known peers of each machine: {}", counts.join(" ")));
+        thread::sleep(Duration::from_millis(2500));
+    }
+    world.stop.store(true, Ordering::Relaxed);
+    for client in clients {
+        let _ = client.join();
+    }
+    let mut is_broken = false;
+    let (arrivals, sent_at) = (lock(&world.arrivals).clone(), lock(&world.sent_at).clone());
+    for target in &cold_targets {
+        let (from, until) = (target.started_at, target.started_at + WARMUP_S);
+        let openings: Vec<(f64, f64, std::net::Ipv4Addr)> = arrivals
+            .iter()
+            .filter(|one| one.target == target.spec.id && one.is_opening && !one.is_held)
+            .filter(|one| (from..until).contains(&one.at))
+            .filter_map(|one| Some((*sent_at.get(&one.flow)?, one.at, one.machine)))
+            .collect();
+        let window = |from: f64| openings.iter().filter(move |one| one.0 >= from && one.1 < from + 1.0);
+        let most = openings.iter().map(|one| (window(one.0).count(), one.0)).max_by_key(|one| one.0);
+        let (most, at) = most.unwrap_or_default();
+        let senders: std::collections::HashSet<_> = window(at).map(|one| one.2).collect();
+        record.line(&format!(
+            "check: cold target {} got at most {most} requests that were sent and arrived in one second (from {at:.3}, from {} machines); allowed {LIMIT}",
+            target.spec.id,
+            senders.len()
+        ));
+        is_broken |= most > LIMIT;
+    }
+    world.end();
+    is_broken
+}
--- a/review/standins-2/world.rs
+++ b/review/standins-2/world.rs
@@ -554,6 +554,20 @@
             && &answer[9..12] == b"200"
     }
 
+    /// Returns the value of one of its metrics.
+    pub fn metric(&self, name: &str) -> Option<f64> {
+        let address = SocketAddr::V4(self.admin);
+        let mut stream = TcpStream::connect_timeout(&address, Duration::from_millis(400)).ok()?;
+        stream.set_read_timeout(Some(Duration::from_millis(900))).ok()?;
+        let request = b"GET /metrics HTTP/1.1\r\nhost: metrics\r\nconnection: close\r\n\r\n";
+        stream.write_all(request).ok()?;
+        let mut text = String::new();
+        let _ = stream.read_to_string(&mut text);
+        let mut lines = text.lines().filter_map(|line| line.split_once(' '));
+        let (_, value) = lines.find(|(key, _)| !key.starts_with('#') && key.ends_with(name))?;
+        value.trim().parse().ok()
+    }
+
     /// Returns how the process ended, if it did by itself.
     pub fn exit_status(&self) -> Option<String> {
         let mut child = lock(&self.child);
@@ -873,6 +887,12 @@
         self.store.put(&target.key(), &target.entry(self.record.now()));
     }
 
+    /// Empties a target and takes it away.
+    pub fn drain_target(&self, target: &Target) {
+        target.is_draining.store(true, Ordering::Relaxed);
+        self.register(target);
+    }
+
     fn run_target(&self, target: &Target) {
         let mut buffer = vec![0; 2048];
         while !self.stop.load(Ordering::Relaxed) && !target.is_gone.load(Ordering::Relaxed) {
