--- a/review/standins-2/world.rs
+++ b/review/standins-2/world.rs
@@ -9,6 +9,7 @@
     fs::{self, File},
     io::{Read, Write},
     net::{Ipv4Addr, SocketAddr, SocketAddrV4, TcpListener, TcpStream, UdpSocket},
+    os::unix::process::CommandExt,
     path::{Path, PathBuf},
     process::{Child, Command, ExitCode, Stdio},
     sync::{
@@ -21,6 +22,13 @@
 
 mod cases;
 
+unsafe extern "C" {
+    fn prctl(option: i32, argument: u64) -> i32;
+}
+
+const PR_SET_PDEATHSIG: i32 = 1;
+const SIGKILL: u64 = 9;
+
 // ---------------------------------------------------------------------------------------------
 // Clock and record
 
@@ -738,15 +746,22 @@
     pub fn start_instance(&self, instance: &Instance) {
         self.write_settings(instance);
         let log = File::options().create(true).append(true).open(&instance.log).expect("log");
-        let child = Command::new(self.root.join("target/release/foxledged"))
+        let mut command = Command::new(self.root.join("target/release/foxledged"));
+        command
             .args(["packets", "--config"])
             .arg(&instance.settings)
             .current_dir(&self.root)
             .stdin(Stdio::null())
             .stderr(log.try_clone().expect("log"))
-            .stdout(log)
-            .spawn();
-        match child {
+            .stdout(log);
+        // The process ends with this one, however this one ends.
+        unsafe {
+            command.pre_exec(|| {
+                prctl(PR_SET_PDEATHSIG, SIGKILL);
+                Ok(())
+            });
+        }
+        match command.spawn() {
             Ok(child) => {
                 self.record.line(&format!("{} started, pid {}", instance.spec.name, child.id()));
                 *lock(&instance.child) = Some(child);
