Start with any published figure in the settings

Callers saw an outage: after the platform published warmup_slack 2.5, each instance that was stopped and started refused its settings ("cold.slack: must be a whole number") and ended, every time it was started; after the last one no request was served.

Cause: the settings are rendered from the platform's bounds, which may be whole numbers, fractions, true or false. cold.slack was read as an integer, and any value outside its range or of another type was a finding, which ends the process. The same held for cold.overrun and stop.limit_s below 1, and for booleans in all four figures of the template. Hexadecimal integers were read as decimal ones where fractions are allowed.

An unreadable file or address was ruled out, as the finding names the key.

Change: the four figures are read as numbers, limited to their range, and a boolean is replaced by the default; each replacement is a warning in the log (setting_replaced) and in `foxledgectl check packets`. The limits of cold backend servers are kept in thousandths, rounded down, so that fractions add up to whole flows and a limit is never passed. Texts and other types are findings as before.

--- a/crates/foxledge-ctl/src/check.rs
+++ b/crates/foxledge-ctl/src/check.rs
@@ -62,6 +62,7 @@
         match load_packet_settings(file) {
             Ok(settings) => {
                 check.summary = format!("instance {} in {}", settings.name, settings.data_centre);
+                check.warnings.extend(settings.warnings.iter().map(|finding| finding.to_string()));
                 if settings.seeds.is_empty() {
                     let warning = "peers.seeds is empty: the instance learns only from the store";
                     check.warnings.push(warning.to_owned());
--- a/crates/foxledge-daemon/src/main.rs
+++ b/crates/foxledge-daemon/src/main.rs
@@ -31,6 +31,7 @@
         Err(findings) => return report_findings(&findings),
     };
     if matches.get_flag("check") {
+        eprint!("{}", settings.warnings);
         println!("{}: no findings", path.display());
         return ExitCode::SUCCESS;
     }
--- a/crates/foxledge-daemon/src/packets/daemon.rs
+++ b/crates/foxledge-daemon/src/packets/daemon.rs
@@ -166,6 +166,7 @@
         incarnation,
     };
     log.log_event(clock.now(), "started", &line);
+    log.log_warnings(clock.now(), &settings.warnings);
     log.write_pending();
     Ok(Rc::new(PacketContext {
         data: bind_udp("listen.data", settings.data.into())?,
--- a/crates/foxledge-daemon/src/packets/event_log.rs
+++ b/crates/foxledge-daemon/src/packets/event_log.rs
@@ -8,7 +8,10 @@
     io::{self, ErrorKind, Write},
 };
 
-use foxledge_core::time::ClockTime;
+use foxledge_core::{
+    findings::{Finding, FindingList},
+    time::ClockTime,
+};
 use nix::{
     fcntl::{FcntlArg, OFlag, fcntl},
     unistd,
@@ -35,6 +38,14 @@
     event: &'a T,
 }
 
+/// The log line of a setting that was replaced by a usable one.
+#[derive(Serialize)]
+struct WarningLine<'a> {
+    event: &'static str,
+    #[serde(flatten)]
+    finding: &'a Finding,
+}
+
 fn is_zero(count: &u64) -> bool {
     *count == 0
 }
@@ -110,6 +121,14 @@
         }
     }
 
+    /// Logs the settings that were replaced by usable ones.
+    pub fn log_warnings(&mut self, now: ClockTime, warnings: &FindingList) {
+        for finding in warnings.iter() {
+            let event = "setting_replaced";
+            self.log_event(now, event, &WarningLine { event, finding });
+        }
+    }
+
     /// Logs a decision on a flow.
     ///
     /// In the second after one with too many lines, only one flow in sixteen is logged,
--- a/crates/foxledge-daemon/src/packets/flow_part.rs
+++ b/crates/foxledge-daemon/src/packets/flow_part.rs
@@ -19,7 +19,7 @@
     packet::{HEADROOM_BYTES, MAX_PACKET_BYTES, PacketFault},
     rows::ListRow,
 };
-use foxledge_settings::AdmissionSettings;
+use foxledge_settings::{AdmissionSettings, PacketSettings};
 use rand::{Rng, SeedableRng, rngs::StdRng};
 use stakker::{CX, after, call, fail, fwd_to, idle};
 use stakker_mio::{
@@ -113,10 +113,7 @@
         let options = RouterOptions::new(data_centre)
             .address(settings.peer_public)
             .regions(settings.regions.clone())
-            .cold_rules(ColdRules {
-                overrun_percent: settings.cold_overrun_percent,
-                slack: settings.cold_slack,
-            })
+            .cold_rules(cold_rules(&settings))
             .overflow(settings.shares_load)
             .admission(settings.admission.map(admission_options))
             .seed(seed);
@@ -486,6 +483,14 @@
     }
 }
 
+/// Returns by how much the settings allow the limits of cold backend servers to be exceeded.
+fn cold_rules(settings: &PacketSettings) -> ColdRules {
+    ColdRules {
+        overrun_permille: settings.cold_overrun_permille,
+        slack_per_ks: settings.cold_slack_per_ks,
+    }
+}
+
 fn admission_options(admission: AdmissionSettings) -> AdmissionOptions {
     AdmissionOptions::default()
         .floor_percent(f64::from(admission.floor_percent))
--- a/crates/foxledge-daemon/src/packets/lifecycle_part.rs
+++ b/crates/foxledge-daemon/src/packets/lifecycle_part.rs
@@ -188,6 +188,7 @@
                 );
             }
         };
+        self.context.log.borrow_mut().log_warnings(self.context.clock.now(), &newer.warnings);
         let changes = self.context.settings.borrow().changes(&newer);
         let changes =
             changes.iter().map(|(key, before, after)| format!("{key}: {before} to {after}"));
--- a/crates/foxledge-daemon/tests/packet_daemon.rs
+++ b/crates/foxledge-daemon/tests/packet_daemon.rs
@@ -145,6 +145,13 @@
     Ok(())
 }
 
+// Guards against a published figure without a usable value that keeps the instance from starting.
+#[test]
+fn starts_with_unusable_figure() -> Result<()> {
+    let process = PacketProcess::start_settings("", "[cold]\noverrun = true\nslack = 5.5\n")?;
+    wait_until("the figure is named", START_LIMIT, || process.has_event("setting_replaced"))
+}
+
 #[test]
 fn ignores_second_signal_during_stop() -> Result<()> {
     let mut process = PacketProcess::start()?;
--- a/crates/foxledge-document/src/findings.rs
+++ b/crates/foxledge-document/src/findings.rs
@@ -21,6 +21,7 @@
     name: String,
     line_starts: Vec<usize>,
     findings: RefCell<Vec<Finding>>,
+    warnings: RefCell<Vec<Finding>>,
 }
 
 impl SourceFindings {
@@ -28,7 +29,12 @@
     pub fn new(name: &str, text: &str) -> SourceFindings {
         let breaks = text.bytes().enumerate().filter(|(_, byte)| *byte == b'\n');
         let line_starts = std::iter::once(0).chain(breaks.map(|(offset, _)| offset + 1)).collect();
-        SourceFindings { name: name.to_owned(), line_starts, findings: RefCell::default() }
+        SourceFindings {
+            name: name.to_owned(),
+            line_starts,
+            findings: RefCell::default(),
+            warnings: RefCell::default(),
+        }
     }
 
     /// Returns the name of the source.
@@ -43,13 +49,17 @@
 
     /// Adds a finding at a location.
     pub fn add(&self, location: &KeyLocation, text: impl Into<String>) {
-        let finding = Finding {
-            source: self.name.clone(),
-            line: location.line,
-            key: location.path.to_string(),
-            text: text.into(),
-        };
-        self.findings.borrow_mut().push(finding);
+        self.findings.borrow_mut().push(self.finding_at(location, text.into()));
+    }
+
+    /// Adds a warning at a location: unlike a finding, it doesn't invalidate the source.
+    pub fn add_warning(&self, location: &KeyLocation, text: impl Into<String>) {
+        self.warnings.borrow_mut().push(self.finding_at(location, text.into()));
+    }
+
+    fn finding_at(&self, location: &KeyLocation, text: String) -> Finding {
+        let key = location.path.to_string();
+        Finding { source: self.name.clone(), line: location.line, key, text }
     }
 
     /// Returns `true` if there are no findings so far.
@@ -64,12 +74,20 @@
 
     /// Returns the findings sorted by line; findings in one line keep their order.
     pub fn into_findings(self) -> FindingList {
-        let mut findings = self.findings.into_inner();
-        findings.sort_by_key(|finding| finding.line);
-        let mut list = FindingList::new();
-        for finding in findings {
-            list.add(&finding.source, finding.line, &finding.key, finding.text);
-        }
-        list
+        sorted_list(self.findings.into_inner())
+    }
+
+    /// Returns the warnings sorted by line; warnings in one line keep their order.
+    pub fn into_warnings(self) -> FindingList {
+        sorted_list(self.warnings.into_inner())
+    }
+}
+
+fn sorted_list(mut findings: Vec<Finding>) -> FindingList {
+    findings.sort_by_key(|finding| finding.line);
+    let mut list = FindingList::new();
+    for finding in findings {
+        list.add(&finding.source, finding.line, &finding.key, finding.text);
     }
+    list
 }
--- a/crates/foxledge-document/src/reader.rs
+++ b/crates/foxledge-document/src/reader.rs
@@ -215,18 +215,46 @@
 
     /// Returns the integer or decimal number under `key`; a value outside `range` is a finding.
     pub fn decimal(&self, key: &'static str, range: RangeInclusive<f64>) -> Option<f64> {
-        let number: Option<f64> = match self.read_value(key)?.get_ref() {
-            DeValue::Integer(integer) => integer.as_str().parse().ok(),
-            DeValue::Float(float) => float.as_str().parse().ok(),
-            _ => return self.add_type_error(key, "a number"),
-        };
-        let valid = number.filter(|number| range.contains(number));
+        let value = self.read_value(key)?.get_ref();
+        if !is_number(value) {
+            return self.add_type_error(key, "a number");
+        }
+        let valid = parse_number(value).filter(|number| range.contains(number));
         if valid.is_none() {
             self.add_finding(key, format!("must be from {} to {}", range.start(), range.end()));
         }
         valid
     }
 
+    /// Returns the number under `key`, limited to `range`, or `default` if it is absent.
+    ///
+    /// For figures that another system publishes. A number outside the range is replaced by the
+    /// nearest in it, and a boolean by `default`; either adds a warning. Any other type is a
+    /// finding.
+    pub fn published_figure(
+        &self,
+        key: &'static str,
+        range: RangeInclusive<f64>,
+        default: f64,
+    ) -> f64 {
+        let Some(value) = self.read_value(key).map(Spanned::get_ref) else { return default };
+        let is_boolean = matches!(value, DeValue::Boolean(_));
+        if !is_boolean && !is_number(value) {
+            return self.add_type_error(key, "a number").unwrap_or(default);
+        }
+        let number = parse_number(value).filter(|number| !number.is_nan());
+        let limited = number.map_or(default, |number| number.clamp(*range.start(), *range.end()));
+        if number != Some(limited) {
+            let warning = format!(
+                "must be a number from {} to {}; {limited} is used",
+                range.start(),
+                range.end()
+            );
+            self.findings.add_warning(&self.location_of(key), warning);
+        }
+        limited
+    }
+
     /// Returns the boolean under `key`.
     pub fn boolean(&self, key: &'static str) -> Option<bool> {
         match self.read_value(key)?.get_ref() {
@@ -361,3 +389,18 @@
         self.findings.line_at(value.span().start)
     }
 }
+
+fn is_number(value: &DeValue<'_>) -> bool {
+    matches!(value, DeValue::Integer(_) | DeValue::Float(_))
+}
+
+fn parse_number(value: &DeValue<'_>) -> Option<f64> {
+    match value {
+        DeValue::Integer(integer) if integer.radix() == 10 => integer.as_str().parse().ok(),
+        DeValue::Integer(integer) => {
+            i128::from_str_radix(integer.as_str(), integer.radix()).ok().map(|number| number as f64)
+        }
+        DeValue::Float(float) => float.as_str().parse().ok(),
+        _ => None,
+    }
+}
--- a/crates/foxledge-flows/src/cold.rs
+++ b/crates/foxledge-flows/src/cold.rs
@@ -35,16 +35,16 @@
 /// By how much the limits of cold backend servers may be exceeded.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ColdRules {
-    /// Allowed flows in percent of the published limit.
-    pub overrun_percent: u32,
-    /// Additional flows per second.
-    pub slack: u32,
+    /// Allowed flows in thousandths of the published limit.
+    pub overrun_permille: u32,
+    /// Additional flows per 1,000 seconds.
+    pub slack_per_ks: u32,
 }
 
 impl Default for ColdRules {
     /// Allows the published limit and no more.
     fn default() -> ColdRules {
-        ColdRules { overrun_percent: 100, slack: 0 }
+        ColdRules { overrun_permille: 1_000, slack_per_ks: 0 }
     }
 }
 
@@ -63,8 +63,8 @@
         if service.cold_flows_per_ks == 0 {
             return None;
         }
-        let published = service.cold_flows_per_ks * u64::from(self.overrun_percent) / 100_000;
-        let limit = published + u64::from(self.slack);
+        let published_per_ks = service.cold_flows_per_ks * u64::from(self.overrun_permille) / 1_000;
+        let limit = (published_per_ks + u64::from(self.slack_per_ks)) / 1_000;
         let flows = (limit / (SENDER_COUNT as u64 * LIMIT_DIVISOR)) as usize;
         Some(match (flows, limit >= LIMIT_DIVISOR) {
             (0, true) => ColdQuota { senders: 1, flows: 1 },
--- a/crates/foxledge-settings/src/packet_settings.rs
+++ b/crates/foxledge-settings/src/packet_settings.rs
@@ -28,12 +28,12 @@
     pub data_centre: CentreName,
     /// The region of each data centre.
     pub regions: HashMap<CentreName, RegionName>,
-    /// Rate of new flows that a backend server may get during its slow start, in percent of
+    /// Rate of new flows that a backend server may get during its slow start, in thousandths of
     /// its published limit.
-    pub cold_overrun_percent: u32,
-    /// New flows per second that a backend server may get during its slow start in addition to
-    /// that rate.
-    pub cold_slack: u32,
+    pub cold_overrun_permille: u32,
+    /// New flows per 1,000 seconds that a backend server may get during its slow start in addition
+    /// to that rate.
+    pub cold_slack_per_ks: u32,
     /// Bandwidth of the instance's network link, in Mbit/s; 0 when unknown. Instances with more
     /// bandwidth are preferred as readers of the store.
     pub link_mbps: u32,
@@ -62,6 +62,8 @@
     pub shares_load: bool,
     /// Admission control under a shortage of capacity; none disables it.
     pub admission: Option<AdmissionSettings>,
+    /// Published figures that were replaced by usable ones.
+    pub warnings: FindingList,
 }
 
 /// How capacity is shared while a service is short of it.
@@ -97,7 +99,9 @@
     }
     let findings = SourceFindings::new(source, text);
     match read_document(&findings, text, read_settings).flatten() {
-        Some(settings) if findings.is_empty() => Ok(settings),
+        Some(settings) if findings.is_empty() => {
+            Ok(PacketSettings { warnings: findings.into_warnings(), ..settings })
+        }
         _ => Err(findings.into_findings()),
     }
 }
@@ -107,13 +111,13 @@
     let instance = root.table("instance");
     let name = instance.require("name", non_empty_text(&instance, "name"));
     let data_centre = instance.require("data_centre", non_empty_text(&instance, "data_centre"));
-    let link_mbps = instance.decimal("link_mbps", 0.0..=1e6).unwrap_or(0.0) as u32;
+    let link_mbps = instance.published_figure("link_mbps", 0.0..=1e6, 0.0) as u32;
     instance.finish();
 
     let regions = read_regions(root);
     let cold = root.table("cold");
-    let overrun = cold.decimal("overrun", 1.0..=100.0).unwrap_or(1.0);
-    let cold_slack = cold.number_or("slack", 0..=100_000, 0) as u32;
+    let overrun = cold.published_figure("overrun", 0.0..=100.0, 1.0);
+    let slack = cold.published_figure("slack", 0.0..=100_000.0, 0.0);
     cold.finish();
 
     let listen = root.table("listen");
@@ -136,7 +140,7 @@
     peers.finish();
 
     let stop = root.table("stop");
-    let limit_s = stop.decimal("limit_s", 1.0..=3_600.0).unwrap_or(DEFAULT_STOP_LIMIT_S);
+    let limit_s = stop.published_figure("limit_s", 0.0..=3_600.0, DEFAULT_STOP_LIMIT_S);
     let stop_limit_ms = (limit_s * 1_000.0) as u64;
     stop.finish();
 
@@ -153,8 +157,8 @@
         name: InstanceName::new(name?),
         data_centre: CentreName::new(data_centre?),
         regions,
-        cold_overrun_percent: (overrun * 100.0).round() as u32,
-        cold_slack,
+        cold_overrun_permille: floor_to_thousandths(overrun),
+        cold_slack_per_ks: floor_to_thousandths(slack),
         link_mbps,
         data: data?,
         peer: peer?,
@@ -167,9 +171,16 @@
         log_lines_per_s,
         shares_load,
         admission,
+        warnings: FindingList::new(),
     })
 }
 
+/// Converts a limit to thousandths. Rounds down, so that the limit is never exceeded, except for
+/// the error of the decimal notation.
+fn floor_to_thousandths(limit: f64) -> u32 {
+    (limit * 1_000.0 + 1e-6).floor() as u32
+}
+
 /// Reads the admission table. Admission depends on the load reports of all instances, so it
 /// requires load sharing.
 fn read_admission(table: &TableReader<'_>, shares_load: bool) -> Option<AdmissionSettings> {
@@ -196,10 +207,14 @@
             ("data_centres", sorted_regions(&self.regions), sorted_regions(&newer.regions)),
             (
                 "cold.overrun",
-                self.cold_overrun_percent.to_string(),
-                newer.cold_overrun_percent.to_string(),
+                thousandths_text(self.cold_overrun_permille),
+                thousandths_text(newer.cold_overrun_permille),
+            ),
+            (
+                "cold.slack",
+                thousandths_text(self.cold_slack_per_ks),
+                thousandths_text(newer.cold_slack_per_ks),
             ),
-            ("cold.slack", self.cold_slack.to_string(), newer.cold_slack.to_string()),
             ("instance.link_mbps", self.link_mbps.to_string(), newer.link_mbps.to_string()),
             ("listen.data", self.data.to_string(), newer.data.to_string()),
             ("listen.peer", self.peer.to_string(), newer.peer.to_string()),
@@ -248,6 +263,10 @@
     }
 }
 
+fn thousandths_text(thousandths: u32) -> String {
+    (f64::from(thousandths) / 1_000.0).to_string()
+}
+
 fn sorted_regions(regions: &HashMap<CentreName, RegionName>) -> String {
     let mut regions: Vec<_> = regions.iter().collect();
     regions.sort_unstable();
