Apply changed limits of cold backend servers on a reload

Cause: a reload put seeds, regions and the stop's limit into force and compared the rest only.

reload_changes_cold_limits (a real process) and changed_rules_apply_to_next_flows hold it; both came with the change, as the router had no way to change its rules before.

--- a/crates/foxledge-daemon/src/packets/flow_part.rs
+++ b/crates/foxledge-daemon/src/packets/flow_part.rs
@@ -184,6 +184,11 @@
         self.router.set_regions(regions);
     }
 
+    /// Changes by how much the limits of cold backend servers may be exceeded.
+    pub fn set_cold_rules(&mut self, _cx: CX![], rules: ColdRules) {
+        self.router.set_cold_rules(rules);
+    }
+
     /// Records that the process was paused, and reads packets that arrived meanwhile.
     pub fn record_pause(&mut self, cx: CX![]) {
         self.router.record_pause();
@@ -484,7 +489,7 @@
 }
 
 /// Returns by how much the settings allow the limits of cold backend servers to be exceeded.
-fn cold_rules(settings: &PacketSettings) -> ColdRules {
+pub(super) fn cold_rules(settings: &PacketSettings) -> ColdRules {
     ColdRules {
         overrun_permille: settings.cold_overrun_permille,
         slack_per_ks: settings.cold_slack_per_ks,
--- a/crates/foxledge-daemon/src/packets/lifecycle_part.rs
+++ b/crates/foxledge-daemon/src/packets/lifecycle_part.rs
@@ -14,7 +14,10 @@
 use stakker::{CX, StopCause, after, call};
 
 use super::{
-    clock::MIN_RECHECK_DELAY, context::SharedContext, fleet_part::FleetPart, flow_part::FlowPart,
+    clock::MIN_RECHECK_DELAY,
+    context::SharedContext,
+    fleet_part::FleetPart,
+    flow_part::{FlowPart, cold_rules},
 };
 
 /// Maximum wait, in milliseconds, for a confirmation that a known list is the newest.
@@ -196,11 +199,14 @@
         self.context.member.borrow_mut().set_seeds(newer.seeds.clone());
         if let Some(flows) = self.context.directory.get::<FlowPart>() {
             call!([flows], set_regions(newer.regions.clone()));
+            call!([flows], set_cold_rules(cold_rules(&newer)));
         }
         let mut settings = self.context.settings.borrow_mut();
         settings.regions = newer.regions;
         settings.seeds = newer.seeds;
         settings.stop_limit_ms = newer.stop_limit_ms;
+        settings.cold_overrun_permille = newer.cold_overrun_permille;
+        settings.cold_slack_per_ks = newer.cold_slack_per_ks;
     }
 
     fn set_phase(&self, phase: EnginePhase, cause: &str) {
--- a/crates/foxledge-daemon/tests/packet_daemon.rs
+++ b/crates/foxledge-daemon/tests/packet_daemon.rs
@@ -152,6 +152,24 @@
     wait_until("the figure is named", START_LIMIT, || process.has_event("setting_replaced"))
 }
 
+// Guards against limits of cold backend servers that differ between restarted instances and those
+// that reloaded their settings.
+#[test]
+fn reload_changes_cold_limits() -> Result<()> {
+    let process = PacketProcess::start_settings("", "[cold]\nslack = 5.5\n")?;
+    let logged = |text: &str| {
+        let events = process.events().unwrap_or_default();
+        events.iter().any(|event| event.to_string().contains(text))
+    };
+    let text = fs::read_to_string(&process.settings)?;
+    fs::write(&process.settings, text.replace("slack = 5.5", "slack = 2.5"))?;
+    process.signal(Signal::HUP)?;
+    wait_until("the change is logged", START_LIMIT, || logged("cold.slack: 5.5 to 2.5"))?;
+    // What is in force is what the next reload is compared with.
+    process.signal(Signal::HUP)?;
+    wait_until("nothing has changed", START_LIMIT, || logged("\"changes\":[]"))
+}
+
 #[test]
 fn ignores_second_signal_during_stop() -> Result<()> {
     let mut process = PacketProcess::start()?;
--- a/crates/foxledge-flows/src/list_updates.rs
+++ b/crates/foxledge-flows/src/list_updates.rs
@@ -9,6 +9,7 @@
 
 use crate::{
     backends::{Backend, BackendEvent, REMOVAL_GRACE_MS, is_store_unreachable},
+    cold::ColdRules,
     evacuations::{Evacuation, EvacuationChange, EvacuationEvent},
     mechanisms::RouterMechanism,
     router::FlowRouter,
@@ -72,6 +73,12 @@
         self.load.invalidate_slots();
     }
 
+    /// Sets by how much the limits of cold backend servers may be exceeded after a change of the
+    /// settings.
+    pub fn set_cold_rules(&mut self, rules: ColdRules) {
+        self.options.cold = rules;
+    }
+
     /// Returns true if a backend server may get new flows according to its entry and the operators.
     pub fn accepts_new_flows(&self, now: ClockTime, backend: &Backend) -> bool {
         backend.accepts_new_flows(now, self.confirmed_at)
--- a/crates/foxledge-flows/tests/cold_limit.rs
+++ b/crates/foxledge-flows/tests/cold_limit.rs
@@ -243,6 +243,20 @@
     assert!(received[&1].len() > 90, "{}", received[&1].len());
 }
 
+// Guards against limits that stay as they were until a restart when the settings change.
+#[test]
+fn changed_rules_apply_to_next_flows() {
+    let mut routers = fleet(&complete_views(2));
+    for router in &mut routers {
+        router.apply_rows(clock_at(2_000), &[cold_backend_row(1, LOCAL_CENTRE, 9_000, 5)]);
+    }
+    assert!(send_flows(&mut routers, 500, (2_000, 4_000)).contains_key(&1));
+    for router in &mut routers {
+        router.set_cold_rules(ColdRules { overrun_permille: 0, slack_per_ks: 1_500 });
+    }
+    assert_eq!(send_flows(&mut routers, 500, (5_500, 8_000)), BTreeMap::new());
+}
+
 #[test]
 fn quotas_of_extreme_limits() {
     let quota = |flows_per_ks: u64, rules: ColdRules| {
