Keep the cold limit in an evacuated data centre that is cut off

Hypotheses: the exception for an isolated, evacuated data centre lifts the quota too (predicts an unlimited rate from the moment at which the instance counts as isolated, and none without the evacuation); the instances don't know that the backend servers are cold (predicts the same rate before the cut); views of the fleet differ (predicts a multiple of the quota at most). Only the first fits: before the cut and without it at most 4 a second, after it all flows.

Cause: a backend server's barriers were reduced to one before the exception was applied. The evacuation came first, so the quota was never looked at, and lifting the evacuation lifted both. The class: an exception from one limit that goes around another.

Change: the exception is part of the evacuation's own check, and the quota is checked after it. Regions were checked before already.

--- a/crates/foxledge-flows/src/candidates.rs
+++ b/crates/foxledge-flows/src/candidates.rs
@@ -81,6 +81,17 @@
     pub median_latency_us: f64,
 }
 
+/// What limits the placement of a flow.
+#[derive(Clone, Copy, Debug)]
+struct PlacementLimits<'a> {
+    /// The route that matches the flow.
+    route: &'a FlowRoute,
+    /// The quota of new flows for cold backend servers of its service; `None` without a limit.
+    cold_quota: Option<ColdQuota>,
+    /// True when neither the store nor backend servers of other data centres are reachable.
+    is_isolated: bool,
+}
+
 impl FlowRouter {
     /// Returns the median response time among backend servers of a service, in microseconds.
     pub(crate) fn median_latency_us(&self, service: &ServiceName) -> f64 {
@@ -102,19 +113,18 @@
         scope: &CandidateScope<'_>,
         indexes: impl Iterator<Item = usize>,
     ) -> CandidateSet {
-        let quota = self.services.get(flow.service).and_then(|one| self.options.cold.quota(one));
-        let is_isolated = self.is_isolated(now);
+        let limits = PlacementLimits {
+            route: flow.route,
+            cold_quota: self.cold_quota(flow.service),
+            is_isolated: self.is_isolated(now),
+        };
         let mut set = CandidateSet::default();
         for index in indexes {
             let Some(backend) = self.backends.get(index) else { continue };
             if !backend.accepts_new_flows(now, self.confirmed_at) {
                 continue;
             }
-            let barrier = self.find_barrier(now, flow.route, backend, quota).filter(|barrier| {
-                let is_local = backend.data_centre == self.options.data_centre;
-                !(*barrier == PlacementBarrier::Evacuation && is_isolated && is_local)
-            });
-            match barrier {
+            match self.find_barrier(now, backend, &limits) {
                 Some(barrier) => set.barrier = set.barrier.max(Some(barrier)),
                 None => {
                     set.candidates.push(self.build_candidate(now, flow, scope, (index, backend)))
@@ -159,28 +169,49 @@
         }
     }
 
-    /// Returns what keeps new flows of a route from a backend server that takes flows.
+    /// Returns what keeps a new flow from a backend server that takes flows. Each limit is checked
+    /// for itself: an exception from one doesn't lift another.
     fn find_barrier(
         &self,
         now: ClockTime,
-        route: &FlowRoute,
         backend: &Backend,
-        quota: Option<ColdQuota>,
+        limits: &PlacementLimits<'_>,
     ) -> Option<PlacementBarrier> {
+        let route = limits.route;
         let is_allowed = |region| route.regions.contains(region);
         let region = self.options.regions.get(&backend.data_centre);
         if !route.regions.is_empty() && !region.is_some_and(is_allowed) {
             return Some(PlacementBarrier::Region);
         }
-        if self.evacuations.contains(&backend.data_centre) {
+        let is_only_reachable = limits.is_isolated && self.is_local(backend);
+        if self.evacuations.contains(&backend.data_centre) && !is_only_reachable {
             return Some(PlacementBarrier::Evacuation);
         }
-        let quota = quota.filter(|_| backend.is_cold(now))?;
-        let is_local = backend.data_centre == self.options.data_centre;
-        let has_quota = is_local
+        (!self.has_cold_quota(now, backend, limits.cold_quota)).then_some(PlacementBarrier::Cold)
+    }
+
+    /// Returns the quota of new flows for the cold backend servers of a service, or `None` without
+    /// a limit.
+    pub(crate) fn cold_quota(&self, service: &ServiceName) -> Option<ColdQuota> {
+        self.services.get(service).and_then(|limits| self.options.cold.quota(limits))
+    }
+
+    /// Returns true when one more new flow to a backend server keeps this instance within `quota`,
+    /// which applies while the backend server is cold.
+    pub(crate) fn has_cold_quota(
+        &self,
+        now: ClockTime,
+        backend: &Backend,
+        quota: Option<ColdQuota>,
+    ) -> bool {
+        let Some(quota) = quota.filter(|_| backend.is_cold(now)) else { return true };
+        self.is_local(backend)
             && self.centre_peers.is_sender(now, backend.number, quota.senders)
-            && backend.cold_flows.has_capacity(now, quota.flows);
-        (!has_quota).then_some(PlacementBarrier::Cold)
+            && backend.cold_flows.has_capacity(now, quota.flows)
+    }
+
+    fn is_local(&self, backend: &Backend) -> bool {
+        backend.data_centre == self.options.data_centre
     }
 
     /// Returns true when neither the store nor backend servers of other data centres are reachable.
--- a/crates/foxledge-flows/tests/cold_limit.rs
+++ b/crates/foxledge-flows/tests/cold_limit.rs
@@ -243,6 +243,71 @@
     assert!(received[&1].len() > 90, "{}", received[&1].len());
 }
 
+/// Cuts instances off: the store confirms nothing after `from`, and backend servers of the other
+/// data centre leave openings unanswered.
+fn isolate(routers: &mut [FlowRouter], from: u64) {
+    for (index, router) in routers.iter_mut().enumerate() {
+        router.set_confirmed_at(clock_at(from));
+        for attempt in 0..4 {
+            let key = flow_key(200, index as u16);
+            let now = clock_at(from + 200 * u64::from(attempt));
+            router.on_packet(now, &opening_packet(key, attempt));
+        }
+    }
+}
+
+/// Returns the times of the openings that each backend server got when `per_s` new flows a second
+/// come to isolated `routers` in turn. Only local backend servers respond.
+fn send_isolated_flows(
+    routers: &mut [FlowRouter],
+    per_s: u64,
+    (from, until): (u64, u64),
+) -> BTreeMap<u64, Vec<u64>> {
+    let mut received: BTreeMap<u64, Vec<u64>> = BTreeMap::new();
+    for flow in 0..per_s * (until - from) / 1_000 {
+        let now = from + flow * 1_000 / per_s;
+        let index = (flow * 7 % routers.len() as u64) as usize;
+        let key = flow_key((flow >> 16) as u8, flow as u16);
+        let router = &mut routers[index];
+        for (attempt, wait) in [(0, 0), (1, 100)] {
+            let decision = router.on_packet(clock_at(now + wait), &opening_packet(key, attempt));
+            let Some(number) = decided_backend(router, &decision) else { continue };
+            received.entry(number).or_default().push(now + wait);
+            if number < 100 && attempt == 1 {
+                let packet = flow_packet(key, foxledge_flows::PacketKind::Continue, number as u32);
+                router.on_packet(clock_at(now + wait + 7), &packet);
+            }
+        }
+    }
+    received.values_mut().for_each(|times| times.sort_unstable());
+    received
+}
+
+// Guards against flooding cold backend servers of an evacuated data centre that is cut off: it
+// serves its callers despite the evacuation, but no faster than its backend servers bear.
+#[test]
+fn cold_limit_holds_in_isolated_evacuated_centre() {
+    for count in [2, 6, 18, 73] {
+        let mut routers = fleet(&complete_views(count));
+        let cold_rows = (1..=2).map(|number| cold_backend_row(number, LOCAL_CENTRE, 9_000, 5));
+        let remote_rows =
+            (101..=106).map(|number| listed_backend(number, "desk", REMOTE_CENTRE, 5));
+        let rows: Vec<_> =
+            cold_rows.chain(remote_rows).chain([evacuation_row(LOCAL_CENTRE, 6)]).collect();
+        for router in &mut routers {
+            router.apply_rows(clock_at(2_000), &rows);
+        }
+        isolate(&mut routers, 2_000);
+        let received = send_isolated_flows(&mut routers, 1_000, (4_600, 8_000));
+        for number in 1..=2 {
+            let times = received.get(&number).map(Vec::as_slice).unwrap_or_default();
+            let maximum = max_in_a_second(times);
+            assert!(maximum <= LIMIT, "{count} instances, backend server {number}: {maximum}");
+            assert!(times.len() >= 6, "{count} instances, backend server {number} serves callers");
+        }
+    }
+}
+
 // Guards against limits that stay as they were until a restart when the settings change.
 #[test]
 fn changed_rules_apply_to_next_flows() {
