Hold retransmitted openings to the whole quota of a cold backend server

A backend server that becomes cold between an opening and its first retransmission could get one flow from each instance of the fleet: 73 in a second where 20 are allowed.

Cause: a retransmission within 150 ms goes to the same backend server without a new placement, and only the window of the quota was checked there, not whether this instance is one of its senders.

Change: both paths ask has_cold_quota; what is sent is recorded by record_cold_flow, with or without a limit, so that a limit that is published later counts it.

Seen red before: retransmissions_to_cooled_backend_keep_limit.

--- a/crates/foxledge-flows/src/new_flows.rs
+++ b/crates/foxledge-flows/src/new_flows.rs
@@ -49,9 +49,13 @@
         if let Some(opening) = previous {
             let is_early = !opening.sent_at.after_millis(EARLY_RETRANSMISSION_MS).is_past(now);
             if is_early && self.has_mechanism(RouterMechanism::RetransmissionWindow) {
-                if !self.count_cold_flow(now, opening.backend) {
+                let has_quota = self.backends.get(opening.backend).is_none_or(|backend| {
+                    self.has_cold_quota(now, backend, self.cold_quota(&backend.service))
+                });
+                if !has_quota {
                     return FlowDecision::Drop(DropReason::ColdLimit);
                 }
+                self.record_cold_flow(now, opening.backend);
                 return FlowDecision::Open { backend: opening.backend, reason: reason(None, 1) };
             }
             self.openings.remove(&packet.key);
@@ -79,7 +83,7 @@
         let Some((index, rank)) = choice else {
             return self.refuse_without_backend(now, &service, barrier);
         };
-        self.count_cold_flow(now, index);
+        self.record_cold_flow(now, index);
         self.placement_count += 1;
         let mut group = 0;
         if let Some(backend) = self.backends.get_mut(index) {
@@ -120,21 +124,11 @@
         self.refuse_or_drop(now, RefuseReason::NoBackend)
     }
 
-    /// Counts a new flow against the quota of a cold backend server. Returns false, without
-    /// counting, when the quota is used up.
-    fn count_cold_flow(&mut self, now: ClockTime, index: usize) -> bool {
-        let Some(backend) = self.backends.get_mut(index).filter(|one| one.is_cold(now)) else {
-            return true;
-        };
-        let limits = self.services.get(&backend.service);
-        let Some(quota) = limits.and_then(|limits| self.options.cold.quota(limits)) else {
-            return true;
-        };
-        if !backend.cold_flows.has_capacity(now, quota.flows) {
-            return false;
+    /// Counts a new flow against the quota of its backend server while that is cold.
+    fn record_cold_flow(&mut self, now: ClockTime, index: usize) {
+        if let Some(backend) = self.backends.get_mut(index).filter(|one| one.is_cold(now)) {
+            backend.cold_flows.record_flow(now);
         }
-        backend.cold_flows.record_flow(now);
-        true
     }
 
     /// Counts an unanswered opening if its backend server is in another data centre.
--- a/crates/foxledge-flows/tests/cold_limit.rs
+++ b/crates/foxledge-flows/tests/cold_limit.rs
@@ -13,7 +13,7 @@
 use common::*;
 use foxledge_core::names::CentreName;
 use foxledge_flows::{
-    ColdRules, FlowDecision, FlowRouter, RefuseReason, RouterOptions,
+    ColdRules, DropReason, FlowDecision, FlowRouter, RefuseReason, RouterOptions,
     rows::{ListRow, RowValue},
 };
 use proptest::prelude::*;
@@ -308,6 +308,28 @@
     }
 }
 
+// Guards against retransmissions from all instances at once to a backend server that has become
+// cold since the first packet.
+#[test]
+fn retransmissions_to_cooled_backend_keep_limit() {
+    let mut routers = fleet(&complete_views(73));
+    let mut sent = Vec::new();
+    for (index, router) in routers.iter_mut().enumerate() {
+        router.apply_rows(clock_at(2_000), &[cold_backend_row(1, LOCAL_CENTRE, 0, 5)]);
+        router.set_confirmed_at(clock_at(2_000));
+        let key = flow_key(1, index as u16);
+        let decision = router.on_packet(clock_at(2_000), &opening_packet(key, 0));
+        assert_eq!(decided_backend(router, &decision), Some(1));
+        router.apply_rows(clock_at(2_050), &[cold_backend_row(1, LOCAL_CENTRE, 9_000, 6)]);
+        let decision = router.on_packet(clock_at(2_100), &opening_packet(key, 1));
+        match decided_backend(router, &decision) {
+            Some(_) => sent.push(2_100),
+            None => assert_eq!(decision, FlowDecision::Drop(DropReason::ColdLimit)),
+        }
+    }
+    assert!((1..=LIMIT).contains(&sent.len()), "{}", sent.len());
+}
+
 // Guards against limits that stay as they were until a restart when the settings change.
 #[test]
 fn changed_rules_apply_to_next_flows() {
