Let only newer entries end a warm-up

After the end of an evacuation the backend servers of the data centre count as cold until their entries say otherwise. A row that says nothing new, the known entry once more or its removal, made them warm at once: 501 flows in a second where 20 are allowed.

Cause: each row of the same start replaced the end of the warm-up, counted from its arrival. A removal carries the last entry, and a removed backend server still gets flows for 2.2 s, longer while the store is unreachable, which is when entries expire.

Change: a removal and a row of the known revision leave the end of the warm-up as it is.

Seen red before: only_newer_entries_end_the_warm_up.

--- a/crates/foxledge-flows/src/backend_table.rs
+++ b/crates/foxledge-flows/src/backend_table.rs
@@ -219,12 +219,16 @@
             self.resolve_number(spec.number);
             return Some(BackendEvent::Restarted { index, former });
         }
+        // Neither a removal nor a row that is known already says how warm the process is now.
+        let has_warm_up = removed_at.is_none() && row.revision > known.revision;
         known.removed_at = removed_at;
         known.revision = row.revision;
         known.apply_draining(row, spec);
         if known.is_same_process(&newer) {
             known.slots = newer.slots;
-            known.warm_at = newer.warm_at;
+            if has_warm_up {
+                known.warm_at = newer.warm_at;
+            }
             return None;
         }
         // Its open flows stay where they are, as the process may still be alive there. The new
--- a/crates/foxledge-flows/tests/cold_limit.rs
+++ b/crates/foxledge-flows/tests/cold_limit.rs
@@ -330,6 +330,25 @@
     assert!((1..=LIMIT).contains(&sent.len()), "{}", sent.len());
 }
 
+// Guards against backend servers that count as warm again after an evacuation because a row that
+// says nothing new about their warm-up arrives: the known one once more, or its removal.
+#[test]
+fn only_newer_entries_end_the_warm_up() {
+    let known_row = cold_backend_row(1, LOCAL_CENTRE, 0, 5);
+    for row in [known_row.clone(), removed_row(&known_row, 10, 0)] {
+        let mut routers = fleet(&complete_views(6));
+        for router in &mut routers {
+            router
+                .apply_rows(clock_at(2_000), &[known_row.clone(), evacuation_row(LOCAL_CENTRE, 6)]);
+            let end = removed_row(&evacuation_row(LOCAL_CENTRE, 6), 9, 0);
+            router.apply_rows(clock_at(5_000), &[end]);
+            router.apply_rows(clock_at(5_100), std::slice::from_ref(&row));
+        }
+        let received = send_flows(&mut routers, 500, (5_100, 7_000));
+        assert!(max_in_a_second(&received[&1]) <= LIMIT, "{}", max_in_a_second(&received[&1]));
+    }
+}
+
 // Guards against limits that stay as they were until a restart when the settings change.
 #[test]
 fn changed_rules_apply_to_next_flows() {
