--- a/crates/foxledge-ctl/tests/check_files.rs
+++ b/crates/foxledge-ctl/tests/check_files.rs
@@ -41,6 +41,20 @@
     path.display().to_string()
 }
 
+// Guards against published figures that are replaced without notice.
+#[test]
+fn replaced_figures_are_warnings() {
+    let folder = FileFolder::new("figures");
+    let example = std::fs::read_to_string(example_path("packets.toml")).unwrap();
+    let file = folder.write("p.toml", &example.replace("overrun = 1.5", "overrun = true"));
+    expect![[r#"
+        good: instance toledo-1 in toledo
+        warning: p.toml:21: cold.overrun: must be a number from 0 to 100; 1 is used
+        exit code 0
+    "#]]
+    .assert_eq(&folder.run(&["check", "packets", &file]));
+}
+
 // Guards against examples in the documentation that a daemon would refuse.
 #[test]
 fn accepts_the_documented_examples() {
